--- a/minttray/adapter.py
+++ b/basaltspread/adapter.py
@@ -11,8 +11,8 @@
 from functools import partial
 from typing import IO, Any
 
-from minttray import interface as api
-from minttray.rules import Router
+from basaltspread import interface as api
+from basaltspread.rules import Router
 
 ROLES = {"read": api.Role.READER, "write": api.Role.WRITER, "both": api.Role.MIXED}
 OUTCOMES = {
@@ -344,7 +344,7 @@
         try:
             reply = host.answer(line)
         except BadLine as error:
-            print(f"minttray adapter: bad input line: {error}", file=sys.stderr)
+            print(f"basaltspread adapter: bad input line: {error}", file=sys.stderr)
             return 2
         sink.write(reply + "\n")
         sink.flush()
--- /dev/null
+++ b/basaltspread/net/__init__.py
@@ -0,0 +1,1 @@
+"""What touches sockets: the runtime that carries out effects, and the two fronts."""
--- a/minttray/rules.py
+++ b/basaltspread/rules.py
@@ -1,4 +1,4 @@
-"""Every decision of a minttray router. The types that go in and out are in interface.py.
+"""Every decision of a basaltspread router. The types that go in and out are in interface.py.
 
 The ordinary path: a request arrives and is admitted; a reader is chosen (gap test, capped prefix match,
 hashed fallback, fewest running); a place is held at the roomiest near writer; when the read ends the
@@ -15,8 +15,8 @@
 from statistics import pstdev
 from typing import Any
 
-from minttray import interface as api
-from minttray.interface import Effect, KeyScope, Outcome, Role
+from basaltspread import interface as api
+from basaltspread.interface import Effect, KeyScope, Outcome, Role
 
 SECOND = 1_000_000
 # The design's ordinary path.
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,8 +6,8 @@
 from collections import defaultdict
 from dataclasses import replace
 
-from minttray import interface as api
-from minttray.rules import Router
+from basaltspread import interface as api
+from basaltspread.rules import Router
 
 MS = 1000
 SECOND = 1_000_000
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -11,10 +11,10 @@
 
 import pytest
 
-from minttray import adapter
-from minttray import interface as api
-from minttray.adapter import BadLine, Host, main, settings_from
-from minttray.rules import Router
+from basaltspread import adapter
+from basaltspread import interface as api
+from basaltspread.adapter import BadLine, Host, main, settings_from
+from basaltspread.rules import Router
 
 ROOT = Path(__file__).resolve().parent.parent
 RID = "0a1b2c3d-0000-4000-8000-000000000001"
@@ -164,7 +164,7 @@
 
 
 def test_as_a_process() -> None:
-    command = [sys.executable, "-m", "minttray.adapter"]
+    command = [sys.executable, "-m", "basaltspread.adapter"]
     run = subprocess.run(command, input=batch() + "\n", cwd=ROOT, capture_output=True, text=True)
     assert run.returncode == 0 and json.loads(run.stdout) == {"seq": 1, "orders": []}
 
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -19,7 +19,7 @@
 
 
 def test_run_time_needs_the_standard_library_alone() -> None:
-    code = f"import sys; sys.path.insert(0, {str(ROOT)!r}); import minttray.adapter; print(*sys.modules)"
+    code = f"import sys; sys.path.insert(0, {str(ROOT)!r}); import basaltspread.adapter; print(*sys.modules)"
     run = subprocess.run([sys.executable, "-I", "-S", "-c", code], capture_output=True, text=True, check=True)
     names = {name.split(".")[0] for name in run.stdout.split()}
-    assert names <= set(sys.stdlib_module_names) | {"minttray", "__main__"}
+    assert names <= set(sys.stdlib_module_names) | {"basaltspread", "__main__"}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,14 +10,14 @@
 
 import pytest
 
-from minttray import interface as api
-from minttray import rules
-from minttray.interface import Effect, KeyScope, Outcome
-from minttray.rules import Router
+from basaltspread import interface as api
+from basaltspread import rules
+from basaltspread.interface import Effect, KeyScope, Outcome
+from basaltspread.rules import Router
 from tests.helpers import FLEET, MS, SECOND, Drive, entry, random_day, settings
 
 ROOT = Path(__file__).resolve().parent.parent
-RULES = ROOT / "minttray" / "rules.py"
+RULES = ROOT / "basaltspread" / "rules.py"
 
 
 def kinds(actions: list[api.Action]) -> list[type]:
