--- /dev/null
+++ b/basaltspread/core.py
@@ -0,0 +1,794 @@
+"""The one reducer: every change of what the gateway knows of its requests happens in `reduce`.
+
+It owns requests, attempts, what is held for a request at the engines, and the gateway's duties: one final
+answer each, the attempt limit, deadlines, drains, and release. It asks for reads and writes as effects and is
+told of their ends as inputs. It must never touch a socket, a clock, HTTP, JSON or asyncio, and it never
+chooses an engine for a request: that is the module's part (rules.py), which it calls here and nowhere else.
+"""
+
+from __future__ import annotations
+
+import traceback
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, ClassVar, Protocol
+
+from basaltspread import interface as api
+from basaltspread.interface import Outcome, Role, WorkerState
+
+MS = 1000
+ANSWER_EARLY = 15 * MS  # a deadline is met this much early: the loop may lag, and the answer takes a moment
+DEADLINE_GUARD = 10 * MS  # past its deadline by this, a request that the module forgot is failed here
+RELEASE_STEP = 100 * MS  # a release not acknowledged by then is sent to one more engine
+RELEASE_TRIES = 6
+ACCEPT_AFTER_TERM = 550 * MS  # clients may still come for 400 ms after SIGTERM
+
+
+class Ending(Enum):
+    """Every way in which a connection's use can end."""
+
+    SERVED = "stream to its last chunk"
+    READ = "prompt read"
+    SERVER_ERROR = "500"
+    STRANGE_STATUS = "a status the protocol does not name"
+    MALFORMED = "an answer that is not HTTP"
+    TURNED_AWAY = "turned away unprocessed"
+    STATE_GONE = "no state to fetch"
+    REFUSED = "connection refused"
+    CONNECT_TIMED_OUT = "connection did not come up"
+    NO_DESCRIPTOR = "out of descriptors"
+    BROKE_UNSENT = "broke before the last byte was written"
+    WITHDRAWN = "drained before the first byte"
+    RESET = "reset after the last byte"
+    CUT_SHORT = "ended before its last chunk"
+    TIMED_OUT = "nothing came in time"
+    CANCELLED = "called back by the module"
+    CLIENT_LEFT = "the client went away"
+    CLIENT_SLOW = "the client stopped reading"
+    NOT_SENT = "never sent: over, or out of attempts"
+    GATEWAY_FAULT = "an unexpected exception in the gateway"
+
+
+OUTCOMES: dict[Ending, Outcome] = {
+    Ending.SERVED: Outcome.SERVED,
+    Ending.READ: Outcome.READ,
+    Ending.SERVER_ERROR: Outcome.ERROR,
+    Ending.STRANGE_STATUS: Outcome.ERROR,
+    Ending.MALFORMED: Outcome.ERROR,
+    Ending.TURNED_AWAY: Outcome.FULL,
+    Ending.STATE_GONE: Outcome.FULL,
+    Ending.REFUSED: Outcome.CONNECT_FAILED,
+    Ending.CONNECT_TIMED_OUT: Outcome.CONNECT_FAILED,
+    Ending.NO_DESCRIPTOR: Outcome.CONNECT_FAILED,
+    Ending.BROKE_UNSENT: Outcome.CONNECT_FAILED,
+    Ending.WITHDRAWN: Outcome.CONNECT_FAILED,
+    Ending.RESET: Outcome.RESET,
+    Ending.CUT_SHORT: Outcome.RESET,
+    Ending.TIMED_OUT: Outcome.TIMEOUT,
+    Ending.CANCELLED: Outcome.CANCELLED,
+    Ending.CLIENT_LEFT: Outcome.CANCELLED,
+    Ending.CLIENT_SLOW: Outcome.CANCELLED,
+    Ending.NOT_SENT: Outcome.NOT_SENT,
+    Ending.GATEWAY_FAULT: Outcome.ERROR,
+}
+# The endings after which the other side has certainly not acted on what was sent.
+NEVER_RAN = frozenset(
+    e for e, o in OUTCOMES.items() if o in (Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.NOT_SENT)
+)
+
+
+class Place(Enum):
+    """What a writer said when asked to hold a place."""
+
+    HELD = "held"
+    NOT_HELD = "not held"
+    UNKNOWN = "unknown"  # also when nothing was heard
+
+
+class Verdict(Enum):
+    """The final answers that the gateway words itself."""
+
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+# --- inputs -------------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """A whole request has come in; `arrival.time_left` is what is left of the client's wait."""
+
+    arrival: api.Arrival
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLeft:
+    request: str
+    ending: Ending = Ending.CLIENT_LEFT
+
+
+@dataclass(frozen=True, slots=True)
+class Begun:
+    """The first byte of an attempt is about to be written."""
+
+    request: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    """The last byte of an attempt has been written."""
+
+    request: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class FirstEvent:
+    request: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    request: str
+    number: int
+    ending: Ending
+    detail: int = 0  # prompt tokens found kept
+    report: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class PlaceEnded:
+    request: str
+    number: int  # the reading attempt that it belongs to
+    worker: str
+    place: Place
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseEnded:
+    request: str
+    worker: str
+    done: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    worker: str
+    ending: Ending
+    elapsed: int
+    report: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """One engine of the list, and where it is reached."""
+
+    entry: api.WorkerEntry
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class ListTold:
+    kind: api.ListKind
+    version: int
+    entries: tuple[Listed, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Woken:
+    token: tuple[Any, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Terminate:
+    pass
+
+
+Input = (
+    Taken | ClientLeft | Begun | Written | FirstEvent | Ended | PlaceEnded | ReleaseEnded | Probed | ListTold
+    | Woken | Terminate
+)  # fmt: skip
+
+
+# --- effects ------------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class StartAttempt:
+    request: str
+    number: int
+    worker: str
+    address: str
+    reading: bool
+    time_left: int
+
+
+@dataclass(frozen=True, slots=True)
+class AbandonAttempt:
+    request: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class PassOn:
+    """The client gets this attempt's stream from its first event on."""
+
+    request: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndStream:
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class BreakClient:
+    """End the client's connection without the last chunk."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    request: str
+    verdict: Verdict
+    retry_after: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class AskPlace:
+    request: str
+    number: int
+    worker: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class DropPlace:
+    """Do not ask for this place any more if not a byte of the question has gone out."""
+
+    request: str
+    worker: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendRelease:
+    request: str
+    worker: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class StartProbe:
+    worker: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class FetchWholeList:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    at: int
+    token: tuple[Any, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Count:
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Say:
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class StopAccepting:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Exit:
+    pass
+
+
+Effect = (
+    StartAttempt | AbandonAttempt | PassOn | EndStream | BreakClient | Answer | AskPlace | DropPlace
+    | SendRelease | StartProbe | FetchWholeList | Wake | Count | Say | StopAccepting | Exit
+)  # fmt: skip
+
+
+# --- state --------------------------------------------------------------------------------------------
+
+
+class Module(Protocol):
+    def handle(self, now: int, events: list[api.Event]) -> list[api.Action]: ...
+
+
+@dataclass(slots=True)
+class Attempt:
+    number: int
+    worker: str
+    reading: bool
+    sent_at: int
+    begun: bool = False
+    written: bool = False
+    over: bool = False
+
+
+@dataclass(slots=True)
+class Request:
+    id: str
+    deadline: int
+    attempts: list[Attempt] = field(default_factory=list)
+    stream: Attempt | None = None
+    ended: bool = False  # the client has had its final answer, or has gone
+    place: str | None = None  # a writer to be asked once the read's last byte is out
+    asking: set[str] = field(default_factory=set)  # writers whose answer is awaited
+    may_hold: bool = False  # a state or a place may be held for it at some engine
+
+    def out(self) -> list[Attempt]:
+        return [a for a in self.attempts if not a.over]
+
+
+@dataclass(slots=True)
+class Release:
+    tried: list[str] = field(default_factory=list)
+    open: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class State:
+    settings: api.Settings
+    module: Module
+    workers: dict[str, Listed] = field(default_factory=dict)
+    heard: dict[str, int] = field(default_factory=dict)  # when an engine last said anything
+    requests: dict[str, Request] = field(default_factory=dict)
+    releases: dict[str, Release] = field(default_factory=dict)
+    stopping: bool = False
+    accepting: bool = True
+    exited: bool = False
+
+
+def reduce(state: State, now: int, event: Input) -> list[Effect]:
+    """One step: the state after this input, and what is to be done about it."""
+    step = _Step(state, now)
+    try:
+        step.HANDLERS[type(event)](step, event)
+        step.finish()
+    except Exception:  # it costs the request that it concerns, and no other
+        step.fault(event, traceback.format_exc())
+    return step.effects
+
+
+class _Step:
+    """One call of the reducer: the state, the time, and the effects gathered so far."""
+
+    def __init__(self, state: State, now: int) -> None:
+        self.state, self.now = state, now
+        self.effects: list[Effect] = []
+        self.told: deque[api.Event] = deque()  # what the module is to be told, in order
+        self.touched: dict[str, None] = {}
+
+    def do(self, effect: Effect) -> None:
+        self.effects.append(effect)
+
+    def count(self, name: str) -> None:
+        self.do(Count(name))
+
+    def finish(self) -> None:
+        while self.told:
+            self._ask_module(self.told.popleft())
+        for name in self.touched:
+            self._settle(name)
+        state = self.state
+        if not state.accepting and not state.requests and not state.releases and not state.exited:
+            state.exited = True
+            self.do(Exit())
+
+    def fault(self, event: Input, trace: str) -> None:
+        self.count("core_faults")
+        self.do(Say(f"core fault on {type(event).__name__}: {trace}"))
+        q = self.state.requests.pop(getattr(event, "request", ""), None)
+        if q is None:
+            return
+        if not q.ended:
+            self.do(Answer(q.id, Verdict.FAILED) if q.stream is None else BreakClient(q.id))
+        for attempt in q.out():
+            self.do(AbandonAttempt(q.id, attempt.number))
+        if q.may_hold or q.asking:
+            self._release(q.id)
+
+    def _ask_module(self, event: api.Event) -> None:
+        try:
+            actions = self.state.module.handle(self.now, [event])
+        except Exception as error:  # a fault in one decision must not take the other requests with it
+            self.count("module_faults")
+            self.do(Say(f"module fault on {type(event).__name__}: {type(error).__name__}: {error}"))
+            q = self.state.requests.get(getattr(event, "request", ""))
+            if q is not None:
+                self._answer(q, Verdict.FAILED)
+                for attempt in q.out():
+                    self._abandon(q, attempt)
+            return
+        for action in actions:
+            self.ACTIONS[type(action)](self, action)
+
+    def _settle(self, name: str) -> None:
+        """After all that an input led to: a request with nothing in flight that is over lets go and is
+        dropped. Guards against what the module can't know of: a read that ended well just as its connection
+        was closed or broke leaves a state behind."""
+        q = self.state.requests.get(name)
+        if q is None or not q.ended or q.out():
+            return
+        if q.may_hold:
+            self._release(name)
+        if not q.asking:
+            del self.state.requests[name]
+
+    # --- requests ---------------------------------------------------------------------------------------
+
+    def _find(self, request: str, number: int) -> tuple[Request, Attempt] | None:
+        q = self.state.requests.get(request)
+        if q is None or number >= len(q.attempts) or q.attempts[number].over:
+            return None
+        return q, q.attempts[number]
+
+    def taken(self, event: Taken) -> None:
+        a = event.arrival
+        left = max(0, a.time_left - ANSWER_EARLY)
+        a = api.Arrival(
+            a.request, a.session, a.prefix, a.prefix_tokens, a.prompt_tokens, a.max_tokens, a.request_class,
+            a.tenant, left, a.hint, a.is_retry, a.is_resumed,
+        )  # fmt: skip
+        q = Request(a.request, self.now + left)
+        self.state.requests[q.id] = q
+        self.touched[q.id] = None
+        self.count("requests_taken")
+        self.do(Wake(q.deadline + DEADLINE_GUARD, ("deadline", q.id)))
+        self.told.append(a)
+
+    def client_left(self, event: ClientLeft) -> None:
+        q = self.state.requests.get(event.request)
+        if q is None or q.ended:
+            return
+        self.count("clients_gone")
+        q.ended = True
+        self.touched[q.id] = None
+        if q.stream is not None:
+            self._close(q, q.stream, event.ending, abandon=True)
+        else:
+            self.told.append(api.ClientGone(q.id))
+
+    def _answer(self, q: Request, verdict: Verdict, retry_after: int = 0) -> None:
+        if q.ended or q.stream is not None:
+            return
+        q.ended = True
+        self.touched[q.id] = None
+        self.count(f"answers_{verdict.value}")
+        self.do(Answer(q.id, verdict, retry_after))
+
+    # --- attempts ---------------------------------------------------------------------------------------
+
+    def send(self, action: api.Send) -> None:
+        q = self.state.requests.get(action.request)
+        listed = self.state.workers.get(action.worker)
+        if q is None:
+            return
+        self.touched[q.id] = None
+        role = self._role(listed)
+        attempt = Attempt(len(q.attempts), action.worker, role is Role.READER, self.now)
+        q.attempts.append(attempt)
+        left = q.deadline - self.now
+        limit = self.state.settings.limits.max_attempts
+        if q.ended or q.stream is not None or left <= 0 or len(q.attempts) > limit > 0:
+            self._close(q, attempt, Ending.NOT_SENT)
+            return
+        if listed is None or listed.entry.state is not WorkerState.UP:
+            self._close(q, attempt, Ending.WITHDRAWN)
+            return
+        left = min(left, action.timeout) if action.timeout > 0 else left
+        self.count("sends_read" if attempt.reading else "sends_write")
+        self.do(StartAttempt(q.id, attempt.number, action.worker, listed.address, attempt.reading, left))
+        self.do(Wake(self.now + left, ("attempt", q.id, attempt.number)))
+
+    def _role(self, listed: Listed | None) -> Role:
+        kinds = self.state.settings.kinds
+        if listed is None or listed.entry.kind >= len(kinds):
+            return Role.MIXED
+        return kinds[listed.entry.kind].role
+
+    def cancel(self, action: api.Cancel) -> None:
+        found = self._find(action.request, action.attempt)
+        if found is not None and found[0].stream is not found[1]:
+            self._close(*found, Ending.CANCELLED, abandon=True)
+
+    def begun(self, event: Begun) -> None:
+        found = self._find(event.request, event.number)
+        if found is not None:
+            found[1].begun = True
+
+    def written(self, event: Written) -> None:
+        found = self._find(event.request, event.number)
+        if found is None:
+            return
+        q, attempt = found
+        attempt.written = True
+        if attempt.reading:
+            q.may_hold = True
+            if q.place is not None:
+                self._ask_place(q, attempt)
+
+    def first_event(self, event: FirstEvent) -> None:
+        found = self._find(event.request, event.number)
+        if found is None or found[0].ended or found[0].stream is not None:
+            return
+        q, attempt = found
+        q.stream = attempt
+        q.may_hold = bool(q.asking)  # all else that is held goes by itself, but for what is asked for now
+        self.touched[q.id] = None
+        self.state.heard[attempt.worker] = self.now
+        self.count("streams_started")
+        self.do(PassOn(q.id, attempt.number))
+        for other in q.out():
+            if other is not attempt:
+                self._close(q, other, Ending.CANCELLED, abandon=True)
+        elapsed = self.now - attempt.sent_at
+        self.told.append(api.FirstToken(q.id, attempt.number, attempt.worker, elapsed))
+
+    def ended(self, event: Ended) -> None:
+        found = self._find(event.request, event.number)
+        if found is not None:
+            self._close(*found, event.ending, detail=event.detail, report=event.report)
+
+    def _abandon(self, q: Request, attempt: Attempt) -> None:
+        if attempt.reading and attempt.begun:
+            q.may_hold = True
+        attempt.over = True
+        self.touched[q.id] = None
+        self.do(AbandonAttempt(q.id, attempt.number))
+
+    def _close(
+        self,
+        q: Request,
+        attempt: Attempt,
+        ending: Ending,
+        detail: int = 0,
+        report: dict[str, float] | None = None,
+        abandon: bool = False,
+    ) -> None:
+        """The one way in which an attempt ends, whoever ended it."""
+        if abandon:
+            self._abandon(q, attempt)
+        attempt.over = True
+        self.touched[q.id] = None
+        outcome = OUTCOMES[ending]
+        self.count(f"ended_{ending.name.lower()}")
+        if outcome in (Outcome.READ, Outcome.SERVED, Outcome.FULL, Outcome.ERROR):
+            self.state.heard[attempt.worker] = self.now
+        else:
+            self.state.heard.pop(attempt.worker, None)
+        if attempt.reading and (ending is Ending.READ or attempt.written):
+            q.may_hold = True
+        if attempt.reading:
+            if q.place is not None:
+                q.place = None
+            for worker in q.asking:
+                self.do(DropPlace(q.id, worker))
+        if q.stream is attempt and not q.ended:
+            q.ended = True
+            if ending is Ending.SERVED:
+                self.count("answers_served")
+                self.do(EndStream(q.id))
+            else:
+                self.count("streams_broken")
+                self.do(BreakClient(q.id))
+        if ending is Ending.STATE_GONE:
+            detail = 1
+        elapsed = self.now - attempt.sent_at
+        self.told.append(
+            api.AttemptEnded(
+                q.id, attempt.number, attempt.worker, outcome, elapsed, q.ended, detail, report or {}
+            )
+        )
+
+    def refuse(self, action: api.Refuse) -> None:
+        q = self.state.requests.get(action.request)
+        if q is not None:
+            self._answer(q, Verdict.REFUSED, action.retry_after)
+
+    def fail(self, action: api.Fail) -> None:
+        q = self.state.requests.get(action.request)
+        if q is not None:
+            self._answer(q, Verdict.FAILED)
+
+    def move(self, action: api.Move) -> None:
+        """End a running stream; its client asks for the rest."""
+        q = self.state.requests.get(action.request)
+        if q is not None and q.stream is not None and not q.stream.over:
+            self._close(q, q.stream, Ending.CANCELLED, abandon=True)
+
+    # --- what is held at the engines ------------------------------------------------------------------
+
+    def hold_place(self, action: api.HoldPlace) -> None:
+        q = self.state.requests.get(action.request)
+        reads = [a for a in q.out() if a.reading] if q is not None else []
+        if q is None or not reads:
+            return
+        q.place = action.worker
+        if reads[-1].written:
+            self._ask_place(q, reads[-1])
+
+    def _ask_place(self, q: Request, read: Attempt) -> None:
+        worker, q.place = q.place, None
+        listed = self.state.workers.get(worker or "")
+        if worker is None or listed is None or listed.entry.state is not WorkerState.UP:
+            return
+        if worker in q.asking:
+            return
+        q.may_hold = True
+        q.asking.add(worker)
+        self.count("places_asked")
+        self.do(AskPlace(q.id, read.number, worker, listed.address))
+
+    def place_ended(self, event: PlaceEnded) -> None:
+        self.count("places_" + event.place.name.lower())
+        q = self.state.requests.get(event.request)
+        if q is None or event.worker not in q.asking:
+            return
+        q.asking.discard(event.worker)
+        self.touched[q.id] = None
+        if event.place is not Place.NOT_HELD and (q.ended or q.stream is not None):
+            # The question may have overtaken nothing: what it left is let go, whatever was before.
+            q.may_hold = True
+            if q.stream is not None and not q.ended:
+                self._release(q.id)
+        read = q.attempts[event.number]
+        if event.place is Place.UNKNOWN or read.over:
+            return
+        held = event.place is Place.HELD
+        self.told.append(api.PlaceAnswer(q.id, event.number, event.worker, held))
+
+    def release(self, action: api.Release) -> None:
+        self._release(action.request)
+
+    def _release(self, name: str) -> None:
+        q = self.state.requests.get(name)
+        if q is not None:
+            q.may_hold = False
+        if name in self.state.releases:
+            self.state.releases[name].tried.clear()
+        else:
+            self.state.releases[name] = Release()
+        self.count("releases")
+        self._try_release(name)
+
+    def _try_release(self, name: str) -> None:
+        """To the engine heard last first: it surely runs. Every engine passes the word on."""
+        duty = self.state.releases[name]
+        fit = [w for w in self.state.workers.values() if w.entry.name not in duty.tried]
+        if not fit or len(duty.tried) >= RELEASE_TRIES:
+            if not duty.open:
+                self.count("releases_unheard")
+                self.do(Say(f"release of {name} reached no engine; tried {' '.join(duty.tried) or 'none'}"))
+                del self.state.releases[name]
+            return
+        best = max(
+            fit,
+            key=lambda w: (
+                w.entry.state is WorkerState.UP, self.state.heard.get(w.entry.name, 0), w.entry.name,
+            ),
+        )  # fmt: skip
+        duty.tried.append(best.entry.name)
+        duty.open.add(best.entry.name)
+        self.do(SendRelease(name, best.entry.name, best.address))
+        self.do(Wake(self.now + RELEASE_STEP, ("release", name, best.entry.name)))
+
+    def release_ended(self, event: ReleaseEnded) -> None:
+        duty = self.state.releases.get(event.request)
+        if duty is None:
+            return
+        duty.open.discard(event.worker)
+        if event.done:
+            self.state.heard[event.worker] = self.now
+            del self.state.releases[event.request]
+        else:
+            self.state.heard.pop(event.worker, None)
+            self._try_release(event.request)
+
+    # --- the fleet ------------------------------------------------------------------------------------
+
+    def list_told(self, event: ListTold) -> None:
+        workers = self.state.workers
+        self.count("lists_" + event.kind.value)
+        before = {n for n, w in workers.items() if w.entry.state is WorkerState.UP}
+        if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
+            workers.clear()
+        for listed in event.entries:
+            if listed.entry.state is WorkerState.REMOVED:
+                workers.pop(listed.entry.name, None)
+            else:
+                workers[listed.entry.name] = listed
+        stopped = before - {n for n, w in workers.items() if w.entry.state is WorkerState.UP}
+        entries = tuple(listed.entry for listed in event.entries)
+        self.told.append(api.WorkerList(event.kind, event.version, entries))
+        if not stopped:
+            return
+        # What waits for a connection would go out whenever that comes up, long after the drain was told.
+        for q in self.state.requests.values():
+            for worker in q.asking & stopped:
+                self.do(DropPlace(q.id, worker))
+            for attempt in q.out():
+                if attempt.worker in stopped and not attempt.begun:
+                    self._close(q, attempt, Ending.WITHDRAWN, abandon=True)
+
+    def probe(self, action: api.Probe) -> None:
+        listed = self.state.workers.get(action.worker)
+        if listed is not None:
+            self.count("probes")
+            self.do(StartProbe(action.worker, listed.address))
+
+    def probed(self, event: Probed) -> None:
+        outcome = OUTCOMES[event.ending]
+        self.told.append(api.ProbeEnded(event.worker, outcome, event.elapsed, event.report))
+
+    def fetch_list(self, action: api.FetchList) -> None:
+        self.do(FetchWholeList())
+
+    # --- time and the end ------------------------------------------------------------------------------
+
+    def woken(self, event: Woken) -> None:
+        match event.token:
+            case ("timer", int(number)):
+                self.told.append(api.TimerFired(number))
+            case ("attempt", str(name), int(number)):
+                found = self._find(name, number)
+                if found is not None and found[0].stream is not found[1]:
+                    self._close(*found, Ending.TIMED_OUT, abandon=True)
+            case ("deadline", str(name)):
+                q = self.state.requests.get(name)
+                if q is not None and not q.ended and q.stream is None:
+                    self.count("deadline_backstops")
+                    self.told.append(api.ClientGone(name))  # the module takes it as over
+                    self._answer(q, Verdict.FAILED)
+            case ("release", str(name), str(worker)):
+                duty = self.state.releases.get(name)
+                if duty is not None and duty.tried[-1:] == [worker]:
+                    self._try_release(name)
+            case ("door",):
+                self.state.accepting = False
+                self.do(StopAccepting())
+
+    def set_timer(self, action: api.SetTimer) -> None:
+        self.do(Wake(self.now + action.delay, ("timer", action.timer)))
+
+    def say(self, action: api.Log) -> None:
+        self.do(Say(action.text))
+
+    def watch_list(self, action: api.WatchList) -> None:
+        """Nothing to do: the front watches discovery from its start to its end."""
+
+    def terminate(self, event: Terminate) -> None:
+        if not self.state.stopping:
+            self.state.stopping = True
+            self.do(Wake(self.now + ACCEPT_AFTER_TERM, ("door",)))
+
+    HANDLERS: ClassVar[dict[type, Callable[[_Step, Any], None]]] = {
+        Taken: taken, ClientLeft: client_left, Begun: begun, Written: written, FirstEvent: first_event,
+        Ended: ended, PlaceEnded: place_ended, ReleaseEnded: release_ended, Probed: probed,
+        ListTold: list_told, Woken: woken, Terminate: terminate,
+    }  # fmt: skip
+    ACTIONS: ClassVar[dict[type, Callable[[_Step, Any], None]]] = {
+        api.Send: send, api.HoldPlace: hold_place, api.Release: release, api.Cancel: cancel,
+        api.Refuse: refuse, api.Fail: fail, api.Move: move, api.SetTimer: set_timer, api.Probe: probe,
+        api.WatchList: watch_list, api.FetchList: fetch_list, api.Log: say,
+    }  # fmt: skip
--- /dev/null
+++ b/basaltspread/net/platform.py
@@ -0,0 +1,653 @@
+"""The platform's front: clients, engines and discovery, as its protocol words them on HTTP/1.1.
+
+It turns messages into the core's inputs and the core's effects into messages. It must never choose an engine,
+send anything a second time, or word a final answer that the core did not ask for (malformed requests, which
+the core never sees, excepted).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import math
+import re
+from collections.abc import Mapping
+from typing import Any
+
+import h11
+
+from basaltspread import core
+from basaltspread import interface as api
+from basaltspread.adapter import REPORT_NAMES
+from basaltspread.config import Platform, split_address
+from basaltspread.core import Ending, Place, Verdict
+from basaltspread.net.runtime import (
+    BODY_LIMIT,
+    CLIENT_BUFFER,
+    HEAD_LIMIT,
+    READ_SIZE,
+    Headers,
+    Link,
+    LinkError,
+    Runtime,
+)
+
+log = logging.getLogger("basaltspread")
+COMPLETIONS = b"/v1/chat/completions"
+HOLD_MS = 5000  # of one discovery call
+WATCH_SLACK = 2.0  # s past it after which discovery is taken as silent
+RETRY_PAUSE = 0.05  # s; well within the 200 ms that a watch may pause
+REQUEST_PATIENCE = 30.0  # s for a request whose first byte has come
+CLIENT_PATIENCE = 30.0  # s for a client that does not read its stream
+CALL_WAIT = 1.0  # s for an answer about a place, a release or a probe
+ERROR_BODY_WAIT = 0.5  # s for the rest of an answer whose status has settled it
+MOST_TOKENS = 10_000_000
+SAFE_ID = re.compile(r"[A-Za-z0-9._~-]{1,128}\Z")
+CACHED = re.compile(rb'"cached_tokens"\s*:\s*(\d{1,9})')
+# Not passed on to an engine: of this hop alone, or set anew.
+HOP_HEADERS = frozenset((
+    b"host", b"connection", b"content-length", b"transfer-encoding", b"x-time-left-ms", b"te", b"upgrade",
+    b"keep-alive", b"expect", b"trailer", b"proxy-connection", b"proxy-authorization",
+))  # fmt: skip
+# After these a link is in no state to carry another request.
+FATAL = frozenset((
+    Ending.MALFORMED, Ending.BROKE_UNSENT, Ending.RESET, Ending.CUT_SHORT,
+    Ending.CLIENT_LEFT, Ending.CLIENT_SLOW,
+))  # fmt: skip
+SOCKET_REPORT_NAMES = {"inflight": "inflight", "queue": "queue", "util": "utilisation", **REPORT_NAMES}
+REASONS = {
+    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
+    409: b"Conflict", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway", 503: b"Service Unavailable",
+}  # fmt: skip
+
+
+class BadRequest(Exception):
+    """A request that gets its own 4xx and never reaches the core."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status, self.why = status, why
+
+
+# --- parsers --------------------------------------------------------------------------------------------
+
+
+def parse_report(text: str) -> dict[str, float]:
+    """A load report, `TEXT name=value, ...` or JSON, in the module's names; what is odd is left out."""
+    pairs: list[tuple[str, Any]]
+    text = text.strip()
+    if text.startswith(("JSON", "{")):
+        try:
+            loaded = json.loads(text.removeprefix("JSON"))
+        except ValueError:
+            return {}
+        pairs = list(loaded.items()) if isinstance(loaded, dict) else []
+    else:
+        parts = (part.partition("=") for part in text.removeprefix("TEXT").split(","))
+        pairs = [(name.strip(), value) for name, _, value in parts]
+    report: dict[str, float] = {}
+    for name, value in pairs:
+        try:
+            figure = float(value)
+        except (TypeError, ValueError):
+            continue
+        if name in SOCKET_REPORT_NAMES and math.isfinite(figure):
+            report[SOCKET_REPORT_NAMES[name]] = figure
+    return report
+
+
+def parse_facts(text: str) -> dict[str, str]:
+    return {k.strip(): v.strip() for k, eq, v in (part.partition("=") for part in text.split(",")) if eq}
+
+
+def _count(name: str, text: str, most: int) -> int:
+    if not text.isascii() or not text.isdigit() or len(text) > 12 or int(text) > most:
+        raise BadRequest(400, f"{name} is not a whole number in range")
+    return int(text)
+
+
+def arrival_from(headers: Mapping[str, str], settings: api.Settings) -> api.Arrival:
+    """A client's request in the module's terms; `headers` by lower-case name. Raises BadRequest."""
+    rid = headers.get("x-correlation-id", "")
+    if not SAFE_ID.match(rid):
+        raise BadRequest(400, "X-Correlation-Id is missing or not a plain id")
+    classes = {c.name: i for i, c in enumerate(settings.classes)}
+    cls = classes.get(headers.get("x-service-class", ""))
+    if cls is None:
+        raise BadRequest(400, "X-Service-Class is missing or unknown")
+    tenants = {t.name: i for i, t in enumerate(settings.tenants)}
+    tenant = tenants.get(headers.get("x-account", ""), None if tenants else 0)
+    if tenant is None:
+        raise BadRequest(400, "X-Account is missing or unknown")
+    left = settings.classes[cls].deadline
+    if "x-time-left-ms" in headers:
+        left = _count("X-Time-Left-Ms", headers["x-time-left-ms"], 86_400_000) * core.MS
+    facts = parse_facts(headers.get("x-facts", ""))
+    tokens = {
+        name: _count(f"X-Facts {name}", facts.get(name, "0"), MOST_TOKENS)
+        for name in ("prompt_len", "prefix_len", "max_out")
+    }
+    repeat = headers.get("x-repeat", "")
+    return api.Arrival(
+        request=rid, session=headers.get("x-session-key", ""), prefix=facts.get("prefix", ""),
+        prefix_tokens=tokens["prefix_len"], prompt_tokens=tokens["prompt_len"], max_tokens=tokens["max_out"],
+        request_class=cls, tenant=tenant, time_left=left, hint=0, is_retry=repeat == "1",
+        is_resumed=repeat == "again",
+    )  # fmt: skip
+
+
+def parse_list(raw: Any, platform: api.Settings, kind: api.ListKind | None = None) -> core.ListTold:
+    """Discovery's list; raises ValueError on what is not one. `startedAtMs` becomes microseconds here."""
+    if not isinstance(raw, dict) or not isinstance(raw.get("instances"), list):
+        raise ValueError("not a list of instances")
+    version = raw.get("generation")
+    if isinstance(version, bool) or not isinstance(version, int):
+        raise ValueError(f"generation {version!r} is not a whole number")
+    kinds = {k.name: i for i, k in enumerate(platform.kinds)}
+    zones = {z: i for i, z in enumerate(platform.zones)}
+    entries = []
+    for item in raw["instances"]:
+        if not isinstance(item, dict) or not isinstance(item.get("instanceId"), str):
+            raise ValueError("an instance without instanceId")
+        state = api.WorkerState(item.get("lifecycle"))
+        address = item.get("hostPort") or ""
+        if state is not api.WorkerState.REMOVED:
+            split_address("hostPort", address)
+        try:
+            entry = api.WorkerEntry(
+                item["instanceId"], state, int(item.get("cell") or 0),
+                zones.get(str(item.get("zone")), len(zones)),
+                kinds.get(str(item.get("machineType")), len(kinds)),
+                float(1.0 if item.get("weight") is None else item["weight"]),
+                int(item.get("startedAtMs") or 0) * core.MS,
+            )  # fmt: skip
+        except (TypeError, OverflowError) as error:
+            raise ValueError(f"instance {item['instanceId']!r}: {error}") from error
+        entries.append(core.Listed(entry, str(address)))
+    kind = kind or (api.ListKind.FULL if raw.get("reset") is True else api.ListKind.DELTA)
+    return core.ListTold(kind, version, tuple(entries))
+
+
+# --- clients --------------------------------------------------------------------------------------------
+
+
+class Exchange:
+    """One client request: what is passed on to engines, and the client that waits for the answer."""
+
+    def __init__(self, client: Client, request: h11.Request, body: bytes) -> None:
+        self.client, self.body = client, body
+        self.method, self.target = request.method.decode(), request.target.decode()
+        self.headers: Headers = [(k, v) for k, v in request.headers if k not in HOP_HEADERS]
+        self.passing: int | None = None  # the attempt whose stream the client gets
+        self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    def finish(self) -> None:
+        if not self.done.done():
+            self.done.set_result(None)
+
+
+class Client:
+    """One client connection: one request at a time, its answer, and the watch for the client's leaving."""
+
+    def __init__(self, front: Front, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._front, self._reader, self._writer = front, reader, writer
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
+        self._early = b""  # what came while the answer was awaited
+        self.idle = True  # not a byte of a next request has come
+        writer.transport.set_write_buffer_limits(high=CLIENT_BUFFER)
+
+    async def serve(self) -> None:
+        try:
+            while await self._one():
+                self.idle = True
+                if not self._front.runtime.state.accepting:
+                    break
+        except (OSError, LinkError):
+            pass
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """What was written still goes out; a stream not ended stays without its last chunk."""
+        if not self._writer.transport.is_closing():
+            self._writer.close()
+
+    async def _one(self) -> bool:
+        """Read and answer one request; whether another may follow."""
+        try:
+            got = await self._read()
+            if got is None:
+                return False
+            await self._front.route(self, *got)
+        except BadRequest as error:
+            self._front.runtime.count(f"bad_requests_{error.status}")
+            log.info("bad request: %d %s", error.status, error.why)
+            self.answer(error.status, error.why)
+        except h11.LocalProtocolError:  # the answer was under way when something else went wrong
+            return False
+        await self._writer.drain()
+        if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        return True
+
+    async def _read(self) -> tuple[h11.Request, bytes] | None:
+        request: h11.Request | None = None
+        body = bytearray()
+        wait: float | None = None  # a client may rest between requests for as long as it likes
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                status = error.error_status_hint
+                raise BadRequest(status if status in (431, 501) else 400, "not HTTP/1.1") from error
+            if event is h11.NEED_DATA:
+                if request is not None and self._http.they_are_waiting_for_100_continue:
+                    go_on = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
+                    self._writer.write(self._http.send(go_on) or b"")
+                data, self._early = self._early, b""
+                if not data:
+                    try:
+                        async with asyncio.timeout(wait):
+                            data = await self._reader.read(READ_SIZE)
+                    except TimeoutError as error:
+                        raise BadRequest(408, "the request did not arrive whole") from error
+                    if not data and self.idle:
+                        return None
+                self.idle, wait = False, REQUEST_PATIENCE
+                self._http.receive_data(data)
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > BODY_LIMIT:
+                    raise BadRequest(413, f"the body is over {BODY_LIMIT} bytes")
+            elif isinstance(event, h11.EndOfMessage) and request is not None:
+                return request, bytes(body)
+            else:
+                return None
+
+    def answer(self, status: int, why: str, headers: Headers | None = None) -> None:
+        """A whole answer in the gateway's own words."""
+        body = b"" if status == 200 else json.dumps({"error": {"message": why, "code": status}}).encode()
+        head: Headers = [(b"Content-Length", str(len(body)).encode()), *(headers or [])]
+        if body:
+            head.append((b"Content-Type", b"application/json"))
+        self._send_head(status, head)
+        for event in (h11.Data(data=body), h11.EndOfMessage()):
+            self._writer.write(self._http.send(event) or b"")
+
+    def _send_head(self, status: int, headers: Headers) -> None:
+        if self._front.runtime.state.stopping or self._http.their_state is not h11.DONE:
+            headers = [*headers, (b"Connection", b"close")]
+        head = h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b""))
+        self._writer.write(self._http.send(head) or b"")
+
+    def begin_stream(self, content_type: bytes) -> None:
+        self._send_head(200, [(b"Content-Type", content_type), (b"Transfer-Encoding", b"chunked")])
+
+    async def stream(self, data: bytes) -> None:
+        """Pass a piece on; waits while the client reads too slowly. Raises LinkError."""
+        if self._writer.transport.is_closing():
+            raise LinkError(Ending.CLIENT_LEFT)
+        self._writer.write(self._http.send(h11.Data(data=data)) or b"")
+        try:
+            async with asyncio.timeout(CLIENT_PATIENCE):
+                await self._writer.drain()
+        except TimeoutError as error:
+            raise LinkError(Ending.CLIENT_SLOW) from error
+        except OSError as error:
+            raise LinkError(Ending.CLIENT_LEFT) from error
+
+    def end_stream(self) -> None:
+        self._writer.write(self._http.send(h11.EndOfMessage()) or b"")
+
+    async def wait_for(self, exchange: Exchange) -> bool:
+        """Until the answer is out; false if the client goes away first."""
+        done: asyncio.Future[Any] = exchange.done
+        while not done.done():
+            read: asyncio.Future[Any] = asyncio.ensure_future(self._reader.read(READ_SIZE))
+            await asyncio.wait({read, done}, return_when=asyncio.FIRST_COMPLETED)
+            if not read.done():
+                read.cancel()
+                break
+            data = b"" if read.exception() is not None else read.result()
+            if not data:
+                return done.done()
+            self._early += data
+            if len(self._early) >= READ_SIZE:  # it talks ahead: no more is read, so its end is not seen
+                await done
+        return True
+
+
+# --- the front ------------------------------------------------------------------------------------------
+
+
+class Front:
+    """Serves clients, and carries out the core's effects on engines and discovery."""
+
+    def __init__(self, runtime: Runtime, config: Platform) -> None:
+        self.runtime, self._config, self._spawn = runtime, config, runtime.spawn
+        self._exchanges: dict[str, Exchange] = {}
+        self._attempts: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._places: dict[tuple[str, str], tuple[asyncio.Task[None], list[bool]]] = {}
+        self._clients: dict[Client, asyncio.Task[None]] = {}
+        self._bodies = 0
+        self._server: asyncio.Server | None = None
+        runtime.carry.update({
+            core.StartAttempt: self._start_attempt, core.AbandonAttempt: self._abandon_attempt,
+            core.PassOn: self._pass_on, core.EndStream: self._end_stream,
+            core.BreakClient: self._break_client, core.Answer: self._answer,
+            core.AskPlace: self._ask_place, core.DropPlace: self._drop_place,
+            core.SendRelease: self._send_release, core.StartProbe: self._start_probe,
+            core.FetchWholeList: self._fetch_list,
+            core.StopAccepting: lambda e: self._stop_accepting(),
+        })  # fmt: skip
+
+    async def start(self) -> None:
+        version: int | None = None
+        if self._config.known:
+            try:
+                told = parse_list(self._config.known, self._config.settings, api.ListKind.CACHED)
+                version = told.version
+                self.runtime.feed(told)
+            except ValueError as error:
+                log.warning("known list unusable: %s", error)
+        self._spawn(self._watch(version), "watch")
+        host, port = split_address("listen", self._config.listen)
+        self._server = await asyncio.start_server(self._accept, host, port, limit=READ_SIZE, backlog=512)
+        where = self._server.sockets[0].getsockname()
+        log.info("serving %s on %s:%d", self._config.name, where[0], where[1])
+
+    async def stop(self) -> None:
+        """Let answers under way and requests half read come to their end."""
+        busy = [task for client, task in self._clients.items() if not client.idle]
+        if busy:
+            await asyncio.wait(busy, timeout=2.0)
+
+    def _stop_accepting(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for client in list(self._clients):
+            if client.idle:
+                client.close()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        descriptors = self.runtime.descriptors
+        if not descriptors.take() and not (self.runtime.pool.shed() and descriptors.take()):
+            self.runtime.count("clients_over_budget")
+            writer.transport.abort()
+            return
+        client = Client(self, reader, writer)
+        task = asyncio.current_task()
+        assert task is not None
+        self._clients[client] = task
+        self.runtime.count("clients_accepted")
+        try:
+            await client.serve()
+            await writer.wait_closed()
+        except OSError:
+            pass
+        except Exception:
+            self.runtime.count("task_faults")
+            log.exception("client fault")
+            writer.transport.abort()
+        finally:
+            del self._clients[client]
+            descriptors.free()
+
+    async def route(self, client: Client, request: h11.Request, body: bytes) -> None:
+        path = request.target.split(b"?")[0]
+        if path == b"/health/ready":
+            client.answer(200, "")
+        elif path != COMPLETIONS:
+            raise BadRequest(404, "no such path")
+        elif request.method != b"POST":
+            raise BadRequest(405, "POST is wanted here")
+        else:
+            await self._exchange(client, request, body)
+
+    async def _exchange(self, client: Client, request: h11.Request, body: bytes) -> None:
+        fields = {k.decode(): v.decode("latin-1") for k, v in request.headers}
+        arrival = arrival_from(fields, self._config.settings)
+        rid = arrival.request
+        if rid in self._exchanges or rid in self.runtime.state.requests:
+            raise BadRequest(409, "a request with this X-Correlation-Id is under way")
+        if self._bodies + len(body) > self.runtime.body_room:
+            self.runtime.count("refused_for_memory")
+            client.answer(503, "out of memory for requests", [(b"Retry-After", b"1")])
+            return
+        exchange = self._exchanges[rid] = Exchange(client, request, body)
+        self._bodies += len(body)
+        try:
+            self.runtime.feed(core.Taken(arrival))
+            stays = await client.wait_for(exchange)
+            if not stays:
+                self.runtime.feed(core.ClientLeft(rid))
+                client.close()
+        finally:
+            self._bodies -= len(body)
+            del self._exchanges[rid]
+
+    def _answer(self, effect: core.Answer) -> None:
+        exchange = self._exchanges.get(effect.request)
+        if exchange is None:
+            return
+        if effect.verdict is Verdict.REFUSED:
+            when = f"{effect.retry_after / 1e6:.3f}".encode()
+            exchange.client.answer(
+                503, "try again later", [(b"Retry-After", when)] if effect.retry_after else []
+            )
+        else:
+            exchange.client.answer(502, "the request failed")
+        exchange.finish()
+
+    def _pass_on(self, effect: core.PassOn) -> None:
+        exchange = self._exchanges.get(effect.request)
+        if exchange is not None:
+            exchange.passing = effect.number
+
+    def _end_stream(self, effect: core.EndStream) -> None:
+        exchange = self._exchanges.get(effect.request)
+        if exchange is not None:
+            exchange.client.end_stream()
+            exchange.finish()
+
+    def _break_client(self, effect: core.BreakClient) -> None:
+        exchange = self._exchanges.get(effect.request)
+        if exchange is not None:
+            exchange.client.close()
+            exchange.finish()
+
+    # --- engines ----------------------------------------------------------------------------------------
+
+    def _start_attempt(self, effect: core.StartAttempt) -> None:
+        exchange = self._exchanges[effect.request]
+        key = (effect.request, effect.number)
+        task = self._attempts[key] = self._spawn(self._attempt(effect, exchange), f"attempt {key}")
+        task.add_done_callback(lambda _: self._attempts.pop(key, None))
+
+    def _abandon_attempt(self, effect: core.AbandonAttempt) -> None:
+        task = self._attempts.get((effect.request, effect.number))
+        if task is not None:
+            task.cancel()
+
+    async def _attempt(self, effect: core.StartAttempt, exchange: Exchange) -> None:
+        name, number = effect.request, effect.number
+        ending, detail = Ending.GATEWAY_FAULT, 0
+        report: dict[str, float] = {}
+        link: Link | None = None
+        by = self.runtime.clock.now() + effect.time_left
+        try:
+            link = await self.runtime.pool.acquire(effect.address)
+            left = max(1, (by - self.runtime.clock.now()) // core.MS)
+            headers = [*exchange.headers, (b"X-Time-Left-Ms", str(left).encode())]
+            self.runtime.feed(core.Begun(name, number))
+            await link.send(exchange.method, exchange.target, headers, exchange.body)
+            self.runtime.feed(core.Written(name, number))
+            head = await link.event()
+            if not isinstance(head, h11.Response):
+                raise LinkError(Ending.MALFORMED)
+            fields = dict(head.headers)
+            if b"x-backend-load" in fields:
+                report = parse_report(fields[b"x-backend-load"].decode("latin-1"))
+            if head.status_code == 200:
+                ending, detail = await self._relay(link, name, number, fields, exchange)
+            else:
+                ending, detail = await self._small_answer(link, head.status_code, fields)
+            self.runtime.pool.give_back(link)
+        except LinkError as error:
+            ending = error.ending
+            if ending in (Ending.CLIENT_LEFT, Ending.CLIENT_SLOW):
+                self.runtime.feed(core.ClientLeft(name, ending))
+                exchange.client.close()
+        except asyncio.CancelledError:
+            if link is not None:
+                link.close()
+            raise
+        except Exception:
+            self.runtime.count("attempt_faults")
+            log.exception("attempt fault: %s to %s", name, effect.worker)
+        if ending in (Ending.GATEWAY_FAULT, *FATAL) and link is not None:
+            link.close()
+        self.runtime.feed(core.Ended(name, number, ending, detail, report))
+
+    async def _small_answer(self, link: Link, status: int, fields: dict[bytes, bytes]) -> tuple[Ending, int]:
+        """A status that settles the attempt; its body matters only after a read."""
+        unprocessed = fields.get(b"x-unprocessed") == b"1"
+        if status == 202:
+            found = CACHED.search(await link.rest())
+            return Ending.READ, int(found[1]) if found else 0
+        try:
+            async with asyncio.timeout(ERROR_BODY_WAIT):
+                await link.rest()
+        except (LinkError, TimeoutError):
+            link.close()
+        if unprocessed and status in (503, 504):
+            return Ending.TURNED_AWAY, 0
+        if unprocessed and status == 410:
+            return Ending.STATE_GONE, 0
+        return (Ending.SERVER_ERROR if status == 500 else Ending.STRANGE_STATUS), 0
+
+    async def _relay(
+        self, link: Link, name: str, number: int, fields: dict[bytes, bytes], exchange: Exchange
+    ) -> tuple[Ending, int]:
+        """Pass an engine's events on as they come, to its last chunk."""
+        begun, tail = False, b""
+        framed = b"transfer-encoding" in fields or b"content-length" in fields
+        while True:
+            event = await link.event()
+            over = isinstance(event, h11.EndOfMessage)
+            if over and not framed:
+                raise LinkError(Ending.CUT_SHORT)
+            if not begun:
+                begun = True
+                self.runtime.feed(core.FirstEvent(name, number))
+                if exchange.passing == number:
+                    exchange.client.begin_stream(fields.get(b"content-type", b"text/event-stream"))
+            if over:
+                found = CACHED.search(tail)
+                return Ending.SERVED, int(found[1]) if found else 0
+            if isinstance(event, h11.Data):
+                data = bytes(event.data)
+                tail = (tail + data)[-512:]
+                if exchange.passing == number:
+                    await exchange.client.stream(data)
+
+    def _ask_place(self, effect: core.AskPlace) -> None:
+        key, begun = (effect.request, effect.worker), [False]
+        task = self._spawn(self._place(effect, begun), f"place {key}")
+        self._places[key] = task, begun
+
+    async def _place(self, effect: core.AskPlace, begun: list[bool]) -> None:
+        place = Place.UNKNOWN
+        try:
+            reply = await self.runtime.pool.call(
+                effect.address, "POST", f"/state/{effect.request}", wait=CALL_WAIT, begun=begun
+            )
+            place = {200: Place.HELD, 409: Place.NOT_HELD}.get(reply.status, Place.UNKNOWN)
+        except LinkError:
+            self.runtime.count("place_calls_failed")
+        except asyncio.CancelledError:
+            place = Place.NOT_HELD
+        finally:
+            self._places.pop((effect.request, effect.worker), None)
+            self.runtime.feed(core.PlaceEnded(effect.request, effect.number, effect.worker, place))
+
+    def _drop_place(self, effect: core.DropPlace) -> None:
+        task, begun = self._places.get((effect.request, effect.worker), (None, [True]))
+        if task is not None and not begun[0]:
+            task.cancel()
+
+    def _send_release(self, effect: core.SendRelease) -> None:
+        self._spawn(self._release(effect), f"release {effect.request}")
+
+    async def _release(self, effect: core.SendRelease) -> None:
+        done = False
+        try:
+            await self.runtime.pool.call(effect.address, "DELETE", f"/state/{effect.request}", wait=CALL_WAIT)
+            done = True
+        except LinkError as error:
+            self.runtime.count("release_calls_failed")
+            log.info("release of %s by %s: %s", effect.request, effect.worker, error)
+        finally:
+            self.runtime.feed(core.ReleaseEnded(effect.request, effect.worker, done))
+
+    def _start_probe(self, effect: core.StartProbe) -> None:
+        self._spawn(self._probe(effect), f"probe {effect.worker}")
+
+    async def _probe(self, effect: core.StartProbe) -> None:
+        started, ending = self.runtime.clock.now(), Ending.GATEWAY_FAULT
+        report: dict[str, float] = {}
+        try:
+            reply = await self.runtime.pool.call(effect.address, "GET", "/stats", wait=CALL_WAIT)
+            ending = Ending.SERVED if reply.status == 200 else Ending.SERVER_ERROR
+            report = parse_report(reply.body.decode("latin-1"))
+        except LinkError as error:
+            ending = error.ending
+        finally:
+            self.runtime.feed(core.Probed(effect.worker, ending, self.runtime.clock.now() - started, report))
+
+    # --- discovery --------------------------------------------------------------------------------------
+
+    async def _watch(self, version: int | None) -> None:
+        silent = False
+        while True:
+            try:
+                version = await self._fetch(version)
+                if silent:
+                    log.info("discovery answers again at version %d", version)
+                silent = False
+            except (LinkError, ValueError) as error:
+                self.runtime.count("discovery_failures")
+                if not silent:
+                    log.warning("discovery: %s", error)
+                silent = True
+                await asyncio.sleep(RETRY_PAUSE)
+
+    def _fetch_list(self, effect: core.FetchWholeList) -> None:
+        self._spawn(self._fetch_once(), "fetch")
+
+    async def _fetch_once(self) -> None:
+        try:
+            await self._fetch(None)
+        except (LinkError, ValueError):
+            self.runtime.count("discovery_failures")
+            self.runtime.feed(core.ListTold(api.ListKind.FAILED, 0, ()))
+
+    async def _fetch(self, version: int | None) -> int:
+        """One call; a watch if a version is held."""
+        target = "/registry/instances"
+        wait = WATCH_SLACK
+        if version is not None:
+            target += f"?from={version}&hold_ms={HOLD_MS}"
+            wait += HOLD_MS / 1000
+        reply = await self.runtime.pool.call(self._config.discovery, "GET", target, wait=wait)
+        if reply.status != 200:
+            raise ValueError(f"status {reply.status}")
+        told = parse_list(json.loads(reply.body), self._config.settings)
+        if told.entries or told.kind is api.ListKind.FULL:
+            self.runtime.feed(told)
+        return told.version
--- /dev/null
+++ b/basaltspread/net/runtime.py
@@ -0,0 +1,376 @@
+"""Carries out what the reducer asks for: streams, links to other parties and their pools, the timer wheel,
+descriptor and memory budgets, signals and counters.
+
+It knows HTTP messages (parsed by h11) but none of any front's paths, headers or meanings; it must never
+decide what becomes of a request, and it changes the core's state only by feeding inputs to the reducer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+import time
+from collections import Counter, deque
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+
+from basaltspread import core
+from basaltspread.core import Ending
+
+log = logging.getLogger("basaltspread")
+TICK = 0.005  # s, of the timer wheel
+WHEEL_SLOTS = 512
+READ_SIZE = 65536
+BODY_LIMIT = 256 * 1024
+HEAD_LIMIT = 32 * 1024
+CLIENT_BUFFER = 64 * 1024  # bytes that may wait for a slow reader of a stream
+SPARE_DESCRIPTORS = 48  # for the interpreter, the listener, discovery and log files
+BODY_BUDGET = 0.2  # share of the memory limit that request bodies may take
+Headers = list[tuple[bytes, bytes]]
+
+
+class Clock:
+    """Unix time in microseconds that never goes back: read once, then carried on by the monotonic clock."""
+
+    def __init__(self) -> None:
+        self._offset = time.time() - time.monotonic()
+
+    def now(self) -> int:
+        return int((self._offset + time.monotonic()) * 1_000_000)
+
+
+class Wheel:
+    """Coarse timers: a ring of slots, each a tick wide, turned by one loop timer while anything waits."""
+
+    def __init__(self, fire: Callable[[tuple[Any, ...]], None], now: Callable[[], int]) -> None:
+        self._fire, self._now = fire, now
+        self._slots: list[list[tuple[int, tuple[Any, ...]]]] = [[] for _ in range(WHEEL_SLOTS)]
+        self._waiting = 0
+        self._turning = False
+        self._tick_us = int(TICK * 1_000_000)
+        self._at = 0  # the last tick that was worked off
+
+    def set(self, at: int, token: tuple[Any, ...]) -> None:
+        if not self._waiting:
+            self._at = self._now() // self._tick_us
+        tick = max(-(-at // self._tick_us), self._at + 1)
+        self._slots[tick % WHEEL_SLOTS].append((tick, token))
+        self._waiting += 1
+        if not self._turning:
+            self._turning = True
+            asyncio.get_running_loop().call_later(TICK, self._turn)
+
+    def _turn(self) -> None:
+        self._turning = False
+        now = self._now() // self._tick_us
+        due: list[tuple[Any, ...]] = []
+        for tick in range(self._at + 1, min(now, self._at + WHEEL_SLOTS) + 1):
+            slot = self._slots[tick % WHEEL_SLOTS]
+            if slot:
+                due += [token for at, token in slot if at <= now]
+                slot[:] = [entry for entry in slot if entry[0] > now]
+        self._at = now
+        self._waiting -= len(due)
+        for token in due:
+            self._fire(token)
+        if self._waiting and not self._turning:
+            self._turning = True
+            asyncio.get_running_loop().call_later(TICK, self._turn)
+
+
+class LinkError(Exception):
+    """A link could not be used; says how its use ended."""
+
+    def __init__(self, ending: Ending) -> None:
+        super().__init__(ending.value)
+        self.ending = ending
+
+
+class Descriptors:
+    """How many sockets are open, against the limit."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit, self.used = max(8, limit - SPARE_DESCRIPTORS), 0
+
+    def take(self) -> bool:
+        if self.used >= self.limit:
+            return False
+        self.used += 1
+        return True
+
+    def free(self) -> None:
+        self.used -= 1
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole small answer."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+class Link:
+    """One connection to another party, with its h11 state. One request at a time."""
+
+    def __init__(
+        self,
+        address: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        free: Callable[[], None],
+    ) -> None:
+        self.address, self._reader, self._writer, self._free = address, reader, writer, free
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT)
+        self._eof = self._closed = False
+        self.idle_since = 0.0
+        self.written = False  # the last byte of the present request has gone out
+        writer.transport.set_write_buffer_limits(high=0)  # so that drain means: all of it is written
+
+    async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+        self.written = False
+        head: Headers = [(b"Host", self.address.encode()), *headers]
+        if body or method == "POST":
+            head.append((b"Content-Length", str(len(body)).encode()))
+        out = self._http.send(h11.Request(method=method, target=target, headers=head)) or b""
+        if body:
+            out += self._http.send(h11.Data(data=body)) or b""
+        out += self._http.send(h11.EndOfMessage()) or b""
+        try:
+            self._writer.write(out)
+            await self._writer.drain()
+        except OSError as error:
+            raise LinkError(Ending.BROKE_UNSENT) from error
+        if self._writer.transport.is_closing() or self._writer.transport.get_write_buffer_size():
+            raise LinkError(Ending.BROKE_UNSENT)
+        self.written = True
+
+    async def event(self) -> h11.Event:
+        """The next event of the answer."""
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                if not self._eof:
+                    raise LinkError(Ending.MALFORMED) from error
+                begun = self._http.their_state is not h11.SEND_RESPONSE
+                raise LinkError(Ending.CUT_SHORT if begun else Ending.RESET) from error
+            if event is h11.NEED_DATA:
+                try:
+                    data = await self._reader.read(READ_SIZE)
+                except OSError as error:
+                    raise LinkError(Ending.RESET) from error
+                self._eof = not data
+                self._http.receive_data(data)
+            elif isinstance(event, h11.InformationalResponse):
+                continue
+            elif isinstance(event, (h11.Response, h11.Data, h11.EndOfMessage)):
+                return event
+            else:
+                raise LinkError(Ending.RESET)
+
+    async def rest(self, limit: int = BODY_LIMIT) -> bytes:
+        """The rest of the body, which must be small."""
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await self.event()
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > limit:
+                    raise LinkError(Ending.MALFORMED)
+
+    def done(self) -> bool:
+        """Whether the exchange is over and the link can carry another; readies it for that."""
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE and not self.dead():
+            self._http.start_next_cycle()
+            return True
+        return False
+
+    def dead(self) -> bool:
+        """Closed by either side, or the other side spoke out of turn."""
+        return self._eof or self._closed or self._reader.at_eof() or self._writer.transport.is_closing()
+
+    def close(self) -> None:
+        if not self._closed:
+            self._closed = True
+            self._writer.transport.abort()
+            self._free()
+
+
+class Pool:
+    """Links by address. Idle ones are kept well short of the time after which the other side closes them:
+    what is written to a closed link counts as sent, so a stale one costs a request that may not be resent."""
+
+    def __init__(
+        self, descriptors: Descriptors, connect_timeout: float, idle: float, counters: Counter[str]
+    ) -> None:
+        self._descriptors, self._connect_timeout, self._idle_limit = descriptors, connect_timeout, idle
+        self._idle: dict[str, list[Link]] = {}
+        self._counters = counters
+
+    async def acquire(self, address: str) -> Link:
+        idle = self._idle.get(address, [])
+        while idle:
+            link = idle.pop()
+            if not link.dead() and time.monotonic() - link.idle_since < self._idle_limit:
+                self._counters["links_reused"] += 1
+                return link
+            link.close()
+        if not self._descriptors.take() and not (self.shed() and self._descriptors.take()):
+            raise LinkError(Ending.NO_DESCRIPTOR)
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(self._connect_timeout):
+                reader, writer = await asyncio.open_connection(host, int(port), limit=READ_SIZE)
+        except TimeoutError as error:
+            self._descriptors.free()
+            raise LinkError(Ending.CONNECT_TIMED_OUT) from error
+        except (OSError, ValueError) as error:
+            self._descriptors.free()
+            raise LinkError(Ending.REFUSED) from error
+        except BaseException:
+            self._descriptors.free()
+            raise
+        self._counters["links_opened"] += 1
+        return Link(address, reader, writer, self._descriptors.free)
+
+    def give_back(self, link: Link) -> None:
+        if link.done():
+            link.idle_since = time.monotonic()
+            self._idle.setdefault(link.address, []).append(link)
+        else:
+            link.close()
+
+    def shed(self) -> bool:
+        """Close the link that has been idle longest, for its descriptor."""
+        waiting = [links for links in self._idle.values() if links]
+        oldest = min(waiting, key=lambda links: links[0].idle_since, default=None)
+        if oldest is None:
+            return False
+        oldest.pop(0).close()
+        return True
+
+    def sweep(self) -> None:
+        for address, links in list(self._idle.items()):
+            limit = time.monotonic() - self._idle_limit
+            for link in links:
+                if link.dead() or link.idle_since < limit:
+                    link.close()
+            self._idle[address] = [link for link in links if not link.dead()]
+            if not self._idle[address]:
+                del self._idle[address]
+
+    async def call(
+        self, address: str, method: str, target: str, headers: Headers | None = None, body: bytes = b"",
+        wait: float = 1.0, begun: list[bool] | None = None,
+    ) -> Reply:  # fmt: skip
+        """One whole small exchange; raises LinkError. `begun` is set when its first byte goes out."""
+        link = await self.acquire(address)
+        try:
+            async with asyncio.timeout(wait):
+                if begun is not None:
+                    begun[0] = True
+                await link.send(method, target, headers or [], body)
+                event = await link.event()
+                if not isinstance(event, h11.Response):
+                    raise LinkError(Ending.MALFORMED)
+                reply = Reply(event.status_code, dict(event.headers), await link.rest())
+        except TimeoutError as error:
+            link.close()
+            raise LinkError(Ending.TIMED_OUT if link.written else Ending.BROKE_UNSENT) from error
+        except BaseException:
+            link.close()
+            raise
+        self.give_back(link)
+        return reply
+
+
+class Runtime:
+    """Feeds inputs to the reducer and hands each effect to whoever carries it out."""
+
+    def __init__(self, state: core.State, sockets: int, memory_mb: int, connect_timeout: float, idle: float):
+        self.state = state
+        self.clock = Clock()
+        self.counters: Counter[str] = Counter()
+        self.descriptors = Descriptors(sockets)
+        self.body_room = int(memory_mb * 1024 * 1024 * BODY_BUDGET)
+        self.pool = Pool(self.descriptors, connect_timeout, idle, self.counters)
+        self.wheel = Wheel(lambda token: self.feed(core.Woken(token)), self.clock.now)
+        self.over = asyncio.Event()
+        self._queue: deque[core.Input] = deque()
+        self._feeding = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.carry: dict[type, Callable[[Any], None]] = {
+            core.Wake: lambda e: self.wheel.set(e.at, e.token),
+            core.Count: lambda e: self.count(e.name),
+            core.Say: lambda e: log.info("%s", e.text),
+            core.Exit: lambda e: self.over.set(),
+        }
+
+    def count(self, name: str) -> None:
+        self.counters[name] += 1
+
+    def feed(self, event: core.Input) -> None:
+        self._queue.append(event)
+        if self._feeding:
+            return
+        self._feeding = True
+        try:
+            while self._queue:
+                for effect in core.reduce(self.state, self.clock.now(), self._queue.popleft()):
+                    try:
+                        self.carry[type(effect)](effect)
+                    except Exception:
+                        self.count("effect_faults")
+                        log.exception("effect fault: %s", type(effect).__name__)
+        finally:
+            self._feeding = False
+
+    def spawn(self, work: Coroutine[Any, Any, None], name: str) -> asyncio.Task[None]:
+        """A task that is kept, and whose unexpected end is logged and ends nothing else."""
+        task = asyncio.get_running_loop().create_task(self._guarded(work, name), name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _guarded(self, work: Coroutine[Any, Any, None], name: str) -> None:
+        try:
+            await work
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            self.count("task_faults")
+            log.exception("task fault: %s", name)
+
+    def print_counters(self) -> None:
+        state = self.state
+        self.counters["now_requests"] = len(state.requests)
+        self.counters["now_releases"] = len(state.releases)
+        self.counters["now_descriptors"] = self.descriptors.used
+        line = " ".join(f"{name}={value}" for name, value in sorted(self.counters.items()))
+        print(f"counters {line}", file=sys.stderr, flush=True)
+
+    def watch_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._terminate)
+        loop.add_signal_handler(signal.SIGINT, self._terminate)
+        loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
+
+    def _terminate(self) -> None:
+        log.info("stopping: finishing %d requests", len(self.state.requests))
+        self.feed(core.Terminate())
+
+    async def sweep(self) -> None:
+        while True:
+            await asyncio.sleep(1.0)
+            self.pool.sweep()
