Keep client connections after an answer; add tool calls, Eureka and the configuration tool

Cause: Client.wait_for cancelled its read but did not wait for its end, so the next read of the connection came too early.

--- a/basaltspread/config.py
+++ b/basaltspread/config.py
@@ -1,13 +1,20 @@
 """Typed configuration of a gateway, and the tool that writes and checks it for an application.
 
 It owns what a configuration may hold and how each fault is worded; it must never open a socket or start
-anything.
+anything. The platform gives JSON (RELAY_CONFIG); an operator's file for the second front is TOML.
+
+    python -m basaltspread.config write --application NAME --tool stock_lookup=safe ... > deploy/NAME.toml
+    python -m basaltspread.config check deploy/NAME.toml
 """
 
 from __future__ import annotations
 
+import argparse
 import json
-from collections.abc import Mapping
+import re
+import sys
+import tomllib
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -15,6 +22,11 @@
 from basaltspread import interface as api
 from basaltspread.adapter import settings_from
 
+EXIT_FAULTS, EXIT_USAGE = 1, 2
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z")
+PATH = re.compile(r"/[!-~]*\Z")
+DEFAULT_DEADLINE_MS = 5000
+
 
 class ConfigError(Exception):
     """A configuration that can't be used: the key, what is wrong with it, and what would be right."""
@@ -25,29 +37,79 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Platform:
-    """What a gateway is told by the platform."""
+class Tool:
+    effect: api.Effect = api.Effect.UNSAFE
+    deadline_ms: int = DEFAULT_DEADLINE_MS
+
+
+@dataclass(frozen=True, slots=True)
+class Tools:
+    """The application's tool server, and what its tools do."""
+
+    address: str
+    path: str
+    listed: Mapping[str, Tool]
+    default: Tool = field(default_factory=Tool)
+
+    def tool(self, name: str) -> Tool:
+        """A tool that nobody listed is taken for the worst: unsafe."""
+        return self.listed.get(name, self.default)
+
+
+@dataclass(frozen=True, slots=True)
+class Registry:
+    """Eureka, and the application there whose instances are the engines."""
+
+    address: str
+    path: str
+    engines: str
+    fetch_s: float
+    renew_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Gateway:
+    """What one gateway is told: by the platform, or in an operator's file."""
 
     name: str
     listen: str
-    discovery: str
     seed: int
     memory_mb: int
     sockets: int
     idle_close: int  # us after which engines close an idle connection
     settings: api.Settings
+    discovery: str | None = None
     known: Mapping[str, Any] = field(default_factory=dict)
+    tools: Tools | None = None
+    registry: Registry | None = None
 
 
 def split_address(key: str, value: Any) -> tuple[str, int]:
     """`host:port` taken apart."""
     host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+    if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
         raise ConfigError(key, f"{value!r} is not an address", "write it as host:port")
     return host, int(port)
 
 
-def load_platform(environment: Mapping[str, str]) -> Platform:
+def _settings(conf: Any) -> tuple[api.Settings, int]:
+    """The settings object, and the idle time that the module does not need."""
+    if not isinstance(conf, dict):
+        raise ConfigError("settings", "missing or not an object", "give the settings object")
+    try:
+        settings = settings_from(conf)
+        idle = int((conf.get("limits") or {}).get("idle_close") or 30_000_000)
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise ConfigError("settings", f"can't be read: {error!r}", "give it as the platform does") from error
+    if not settings.classes:
+        raise ConfigError("settings.classes", "missing or empty", "list at least one request class")
+    return settings, idle
+
+
+# --- the platform ---------------------------------------------------------------------------------------
+
+
+def load_platform(environment: Mapping[str, str]) -> Gateway:
     """The configuration that RELAY_CONFIG names; the other RELAY_* variables go before what it says."""
     path = environment.get("RELAY_CONFIG", "")
     if not path:
@@ -58,32 +120,306 @@
         raise ConfigError("RELAY_CONFIG", f"can't be read: {error}", "give a readable JSON file") from error
     if not isinstance(raw, dict):
         raise ConfigError("RELAY_CONFIG", "does not hold a JSON object", "write one object")
-    conf = raw.get("settings")
-    if not isinstance(conf, dict):
-        raise ConfigError("settings", "missing or not an object", "give the settings object")
-    try:
-        settings = settings_from(conf)
-        idle = int((conf.get("limits") or {}).get("idle_close") or 30_000_000)
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        raise ConfigError("settings", f"can't be read: {error!r}", "give it as the platform does") from error
+    settings, idle = _settings(raw.get("settings"))
     listen = environment.get("RELAY_LISTEN") or raw.get("listen")
     discovery = environment.get("RELAY_DISCOVERY") or raw.get("discovery")
     split_address("listen", listen)
     split_address("discovery", discovery)
-    limits = raw.get("limits") or {}
-    seed = str(raw.get("seed") or "0")
     try:
-        return Platform(
+        limits = raw.get("limits") or {}
+        return Gateway(
             name=str(environment.get("RELAY_NAME") or raw.get("name") or "gateway"),
             listen=str(listen),
-            discovery=str(discovery),
-            seed=int(seed, 16),
+            seed=int(str(raw.get("seed") or "0"), 16),
             memory_mb=int(limits.get("memory_mb") or 192),
             sockets=int(limits.get("sockets") or 1024),
             idle_close=idle,
             settings=settings,
+            discovery=str(discovery),
             known=raw.get("known") or {},
         )
     except (AttributeError, TypeError, ValueError) as error:
         remedy = "give whole numbers, and the seed in hex"
         raise ConfigError("limits or seed", f"can't be read: {error!r}", remedy) from error
+
+
+# --- an operator's file ---------------------------------------------------------------------------------
+
+
+class _Reader:
+    """Reads one TOML document and gathers every fault in it, so that one check shows them all."""
+
+    def __init__(self, raw: Mapping[str, Any]) -> None:
+        self.raw, self.faults = raw, list[ConfigError]()
+
+    def fault(self, key: str, fault: str, remedy: str) -> None:
+        self.faults.append(ConfigError(key, fault, remedy))
+
+    def table(self, key: str) -> Mapping[str, Any]:
+        value: Any = self.raw
+        for part in key.split("."):
+            value = value.get(part, {}) if isinstance(value, Mapping) else None
+        if isinstance(value, Mapping):
+            return value
+        self.fault(key, "is not a table", f"write it as [{key}]")
+        return {}
+
+    def known(self, key: str, allowed: set[str]) -> None:
+        table = self.raw if not key else self.table(key)
+        for name in sorted(set(table) - allowed):
+            where = f"{key}.{name}" if key else name
+            self.fault(where, "is not a known key", f"remove it, or use one of {', '.join(sorted(allowed))}")
+
+    def text(self, table: str, name: str, remedy: str, default: str | None = None) -> str:
+        value = (self.table(table) if table else self.raw).get(name, default)
+        key = f"{table}.{name}" if table else name
+        if isinstance(value, str) and value:
+            return value
+        self.fault(key, "is missing" if value is None else f"{value!r} is not a text", remedy)
+        return ""
+
+    def name(self, table: str, name: str) -> str:
+        remedy = "give a name of letters, digits, '.', '_' and '-', such as \"duty-free\""
+        before = len(self.faults)
+        value = self.text(table, name, remedy)
+        if len(self.faults) == before and not NAME.match(value):
+            self.fault(f"{table}.{name}" if table else name, f"{value!r} is not a plain name", remedy)
+        return value
+
+    def address(self, table: str, name: str) -> str:
+        before = len(self.faults)
+        value = self.text(table, name, "give an address as host:port")
+        if len(self.faults) == before:
+            try:
+                split_address(f"{table}.{name}" if table else name, value)
+            except ConfigError as error:
+                self.faults.append(error)
+        return value
+
+    def path(self, table: str, name: str, default: str) -> str:
+        value = self.text(table, name, f'give a path such as "{default}"', default)
+        if value and not PATH.match(value):
+            self.fault(f"{table}.{name}", f"{value!r} is not a path", f'give a path such as "{default}"')
+        return value
+
+    def number(self, table: str, name: str, default: float, least: float, most: float) -> float:
+        value = self.table(table).get(name, default)
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value <= most:
+            self.fault(
+                f"{table}.{name}", f"{value!r} is out of range", f"give a number from {least:g} to {most:g}"
+            )
+            return default
+        return value
+
+
+def _read_tool(reader: _Reader, key: str) -> Tool:
+    reader.known(key, {"effect", "deadline_ms"})
+    effect = reader.table(key).get("effect", "unsafe")
+    if effect not in ("safe", "unsafe"):
+        reader.fault(f"{key}.effect", f"{effect!r} is not an effect", 'write "safe" or "unsafe"')
+        effect = "unsafe"
+    deadline = reader.number(key, "deadline_ms", DEFAULT_DEADLINE_MS, 1, 600_000)
+    return Tool(api.Effect(effect), int(deadline))
+
+
+def read_sidecar(raw: Mapping[str, Any]) -> tuple[Gateway | None, list[ConfigError]]:
+    """The gateway that an operator's file describes, or every fault that keeps it from being one."""
+    reader = _Reader(raw)
+    reader.known("", {"application", "listen", "limits", "registry", "tools", "settings"})
+    name, listen = reader.name("", "application"), reader.address("", "listen")
+    reader.known("limits", {"memory_mb", "sockets"})
+    reader.known("registry", {"address", "path", "engines", "fetch_s", "renew_s"})
+    reader.known("tools", {"address", "path", "listed"})
+    memory = reader.number("limits", "memory_mb", 192, 64, 65536)
+    sockets = reader.number("limits", "sockets", 1024, 128, 1_000_000)
+    registry = Registry(
+        reader.address("registry", "address"), reader.path("registry", "path", "/eureka"),
+        reader.name("registry", "engines"), reader.number("registry", "fetch_s", 5, 0.05, 300),
+        reader.number("registry", "renew_s", 10, 0.05, 300),
+    )  # fmt: skip
+    listed = {}
+    for tool in reader.table("tools.listed"):
+        listed[tool] = _read_tool(reader, f"tools.listed.{tool}") if "." not in tool else Tool()
+        if "." in tool:
+            reader.fault(f"tools.listed.{tool!r}", "has a dot in its name", "rename the tool without dots")
+    tools = Tools(reader.address("tools", "address"), reader.path("tools", "path", "/rpc"), listed)
+    settings, idle = None, 0
+    try:
+        settings, idle = _settings(reader.table("settings"))
+    except ConfigError as error:
+        reader.faults.append(error)
+    if settings is not None:
+        if not {k.role for k in settings.kinds} & {api.Role.WRITER, api.Role.MIXED}:
+            reader.fault(
+                "settings.specifics.role_by_kind", "names no writer", 'give one kind the role "write"'
+            )
+        unsafe = [t for t, tool in listed.items() if tool.effect is not api.Effect.SAFE]
+        if unsafe and all(c.effect is not api.Effect.UNSAFE for c in settings.classes):
+            reader.fault(
+                "settings.classes", f"none is unsafe, so {unsafe[0]!r} can never be called",
+                'give the class that may call it effect = "unsafe"',
+            )  # fmt: skip
+    if reader.faults or settings is None:
+        return None, reader.faults
+    gateway = Gateway(
+        name=name, listen=listen, seed=0, memory_mb=int(memory), sockets=int(sockets), idle_close=idle,
+        settings=settings, tools=tools, registry=registry,
+    )  # fmt: skip
+    return gateway, []
+
+
+def load_sidecar(path: str) -> tuple[Gateway | None, list[ConfigError]]:
+    try:
+        raw = tomllib.loads(Path(path).read_text("utf-8"))
+    except OSError as error:
+        return None, [ConfigError(path, f"can't be read: {error.strerror}", "name a readable file")]
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        return None, [ConfigError(path, f"is not TOML: {error}", "correct it there")]
+    return read_sidecar(raw)
+
+
+TEMPLATE = """\
+# basaltspread as a sidecar of {application}. Check it after a change:
+#     python -m basaltspread.config check FILE
+application = {application}
+listen = {listen}            # where the application's clients connect
+
+[limits]
+memory_mb = 192
+sockets = 1024
+
+[registry]                   # Eureka
+address = {registry}
+path = "/eureka"
+engines = {engines}          # the application whose instances are the engines
+fetch_s = 5
+renew_s = 10
+
+[tools]                      # the application's tool server, JSON-RPC 2.0 over HTTP POST
+address = {tools}
+path = "/rpc"
+
+# What each tool does. Only a safe call is ever sent again. A tool that is not listed is unsafe, and an unsafe
+# tool is called only in requests of an unsafe class.
+{listed}
+[settings]                   # times in microseconds, as on the platform
+me = 0
+balancers = 1
+zone = 0
+azs = ["local"]
+machine_types = ["prefill", "decode"]
+registry_mode = "push"
+round = 2000
+weights = "nominal"
+over_share_worth = 0.2
+
+[settings.limits]
+cancel = true
+connect_timeout = 250000
+idle_close = 30000000
+max_attempts = 5
+max_retry_after = 1000000
+may_duplicate = true
+retry_after = true
+
+[settings.rules]
+answer_slack = 8000
+fall = 1000000
+start_capacity = 0.26
+stop_sending_within = 250000
+tip_multiple = 2.5
+warm_within = 14000000
+
+[settings.specifics]
+aim_us_per_1000_prompt_tokens = {per_1000}
+early_pairing = true
+release = 500000
+resume = true
+role_by_kind = ["read", "write"]
+token_aim = {token_aim}
+writers_read = false
+{classes}"""
+TOOL_TEMPLATE = """\
+[tools.listed.{name}]
+effect = "{effect}"
+deadline_ms = {deadline}
+"""
+CLASS_TEMPLATE = """
+[[settings.classes]]
+name = {name}
+effect = "{effect}"
+key_scope = "all"
+promise = 1200000
+deadline = 6000000
+points = 1.0
+late_value = 0.3
+streaming = true
+window = 5000000
+"""
+
+
+def _pairs(values: Sequence[str], what: str) -> list[tuple[str, str]]:
+    """NAME=EFFECT arguments."""
+    pairs = []
+    for value in values:
+        name, _, effect = value.partition("=")
+        effect = effect or "unsafe"
+        if not NAME.match(name) or "." in name or effect not in ("safe", "unsafe"):
+            raise ConfigError(what, f"{value!r} can't be used", "write NAME=safe or NAME=unsafe")
+        pairs.append((name, effect))
+    return pairs
+
+
+def write_sidecar(options: argparse.Namespace) -> str:
+    """An operator's file for one application; raises ConfigError if the options make none."""
+    classes = _pairs(options.request_class or ["ask=safe", "order=unsafe"], "--class")
+    tools = _pairs(options.tool, "--tool")
+    text = TEMPLATE.format(
+        application=json.dumps(options.application), listen=json.dumps(options.listen),
+        registry=json.dumps(options.registry), engines=json.dumps(options.engines),
+        tools=json.dumps(options.tools),
+        listed="\n".join(
+            TOOL_TEMPLATE.format(name=n, effect=e, deadline=DEFAULT_DEADLINE_MS) for n, e in tools
+        ),
+        per_1000=[40000.0] * len(classes), token_aim=[60000.0] * len(classes),
+        classes="".join(CLASS_TEMPLATE.format(name=json.dumps(n), effect=e) for n, e in classes),
+    )  # fmt: skip
+    _, faults = read_sidecar(tomllib.loads(text))
+    if faults:
+        raise faults[0]
+    return text
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(
+        prog="python -m basaltspread.config", description="Write or check a sidecar's file."
+    )
+    commands = parser.add_subparsers(dest="command", required=True)
+    write = commands.add_parser("write", help="print a file for one application")
+    write.add_argument("--application", required=True, help="its name, also in the registry")
+    write.add_argument("--listen", default="127.0.0.1:8080")
+    write.add_argument("--registry", default="127.0.0.1:8761", help="Eureka's address")
+    write.add_argument("--engines", default="MODEL-ENGINES", help="the engines' application in Eureka")
+    write.add_argument("--tools", default="127.0.0.1:9000", help="the tool server's address")
+    write.add_argument("--tool", action="append", default=[], metavar="NAME=EFFECT")
+    write.add_argument("--class", action="append", dest="request_class", metavar="NAME=EFFECT")
+    check = commands.add_parser("check", help="say what is wrong with a file")
+    check.add_argument("file")
+    options = parser.parse_args(arguments)
+    if options.command == "write":
+        try:
+            sys.stdout.write(write_sidecar(options))
+        except ConfigError as error:
+            print(f"basaltspread.config: {error}", file=sys.stderr)
+            return EXIT_USAGE
+        return 0
+    _, faults = load_sidecar(options.file)
+    for fault in faults:
+        print(f"{options.file}: {fault}", file=sys.stderr)
+    if not faults:
+        print(f"{options.file}: ok")
+    return EXIT_FAULTS if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/basaltspread/core.py
+++ b/basaltspread/core.py
@@ -23,6 +23,10 @@
 DEADLINE_GUARD = 10 * MS  # past its deadline by this, a request that the module forgot is failed here
 RELEASE_STEP = 100 * MS  # a release not acknowledged by then is sent to one more engine
 RELEASE_TRIES = 6
+REPLY_TRIES = 3  # a tool's reply that certainly never reached its engine is written again so often
+TOOL_TRIES = 3  # a safe call, in all
+TOOL_PAUSE = 50 * MS  # before a safe call is written again
+MOST_CALLS = 16  # open tool calls of one request
 ACCEPT_AFTER_TERM = 550 * MS  # clients may still come for 400 ms after SIGTERM
 
 
@@ -94,6 +98,32 @@
     FAILED = "failed"
 
 
+class ToolFault(Enum):
+    """Every way in which a tool call can fail, in the core's terms; a front words them on its wire."""
+
+    INVALID = "not a valid call"
+    UNKNOWN_METHOD = "no such method"
+    TOO_MANY = "too many open calls"
+    NOT_PERMITTED = "an unsafe tool is called only in a request of an unsafe class that is not resumed"
+    UNAVAILABLE = "the tool server could not be reached; the call was not made"
+    DEADLINE = "no reply in time"
+    SERVER_FAULT = "the tool server failed"
+    OUTCOME_UNKNOWN = "outcome unknown: the call may have been made"
+
+
+# What a tool call's connection says of the call, by the same outcomes as an engine's. An unsafe call that may
+# have run has no known outcome; all others get the fault named here.
+TOOL_FAULTS: dict[Outcome, ToolFault] = {
+    Outcome.CONNECT_FAILED: ToolFault.UNAVAILABLE,
+    Outcome.FULL: ToolFault.UNAVAILABLE,
+    Outcome.NOT_SENT: ToolFault.UNAVAILABLE,
+    Outcome.TIMEOUT: ToolFault.DEADLINE,
+    Outcome.RESET: ToolFault.SERVER_FAULT,
+    Outcome.ERROR: ToolFault.SERVER_FAULT,
+    Outcome.CANCELLED: ToolFault.SERVER_FAULT,
+}
+
+
 # --- inputs -------------------------------------------------------------------------------------------
 
 
@@ -179,6 +209,36 @@
     entries: tuple[Listed, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ToolCalled:
+    """A request's engine stream carries a call; `fault` says what the front already found wrong with it."""
+
+    request: str
+    number: int
+    call: str
+    effect: api.Effect = api.Effect.UNSAFE
+    time_left: int = 0
+    fault: ToolFault | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ToolEnded:
+    """One try of a call has ended; SERVED means that its reply is there."""
+
+    request: str
+    call: str
+    ending: Ending
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyEnded:
+    """The reply has been written to the engine (SERVED), or not."""
+
+    request: str
+    call: str
+    ending: Ending
+
+
 @dataclass(frozen=True, slots=True)
 class Woken:
     token: tuple[Any, ...]
@@ -191,7 +251,7 @@
 
 Input = (
     Taken | ClientLeft | Begun | Written | FirstEvent | Ended | PlaceEnded | ReleaseEnded | Probed | ListTold
-    | Woken | Terminate
+    | ToolCalled | ToolEnded | ReplyEnded | Woken | Terminate
 )  # fmt: skip
 
 
@@ -275,6 +335,41 @@
     pass
 
 
+@dataclass(frozen=True, slots=True)
+class CallTool:
+    """Write the call to the application's tool server, on a new connection if it may be written but once."""
+
+    request: str
+    call: str
+    once: bool
+    time_left: int
+
+
+@dataclass(frozen=True, slots=True)
+class AbandonTool:
+    request: str
+    call: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReturnReply:
+    """Write the call's one reply, or the fault in its place, to the engine that holds the stream."""
+
+    request: str
+    call: str
+    worker: str
+    address: str
+    fault: ToolFault | None
+
+
+@dataclass(frozen=True, slots=True)
+class ForgetCall:
+    """Nothing more will be asked about this call."""
+
+    request: str
+    call: str
+
+
 @dataclass(frozen=True, slots=True)
 class Wake:
     at: int
@@ -303,7 +398,8 @@
 
 Effect = (
     StartAttempt | AbandonAttempt | PassOn | EndStream | BreakClient | Answer | AskPlace | DropPlace
-    | SendRelease | StartProbe | FetchWholeList | Wake | Count | Say | StopAccepting | Exit
+    | SendRelease | StartProbe | FetchWholeList | CallTool | AbandonTool | ReturnReply | ForgetCall
+    | Wake | Count | Say | StopAccepting | Exit
 )  # fmt: skip
 
 
@@ -329,6 +425,8 @@
 class Request:
     id: str
     deadline: int
+    unsafe: bool = False
+    resumed: bool = False
     attempts: list[Attempt] = field(default_factory=list)
     stream: Attempt | None = None
     ended: bool = False  # the client has had its final answer, or has gone
@@ -336,6 +434,8 @@
     asking: set[str] = field(default_factory=set)  # writers whose answer is awaited
     may_hold: bool = False  # a state or a place may be held for it at some engine
 
+    calls: set[str] = field(default_factory=set)  # ids of all tool calls that its streams have carried
+
     def out(self) -> list[Attempt]:
         return [a for a in self.attempts if not a.over]
 
@@ -346,6 +446,20 @@
     open: set[str] = field(default_factory=set)
 
 
+@dataclass(slots=True)
+class ToolCall:
+    attempt: int
+    worker: str
+    effect: api.Effect
+    deadline: int
+    tries: int = 0
+    open: bool = False  # a try is under way
+    fault: ToolFault | None = None
+    settled: bool = False  # its one reply is known: the tool server's, or a fault
+    returns: int = 0  # times that the reply was written to the engine
+    orphan: bool = False  # nobody waits for the reply any more
+
+
 @dataclass(slots=True)
 class State:
     settings: api.Settings
@@ -354,6 +468,7 @@
     heard: dict[str, int] = field(default_factory=dict)  # when an engine last said anything
     requests: dict[str, Request] = field(default_factory=dict)
     releases: dict[str, Release] = field(default_factory=dict)
+    calls: dict[tuple[str, str], ToolCall] = field(default_factory=dict)  # open ones
     stopping: bool = False
     accepting: bool = True
     exited: bool = False
@@ -391,7 +506,8 @@
         for name in self.touched:
             self._settle(name)
         state = self.state
-        if not state.accepting and not state.requests and not state.releases and not state.exited:
+        idle = not state.requests and not state.releases and not state.calls
+        if not state.accepting and idle and not state.exited:
             state.exited = True
             self.do(Exit())
 
@@ -405,6 +521,7 @@
             self.do(Answer(q.id, Verdict.FAILED) if q.stream is None else BreakClient(q.id))
         for attempt in q.out():
             self.do(AbandonAttempt(q.id, attempt.number))
+        self._orphan_calls(q)
         if q.may_hold or q.asking:
             self._release(q.id)
 
@@ -430,6 +547,7 @@
         q = self.state.requests.get(name)
         if q is None or not q.ended or q.out():
             return
+        self._orphan_calls(q)
         if q.may_hold:
             self._release(name)
         if not q.asking:
@@ -450,7 +568,8 @@
             a.request, a.session, a.prefix, a.prefix_tokens, a.prompt_tokens, a.max_tokens, a.request_class,
             a.tenant, left, a.hint, a.is_retry, a.is_resumed,
         )  # fmt: skip
-        q = Request(a.request, self.now + left)
+        cls = self.state.settings.classes[a.request_class]
+        q = Request(a.request, self.now + left, cls.effect is api.Effect.UNSAFE, a.is_resumed)
         self.state.requests[q.id] = q
         self.touched[q.id] = None
         self.count("requests_taken")
@@ -705,6 +824,116 @@
             self.state.heard.pop(event.worker, None)
             self._try_release(event.request)
 
+    # --- tool calls -----------------------------------------------------------------------------------
+
+    def tool_called(self, event: ToolCalled) -> None:
+        """One call of the stream that the client gets. Its fate is one reply, whatever happens; an unsafe one
+        is written at most once, and only where neither a client nor a gateway sends the request again."""
+        found = self._find(event.request, event.number)
+        if found is None or found[0].stream is not found[1]:
+            self.count("tool_calls_strayed")
+            return
+        q, attempt = found
+        self.count("tool_calls")
+        key = (q.id, event.call)
+        if event.call in q.calls:
+            # Answering would give this id a second reply; the first, or the one to come, is its only one.
+            self.count("tool_calls_repeated")
+            return
+        open_calls = sum(1 for name, _ in self.state.calls if name == q.id)
+        q.calls.add(event.call)
+        call = ToolCall(attempt.number, attempt.worker, event.effect, self.now + event.time_left)
+        self.state.calls[key] = call
+        unsafe = event.effect is not api.Effect.SAFE
+        fault = event.fault
+        if fault is None and open_calls >= MOST_CALLS:
+            fault = ToolFault.TOO_MANY
+        if fault is None and unsafe and (not q.unsafe or q.resumed):
+            # After a crash a safe request is sent again by its client, and a resumed one has had a stream
+            # that may have made this very call.
+            fault = ToolFault.NOT_PERMITTED
+        if fault is not None:
+            self._settle_call(key, call, fault)
+            return
+        self.do(Wake(call.deadline, ("call", q.id, event.call)))
+        self._try_call(key, call)
+
+    def _try_call(self, key: tuple[str, str], call: ToolCall) -> None:
+        call.tries += 1
+        call.open = True
+        self.count("tool_calls_written" if call.tries == 1 else "tool_calls_resent")
+        unsafe = call.effect is not api.Effect.SAFE
+        self.do(CallTool(*key, unsafe, call.deadline - self.now))
+
+    def tool_ended(self, event: ToolEnded) -> None:
+        key = (event.request, event.call)
+        call = self.state.calls.get(key)
+        if call is None or not call.open:
+            return
+        call.open = False
+        self.count(f"tools_{event.ending.name.lower()}")
+        if call.orphan:
+            if event.ending is Ending.SERVED:
+                self.count("tool_replies_dropped")
+            self._forget_call(key)
+        elif event.ending is Ending.SERVED:
+            self._settle_call(key, call, None)
+        elif call.effect is not api.Effect.SAFE:
+            never = event.ending in NEVER_RAN
+            fault = TOOL_FAULTS[OUTCOMES[event.ending]] if never else ToolFault.OUTCOME_UNKNOWN
+            self._settle_call(key, call, fault)
+        elif call.tries < TOOL_TRIES and self.now + TOOL_PAUSE < call.deadline:
+            self.do(Wake(self.now + TOOL_PAUSE, ("again", *key)))
+        else:
+            self._settle_call(key, call, TOOL_FAULTS[OUTCOMES[event.ending]])
+
+    def _settle_call(self, key: tuple[str, str], call: ToolCall, fault: ToolFault | None) -> None:
+        call.settled, call.fault = True, fault
+        self.count("tool_replies" if fault is None else f"tool_faults_{fault.name.lower()}")
+        self._return_reply(key, call)
+
+    def _return_reply(self, key: tuple[str, str], call: ToolCall) -> None:
+        """To the engine that holds the stream: it has this request already, so no drain forbids it."""
+        listed = self.state.workers.get(call.worker)
+        call.returns += 1
+        address = listed.address if listed is not None else ""
+        self.do(ReturnReply(*key, call.worker, address, call.fault))
+
+    def reply_ended(self, event: ReplyEnded) -> None:
+        key = (event.request, event.call)
+        call = self.state.calls.get(key)
+        if call is None:
+            return
+        if event.ending is Ending.SERVED or call.orphan:
+            self.count("tool_replies_returned" if event.ending is Ending.SERVED else "tool_replies_lost")
+            self._forget_call(key)
+        elif event.ending in NEVER_RAN and call.returns < REPLY_TRIES:
+            self._return_reply(key, call)
+        else:  # the engine would wait for ever: the stream ends as one that broke
+            self.count("tool_replies_lost")
+            self._forget_call(key)
+            found = self._find(event.request, call.attempt)
+            if found is not None:
+                self._close(*found, event.ending, abandon=True)
+
+    def _forget_call(self, key: tuple[str, str]) -> None:
+        del self.state.calls[key]
+        self.do(ForgetCall(*key))
+
+    def _orphan_calls(self, q: Request) -> None:
+        """The stream is over. A safe call is called off; an unsafe one is heard out, as its reply, however
+        late, tells the operator what was done."""
+        for key in [k for k in self.state.calls if k[0] == q.id]:
+            call = self.state.calls[key]
+            if call.orphan:
+                continue
+            call.orphan = True
+            if call.open and call.effect is not api.Effect.SAFE:
+                continue
+            if call.open or call.settled:
+                self.do(AbandonTool(*key))
+            self._forget_call(key)
+
     # --- the fleet ------------------------------------------------------------------------------------
 
     def list_told(self, event: ListTold) -> None:
@@ -764,10 +993,31 @@
                 duty = self.state.releases.get(name)
                 if duty is not None and duty.tried[-1:] == [worker]:
                     self._try_release(name)
+            case ("call", str(name), str(ident)):
+                self._call_is_late((name, ident))
+            case ("again", str(name), str(ident)):
+                call = self.state.calls.get((name, ident))
+                if call is not None and not call.settled and not call.open:
+                    self._try_call((name, ident), call)
             case ("door",):
                 self.state.accepting = False
                 self.do(StopAccepting())
 
+    def _call_is_late(self, key: tuple[str, str]) -> None:
+        call = self.state.calls.get(key)
+        if call is None:
+            return
+        if call.orphan:
+            self.count("tool_outcomes_unknown")
+            self.do(AbandonTool(*key))
+            self._forget_call(key)
+        elif not call.settled:
+            was_open, call.open = call.open, False
+            if was_open:
+                self.do(AbandonTool(*key))
+            unknown = call.effect is not api.Effect.SAFE and was_open
+            self._settle_call(key, call, ToolFault.OUTCOME_UNKNOWN if unknown else ToolFault.DEADLINE)
+
     def set_timer(self, action: api.SetTimer) -> None:
         self.do(Wake(self.now + action.delay, ("timer", action.timer)))
 
@@ -785,7 +1035,8 @@
     HANDLERS: ClassVar[dict[type, Callable[[_Step, Any], None]]] = {
         Taken: taken, ClientLeft: client_left, Begun: begun, Written: written, FirstEvent: first_event,
         Ended: ended, PlaceEnded: place_ended, ReleaseEnded: release_ended, Probed: probed,
-        ListTold: list_told, Woken: woken, Terminate: terminate,
+        ListTold: list_told, ToolCalled: tool_called, ToolEnded: tool_ended, ReplyEnded: reply_ended,
+        Woken: woken, Terminate: terminate,
     }  # fmt: skip
     ACTIONS: ClassVar[dict[type, Callable[[_Step, Any], None]]] = {
         api.Send: send, api.HoldPlace: hold_place, api.Release: release, api.Cancel: cancel,
--- /dev/null
+++ b/basaltspread/net/eureka.py
@@ -0,0 +1,247 @@
+"""The second front's registry: this gateway's own lease in Eureka, and the engines that Eureka lists.
+
+It speaks Eureka's REST operations and turns applications into the core's list. It must never drop the last
+list because the registry is silent or talks nonsense, and it decides nothing about the engines that it names.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections import Counter
+from collections.abc import Iterator
+from typing import Any
+from urllib.parse import quote
+
+from basaltspread import core
+from basaltspread import interface as api
+from basaltspread.config import Gateway, Registry, split_address
+from basaltspread.core import Listed
+from basaltspread.net.runtime import Headers, LinkError, Reply, Runtime, load_json
+
+log = logging.getLogger("basaltspread")
+CALL_WAIT = 3.0  # s for one call
+BODY_LIMIT = 8 * 1024 * 1024  # of a full list
+JSON_HEADERS: Headers = [(b"Accept", b"application/json")]
+# What Eureka says of an instance, and what that means for sends.
+STATES: dict[str, api.WorkerState] = {
+    "UP": api.WorkerState.UP,
+    "OUT_OF_SERVICE": api.WorkerState.DRAINING,
+    "UNKNOWN": api.WorkerState.DRAINING,
+    "STARTING": api.WorkerState.REMOVED,
+    "DOWN": api.WorkerState.REMOVED,
+}
+Instances = dict[tuple[str, str], dict[str, Any]]  # by application and instance id
+
+
+def _many(value: Any) -> list[Any]:
+    """Eureka writes a list of one as the one alone."""
+    return value if isinstance(value, list) else [] if value is None else [value]
+
+
+def parse_applications(raw: Any) -> tuple[list[tuple[tuple[str, str], dict[str, Any]]], str]:
+    """The instances of an answer, in order, and the hash code that came with them; raises ValueError."""
+    outer = raw.get("applications") if isinstance(raw, dict) else None
+    if not isinstance(outer, dict):
+        raise ValueError("no applications object")
+    found = []
+    for app in _many(outer.get("application")):
+        if not isinstance(app, dict) or not isinstance(app.get("name"), str):
+            raise ValueError("an application without a name")
+        for instance in _many(app.get("instance")):
+            if not isinstance(instance, dict):
+                raise ValueError("an instance that is no object")
+            ident = instance.get("instanceId") or instance.get("hostName")
+            if not isinstance(ident, str):
+                raise ValueError("an instance without an id")
+            found.append(((app["name"].upper(), ident), instance))
+    return found, str(outer.get("apps__hashcode") or "")
+
+
+def hash_code(instances: Instances) -> str:
+    """Eureka's: each status with its count, by name, as in DOWN_1_UP_8_."""
+    counts = Counter(str(i.get("status")) for i in instances.values())
+    return "".join(f"{status}_{count}_" for status, count in sorted(counts.items()))
+
+
+def apply_delta(instances: Instances, changes: list[tuple[tuple[str, str], dict[str, Any]]]) -> Instances:
+    """The list after these changes; the old one is left as it was."""
+    changed = dict(instances)
+    for key, instance in changes:
+        if instance.get("actionType") == "DELETED":
+            changed.pop(key, None)
+        else:
+            changed[key] = instance
+    return changed
+
+
+def engine_from(ident: str, instance: dict[str, Any], settings: api.Settings) -> Listed:
+    """One engine in the core's terms; raises ValueError."""
+    port = instance.get("port")
+    number = port.get("$") if isinstance(port, dict) else port
+    address = f"{instance.get('ipAddr') or instance.get('hostName') or ''}:{number}"
+    split_address("port", address)
+    found = instance.get("metadata")
+    about: dict[str, Any] = found if isinstance(found, dict) else {}
+    found = instance.get("leaseInfo")
+    lease: dict[str, Any] = found if isinstance(found, dict) else {}
+    kinds = {k.name: i for i, k in enumerate(settings.kinds)}
+    zones = {z: i for i, z in enumerate(settings.zones)}
+    try:
+        entry = api.WorkerEntry(
+            ident, STATES.get(str(instance.get("status")), api.WorkerState.DRAINING),
+            int(about.get("cell") or 0), zones.get(str(about.get("zone")), len(zones)),
+            kinds.get(str(about.get("machineType")), len(kinds)), float(about.get("weight") or 1.0),
+            int(lease.get("serviceUpTimestamp") or 0) * core.MS,
+        )  # fmt: skip
+    except (TypeError, ValueError, OverflowError) as error:
+        raise ValueError(f"instance {ident!r}: {error}") from error
+    return Listed(entry, address)
+
+
+class Eureka:
+    """Keeps this gateway registered, and the core told of the engines."""
+
+    def __init__(self, runtime: Runtime, config: Gateway, registry: Registry) -> None:
+        self.runtime, self._config, self._registry = runtime, config, registry
+        self._instances: Instances = {}
+        self._told: dict[str, Listed] = {}
+        self._fetched = self._silent = False
+        self._version = 0
+        self._app = f"{registry.path}/apps/{quote(config.name.upper(), safe='')}"
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        self._tasks = [
+            self.runtime.spawn(self._every(self._registry.renew_s, self._renew), "renew"),
+            self.runtime.spawn(self._every(self._registry.fetch_s, self._fetch), "fetch"),
+        ]
+        self.runtime.on_terminate.append(
+            lambda: self._tasks.append(self.runtime.spawn(self._leave(), "leave"))
+        )
+
+    async def stop(self) -> None:
+        """The lease is given back before the program ends."""
+        if self._tasks[2:]:
+            await asyncio.wait(self._tasks[2:], timeout=CALL_WAIT)
+        for task in self._tasks:
+            task.cancel()
+
+    async def _every(self, seconds: float, work: Any) -> None:
+        while True:
+            try:
+                await work()
+                if self._silent:
+                    log.info("registry answers again")
+                self._silent = False
+            except (LinkError, ValueError) as error:
+                self.runtime.count("registry_failures")
+                if not self._silent:
+                    log.warning("registry: %s; the last list stays in use", error)
+                self._silent = True
+            await asyncio.sleep(seconds)
+
+    async def _call(self, method: str, target: str, body: bytes = b"") -> Reply:
+        headers = [*JSON_HEADERS, (b"Content-Type", b"application/json")] if body else JSON_HEADERS
+        return await self.runtime.pool.call(
+            self._registry.address, method, target, headers, body, wait=CALL_WAIT, limit=BODY_LIMIT
+        )
+
+    # --- this gateway's lease ---------------------------------------------------------------------------
+
+    def instance_id(self) -> str:
+        return f"{self._config.name}:{self._config.listen}"
+
+    def _instance(self) -> dict[str, Any]:
+        host, port = split_address("listen", self._config.listen)
+        return {
+            "instanceId": self.instance_id(),
+            "hostName": host,
+            "app": self._config.name.upper(),
+            "ipAddr": host,
+            "vipAddress": self._config.name,
+            "status": "UP",
+            "port": {"$": port, "@enabled": "true"},
+            "securePort": {"$": 443, "@enabled": "false"},
+            "healthCheckUrl": f"http://{host}:{port}/health/ready",
+            "dataCenterInfo": {
+                "@class": "com.netflix.appinfo.InstanceInfo$DefaultDataCenterInfo", "name": "MyOwn",
+            },
+            "leaseInfo": {
+                "renewalIntervalInSecs": max(1, round(self._registry.renew_s)),
+                "durationInSecs": max(3, round(3 * self._registry.renew_s)),
+            },
+            "metadata": {},
+        }  # fmt: skip
+
+    async def _register(self) -> None:
+        reply = await self._call("POST", self._app, json.dumps({"instance": self._instance()}).encode())
+        if reply.status not in (200, 204):
+            raise ValueError(f"register: status {reply.status}")
+        self.runtime.count("registry_registered")
+
+    async def _renew(self) -> None:
+        """The first renewal finds no lease, and so does one after the registry lost its memory."""
+        reply = await self._call("PUT", f"{self._app}/{quote(self.instance_id(), safe='')}?status=UP")
+        if reply.status == 404:
+            await self._register()
+        elif reply.status != 200:
+            raise ValueError(f"renew: status {reply.status}")
+        else:
+            self.runtime.count("registry_renewed")
+
+    async def _leave(self) -> None:
+        self._tasks[0].cancel()  # or a renewal would register again
+        try:
+            await self._call("DELETE", f"{self._app}/{quote(self.instance_id(), safe='')}")
+            self.runtime.count("registry_deregistered")
+        except LinkError as error:
+            log.warning("registry: deregister: %s; the lease runs out by itself", error)
+
+    # --- the engines ------------------------------------------------------------------------------------
+
+    async def _fetch(self) -> None:
+        """Changes if a list is held and they add up to what the registry counts, else the whole list."""
+        if self._fetched and await self._fetch_delta():
+            return
+        found, _ = parse_applications(await self._get(f"{self._registry.path}/apps"))
+        self._instances, self._fetched = dict(found), True
+        self.runtime.count("registry_full_fetches")
+        self._tell()
+
+    async def _fetch_delta(self) -> bool:
+        found, code = parse_applications(await self._get(f"{self._registry.path}/apps/delta"))
+        changed = apply_delta(self._instances, found)
+        self.runtime.count("registry_delta_fetches")
+        if code != hash_code(changed):
+            self.runtime.count("registry_hash_mismatches")
+            log.info("registry: changes give %s, it counts %s; fetching all", hash_code(changed), code)
+            return False
+        self._instances = changed
+        self._tell()
+        return True
+
+    async def _get(self, target: str) -> Any:
+        reply = await self._call("GET", target)
+        if reply.status != 200:
+            raise ValueError(f"{target}: status {reply.status}")
+        return load_json(reply.body)
+
+    def _engines(self) -> Iterator[Listed]:
+        for (app, ident), instance in self._instances.items():
+            if app == self._registry.engines.upper():
+                try:
+                    yield engine_from(ident, instance, self._config.settings)
+                except ValueError as error:
+                    self.runtime.count("registry_instances_odd")
+                    log.warning("registry: engine %s left out: %s", ident, error)
+
+    def _tell(self) -> None:
+        engines = {e.entry.name: e for e in self._engines() if e.entry.state is not api.WorkerState.REMOVED}
+        if engines == self._told and self._version:
+            return
+        self._version += 1
+        self._told = engines
+        listed = tuple(engines[name] for name in sorted(engines))
+        self.runtime.feed(core.ListTold(api.ListKind.FULL, self._version, listed))
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -13,14 +13,14 @@
 import math
 import re
 from collections.abc import Mapping
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import h11
 
 from basaltspread import core
 from basaltspread import interface as api
 from basaltspread.adapter import REPORT_NAMES
-from basaltspread.config import Platform, split_address
+from basaltspread.config import Gateway, split_address
 from basaltspread.core import Ending, Place, Verdict
 from basaltspread.net.runtime import (
     BODY_LIMIT,
@@ -31,8 +31,12 @@
     Link,
     LinkError,
     Runtime,
+    load_json,
 )
 
+if TYPE_CHECKING:
+    from basaltspread.net.toolcalls import Relay
+
 log = logging.getLogger("basaltspread")
 COMPLETIONS = b"/v1/chat/completions"
 HOLD_MS = 5000  # of one discovery call
@@ -80,7 +84,7 @@
     text = text.strip()
     if text.startswith(("JSON", "{")):
         try:
-            loaded = json.loads(text.removeprefix("JSON"))
+            loaded = load_json(text.removeprefix("JSON"))
         except ValueError:
             return {}
         pairs = list(loaded.items()) if isinstance(loaded, dict) else []
@@ -311,7 +315,9 @@
             read: asyncio.Future[Any] = asyncio.ensure_future(self._reader.read(READ_SIZE))
             await asyncio.wait({read, done}, return_when=asyncio.FIRST_COMPLETED)
             if not read.done():
+                # Until the cancelled read is over, the stream refuses another: the connection would be lost.
                 read.cancel()
+                await asyncio.wait({read})
                 break
             data = b"" if read.exception() is not None else read.result()
             if not data:
@@ -328,8 +334,9 @@
 class Front:
     """Serves clients, and carries out the core's effects on engines and discovery."""
 
-    def __init__(self, runtime: Runtime, config: Platform) -> None:
+    def __init__(self, runtime: Runtime, config: Gateway, relay: Relay | None = None) -> None:
         self.runtime, self._config, self._spawn = runtime, config, runtime.spawn
+        self._relay_calls = relay
         self._exchanges: dict[str, Exchange] = {}
         self._attempts: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._places: dict[tuple[str, str], tuple[asyncio.Task[None], list[bool]]] = {}
@@ -355,7 +362,8 @@
                 self.runtime.feed(told)
             except ValueError as error:
                 log.warning("known list unusable: %s", error)
-        self._spawn(self._watch(version), "watch")
+        if self._config.discovery is not None:
+            self._spawn(self._watch(self._config.discovery, version), "watch")
         host, port = split_address("listen", self._config.listen)
         self._server = await asyncio.start_server(self._accept, host, port, limit=READ_SIZE, backlog=512)
         where = self._server.sockets[0].getsockname()
@@ -536,6 +544,7 @@
     ) -> tuple[Ending, int]:
         """Pass an engine's events on as they come, to its last chunk."""
         begun, tail = False, b""
+        splitter = self._relay_calls.splitter(name, number) if self._relay_calls is not None else None
         framed = b"transfer-encoding" in fields or b"content-length" in fields
         while True:
             event = await link.event()
@@ -548,12 +557,17 @@
                 if exchange.passing == number:
                     exchange.client.begin_stream(fields.get(b"content-type", b"text/event-stream"))
             if over:
+                rest = splitter.rest() if splitter is not None else b""
+                if rest and exchange.passing == number:
+                    await exchange.client.stream(rest)
                 found = CACHED.search(tail)
                 return Ending.SERVED, int(found[1]) if found else 0
             if isinstance(event, h11.Data):
                 data = bytes(event.data)
                 tail = (tail + data)[-512:]
-                if exchange.passing == number:
+                if splitter is not None:
+                    data = splitter.feed(data)
+                if data and exchange.passing == number:
                     await exchange.client.stream(data)
 
     def _ask_place(self, effect: core.AskPlace) -> None:
@@ -612,11 +626,11 @@
 
     # --- discovery --------------------------------------------------------------------------------------
 
-    async def _watch(self, version: int | None) -> None:
+    async def _watch(self, discovery: str, version: int | None) -> None:
         silent = False
         while True:
             try:
-                version = await self._fetch(version)
+                version = await self._fetch(discovery, version)
                 if silent:
                     log.info("discovery answers again at version %d", version)
                 silent = False
@@ -628,26 +642,27 @@
                 await asyncio.sleep(RETRY_PAUSE)
 
     def _fetch_list(self, effect: core.FetchWholeList) -> None:
-        self._spawn(self._fetch_once(), "fetch")
+        if self._config.discovery is not None:
+            self._spawn(self._fetch_once(self._config.discovery), "fetch")
 
-    async def _fetch_once(self) -> None:
+    async def _fetch_once(self, discovery: str) -> None:
         try:
-            await self._fetch(None)
+            await self._fetch(discovery, None)
         except (LinkError, ValueError):
             self.runtime.count("discovery_failures")
             self.runtime.feed(core.ListTold(api.ListKind.FAILED, 0, ()))
 
-    async def _fetch(self, version: int | None) -> int:
+    async def _fetch(self, discovery: str, version: int | None) -> int:
         """One call; a watch if a version is held."""
         target = "/registry/instances"
         wait = WATCH_SLACK
         if version is not None:
             target += f"?from={version}&hold_ms={HOLD_MS}"
             wait += HOLD_MS / 1000
-        reply = await self.runtime.pool.call(self._config.discovery, "GET", target, wait=wait)
+        reply = await self.runtime.pool.call(discovery, "GET", target, wait=wait)
         if reply.status != 200:
             raise ValueError(f"status {reply.status}")
-        told = parse_list(json.loads(reply.body), self._config.settings)
+        told = parse_list(load_json(reply.body), self._config.settings)
         if told.entries or told.kind is api.ListKind.FULL:
             self.runtime.feed(told)
         return told.version
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
 import signal
 import sys
@@ -34,6 +35,14 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+def load_json(text: str | bytes) -> Any:
+    """A peer's JSON; raises ValueError for all that is none, nesting without end included."""
+    try:
+        return json.loads(text)
+    except RecursionError as error:
+        raise ValueError("nested too deeply") from error
+
+
 class Clock:
     """Unix time in microseconds that never goes back: read once, then carried on by the monotonic clock."""
 
@@ -218,8 +227,8 @@
         self._idle: dict[str, list[Link]] = {}
         self._counters = counters
 
-    async def acquire(self, address: str) -> Link:
-        idle = self._idle.get(address, [])
+    async def acquire(self, address: str, fresh: bool = False) -> Link:
+        idle = [] if fresh else self._idle.get(address, [])
         while idle:
             link = idle.pop()
             if not link.dead() and time.monotonic() - link.idle_since < self._idle_limit:
@@ -272,10 +281,12 @@
 
     async def call(
         self, address: str, method: str, target: str, headers: Headers | None = None, body: bytes = b"",
-        wait: float = 1.0, begun: list[bool] | None = None,
+        wait: float = 1.0, begun: list[bool] | None = None, fresh: bool = False,
+        limit: int = BODY_LIMIT,
     ) -> Reply:  # fmt: skip
-        """One whole small exchange; raises LinkError. `begun` is set when its first byte goes out."""
-        link = await self.acquire(address)
+        """One whole small exchange; raises LinkError. `begun` is set when its first byte goes out; `fresh`
+        asks for a new connection, which can't be stale."""
+        link = await self.acquire(address, fresh)
         try:
             async with asyncio.timeout(wait):
                 if begun is not None:
@@ -284,7 +295,7 @@
                 event = await link.event()
                 if not isinstance(event, h11.Response):
                     raise LinkError(Ending.MALFORMED)
-                reply = Reply(event.status_code, dict(event.headers), await link.rest())
+                reply = Reply(event.status_code, dict(event.headers), await link.rest(limit))
         except TimeoutError as error:
             link.close()
             raise LinkError(Ending.TIMED_OUT if link.written else Ending.BROKE_UNSENT) from error
@@ -307,6 +318,7 @@
         self.pool = Pool(self.descriptors, connect_timeout, idle, self.counters)
         self.wheel = Wheel(lambda token: self.feed(core.Woken(token)), self.clock.now)
         self.over = asyncio.Event()
+        self.on_terminate: list[Callable[[], None]] = []
         self._queue: deque[core.Input] = deque()
         self._feeding = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -368,6 +380,8 @@
 
     def _terminate(self) -> None:
         log.info("stopping: finishing %d requests", len(self.state.requests))
+        for call in self.on_terminate:
+            call()
         self.feed(core.Terminate())
 
     async def sweep(self) -> None:
