--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -33,7 +33,7 @@
     runtime.watch_signals()
     await front.start()
     if eureka is not None:
-        eureka.start()
+        eureka.start(front.address)
     runtime.spawn(runtime.sweep(), "sweep")
     await runtime.over.wait()
     await front.stop()
--- a/basaltspread/config.py
+++ b/basaltspread/config.py
@@ -28,7 +28,7 @@
 DEFAULT_DEADLINE_MS = 5000
 
 
-class ConfigError(Exception):
+class ConfigError(ValueError):
     """A configuration that can't be used: the key, what is wrong with it, and what would be right."""
 
     def __init__(self, key: str, fault: str, remedy: str) -> None:
--- a/basaltspread/core.py
+++ b/basaltspread/core.py
@@ -21,6 +21,7 @@
 MS = 1000
 ANSWER_EARLY = 15 * MS  # a deadline is met this much early: the loop may lag, and the answer takes a moment
 DEADLINE_GUARD = 10 * MS  # past its deadline by this, a request that the module forgot is failed here
+GIVE_UP_PAUSE = 10 * MS  # by then the engine has surely seen that an attempt was given up
 RELEASE_STEP = 100 * MS  # a release not acknowledged by then is sent to one more engine
 RELEASE_TRIES = 6
 REPLY_TRIES = 3  # a tool's reply that certainly never reached its engine is written again so often
@@ -83,6 +84,10 @@
 )
 
 
+# The endings of an ordinary day, which are counted but not logged.
+QUIET = frozenset((Ending.SERVED, Ending.READ, Ending.TURNED_AWAY, Ending.CLIENT_LEFT, Ending.NOT_SENT))
+
+
 class Place(Enum):
     """What a writer said when asked to hold a place."""
 
@@ -416,6 +421,7 @@
     worker: str
     reading: bool
     sent_at: int
+    until: int = 0
     begun: bool = False
     written: bool = False
     over: bool = False
@@ -427,6 +433,7 @@
     deadline: int
     unsafe: bool = False
     resumed: bool = False
+    gave_up_at: int = -GIVE_UP_PAUSE  # when an attempt was last closed from this side
     attempts: list[Attempt] = field(default_factory=list)
     stream: Attempt | None = None
     ended: bool = False  # the client has had its final answer, or has gone
@@ -616,9 +623,20 @@
             self._close(q, attempt, Ending.WITHDRAWN)
             return
         left = min(left, action.timeout) if action.timeout > 0 else left
-        self.count("sends_read" if attempt.reading else "sends_write")
-        self.do(StartAttempt(q.id, attempt.number, action.worker, listed.address, attempt.reading, left))
         self.do(Wake(self.now + left, ("attempt", q.id, attempt.number)))
+        attempt.until = self.now + left
+        pause = q.gave_up_at + GIVE_UP_PAUSE - self.now
+        if q.unsafe and pause > 0:
+            # Two connections keep no order between them: a close and the next send reach two engines in any
+            # order, and what must not run twice would be out twice.
+            self.do(Wake(self.now + pause, ("start", q.id, attempt.number)))
+        else:
+            self._start(q, attempt, listed)
+
+    def _start(self, q: Request, attempt: Attempt, listed: Listed) -> None:
+        self.count("sends_read" if attempt.reading else "sends_write")
+        left = attempt.until - self.now
+        self.do(StartAttempt(q.id, attempt.number, attempt.worker, listed.address, attempt.reading, left))
 
     def _role(self, listed: Listed | None) -> Role:
         kinds = self.state.settings.kinds
@@ -673,6 +691,7 @@
         if attempt.reading and attempt.begun:
             q.may_hold = True
         attempt.over = True
+        q.gave_up_at = self.now
         self.touched[q.id] = None
         self.do(AbandonAttempt(q.id, attempt.number))
 
@@ -692,6 +711,9 @@
         self.touched[q.id] = None
         outcome = OUTCOMES[ending]
         self.count(f"ended_{ending.name.lower()}")
+        if ending not in QUIET:
+            what = "read" if attempt.reading else "write"
+            self.do(Say(f"attempt {q.id}/{attempt.number} {what} at {attempt.worker}: {ending.value}"))
         if outcome in (Outcome.READ, Outcome.SERVED, Outcome.FULL, Outcome.ERROR):
             self.state.heard[attempt.worker] = self.now
         else:
@@ -983,6 +1005,11 @@
                 found = self._find(name, number)
                 if found is not None and found[0].stream is not found[1]:
                     self._close(*found, Ending.TIMED_OUT, abandon=True)
+            case ("start", str(name), int(number)):
+                found = self._find(name, number)
+                listed = self.state.workers.get(found[1].worker) if found is not None else None
+                if found is not None and listed is not None:
+                    self._start(*found, listed)
             case ("deadline", str(name)):
                 q = self.state.requests.get(name)
                 if q is not None and not q.ended and q.stream is None:
--- a/basaltspread/net/eureka.py
+++ b/basaltspread/net/eureka.py
@@ -111,8 +111,10 @@
         self._version = 0
         self._app = f"{registry.path}/apps/{quote(config.name.upper(), safe='')}"
         self._tasks: list[asyncio.Task[None]] = []
+        self._listen = config.listen
 
-    def start(self) -> None:
+    def start(self, listen: str) -> None:
+        self._listen = listen
         self._tasks = [
             self.runtime.spawn(self._every(self._registry.renew_s, self._renew), "renew"),
             self.runtime.spawn(self._every(self._registry.fetch_s, self._fetch), "fetch"),
@@ -151,10 +153,10 @@
     # --- this gateway's lease ---------------------------------------------------------------------------
 
     def instance_id(self) -> str:
-        return f"{self._config.name}:{self._config.listen}"
+        return f"{self._config.name}:{self._listen}"
 
     def _instance(self) -> dict[str, Any]:
-        host, port = split_address("listen", self._config.listen)
+        host, port = split_address("listen", self._listen)
         return {
             "instanceId": self.instance_id(),
             "hostName": host,
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -339,10 +339,12 @@
         self._relay_calls = relay
         self._exchanges: dict[str, Exchange] = {}
         self._attempts: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._links: dict[tuple[str, int], Link] = {}  # of the attempts that are out
         self._places: dict[tuple[str, str], tuple[asyncio.Task[None], list[bool]]] = {}
         self._clients: dict[Client, asyncio.Task[None]] = {}
         self._bodies = 0
         self._server: asyncio.Server | None = None
+        self.address = config.listen
         runtime.carry.update({
             core.StartAttempt: self._start_attempt, core.AbandonAttempt: self._abandon_attempt,
             core.PassOn: self._pass_on, core.EndStream: self._end_stream,
@@ -367,7 +369,8 @@
         host, port = split_address("listen", self._config.listen)
         self._server = await asyncio.start_server(self._accept, host, port, limit=READ_SIZE, backlog=512)
         where = self._server.sockets[0].getsockname()
-        log.info("serving %s on %s:%d", self._config.name, where[0], where[1])
+        self.address = f"{where[0]}:{where[1]}"
+        log.info("serving %s on %s", self._config.name, self.address)
 
     async def stop(self) -> None:
         """Let answers under way and requests half read come to their end."""
@@ -478,9 +481,12 @@
         task.add_done_callback(lambda _: self._attempts.pop(key, None))
 
     def _abandon_attempt(self, effect: core.AbandonAttempt) -> None:
-        task = self._attempts.get((effect.request, effect.number))
-        if task is not None:
-            task.cancel()
+        """Its connection is closed at once: the task itself would be a turn of the loop later."""
+        key = (effect.request, effect.number)
+        if key in self._links:
+            self._links[key].close()
+        if key in self._attempts:
+            self._attempts[key].cancel()
 
     async def _attempt(self, effect: core.StartAttempt, exchange: Exchange) -> None:
         name, number = effect.request, effect.number
@@ -489,7 +495,7 @@
         link: Link | None = None
         by = self.runtime.clock.now() + effect.time_left
         try:
-            link = await self.runtime.pool.acquire(effect.address)
+            link = self._links[name, number] = await self.runtime.pool.acquire(effect.address)
             left = max(1, (by - self.runtime.clock.now()) // core.MS)
             headers = [*exchange.headers, (b"X-Time-Left-Ms", str(left).encode())]
             self.runtime.feed(core.Begun(name, number))
@@ -518,6 +524,8 @@
         except Exception:
             self.runtime.count("attempt_faults")
             log.exception("attempt fault: %s to %s", name, effect.worker)
+        finally:
+            self._links.pop((name, number), None)
         if ending in (Ending.GATEWAY_FAULT, *FATAL) and link is not None:
             link.close()
         self.runtime.feed(core.Ended(name, number, ending, detail, report))
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import logging
 import signal
+import socket
 import sys
 import time
 from collections import Counter, deque
@@ -151,13 +153,16 @@
         if body:
             out += self._http.send(h11.Data(data=body)) or b""
         out += self._http.send(h11.EndOfMessage()) or b""
-        try:
-            self._writer.write(out)
-            await self._writer.drain()
-        except OSError as error:
-            raise LinkError(Ending.BROKE_UNSENT) from error
-        if self._writer.transport.is_closing() or self._writer.transport.get_write_buffer_size():
+        # What the kernel has taken may reach the other side, whatever becomes of the connection: only bytes
+        # that stay in the transport's buffer are certainly unsent.
+        self._writer.write(out)
+        if self._writer.transport.is_closing():
             raise LinkError(Ending.BROKE_UNSENT)
+        if self._writer.transport.get_write_buffer_size():
+            try:
+                await self._writer.drain()
+            except OSError as error:
+                raise LinkError(Ending.BROKE_UNSENT) from error
         self.written = True
 
     async def event(self) -> h11.Event:
@@ -212,6 +217,9 @@
     def close(self) -> None:
         if not self._closed:
             self._closed = True
+            # abort() closes the socket a turn of the loop later; what is sent elsewhere must not go first.
+            with contextlib.suppress(OSError):
+                self._writer.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
             self._writer.transport.abort()
             self._free()
 
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,299 @@
+"""Stand-ins on loopback for what a gateway meets (engines, discovery, a registry, a tool server, clients),
+and the gateway itself as a process of its own. They wait for what must happen, never for time to pass."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import h11
+
+ROOT = Path(__file__).resolve().parent.parent
+PATIENCE = 30.0  # s until a test that waits for something gives up
+SETTINGS: dict[str, Any] = {
+    "azs": ["a"], "balancers": 1, "me": 0, "zone": 0, "registry_mode": "push", "round": 2000,
+    "classes": [
+        {"name": "ask", "effect": "safe", "key_scope": "all", "deadline": 20000000, "promise": 15000000,
+         "points": 2.0, "late_value": 0.3, "streaming": True, "window": 5000000},
+        {"name": "order", "effect": "unsafe", "key_scope": "all", "deadline": 20000000, "promise": 15000000,
+         "points": 5.0, "late_value": 0.2, "streaming": True, "window": 5000000},
+    ],
+    "limits": {"cancel": True, "max_attempts": 5, "retry_after": True, "max_retry_after": 1000000,
+               "connect_timeout": 250000, "idle_close": 30000000},
+    "machine_types": ["prefill", "decode"],
+    "orgs": [{"name": "acme", "quota_rps": 100.0, "share": 1.0}],
+    "rules": {"answer_slack": 8000, "fall": 1000000, "start_capacity": 0.26, "stop_sending_within": 250000,
+              "tip_multiple": 2.5, "warm_within": 14000000},
+    "specifics": {"role_by_kind": ["read", "write"], "early_pairing": True, "release": 500000, "resume": True,
+                  "token_aim": [60000.0, 70000.0]},
+}  # fmt: skip
+DONE = b"data: [DONE]\n\n"
+
+
+class Asked:
+    """One request that a stand-in got, and the means to answer it."""
+
+    def __init__(
+        self, method: str, target: str, headers: dict[str, str], body: bytes,
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
+    ) -> None:  # fmt: skip
+        self.method, self.target, self.headers, self.body = method, target, headers, body
+        self._reader, self._writer = reader, writer
+        self.rid = headers.get("x-correlation-id", target.rpartition("/")[2])
+
+    def reply(self, status: int, body: bytes = b"", **headers: str) -> None:
+        fields = {"Content-Length": str(len(body)), **{k.replace("_", "-"): v for k, v in headers.items()}}
+        self._writer.write(f"HTTP/1.1 {status} X\r\n".encode())
+        self._writer.write("".join(f"{k}: {v}\r\n" for k, v in fields.items()).encode() + b"\r\n" + body)
+
+    def raw(self, data: bytes) -> None:
+        self._writer.write(data)
+
+    def begin(self) -> None:
+        self.raw(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+
+    def chunk(self, data: bytes) -> None:
+        self.raw(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+
+    def end(self) -> None:
+        self.raw(b"0\r\n\r\n")
+
+    def stream(self, *events: bytes) -> None:
+        self.begin()
+        for event in (*events, DONE):
+            self.chunk(event)
+        self.end()
+
+    def close(self) -> None:
+        self._writer.close()
+
+    async def closed(self) -> None:
+        """Until the other side has closed this connection."""
+        with contextlib.suppress(ConnectionError):
+            await self._reader.read()
+
+    def reset(self) -> None:
+        self._writer.transport.abort()
+
+
+Handler = Callable[[Asked], Awaitable[None]]
+
+
+class Standin:
+    """An HTTP/1.1 server that shows each request to one coroutine and keeps what it saw."""
+
+    def __init__(self, handler: Handler) -> None:
+        self.handler, self.seen = handler, list[Asked]()
+        self._changed = asyncio.Condition()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> Standin:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                first, *lines = head.decode().rstrip().split("\r\n")
+                method, target, _ = first.split(" ")
+                headers = {k.lower(): v for k, v in (line.split(": ", 1) for line in lines)}
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                asked = Asked(method, target, headers, body, reader, writer)
+                self.seen.append(asked)
+                async with self._changed:
+                    self._changed.notify_all()
+                await self.handler(asked)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            writer.transport.abort()
+
+    async def until(self, method: str, count: int = 1, target: str = "") -> Asked:
+        """The count-th request of this method, waited for."""
+
+        def found() -> list[Asked]:
+            return [a for a in self.seen if a.method == method and a.target.startswith(target)]
+
+        async with asyncio.timeout(PATIENCE), self._changed:
+            await self._changed.wait_for(lambda: len(found()) >= count)
+        return found()[count - 1]
+
+    def count(self, method: str, target: str = "/") -> int:
+        return sum(a.method == method and a.target.startswith(target) for a in self.seen)
+
+    async def stop(self) -> None:
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
+
+def reading() -> Handler:
+    async def handle(asked: Asked) -> None:
+        if asked.target.startswith("/state"):
+            asked.reply(204)
+        else:
+            asked.reply(202, b'{"cached_tokens":16}')
+
+    return handle
+
+
+def writing(answer: Handler, place: int = 200) -> Handler:
+    async def handle(asked: Asked) -> None:
+        if asked.target.startswith("/state"):
+            asked.reply(place if asked.method == "POST" else 204)
+        else:
+            await answer(asked)
+
+    return handle
+
+
+async def answer_plainly(asked: Asked) -> None:
+    asked.stream(b'data: {"choices":[{"delta":{"content":"hello"}}]}\n\n')
+
+
+class Gateway:
+    """The real program in a process of its own."""
+
+    def __init__(self, *arguments: str, config: dict[str, Any] | None = None) -> None:
+        self._arguments, self._config = arguments, config
+        self.lines: list[str] = []
+
+    async def start(self) -> Gateway:
+        environment = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
+        if self._config is not None:
+            with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
+                json.dump(self._config, file)
+            environment["RELAY_CONFIG"] = file.name
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "basaltspread", *self._arguments, cwd=ROOT, env=environment,
+            stderr=asyncio.subprocess.PIPE, limit=1 << 20,
+        )  # fmt: skip
+        line = await self.until(" serving ")
+        self.address = line.split()[-1]
+        return self
+
+    async def until(self, word: str) -> str:
+        """The next log line with this word."""
+        assert self.process.stderr is not None
+        async with asyncio.timeout(PATIENCE):
+            while raw := await self.process.stderr.readline():
+                self.lines.append(raw.decode().rstrip())
+                if word in self.lines[-1]:
+                    return self.lines[-1]
+        raise AssertionError(f"no {word!r} in {self.lines}")
+
+    async def counters(self) -> dict[str, int]:
+        self.process.send_signal(signal.SIGUSR1)
+        return self._parsed(await self.until("counters "))
+
+    async def until_counter(self, name: str) -> None:
+        async with asyncio.timeout(PATIENCE):
+            while not (await self.counters()).get(name):
+                pass
+
+    @staticmethod
+    def _parsed(line: str) -> dict[str, int]:
+        pairs = (pair.split("=") for pair in line.split("counters ")[1].split())
+        return {name: int(value) for name, value in pairs}
+
+    async def stop(self) -> dict[str, int]:
+        """SIGTERM; its counters at exit, which must be in order."""
+        self.process.send_signal(signal.SIGTERM)
+        counters = self._parsed(await self.until("counters "))
+        async with asyncio.timeout(PATIENCE):
+            assert await self.process.wait() == 0, self.lines
+        return counters
+
+    async def kill(self) -> None:
+        self.process.kill()
+        await self.process.wait()
+
+
+class Client:
+    """One client connection. Each answer is (status, headers, body, whether it ended in order)."""
+
+    def __init__(self, address: str) -> None:
+        self._host, _, port = address.rpartition(":")
+        self._port, self._http = int(port), h11.Connection(h11.CLIENT)
+
+    async def open(self) -> Client:
+        self._reader, self._writer = await asyncio.open_connection(self._host, self._port)
+        return self
+
+    def send(self, rid: str, cls: str = "ask", left: int = 20000, body: bytes = b"{}", **more: str) -> None:
+        fields = {
+            "Host": "backend.local", "X-Correlation-Id": rid, "X-Service-Class": cls, "X-Account": "acme",
+            "X-Session-Key": "s" + rid, "X-Time-Left-Ms": str(left),
+            "X-Facts": f"prefix=p{rid},prompt_len=512,prefix_len=256",
+            "Content-Length": str(len(body)), **{k.replace("_", "-"): v for k, v in more.items()},
+        }  # fmt: skip
+        request = h11.Request(method="POST", target="/v1/chat/completions?x=1", headers=list(fields.items()))
+        for event in (request, h11.Data(data=body), h11.EndOfMessage()):
+            self._writer.write(self._http.send(event) or b"")
+
+    async def event(self) -> Any:
+        while (event := self._http.next_event()) is h11.NEED_DATA:
+            self._http.receive_data(await self._reader.read(65536))
+        return event
+
+    async def head(self) -> h11.Response:
+        async with asyncio.timeout(PATIENCE):
+            event = await self.event()
+        assert isinstance(event, h11.Response), event
+        return event
+
+    async def answer(self) -> tuple[int, dict[bytes, bytes], bytes, bool]:
+        head, body = await self.head(), b""
+        async with asyncio.timeout(PATIENCE):
+            while True:
+                try:
+                    event = await self.event()
+                except (h11.RemoteProtocolError, ConnectionError):
+                    return head.status_code, dict(head.headers), body, False
+                if isinstance(event, h11.EndOfMessage):
+                    if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+                        self._http.start_next_cycle()
+                    return head.status_code, dict(head.headers), body, True
+                body += event.data
+
+    async def ask(self, rid: str, **options: Any) -> tuple[int, dict[bytes, bytes], bytes, bool]:
+        self.send(rid, **options)
+        return await self.answer()
+
+    def close(self) -> None:
+        self._writer.close()
+
+
+class LoopbackTest(unittest.IsolatedAsyncioTestCase):
+    """Starts stand-ins and gateways, and ends them all with the test."""
+
+    async def standin(self, handler: Handler) -> Standin:
+        server = await Standin(handler).start()
+        self.addAsyncCleanup(server.stop)
+        return server
+
+    async def started(self, gateway: Gateway) -> Gateway:
+        await gateway.start()
+        self.addAsyncCleanup(self._end, gateway)
+        return gateway
+
+    @staticmethod
+    async def _end(gateway: Gateway) -> None:
+        if gateway.process.returncode is None:
+            await gateway.kill()
+
+    async def client(self, gateway: Gateway) -> Client:
+        client = await Client(gateway.address).open()
+        self.addCleanup(client.close)
+        return client
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,163 @@
+"""The reducer, driven by inputs alone: what needs a moment that sockets do not offer on demand."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from basaltspread import core
+from basaltspread import interface as api
+from basaltspread.core import Ending, Place, Verdict
+from tests.helpers import FLEET, MS, SECOND, settings
+
+ARRIVAL = api.Arrival("q", "s", "p", 100, 200, 50, 0, 0, SECOND, 0, False, False)
+
+
+class Script:
+    """A module that answers each kind of event with the actions written for it."""
+
+    def __init__(self, **answers: Callable[[Any], list[api.Action]]) -> None:
+        self.answers, self.told = answers, list[api.Event]()
+
+    def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
+        self.told += events
+        return [a for e in events for a in self.answers.get(type(e).__name__, lambda _: [])(e)]
+
+
+def send(worker: str, timeout: int = 0) -> Callable[[Any], list[api.Action]]:
+    return lambda e: [api.Send(e.request, worker, timeout)]
+
+
+class CoreTest(unittest.TestCase):
+    def begin(self, **answers: Callable[[Any], list[api.Action]]) -> None:
+        self.module, self.now = Script(**answers), 100 * SECOND
+        self.state = core.State(settings(), self.module)
+        listed = tuple(core.Listed(e, f"{e.name}:1") for e in FLEET)
+        self.feed(core.ListTold(api.ListKind.CACHED, 1, listed))
+
+    def feed(self, event: core.Input, after: int = 0) -> list[core.Effect]:
+        """The effects of one input, less timers and counters."""
+        self.now += after
+        effects = core.reduce(self.state, self.now, event)
+        self.wakes = [e for e in effects if isinstance(e, core.Wake)]
+        return [e for e in effects if not isinstance(e, (core.Wake, core.Count, core.Say))]
+
+    def kinds(self, event: core.Input, after: int = 0) -> list[str]:
+        return [type(e).__name__ for e in self.feed(event, after)]
+
+    def drained(self, name: str) -> core.ListTold:
+        entry = next(e for e in FLEET if e.name == name)
+        gone = api.WorkerEntry(name, api.WorkerState.DRAINING, entry.cell, entry.zone, entry.kind, 1.0, 0)
+        return core.ListTold(api.ListKind.DELTA, 2, (core.Listed(gone, f"{name}:1"),))
+
+    def test_every_ending_has_its_outcome(self) -> None:
+        self.assertEqual(set(core.OUTCOMES), set(Ending))
+        self.assertEqual(set(core.OUTCOMES.values()), set(api.Outcome))
+        for ending in (Ending.RESET, Ending.TIMED_OUT, Ending.SERVER_ERROR, Ending.CUT_SHORT):
+            self.assertNotIn(ending, core.NEVER_RAN)
+
+    def test_a_place_is_asked_for_when_the_reads_last_byte_is_out(self) -> None:
+        self.begin(Arrival=lambda e: [api.Send("q", "r1", 0), api.HoldPlace("q", "w1")])
+        self.assertEqual(self.kinds(core.Taken(ARRIVAL)), ["StartAttempt"])
+        self.assertEqual(self.kinds(core.Begun("q", 0)), [])
+        self.assertEqual(self.feed(core.Written("q", 0)), [core.AskPlace("q", 0, "w1", "w1:1")])
+
+    def test_a_drain_binds_what_waits_for_its_connection(self) -> None:
+        """Guards against a send that goes out whenever the connection comes up, long after the drain."""
+        self.begin(Arrival=send("r1"))
+        self.feed(core.Taken(ARRIVAL))
+        self.assertEqual(self.feed(self.drained("r1")), [core.AbandonAttempt("q", 0)])
+        ended = self.module.told[-2:]
+        self.assertIn(api.Outcome.CONNECT_FAILED, [getattr(e, "outcome", None) for e in ended])
+        self.begin(Arrival=lambda e: [api.Send("q", "r1", 0), api.HoldPlace("q", "w1")])
+        for event in (core.Taken(ARRIVAL), core.Begun("q", 0), core.Written("q", 0)):
+            self.feed(event)
+        self.assertEqual(self.feed(self.drained("r1")), [])  # begun before it was told
+        self.assertEqual(self.feed(self.drained("w1")), [core.DropPlace("q", "w1")])
+
+    def test_an_unsafe_request_pauses_between_giving_up_and_sending_again(self) -> None:
+        """The engines are reached by two connections: the new send could come first, and count as a copy."""
+        self.begin(Arrival=send("r1"), TimerFired=lambda e: [api.Cancel("q", 0), api.Send("q", "r2", 0)])
+        self.state.settings = settings(api.Effect.UNSAFE)
+        self.feed(core.Taken(ARRIVAL))
+        self.feed(core.Begun("q", 0))
+        self.assertEqual(self.feed(core.Woken(("timer", 1)), 500 * MS), [core.AbandonAttempt("q", 0)])
+        (wake,) = [w for w in self.wakes if w.token == ("start", "q", 1)]
+        self.assertGreater(wake.at, self.now)
+        self.now = wake.at
+        self.assertEqual(self.kinds(core.Woken(wake.token)), ["StartAttempt"])
+
+    def test_attempts_past_the_limit_and_to_what_is_not_up_are_never_sent(self) -> None:
+        self.begin(Arrival=send("r1"), AttemptEnded=send("r1"))
+        started = self.kinds(core.Taken(ARRIVAL))
+        for number in range(4):
+            started += self.kinds(core.Ended("q", number, Ending.REFUSED))
+        self.module.answers["AttemptEnded"] = lambda e: [api.Send("q", "r1", 0)] if e.attempt < 5 else []
+        started += self.kinds(core.Ended("q", 4, Ending.REFUSED))
+        self.assertEqual(started.count("StartAttempt"), 5)
+        self.assertEqual(self.module.told[-1].outcome, api.Outcome.NOT_SENT)  # type: ignore[union-attr]
+
+    def test_one_final_answer(self) -> None:
+        self.begin(Arrival=lambda e: [api.Refuse("q", 5), api.Fail("q"), api.Send("q", "r1", 0)])
+        self.assertEqual(self.feed(core.Taken(ARRIVAL)), [core.Answer("q", Verdict.REFUSED, 5)])
+        self.assertEqual(self.state.requests, {})
+
+    def test_a_deadline_that_the_module_forgot_is_met_all_the_same(self) -> None:
+        self.begin()
+        self.feed(core.Taken(ARRIVAL))
+        (wake,) = self.wakes
+        self.assertLess(wake.at, self.now + SECOND)
+        self.now = wake.at
+        self.assertEqual(self.feed(core.Woken(wake.token)), [core.Answer("q", Verdict.FAILED)])
+        self.assertEqual(self.state.requests, {})
+
+    def test_what_an_abandoned_read_may_leave_is_released(self) -> None:
+        """A read may have ended well just as its connection was closed: the module can't know of that."""
+        for begun, kinds in ((True, ["AbandonAttempt", "SendRelease"]), (False, ["AbandonAttempt"])):
+            self.begin(Arrival=send("r1"), ClientGone=lambda e: [api.Cancel("q", 0)])
+            self.feed(core.Taken(ARRIVAL))
+            if begun:
+                self.feed(core.Begun("q", 0))
+            self.assertEqual(self.kinds(core.ClientLeft("q")), kinds)
+
+    def test_a_release_goes_on_to_other_engines_until_one_answers(self) -> None:
+        self.begin(Arrival=lambda e: [api.Release("q"), api.Refuse("q", 0)])
+        (first, _) = self.feed(core.Taken(ARRIVAL))
+        assert isinstance(first, core.SendRelease)
+        self.assertEqual(self.kinds(core.Woken(("release", "q", first.worker)), 100 * MS), ["SendRelease"])
+        self.assertEqual(self.kinds(core.ReleaseEnded("q", first.worker, False)), ["SendRelease"])
+        self.assertEqual(self.kinds(core.ReleaseEnded("q", first.worker, True)), [])
+        self.assertEqual(self.state.releases, {})
+
+    def test_a_place_that_may_be_held_after_the_stream_began_is_let_go(self) -> None:
+        self.begin(
+            Arrival=lambda e: [api.Send("q", "r1", 0), api.HoldPlace("q", "w1")], AttemptEnded=send("w2")
+        )
+        for event in (core.Taken(ARRIVAL), core.Begun("q", 0), core.Written("q", 0)):
+            self.feed(event)
+        self.feed(core.Ended("q", 0, Ending.READ))
+        self.assertEqual(self.kinds(core.FirstEvent("q", 1)), ["PassOn"])
+        self.assertEqual(self.kinds(core.PlaceEnded("q", 0, "w1", Place.UNKNOWN)), ["SendRelease"])
+
+    def test_a_fault_in_a_decision_costs_that_request_alone(self) -> None:
+        def fail(event: Any) -> list[api.Action]:
+            raise KeyError("odd")
+
+        self.begin(Arrival=fail)
+        self.assertEqual(self.feed(core.Taken(ARRIVAL)), [core.Answer("q", Verdict.FAILED)])
+        self.module.answers["Arrival"] = send("r1")
+        self.assertEqual(self.kinds(core.Taken(ARRIVAL)), ["StartAttempt"])
+        odd: Any = core.PlaceEnded("q", 0, "w1", None)  # type: ignore[arg-type]
+        self.assertEqual(self.kinds(odd), ["Answer", "AbandonAttempt"])
+        self.assertEqual(self.state.requests, {})
+
+    def test_the_program_ends_when_its_last_duty_is_done(self) -> None:
+        self.begin(Arrival=send("r1"), ClientGone=lambda e: [api.Cancel("q", 0)])
+        self.feed(core.Taken(ARRIVAL))
+        self.feed(core.Begun("q", 0))
+        self.feed(core.Terminate())
+        self.assertEqual(self.kinds(core.Woken(("door",))), ["StopAccepting"])
+        (_, release) = self.feed(core.ClientLeft("q"))
+        assert isinstance(release, core.SendRelease)
+        self.assertEqual(self.kinds(core.ReleaseEnded("q", release.worker, True)), ["Exit"])
--- /dev/null
+++ b/tests/test_eureka.py
@@ -0,0 +1,165 @@
+"""Eureka's registry: tables for its parsers, and a gateway against a stand-in that keeps the leases."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import tempfile
+import unittest
+from typing import Any
+from urllib.parse import unquote
+
+from basaltspread import interface as api
+from basaltspread.adapter import settings_from
+from basaltspread.config import write_sidecar
+from basaltspread.net import eureka
+from tests.standins import SETTINGS, Asked, Gateway, LoopbackTest, answer_plainly, reading, writing
+
+PARSED = settings_from(SETTINGS)
+
+
+def instance(ident: str, address: str, status: str = "UP", **metadata: str) -> dict[str, Any]:
+    host, _, port = address.rpartition(":")
+    return {
+        "instanceId": ident, "hostName": host, "app": "MODEL-ENGINES", "ipAddr": host, "status": status,
+        "port": {"$": int(port), "@enabled": "true"}, "leaseInfo": {"serviceUpTimestamp": 7},
+        "metadata": {"machineType": "decode", "zone": "a", **metadata},
+    }  # fmt: skip
+
+
+class RegistryStandin:
+    """What of Eureka's REST operations a client needs, in memory."""
+
+    def __init__(self) -> None:
+        self.engines: dict[str, dict[str, Any]] = {}
+        self.own: dict[str, dict[str, Any]] = {}  # by path: what gateways have registered
+        self.changes: list[dict[str, Any]] = []
+        self.miscount = self.down = False
+
+    def add(
+        self, ident: str, address: str, status: str = "UP", action: str = "ADDED", **metadata: str
+    ) -> None:
+        found = self.engines[ident] = instance(ident, address, status, **metadata)
+        self.changes.append({**found, "actionType": action})
+
+    def _listing(self, instances: list[dict[str, Any]]) -> bytes:
+        counted = {("MODEL-ENGINES", i): e for i, e in self.engines.items()}
+        code = "UP_99_" if self.miscount else eureka.hash_code(counted)
+        # As Eureka does, a list of one is written as the one alone.
+        apps = {"name": "MODEL-ENGINES", "instance": instances[0] if len(instances) == 1 else instances}
+        listing = {"versions__delta": "1", "apps__hashcode": code, "application": apps}
+        return json.dumps({"applications": listing}).encode()
+
+    async def handle(self, asked: Asked) -> None:
+        path = unquote(asked.target.partition("?")[0])
+        if self.down:
+            asked.reset()
+        elif path == "/eureka/apps/delta":
+            asked.reply(200, self._listing(self.changes))
+        elif path == "/eureka/apps":
+            asked.reply(200, self._listing(list(self.engines.values())))
+        elif asked.method == "POST":
+            found = json.loads(asked.body)["instance"]
+            self.own[f"{path}/{found['instanceId']}"] = found
+            asked.reply(204)
+        elif asked.method == "PUT":
+            asked.reply(200 if path in self.own else 404)
+        else:
+            self.own.pop(path, None)
+            asked.reply(200)
+
+
+class ParserTest(unittest.TestCase):
+    def test_lists_and_lists_of_one(self) -> None:
+        one = {"instanceId": "i1", "status": "UP"}
+        for apps, keys in (
+            ([{"name": "a", "instance": [one, {"hostName": "h2"}]}], [("A", "i1"), ("A", "h2")]),
+            ({"name": "A", "instance": one}, [("A", "i1")]), (None, []), ([{"name": "A"}], []),
+        ):  # fmt: skip
+            found, code = eureka.parse_applications(
+                {"applications": {"apps__hashcode": "UP_1_", "application": apps}}
+            )
+            self.assertEqual(([k for k, _ in found], code), (keys, "UP_1_"))
+
+    def test_nonsense_is_a_value_error(self) -> None:
+        nonsense: list[Any] = [None, [], {}, {"applications": 1}]
+        apps = (1, {"name": 1}, {"name": "a", "instance": [1]}, {"name": "a", "instance": {"instanceId": 1}})
+        nonsense += [{"applications": {"application": app}} for app in apps]
+        for raw in nonsense:
+            with self.assertRaises(ValueError, msg=str(raw)):
+                eureka.parse_applications(raw)
+
+    def test_hash_code_sorts_statuses(self) -> None:
+        states = ["UP", "DOWN", "UP", "OUT_OF_SERVICE"]
+        instances = {("A", str(i)): {"status": s} for i, s in enumerate(states)}
+        self.assertEqual(eureka.hash_code(instances), "DOWN_1_OUT_OF_SERVICE_1_UP_2_")
+        self.assertEqual(eureka.hash_code({}), "")
+
+    def test_statuses(self) -> None:
+        for status, state in (
+            ("UP", api.WorkerState.UP), ("OUT_OF_SERVICE", api.WorkerState.DRAINING),
+            ("UNKNOWN", api.WorkerState.DRAINING), ("NEW_ONE", api.WorkerState.DRAINING),
+            ("STARTING", api.WorkerState.REMOVED), ("DOWN", api.WorkerState.REMOVED),
+        ):  # fmt: skip
+            found = eureka.engine_from("i", instance("i", "10.0.0.1:5", status, cell="2"), PARSED)
+            self.assertEqual(found.entry, api.WorkerEntry("i", state, 2, 0, 1, 1.0, 7000))
+            self.assertEqual(found.address, "10.0.0.1:5")
+        odd: tuple[dict[str, Any], ...] = (
+            {"port": None}, {"port": {"$": "x"}}, {"metadata": {"cell": "x"}},
+            {"leaseInfo": {"serviceUpTimestamp": []}, "metadata": {"weight": "heavy"}},
+        )  # fmt: skip
+        for change in odd:
+            with self.assertRaises(ValueError, msg=str(change)):
+                eureka.engine_from("i", {**instance("i", "10.0.0.1:5"), **change}, PARSED)
+
+
+class RegistryTest(LoopbackTest):
+    async def test_lease_changes_miscount_and_outage(self) -> None:
+        registry = RegistryStandin()
+        one, two = [await self.standin(writing(answer_plainly)) for _ in range(2)]
+        reader = await self.standin(reading())
+        registry.add("r1", reader.address, machineType="prefill")
+        registry.add("w1", one.address)
+        server = await self.standin(registry.handle)
+        text = write_sidecar(argparse.Namespace(
+            application="duty-free", listen="127.0.0.1:0", registry=server.address, engines="MODEL-ENGINES",
+            tools="127.0.0.1:9", tool=[], request_class=None,
+        ))  # fmt: skip
+        with tempfile.NamedTemporaryFile("w", suffix=".toml", delete=False) as file:
+            text = text.replace("fetch_s = 5", "fetch_s = 0.05")
+            file.write(text.replace("renew_s = 10", "renew_s = 0.05"))
+        gateway = await self.started(Gateway("--sidecar", file.name))
+        for counter in ("registry_registered", "registry_renewed", "registry_delta_fetches"):
+            await gateway.until_counter(counter)
+        ((path, own),) = registry.own.items()
+        self.assertEqual(path, f"/eureka/apps/DUTY-FREE/duty-free:{gateway.address}")
+        self.assertEqual((own["status"], own["port"]["$"]), ("UP", int(gateway.address.rpartition(":")[2])))
+        client = await self.client(gateway)
+        self.assertEqual((await client.ask("q1"))[0], 200)
+        self.assertEqual(one.count("POST", "/v1"), 1)
+
+        registry.add("w2", two.address)
+        registry.add("w1", one.address, "OUT_OF_SERVICE", "MODIFIED")
+        told = (await gateway.counters())["lists_full"]
+        while (await gateway.counters())["lists_full"] == told:
+            pass
+        self.assertEqual((await client.ask("q2"))[0], 200)
+        self.assertEqual((one.count("POST", "/v1"), two.count("POST", "/v1")), (1, 1))
+
+        fetched = (await gateway.counters())["registry_full_fetches"]
+        registry.miscount = True
+        await gateway.until_counter("registry_hash_mismatches")
+        while (await gateway.counters())["registry_full_fetches"] == fetched:
+            pass
+        registry.miscount = False
+        registry.own.clear()  # a registry that lost its memory is registered with again
+        while not registry.own:
+            await gateway.counters()
+
+        registry.down = True
+        await gateway.until_counter("registry_failures")
+        self.assertEqual((await client.ask("q3"))[0], 200)
+        registry.down = False
+        await gateway.until("registry answers again")
+        counters = await gateway.stop()
+        self.assertEqual((counters["registry_deregistered"], registry.own), (1, {}))
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,362 @@
+"""The platform's front: tables of cases for its parsers, and one test on real sockets for each rule."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+import unittest
+from typing import Any
+
+from basaltspread import interface as api
+from basaltspread.adapter import settings_from
+from basaltspread.net.platform import BadRequest, arrival_from, parse_facts, parse_list, parse_report
+from tests.standins import (
+    DONE,
+    SETTINGS,
+    Asked,
+    Gateway,
+    LoopbackTest,
+    Standin,
+    answer_plainly,
+    reading,
+    writing,
+)
+
+PARSED = settings_from(SETTINGS)
+HEADERS = {"x-correlation-id": "9b1f", "x-service-class": "order", "x-account": "acme"}
+INSTANCE = {"instanceId": "s-1", "hostPort": "10.0.0.1:5", "zone": "a", "machineType": "decode", "cell": 3,
+            "lifecycle": "up", "weight": 1.5, "startedAtMs": 7}  # fmt: skip
+
+
+def dead_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class ParserTest(unittest.TestCase):
+    def test_reports(self) -> None:
+        for text, report in (
+            ("TEXT inflight=7, queue=2, util=0.61", {"inflight": 7.0, "queue": 2.0, "utilisation": 0.61}),
+            ("TEXT x0=0.4,x1=1.25", {"memory_share": 0.4, "prompt_k_waiting": 1.25}),
+            ('JSON {"x0": 0.5, "novel": 1}', {"memory_share": 0.5}),
+            ('{"x0": "0.5"}', {"memory_share": 0.5}),
+            ("TEXT x0=nan, x1=inf, util=, =, q", {}),
+            ("JSON [", {}), ("{" * 100_000, {}), ("", {}),
+        ):  # fmt: skip
+            self.assertEqual(parse_report(text), report, text[:40])
+
+    def test_facts(self) -> None:
+        for text, facts in (
+            ("prefix=5c0f,prompt_len=5120", {"prefix": "5c0f", "prompt_len": "5120"}),
+            (" a = b , c", {"a": "b"}), ("", {}), ("a=b=c", {"a": "b=c"}),
+        ):  # fmt: skip
+            self.assertEqual(parse_facts(text), facts)
+
+    def test_arrivals(self) -> None:
+        facts = {"x-facts": "prefix=p,prompt_len=20,prefix_len=16,max_out=9", "x-session-key": "s"}
+        a = arrival_from({**HEADERS, **facts, "x-time-left-ms": "4800", "x-repeat": "1"}, PARSED)
+        self.assertEqual((a.request_class, a.tenant, a.time_left, a.is_retry), (1, 0, 4_800_000, True))
+        self.assertEqual((a.prefix, a.prompt_tokens, a.prefix_tokens, a.max_tokens), ("p", 20, 16, 9))
+        self.assertTrue(arrival_from({**HEADERS, "x-repeat": "again"}, PARSED).is_resumed)
+        self.assertEqual(arrival_from(HEADERS, PARSED).time_left, 20_000_000)
+
+    def test_odd_arrivals_are_bad_requests(self) -> None:
+        for change in (
+            {"x-correlation-id": ""}, {"x-correlation-id": "../x"}, {"x-correlation-id": "a" * 129},
+            {"x-service-class": "none"}, {"x-account": "nobody"}, {"x-time-left-ms": "-1"},
+            {"x-time-left-ms": "1.5"}, {"x-time-left-ms": "9" * 13}, {"x-time-left-ms": "٣"},
+            {"x-facts": "prompt_len=many"}, {"x-facts": "prompt_len=99999999999"},
+        ):  # fmt: skip
+            with self.assertRaises(BadRequest, msg=str(change)) as caught:
+                arrival_from({**HEADERS, **change}, PARSED)
+            self.assertEqual(caught.exception.status, 400)
+
+    def test_lists(self) -> None:
+        told = parse_list({"generation": 4, "reset": True, "instances": [INSTANCE]}, PARSED)
+        entry = api.WorkerEntry("s-1", api.WorkerState.UP, 3, 0, 1, 1.5, 7000)
+        self.assertEqual((told.kind, told.version, told.entries[0].entry), (api.ListKind.FULL, 4, entry))
+        self.assertEqual(parse_list({"generation": 5, "instances": []}, PARSED).kind, api.ListKind.DELTA)
+        unknown = {**INSTANCE, "machineType": "new", "zone": "z"}
+        entry = parse_list({"generation": 5, "instances": [unknown]}, PARSED).entries[0].entry
+        self.assertEqual((entry.kind, entry.zone), (2, 1))
+
+    def test_odd_lists_are_value_errors(self) -> None:
+        changes: tuple[dict[str, Any], ...] = (
+            {"instanceId": None}, {"lifecycle": "asleep"}, {"hostPort": "nowhere"}, {"hostPort": 5},
+            {"cell": [1]}, {"weight": {}}, {"startedAtMs": "soon"},
+        )  # fmt: skip
+        for change in changes:
+            with self.assertRaises(ValueError, msg=str(change)):
+                parse_list({"generation": 1, "instances": [{**INSTANCE, **change}]}, PARSED)
+        flag = {"generation": True, "instances": []}
+        odd: tuple[Any, ...] = (None, [], {"generation": 1}, flag, {"instances": [1]})
+        for raw in odd:
+            with self.assertRaises(ValueError):
+                parse_list(raw, PARSED)
+
+
+class GatewayTest(LoopbackTest):
+    """A gateway between stand-ins, r* readers and w* writers."""
+
+    async def fleet(self, settings: dict[str, Any] | None = None, **engines: Standin | str) -> Gateway:
+        self.entries = {
+            name: {"instanceId": name, "hostPort": e if isinstance(e, str) else e.address, "zone": "a",
+                   "machineType": "prefill" if name[0] == "r" else "decode", "lifecycle": "up"}
+            for name, e in engines.items()
+        }  # fmt: skip
+        self.news: asyncio.Queue[bytes] = asyncio.Queue()
+        self.discovery = await self.standin(self._discover)
+        listed = {"generation": 41, "reset": True, "instances": list(self.entries.values())}
+        return await self.started(Gateway(config={
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "1f",
+            "known": listed, "settings": settings or SETTINGS,
+        }))  # fmt: skip
+
+    async def _discover(self, asked: Asked) -> None:
+        asked.reply(200, await self.news.get())
+
+    def tell(self, version: int, name: str, state: str) -> None:
+        changed = [{**self.entries[name], "lifecycle": state}]
+        change = {"generation": version, "reset": False, "instances": changed}
+        self.news.put_nowait(json.dumps(change).encode())
+
+    async def test_a_request_reads_then_writes_and_its_events_come_unchanged(self) -> None:
+        reader, writer = await self.standin(reading()), await self.standin(writing(answer_plainly))
+        gateway = await self.fleet(r1=reader, w1=writer)
+        client = await self.client(gateway)
+        status, headers, body, whole = await client.ask("q1", body=b'{"model":"chat"}', X_Extra="kept")
+        self.assertEqual((status, whole), (200, True))
+        self.assertEqual(headers[b"content-type"], b"text/event-stream")
+        self.assertEqual(body, b'data: {"choices":[{"delta":{"content":"hello"}}]}\n\n' + DONE)
+        read, write = await reader.until("POST"), await writer.until("POST", target="/v1")
+        for asked in (read, write):
+            self.assertEqual((asked.target, asked.body), ("/v1/chat/completions?x=1", b'{"model":"chat"}'))
+            self.assertEqual((asked.rid, asked.headers["x-extra"]), ("q1", "kept"))
+            self.assertLess(int(asked.headers["x-time-left-ms"]), 20000)
+        self.assertEqual(writer.seen[0].target, "/state/q1")  # the place, asked for while the read was out
+        counters = await gateway.stop()
+        self.assertEqual((counters["answers_served"], counters["now_requests"]), (1, 0))
+        self.assertEqual(reader.count("DELETE") + writer.count("DELETE"), 0)
+
+    async def test_a_client_keeps_its_connection(self) -> None:
+        """Guards the read that watches for a client's leaving: not ended, it cost each connection."""
+        gateway = await self.fleet(
+            r1=await self.standin(reading()), w1=await self.standin(writing(answer_plainly))
+        )
+        client = await self.client(gateway)
+        for i in range(3):
+            self.assertEqual((await client.ask(f"q{i}"))[0], 200)
+        counters = await gateway.stop()
+        self.assertEqual((counters["clients_accepted"], counters.get("task_faults", 0)), (1, 0))
+        self.assertGreater(counters["links_reused"], 0)
+
+    async def test_what_never_ran_goes_to_another_engine_whatever_its_class(self) -> None:
+        async def turn_away(asked: Asked) -> None:
+            asked.reply(503, X_Unprocessed="1")
+
+        full = await self.standin(writing(turn_away, 409))
+        well = await self.standin(writing(answer_plainly, 409))
+        gateway = await self.fleet(r1=dead_address(), r2=await self.standin(reading()), w1=full, w2=well)
+        client = await self.client(gateway)
+        for i in range(6):
+            self.assertEqual((await client.ask(f"q{i}", cls="order"))[0], 200)
+        counters = await gateway.stop()
+        self.assertGreater(counters["ended_turned_away"], 0)
+        self.assertGreater(counters["ended_refused"], 0)
+
+    async def test_what_may_have_run_is_resent_only_if_safe(self) -> None:
+        async def break_down(asked: Asked) -> None:
+            asked.reply(500)
+
+        async def reset(asked: Asked) -> None:
+            asked.reset()
+
+        for trouble in (break_down, reset):
+            writer = await self.standin(writing(trouble))
+            gateway = await self.fleet(r1=await self.standin(reading()), w1=writer)
+            client = await self.client(gateway)
+            self.assertEqual((await client.ask("q1", cls="order"))[0], 502)
+            self.assertEqual(writer.count("POST", "/v1"), 1)
+            status, headers, _, _ = await client.ask("q2", cls="ask")
+            self.assertEqual(status, 503)
+            self.assertGreater(float(headers[b"retry-after"]), 0)
+            self.assertGreater(writer.count("POST", "/v1"), 2)
+            await gateway.stop()
+
+    async def test_an_attempt_is_given_up_before_the_next_one_goes_out(self) -> None:
+        """Guards against a copy of an order: a close that trails the next send leaves two attempts out."""
+        given_up = asyncio.Event()
+
+        async def hang(asked: Asked) -> None:
+            if asked.method == "POST":
+                given_up.clear()
+                await asked.closed()
+                given_up.set()
+            else:
+                asked.reply(204)
+
+        async def read(asked: Asked) -> None:
+            if asked.method == "POST":
+                overlaps.append(silent.count("POST") > 0 and not given_up.is_set())
+            await reading()(asked)
+
+        overlaps: list[bool] = []
+        silent, well = await self.standin(hang), await self.standin(read)
+        writer = await self.standin(writing(answer_plainly))
+        gateway = await self.fleet(r1=silent, r2=well, w1=writer)
+        client = await self.client(gateway)
+        for i in range(20):
+            self.assertEqual((await client.ask(f"q{i}", cls="order"))[0], 200)
+            if silent.count("POST"):
+                break
+        self.assertEqual((silent.count("POST"), overlaps[-1]), (1, False))
+        self.assertEqual((await gateway.stop())["ended_cancelled"], 1)
+
+    async def test_a_broken_stream_ends_without_the_last_chunk(self) -> None:
+        async def break_off(asked: Asked) -> None:
+            asked.begin()
+            asked.chunk(b"data: 1\n\n")
+            asked.close()
+
+        writer = await self.standin(writing(break_off))
+        gateway = await self.fleet(r1=await self.standin(reading()), w1=writer)
+        client = await self.client(gateway)
+        status, _, body, whole = await client.ask("q1")
+        self.assertEqual((status, body, whole), (200, b"data: 1\n\n", False))
+        self.assertEqual((await gateway.stop())["streams_broken"], 1)
+
+    async def test_what_is_held_is_released_when_the_client_goes_during_the_read(self) -> None:
+        hold = asyncio.Event()
+
+        async def hang(asked: Asked) -> None:
+            if asked.method == "DELETE":
+                asked.reply(204)
+            else:
+                await hold.wait()
+
+        reader, writer = await self.standin(hang), await self.standin(writing(answer_plainly))
+        gateway = await self.fleet(r1=reader, w1=writer)
+        client = await self.client(gateway)
+        client.send("q1")
+        await reader.until("POST")
+        client.close()
+        await asyncio.wait(
+            [asyncio.ensure_future(s.until("DELETE", target="/state/q1")) for s in (reader, writer)],
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        counters = await gateway.stop()
+        self.assertEqual((counters["clients_gone"], counters["now_releases"]), (1, 0))
+
+    async def test_a_release_finds_an_engine_that_runs(self) -> None:
+        """The read's connection breaks, and with it all that the module knows; what it left is let go."""
+
+        async def reset_reads(asked: Asked) -> None:
+            asked.reply(204) if asked.method == "DELETE" else asked.reset()
+
+        reader = await self.standin(reset_reads)
+        gateway = await self.fleet(r1=reader, w1=dead_address(), w2=dead_address())
+        client = await self.client(gateway)
+        self.assertEqual((await client.ask("q1", cls="order"))[0], 503)
+        await reader.until("DELETE", target="/state/q1")
+        await gateway.stop()
+
+    async def test_a_silent_engine_costs_the_deadline_and_no_more(self) -> None:
+        async def hang(asked: Asked) -> None:
+            if asked.method == "DELETE":
+                asked.reply(204)
+            elif asked.target.startswith("/state"):
+                asked.reply(200)
+
+        writer = await self.standin(hang)
+        gateway = await self.fleet(r1=await self.standin(reading()), w1=writer)
+        client = await self.client(gateway)
+        self.assertEqual((await client.ask("q1", cls="order", left=400))[0], 502)
+        await writer.until("POST", target="/v1")
+        self.assertEqual((await gateway.stop())["ended_timed_out"], 1)
+
+    async def test_a_draining_engine_gets_nothing_new(self) -> None:
+        one, two = [await self.standin(writing(answer_plainly)) for _ in range(2)]
+        gateway = await self.fleet(r1=await self.standin(reading()), w1=one, w2=two)
+        client = await self.client(gateway)
+        self.tell(42, "w1", "draining")
+        await gateway.until_counter("lists_delta")
+        for i in range(8):
+            self.assertEqual((await client.ask(f"q{i}"))[0], 200)
+        self.assertEqual((one.seen, two.count("POST", "/v1")), ([], 8))
+        watch = [a.target.split("&")[0] for a in self.discovery.seen]
+        self.assertEqual(watch, [f"/registry/instances?from={v}" for v in (41, 42)])
+
+    async def test_discovery_that_talks_nonsense_changes_nothing(self) -> None:
+        gateway = await self.fleet(
+            r1=await self.standin(reading()), w1=await self.standin(writing(answer_plainly))
+        )
+        for nonsense in (b"", b"[", b"[" * 100_000, b'{"generation":1,"instances":[{}]}', b"\xff"):
+            self.news.put_nowait(nonsense)
+        await self.discovery.until("GET", 6)
+        client = await self.client(gateway)
+        self.assertEqual((await client.ask("q1"))[0], 200)
+        self.assertEqual((await gateway.stop())["discovery_failures"], 5)
+
+    async def test_sigterm_finishes_what_was_taken_and_takes_what_still_comes(self) -> None:
+        go_on = asyncio.Event()
+
+        async def wait_in_stream(asked: Asked) -> None:
+            asked.begin()
+            asked.chunk(b"data: 1\n\n")
+            await go_on.wait()
+            asked.end()
+
+        gateway = await self.fleet(
+            r1=await self.standin(reading()), w1=await self.standin(writing(wait_in_stream))
+        )
+        early, late = await self.client(gateway), await self.client(gateway)
+        early.send("q1")
+        await early.head()
+        gateway.process.send_signal(signal.SIGTERM)
+        await gateway.until("stopping")
+        late.send("q2")
+        self.assertIn((b"connection", b"close"), list((await late.head()).headers))
+        go_on.set()
+        for client in (early, late):
+            async with asyncio.timeout(30):
+                while not type(await client.event()).__name__ == "EndOfMessage":
+                    pass
+        await gateway.until("counters ")
+        self.assertEqual(await gateway.process.wait(), 0)
+
+    async def test_each_malformed_request_gets_its_own_answer_and_counter(self) -> None:
+        gateway = await self.fleet()
+        head = b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+        for raw, status in (
+            (b"\x00\xff nonsense\r\n\r\n", 400),
+            (b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+            (b"GET /v1/chat/completions HTTP/1.1\r\nHost: x\r\n\r\n", 405),
+            (head + b"Content-Length: 0\r\n\r\n", 400),
+            (head + b"Content-Length: many\r\n\r\n", 400),
+            (head + b"Content-Length: 300000\r\n\r\n" + b"x" * 270_000, 413),
+            (head + b"X-Long: " + b"x" * 70_000 + b"\r\n\r\n", 431),
+            (head + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+        ):
+            client = await self.client(gateway)
+            client._writer.write(raw)
+            self.assertEqual((await client.head()).status_code, status, raw[:60])
+        client = await self.client(gateway)
+        client._writer.write(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertEqual((await client.head()).status_code, 200)
+        counters = await gateway.stop()
+        found = {n: c for n, c in counters.items() if n.startswith("bad_requests")}
+        self.assertEqual(found, {f"bad_requests_{s}": 1 + 3 * (s == 400) for s in (400, 404, 405, 413, 431)})
+        self.assertEqual(counters.get("task_faults", 0), 0)
+
+    async def test_an_engine_that_does_not_speak_http_costs_one_attempt(self) -> None:
+        async def babble(asked: Asked) -> None:
+            asked.raw(b"\x16\x03\x01 babble\r\n\r\n")
+
+        gateway = await self.fleet(r1=await self.standin(reading()), w1=await self.standin(writing(babble)))
+        client = await self.client(gateway)
+        self.assertEqual((await client.ask("q1", cls="order"))[0], 502)
+        counters = await gateway.stop()
+        self.assertEqual((counters["ended_malformed"], counters.get("attempt_faults", 0)), (1, 0))
