Budget descriptors between clients and engines; test backpressure

Clients may hold 60 % of the descriptors; past that an idle client connection goes first, else the request is refused in words (503, Connection: close) and counted, since an accepted connection may carry one already. Before, such a connection was aborted.

--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -42,6 +42,7 @@
 HOLD_MS = 5000  # of one discovery call
 WATCH_SLACK = 2.0  # s past it after which discovery is taken as silent
 RETRY_PAUSE = 0.05  # s; well within the 200 ms that a watch may pause
+CLIENT_SHARE = 0.6  # of the descriptors, for clients; a request has one here and at most two at engines
 REQUEST_PATIENCE = 30.0  # s for a request whose first byte has come
 CLIENT_PATIENCE = 30.0  # s for a client that does not read its stream
 CALL_WAIT = 1.0  # s for an answer about a place, a release or a probe
@@ -200,6 +201,7 @@
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
         self._early = b""  # what came while the answer was awaited
         self.idle = True  # not a byte of a next request has come
+        self.refused = False  # over the budget: its request is refused
         writer.transport.set_write_buffer_limits(high=CLIENT_BUFFER)
 
     async def serve(self) -> None:
@@ -386,12 +388,18 @@
                 client.close()
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        descriptors = self.runtime.descriptors
-        if not descriptors.take() and not (self.runtime.pool.shed() and descriptors.take()):
-            self.runtime.count("clients_over_budget")
-            writer.transport.abort()
-            return
         client = Client(self, reader, writer)
+        # Engines need descriptors too, or each request taken would fail: an idle client goes, else this
+        # one is refused in words, as an accepted connection may carry a request already.
+        most = self.runtime.descriptors.limit * CLIENT_SHARE
+        if len(self._clients) >= most:
+            idle = next((c for c in self._clients if c.idle), None)
+            if idle is not None:
+                idle.close()
+            else:
+                self.runtime.count("clients_over_budget")
+                client.refused = True
+        self.runtime.descriptors.used += 1
         task = asyncio.current_task()
         assert task is not None
         self._clients[client] = task
@@ -407,7 +415,7 @@
             writer.transport.abort()
         finally:
             del self._clients[client]
-            descriptors.free()
+            self.runtime.descriptors.free()
 
     async def route(self, client: Client, request: h11.Request, body: bytes) -> None:
         path = request.target.split(b"?")[0]
@@ -417,6 +425,8 @@
             raise BadRequest(404, "no such path")
         elif request.method != b"POST":
             raise BadRequest(405, "POST is wanted here")
+        elif client.refused:
+            client.answer(503, "out of connections", [(b"Retry-After", b"1"), (b"Connection", b"close")])
         else:
             await self._exchange(client, request, body)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,8 +7,11 @@
 import signal
 import socket
 import unittest
+from pathlib import Path
 from typing import Any
 
+import h11
+
 from basaltspread import interface as api
 from basaltspread.adapter import settings_from
 from basaltspread.net.platform import BadRequest, arrival_from, parse_facts, parse_list, parse_report
@@ -101,7 +104,7 @@
 class GatewayTest(LoopbackTest):
     """A gateway between stand-ins, r* readers and w* writers."""
 
-    async def fleet(self, settings: dict[str, Any] | None = None, **engines: Standin | str) -> Gateway:
+    async def fleet(self, sockets: int = 1024, **engines: Standin | str) -> Gateway:
         self.entries = {
             name: {"instanceId": name, "hostPort": e if isinstance(e, str) else e.address, "zone": "a",
                    "machineType": "prefill" if name[0] == "r" else "decode", "lifecycle": "up"}
@@ -112,7 +115,7 @@
         listed = {"generation": 41, "reset": True, "instances": list(self.entries.values())}
         return await self.started(Gateway(config={
             "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "1f",
-            "known": listed, "settings": settings or SETTINGS,
+            "known": listed, "settings": SETTINGS, "limits": {"sockets": sockets, "memory_mb": 192},
         }))  # fmt: skip
 
     async def _discover(self, asked: Asked) -> None:
@@ -351,6 +354,58 @@
         self.assertEqual(found, {f"bad_requests_{s}": 1 + 3 * (s == 400) for s in (400, 404, 405, 413, 431)})
         self.assertEqual(counters.get("task_faults", 0), 0)
 
+    async def test_clients_past_the_descriptor_budget_are_refused_and_idle_ones_make_room(self) -> None:
+        go_on = asyncio.Event()
+
+        async def wait_in_stream(asked: Asked) -> None:
+            asked.begin()
+            asked.chunk(b"data: 1\n\n")
+            await go_on.wait()
+            asked.end()
+
+        gateway = await self.fleet(
+            sockets=58, r1=await self.standin(reading()), w1=await self.standin(writing(wait_in_stream))
+        )  # 10 descriptors, 6 of them for clients
+        idle = await self.client(gateway)
+        idle._writer.write(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertEqual((await idle.head()).status_code, 200)
+        busy = [await self.client(gateway) for _ in range(6)]
+        for i, client in enumerate(busy[:-3]):
+            client.send(f"q{i}")
+            self.assertEqual((await client.head()).status_code, 200)
+        for client in busy[-3:]:
+            client._writer.write(b"POST /v1")  # as good as busy
+        self.assertEqual(await asyncio.wait_for(idle._reader.read(), 30), b"")
+        late = await self.client(gateway)
+        status, headers, _, _ = await late.ask("q9")
+        self.assertEqual((status, headers[b"connection"]), (503, b"close"))
+        go_on.set()
+        for client in busy[-3:]:
+            client.close()
+        self.assertEqual((await gateway.stop())["clients_over_budget"], 1)
+
+    async def test_a_slow_client_holds_the_engine_back(self) -> None:
+        async def pour(asked: Asked) -> None:
+            asked.begin()
+            for _ in range(1024):
+                asked.chunk(b"data: " + b"x" * 65528 + b"\n\n")
+            asked.end()
+
+        gateway = await self.fleet(r1=await self.standin(reading()), w1=await self.standin(writing(pour)))
+        client = await self.client(gateway)
+        client.send("q1")
+        await client.head()
+        for _ in range(200):  # turns of both loops, in which an unbounded gateway would take all in
+            await gateway.counters()
+        status = (Path("/proc") / str(gateway.process.pid) / "status").read_text()
+        peak = int(status.split("VmHWM:")[1].split()[0]) // 1024
+        self.assertLess(peak, 64)
+        received = 0
+        while not isinstance(event := await client.event(), h11.EndOfMessage):
+            received += len(event.data)
+        self.assertEqual(received, 1024 * 65536)
+        await gateway.stop()
+
     async def test_an_engine_that_does_not_speak_http_costs_one_attempt(self) -> None:
         async def babble(asked: Asked) -> None:
             asked.raw(b"\x16\x03\x01 babble\r\n\r\n")
