Let no old timer, dropped place or failed answer outlive its request

Found by reading, each with a test where it can be reached: a wake set for an id's last use could end its next one (core: 'attempt' and 'deadline' now check their time); a place task dropped before its first step never reported, and its request stayed (the end of the task reports now); an answer that h11 refuses left its client waiting (the exchange finishes in any case).

--- a/basaltspread/core.py
+++ b/basaltspread/core.py
@@ -1003,7 +1003,9 @@
                 self.told.append(api.TimerFired(number))
             case ("attempt", str(name), int(number)):
                 found = self._find(name, number)
-                if found is not None and found[0].stream is not found[1]:
+                # An id may come again: what was set for its last use must not end this one.
+                due = found is not None and self.now >= found[1].until
+                if found is not None and due and found[0].stream is not found[1]:
                     self._close(*found, Ending.TIMED_OUT, abandon=True)
             case ("start", str(name), int(number)):
                 found = self._find(name, number)
@@ -1012,7 +1014,7 @@
                     self._start(*found, listed)
             case ("deadline", str(name)):
                 q = self.state.requests.get(name)
-                if q is not None and not q.ended and q.stream is None:
+                if q is not None and not q.ended and q.stream is None and self.now >= q.deadline:
                     self.count("deadline_backstops")
                     self.told.append(api.ClientGone(name))  # the module takes it as over
                     self._answer(q, Verdict.FAILED)
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -456,14 +456,15 @@
         exchange = self._exchanges.get(effect.request)
         if exchange is None:
             return
-        if effect.verdict is Verdict.REFUSED:
-            when = f"{effect.retry_after / 1e6:.3f}".encode()
-            exchange.client.answer(
-                503, "try again later", [(b"Retry-After", when)] if effect.retry_after else []
-            )
-        else:
-            exchange.client.answer(502, "the request failed")
-        exchange.finish()
+        try:
+            if effect.verdict is Verdict.REFUSED:
+                when = f"{effect.retry_after / 1e6:.3f}".encode()
+                advice = [(b"Retry-After", when)] if effect.retry_after else []
+                exchange.client.answer(503, "try again later", advice)
+            else:
+                exchange.client.answer(502, "the request failed")
+        finally:
+            exchange.finish()
 
     def _pass_on(self, effect: core.PassOn) -> None:
         exchange = self._exchanges.get(effect.request)
@@ -589,24 +590,26 @@
                     await exchange.client.stream(data)
 
     def _ask_place(self, effect: core.AskPlace) -> None:
-        key, begun = (effect.request, effect.worker), [False]
-        task = self._spawn(self._place(effect, begun), f"place {key}")
+        key, begun, heard = (effect.request, effect.worker), [False], [Place.UNKNOWN]
+
+        def over(task: asyncio.Task[None]) -> None:
+            """Also for a task that was dropped before its first step: the core waits for this input."""
+            del self._places[key]
+            place = Place.NOT_HELD if task.cancelled() else heard[0]
+            self.runtime.feed(core.PlaceEnded(effect.request, effect.number, effect.worker, place))
+
+        task = self._spawn(self._place(effect, begun, heard), f"place {key}")
         self._places[key] = task, begun
+        task.add_done_callback(over)
 
-    async def _place(self, effect: core.AskPlace, begun: list[bool]) -> None:
-        place = Place.UNKNOWN
+    async def _place(self, effect: core.AskPlace, begun: list[bool], heard: list[Place]) -> None:
         try:
             reply = await self.runtime.pool.call(
                 effect.address, "POST", f"/state/{effect.request}", wait=CALL_WAIT, begun=begun
             )
-            place = {200: Place.HELD, 409: Place.NOT_HELD}.get(reply.status, Place.UNKNOWN)
+            heard[0] = {200: Place.HELD, 409: Place.NOT_HELD}.get(reply.status, Place.UNKNOWN)
         except LinkError:
             self.runtime.count("place_calls_failed")
-        except asyncio.CancelledError:
-            place = Place.NOT_HELD
-        finally:
-            self._places.pop((effect.request, effect.worker), None)
-            self.runtime.feed(core.PlaceEnded(effect.request, effect.number, effect.worker, place))
 
     def _drop_place(self, effect: core.DropPlace) -> None:
         task, begun = self._places.get((effect.request, effect.worker), (None, [True]))
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -361,6 +361,7 @@
         task = asyncio.get_running_loop().create_task(self._guarded(work, name), name=name)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda _: work.close())  # cancelled before its first step, it never began
         return task
 
     async def _guarded(self, work: Coroutine[Any, Any, None], name: str) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -112,6 +112,16 @@
         self.assertEqual(self.feed(core.Woken(wake.token)), [core.Answer("q", Verdict.FAILED)])
         self.assertEqual(self.state.requests, {})
 
+    def test_an_id_that_comes_again_does_not_meet_its_old_deadline(self) -> None:
+        self.begin(Arrival=send("r1"), ClientGone=lambda e: [api.Cancel("q", 0)])
+        self.feed(core.Taken(ARRIVAL))
+        old = [w.token for w in self.wakes]
+        self.feed(core.ClientLeft("q"))
+        self.feed(core.Taken(ARRIVAL), 900 * MS)
+        self.now += 150 * MS
+        for token in old:
+            self.assertEqual(self.feed(core.Woken(token)), [])
+
     def test_what_an_abandoned_read_may_leave_is_released(self) -> None:
         """A read may have ended well just as its connection was closed: the module can't know of that."""
         for begun, kinds in ((True, ["AbandonAttempt", "SendRelease"]), (False, ["AbandonAttempt"])):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import signal
 import socket
@@ -354,6 +355,29 @@
         self.assertEqual(found, {f"bad_requests_{s}": 1 + 3 * (s == 400) for s in (400, 404, 405, 413, 431)})
         self.assertEqual(counters.get("task_faults", 0), 0)
 
+    async def test_a_place_that_is_not_asked_for_any_more_is_forgotten(self) -> None:
+        """Guards the end of a request whose read ended before the question could go out: the task that is
+        dropped then may not have run a step."""
+
+        async def quick(asked: Asked) -> None:
+            asked.reply(204) if asked.method == "DELETE" else asked.reply(202, b"{}")
+
+        with socket.socket() as full:  # its queue is full, so that connections to it never come up
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            address = f"127.0.0.1:{full.getsockname()[1]}"
+            with socket.create_connection(full.getsockname()), contextlib.ExitStack() as stack:
+                for _ in range(4):
+                    waiting = stack.enter_context(socket.socket())
+                    waiting.setblocking(False)
+                    waiting.connect_ex(full.getsockname())
+                gateway = await self.fleet(r1=await self.standin(quick), w1=address)
+                client = await self.client(gateway)
+                self.assertEqual((await client.ask("q1", cls="order"))[0], 503)
+                counters = await gateway.stop()
+        self.assertEqual(counters["now_requests"], 0)
+        self.assertGreater(counters["ended_connect_timed_out"], 0)
+
     async def test_clients_past_the_descriptor_budget_are_refused_and_idle_ones_make_room(self) -> None:
         go_on = asyncio.Event()
 
