--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -105,7 +105,7 @@
 class GatewayTest(LoopbackTest):
     """A gateway between stand-ins, r* readers and w* writers."""
 
-    async def fleet(self, sockets: int = 1024, **engines: Standin | str) -> Gateway:
+    async def fleet(self, sockets: int = 1024, memory_mb: int = 192, **engines: Standin | str) -> Gateway:
         self.entries = {
             name: {"instanceId": name, "hostPort": e if isinstance(e, str) else e.address, "zone": "a",
                    "machineType": "prefill" if name[0] == "r" else "decode", "lifecycle": "up"}
@@ -116,7 +116,7 @@
         listed = {"generation": 41, "reset": True, "instances": list(self.entries.values())}
         return await self.started(Gateway(config={
             "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "1f",
-            "known": listed, "settings": SETTINGS, "limits": {"sockets": sockets, "memory_mb": 192},
+            "known": listed, "settings": SETTINGS, "limits": {"sockets": sockets, "memory_mb": memory_mb},
         }))  # fmt: skip
 
     async def _discover(self, asked: Asked) -> None:
@@ -267,6 +267,43 @@
         await reader.until("DELETE", target="/state/q1")
         await gateway.stop()
 
+    async def test_a_lost_state_is_read_again(self) -> None:
+        async def lose_the_first(asked: Asked) -> None:
+            if writer.count("POST", "/v1") == 1:
+                asked.reply(410, X_Unprocessed="1")
+            else:
+                await answer_plainly(asked)
+
+        reader, writer = await self.standin(reading()), await self.standin(writing(lose_the_first))
+        gateway = await self.fleet(r1=reader, w1=writer)
+        client = await self.client(gateway)
+        self.assertEqual((await client.ask("q1", cls="order"))[0], 200)
+        self.assertEqual((reader.count("POST"), writer.count("POST", "/v1")), (2, 2))
+        self.assertEqual((await gateway.stop())["ended_state_gone"], 1)
+
+    async def test_a_link_that_the_engine_has_closed_carries_nothing_more(self) -> None:
+        """What is written to it counts as sent: an order would fail."""
+
+        async def answer_and_close(asked: Asked) -> None:
+            await answer_plainly(asked)
+            asked.close()
+
+        writer = await self.standin(writing(answer_and_close, 409))
+        gateway = await self.fleet(r1=await self.standin(reading()), w1=writer)
+        client = await self.client(gateway)
+        for i in range(3):
+            self.assertEqual((await client.ask(f"q{i}", cls="order"))[0], 200)
+            for _ in range(3):  # turns of the gateway's loop, in which it learns of the close
+                await gateway.counters()
+        self.assertEqual((await gateway.stop())["answers_served"], 3)
+
+    async def test_bodies_past_the_memory_budget_are_refused(self) -> None:
+        gateway = await self.fleet(memory_mb=1)
+        client = await self.client(gateway)
+        status, headers, _, _ = await client.ask("q1", body=b"x" * 250_000)
+        self.assertEqual((status, headers[b"retry-after"]), (503, b"1"))
+        self.assertEqual((await gateway.stop())["refused_for_memory"], 1)
+
     async def test_a_silent_engine_costs_the_deadline_and_no_more(self) -> None:
         async def hang(asked: Asked) -> None:
             if asked.method == "DELETE":
