--- a/tests/standins.py
+++ b/tests/standins.py
@@ -197,9 +197,12 @@
         self.process.send_signal(signal.SIGUSR1)
         return self._parsed(await self.until("counters "))
 
-    async def until_counter(self, name: str) -> None:
+    async def until_counter(self, name: str, least: int = 1) -> None:
+        await self.until_true(lambda counters: counters.get(name, 0) >= least)
+
+    async def until_true(self, holds: Callable[[dict[str, int]], bool]) -> None:
         async with asyncio.timeout(PATIENCE):
-            while not (await self.counters()).get(name):
+            while not holds(await self.counters()):
                 pass
 
     @staticmethod
--- a/tests/test_eureka.py
+++ b/tests/test_eureka.py
@@ -138,23 +138,20 @@
         self.assertEqual((await client.ask("q1"))[0], 200)
         self.assertEqual(one.count("POST", "/v1"), 1)
 
+        told = (await gateway.counters())["lists_full"]
         registry.add("w2", two.address)
         registry.add("w1", one.address, "OUT_OF_SERVICE", "MODIFIED")
-        told = (await gateway.counters())["lists_full"]
-        while (await gateway.counters())["lists_full"] == told:
-            pass
+        await gateway.until_counter("lists_full", told + 1)
         self.assertEqual((await client.ask("q2"))[0], 200)
         self.assertEqual((one.count("POST", "/v1"), two.count("POST", "/v1")), (1, 1))
 
         fetched = (await gateway.counters())["registry_full_fetches"]
         registry.miscount = True
         await gateway.until_counter("registry_hash_mismatches")
-        while (await gateway.counters())["registry_full_fetches"] == fetched:
-            pass
+        await gateway.until_counter("registry_full_fetches", fetched + 1)
         registry.miscount = False
         registry.own.clear()  # a registry that lost its memory is registered with again
-        while not registry.own:
-            await gateway.counters()
+        await gateway.until_true(lambda _: bool(registry.own))
 
         registry.down = True
         await gateway.until_counter("registry_failures")
