Name a close without an answer a reset, not a cut stream

Seen: h11 sets the peer's state to ERROR as it raises, so Link.event() took every end of file for one within a body; the outcome was the same (RESET), the log line and counter were wrong. The state is asked before now, and the socket tests name the counter for a 500, a reset, a close without answer and a cut stream.

--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -168,12 +168,12 @@
     async def event(self) -> h11.Event:
         """The next event of the answer."""
         while True:
+            begun = self._http.their_state is h11.SEND_BODY  # asked now: after an error it says only that
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
                 if not self._eof:
                     raise LinkError(Ending.MALFORMED) from error
-                begun = self._http.their_state is not h11.SEND_RESPONSE
                 raise LinkError(Ending.CUT_SHORT if begun else Ending.RESET) from error
             if event is h11.NEED_DATA:
                 try:
@@ -211,7 +211,7 @@
         return False
 
     def dead(self) -> bool:
-        """Closed by either side, or the other side spoke out of turn."""
+        """Closed by either side."""
         return self._eof or self._closed or self._reader.at_eof() or self._writer.transport.is_closing()
 
     def close(self) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -178,7 +178,12 @@
         async def reset(asked: Asked) -> None:
             asked.reset()
 
-        for trouble in (break_down, reset):
+        async def close(asked: Asked) -> None:
+            asked.close()
+
+        for trouble, counter in (
+            (break_down, "ended_server_error"), (reset, "ended_reset"), (close, "ended_reset"),
+        ):  # fmt: skip
             writer = await self.standin(writing(trouble))
             gateway = await self.fleet(r1=await self.standin(reading()), w1=writer)
             client = await self.client(gateway)
@@ -188,7 +193,7 @@
             self.assertEqual(status, 503)
             self.assertGreater(float(headers[b"retry-after"]), 0)
             self.assertGreater(writer.count("POST", "/v1"), 2)
-            await gateway.stop()
+            self.assertEqual((await gateway.stop())[counter], writer.count("POST", "/v1"))
 
     async def test_an_attempt_is_given_up_before_the_next_one_goes_out(self) -> None:
         """Guards against a copy of an order: a close that trails the next send leaves two attempts out."""
@@ -230,7 +235,8 @@
         client = await self.client(gateway)
         status, _, body, whole = await client.ask("q1")
         self.assertEqual((status, body, whole), (200, b"data: 1\n\n", False))
-        self.assertEqual((await gateway.stop())["streams_broken"], 1)
+        counters = await gateway.stop()
+        self.assertEqual((counters["streams_broken"], counters["ended_cut_short"]), (1, 1))
 
     async def test_what_is_held_is_released_when_the_client_goes_during_the_read(self) -> None:
         hold = asyncio.Event()
