Refuse requests of two lengths and bound every wait for a client

Checked: h11 accepts Content-Length and Transfer-Encoding together and reads by the latter; Client._read passed its view on, and what stood behind the last chunk became the next request of the connection. Ruled out: the engine side, as each attempt is one message with a length of our own. At fault: Client._read (no look at the head), Client._one (a connection went on after a 4xx).

Also found while reading: a connection that said nothing had no bound at all, a half-sent request 30 s, and a connection over budget was taken on without any limit. Now 2 s to the first byte, 2.5 s for a request, silent connections make room first, refused ones are bounded, doubled headers are refused.

--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -12,6 +12,7 @@
 import logging
 import math
 import re
+import time
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
@@ -43,7 +44,12 @@
 WATCH_SLACK = 2.0  # s past it after which discovery is taken as silent
 RETRY_PAUSE = 0.05  # s; well within the 200 ms that a watch may pause
 CLIENT_SHARE = 0.6  # of the descriptors, for clients; a request has one here and at most two at engines
-REQUEST_PATIENCE = 30.0  # s for a request whose first byte has come
+FIRST_BYTE_PATIENCE = 2.0  # s from a connection's opening to its first byte; it may be closed without one
+FIRST_BYTES_UNDER_WAY = 0.25  # s after a connection's opening
+REQUEST_PATIENCE = 2.5  # s from a request's first byte to its last; a first one's runs from the opening
+REST_PATIENCE = 30.0  # s that a connection may rest between two requests
+MOST_REFUSED = 16  # connections past the budget that are refused in words; more are closed
+BAD_REQUEST_LINES = 10  # log lines about them in a second; the counters hold them all
 CLIENT_PATIENCE = 30.0  # s for a client that does not read its stream
 CALL_WAIT = 1.0  # s for an answer about a place, a release or a probe
 ERROR_BODY_WAIT = 0.5  # s for the rest of an answer whose status has settled it
@@ -55,6 +61,11 @@
     b"host", b"connection", b"content-length", b"transfer-encoding", b"x-time-left-ms", b"te", b"upgrade",
     b"keep-alive", b"expect", b"trailer", b"proxy-connection", b"proxy-authorization",
 ))  # fmt: skip
+# Of each of these a request holds one at most: two readers that take different ones see different requests.
+SINGLE_HEADERS = frozenset((
+    b"content-length", b"transfer-encoding", b"x-correlation-id", b"x-service-class", b"x-account",
+    b"x-session-key", b"x-time-left-ms", b"x-facts", b"x-repeat",
+))  # fmt: skip
 # After these a link is in no state to carry another request.
 FATAL = frozenset((
     Ending.MALFORMED, Ending.BROKE_UNSENT, Ending.RESET, Ending.CUT_SHORT,
@@ -113,6 +124,18 @@
     return int(text)
 
 
+def check_head(headers: Headers) -> None:
+    """Refuses a head that two readers may take in different ways, before a byte of the body is read."""
+    names = [name for name, _ in headers]
+    if b"content-length" in names and b"transfer-encoding" in names:
+        raise BadRequest(400, "both Content-Length and Transfer-Encoding")
+    for name in SINGLE_HEADERS.intersection(names):
+        if names.count(name) > 1:
+            raise BadRequest(400, f"{name.decode()} is given twice")
+    if int(dict(headers).get(b"content-length", b"0")) > BODY_LIMIT:
+        raise BadRequest(413, f"the body is over {BODY_LIMIT} bytes")
+
+
 def arrival_from(headers: Mapping[str, str], settings: api.Settings) -> api.Arrival:
     """A client's request in the module's terms; `headers` by lower-case name. Raises BadRequest."""
     rid = headers.get("x-correlation-id", "")
@@ -175,6 +198,12 @@
     return core.ListTold(kind, version, tuple(entries))
 
 
+def room_rank(spoke: bool, since: float, now: float) -> tuple[bool, bool, float]:
+    """Which idle connection makes room first: one that was opened and said nothing, then the one that rests
+    longest; one just opened only after these, as its first bytes may be under way."""
+    return (not spoke and now - since < FIRST_BYTES_UNDER_WAY, spoke, since)
+
+
 # --- clients --------------------------------------------------------------------------------------------
 
 
@@ -201,13 +230,16 @@
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
         self._early = b""  # what came while the answer was awaited
         self.idle = True  # not a byte of a next request has come
+        self.spoke = False  # a byte has come at all
+        self.rests_since = self._opened = time.monotonic()
         self.refused = False  # over the budget: its request is refused
+        self._last = False  # the connection ends with this answer
         writer.transport.set_write_buffer_limits(high=CLIENT_BUFFER)
 
     async def serve(self) -> None:
         try:
             while await self._one():
-                self.idle = True
+                self.idle, self.rests_since = True, time.monotonic()
                 if not self._front.runtime.state.accepting:
                     break
         except (OSError, LinkError):
@@ -220,6 +252,10 @@
         if not self._writer.transport.is_closing():
             self._writer.close()
 
+    def abort(self) -> None:
+        """Closes without waiting for what was written to go out."""
+        self._writer.transport.abort()
+
     async def _one(self) -> bool:
         """Read and answer one request; whether another may follow."""
         try:
@@ -228,21 +264,25 @@
                 return False
             await self._front.route(self, *got)
         except BadRequest as error:
-            self._front.runtime.count(f"bad_requests_{error.status}")
-            log.info("bad request: %d %s", error.status, error.why)
-            self.answer(error.status, error.why)
+            self._front.note_bad_request(error)
+            self.answer_last(error.status, error.why)  # what stands behind it is not read as a request
         except h11.LocalProtocolError:  # the answer was under way when something else went wrong
             return False
-        await self._writer.drain()
-        if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
+        try:
+            async with asyncio.timeout(CLIENT_PATIENCE):
+                await self._writer.drain()
+        except TimeoutError:
+            return False
+        if self._last or self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
         return True
 
     async def _read(self) -> tuple[h11.Request, bytes] | None:
+        """The next request, whole; None if the connection ends without one. Every wait is bounded."""
         request: h11.Request | None = None
         body = bytearray()
-        wait: float | None = None  # a client may rest between requests for as long as it likes
+        by = self._opened + FIRST_BYTE_PATIENCE if not self.spoke else self.rests_since + REST_PATIENCE
         while True:
             try:
                 event = self._http.next_event()
@@ -256,16 +296,23 @@
                 data, self._early = self._early, b""
                 if not data:
                     try:
-                        async with asyncio.timeout(wait):
+                        async with asyncio.timeout(by - time.monotonic()):
                             data = await self._reader.read(READ_SIZE)
                     except TimeoutError as error:
+                        if self.idle:
+                            which = "clients_rested_out" if self.spoke else "clients_silent"
+                            self._front.runtime.count(which)
+                            return None
                         raise BadRequest(408, "the request did not arrive whole") from error
                     if not data and self.idle:
                         return None
-                self.idle, wait = False, REQUEST_PATIENCE
+                if self.idle:
+                    by = (time.monotonic() if self.spoke else self._opened) + REQUEST_PATIENCE
+                self.idle, self.spoke = False, True
                 self._http.receive_data(data)
             elif isinstance(event, h11.Request):
-                request = event
+                request, self.idle, self.spoke = event, False, True
+                check_head(list(request.headers))
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > BODY_LIMIT:
@@ -285,8 +332,13 @@
         for event in (h11.Data(data=body), h11.EndOfMessage()):
             self._writer.write(self._http.send(event) or b"")
 
+    def answer_last(self, status: int, why: str, headers: Headers | None = None) -> None:
+        """The same, and the connection ends with it."""
+        self._last = True
+        self.answer(status, why, headers)
+
     def _send_head(self, status: int, headers: Headers) -> None:
-        if self._front.runtime.state.stopping or self._http.their_state is not h11.DONE:
+        if self._last or self._front.runtime.state.stopping or self._http.their_state is not h11.DONE:
             headers = [*headers, (b"Connection", b"close")]
         head = h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b""))
         self._writer.write(self._http.send(head) or b"")
@@ -345,6 +397,7 @@
         self._places: dict[tuple[str, str], tuple[asyncio.Task[None], list[bool]]] = {}
         self._clients: dict[Client, asyncio.Task[None]] = {}
         self._bodies = 0
+        self._bad_second = self._bad_lines = 0
         self._server: asyncio.Server | None = None
         self.address = config.listen
         runtime.carry.update({
@@ -393,12 +446,18 @@
         # one is refused in words, as an accepted connection may carry a request already.
         most = self.runtime.descriptors.limit * CLIENT_SHARE
         if len(self._clients) >= most:
-            idle = next((c for c in self._clients if c.idle), None)
+            now = time.monotonic()
+            idle = min(
+                (c for c in self._clients if c.idle), key=lambda c: room_rank(c.spoke, c.rests_since, now),
+                default=None,
+            )  # fmt: skip
             if idle is not None:
-                idle.close()
+                idle.abort()
             else:
                 self.runtime.count("clients_over_budget")
                 client.refused = True
+                if len(self._clients) >= most + MOST_REFUSED:
+                    client.abort()
         self.runtime.descriptors.used += 1
         task = asyncio.current_task()
         assert task is not None
@@ -406,17 +465,28 @@
         self.runtime.count("clients_accepted")
         try:
             await client.serve()
-            await writer.wait_closed()
-        except OSError:
+            async with asyncio.timeout(CLIENT_PATIENCE):
+                await writer.wait_closed()
+        except (OSError, TimeoutError):
             pass
         except Exception:
             self.runtime.count("task_faults")
             log.exception("client fault")
-            writer.transport.abort()
         finally:
+            client.abort()
             del self._clients[client]
             self.runtime.descriptors.free()
 
+    def note_bad_request(self, error: BadRequest) -> None:
+        """Counted always, logged a few times a second: a flood of them must not become a flood of lines."""
+        self.runtime.count(f"bad_requests_{error.status}")
+        second = int(time.monotonic())
+        if second != self._bad_second:
+            self._bad_second, self._bad_lines = second, 0
+        self._bad_lines += 1
+        if self._bad_lines <= BAD_REQUEST_LINES:
+            log.info("bad request: %d %s", error.status, error.why)
+
     async def route(self, client: Client, request: h11.Request, body: bytes) -> None:
         path = request.target.split(b"?")[0]
         if path == b"/health/ready":
@@ -426,7 +496,7 @@
         elif request.method != b"POST":
             raise BadRequest(405, "POST is wanted here")
         elif client.refused:
-            client.answer(503, "out of connections", [(b"Retry-After", b"1"), (b"Connection", b"close")])
+            client.answer_last(503, "out of connections", [(b"Retry-After", b"1")])
         else:
             await self._exchange(client, request, body)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,7 +15,14 @@
 
 from basaltspread import interface as api
 from basaltspread.adapter import settings_from
-from basaltspread.net.platform import BadRequest, arrival_from, parse_facts, parse_list, parse_report
+from basaltspread.net.platform import (
+    BadRequest,
+    arrival_from,
+    parse_facts,
+    parse_list,
+    parse_report,
+    room_rank,
+)
 from tests.standins import (
     DONE,
     SETTINGS,
@@ -78,6 +85,12 @@
                 arrival_from({**HEADERS, **change}, PARSED)
             self.assertEqual(caught.exception.status, 400)
 
+    def test_which_idle_connection_makes_room(self) -> None:
+        now, silent, resting = 100.0, (False, 99.0), (True, 50.0)
+        rested_less, fresh, fresher = (True, 60.0), (False, 99.9), (False, 99.95)
+        order = [silent, resting, rested_less, fresh, fresher]
+        self.assertEqual(sorted(reversed(order), key=lambda c: room_rank(c[0], c[1], now)), order)
+
     def test_lists(self) -> None:
         told = parse_list({"generation": 4, "reset": True, "instances": [INSTANCE]}, PARSED)
         entry = api.WorkerEntry("s-1", api.WorkerState.UP, 3, 0, 1, 1.5, 7000)
@@ -386,18 +399,47 @@
             (head + b"Content-Length: 300000\r\n\r\n" + b"x" * 270_000, 413),
             (head + b"X-Long: " + b"x" * 70_000 + b"\r\n\r\n", 431),
             (head + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+            (head + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+            (head + b"X-Correlation-Id: a\r\nX-Correlation-Id: b\r\nContent-Length: 0\r\n\r\n", 400),
+            (head + b"Content-Length: 62914560\r\n\r\n", 413),  # before a byte of it is sent
+            (head + b"Content-Length: 10\r\n\r\nhalf", 408),
         ):
             client = await self.client(gateway)
             client._writer.write(raw)
-            self.assertEqual((await client.head()).status_code, status, raw[:60])
+            response = await client.head()
+            self.assertEqual(response.status_code, status, raw[:60])
+            self.assertIn((b"connection", b"close"), list(response.headers))
         client = await self.client(gateway)
         client._writer.write(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
         self.assertEqual((await client.head()).status_code, 200)
         counters = await gateway.stop()
         found = {n: c for n, c in counters.items() if n.startswith("bad_requests")}
-        self.assertEqual(found, {f"bad_requests_{s}": 1 + 3 * (s == 400) for s in (400, 404, 405, 413, 431)})
+        wanted = {400: 6, 404: 1, 405: 1, 408: 1, 413: 2, 431: 1}
+        self.assertEqual(found, {f"bad_requests_{status}": count for status, count in wanted.items()})
         self.assertEqual(counters.get("task_faults", 0), 0)
 
+    async def test_what_hides_in_the_body_of_a_request_of_two_lengths_reaches_no_engine(self) -> None:
+        """One reader ends that body at its last chunk, another by its length: what follows is no request."""
+        reader, writer = await self.standin(reading()), await self.standin(writing(answer_plainly))
+        gateway = await self.fleet(r1=reader, w1=writer)
+        client = await self.client(gateway)
+        inner = b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: inner\r\n" \
+            b"X-Service-Class: order\r\nX-Account: acme\r\nContent-Length: 0\r\n\r\n"  # fmt: skip
+        outer = b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: outer\r\n" \
+            b"X-Service-Class: order\r\nX-Account: acme\r\nTransfer-Encoding: chunked\r\n"  # fmt: skip
+        length = f"Content-Length: {len(inner) + 5}\r\n\r\n0\r\n\r\n".encode()
+        client._writer.write(outer + length + inner)
+        self.assertEqual((await client.answer())[0], 400)
+        self.assertEqual(await asyncio.wait_for(client._reader.read(), 30), b"")
+        self.assertEqual((reader.seen, writer.seen), ([], []))
+        await gateway.stop()
+
+    async def test_a_connection_that_says_nothing_is_closed(self) -> None:
+        gateway = await self.fleet()
+        client = await self.client(gateway)
+        self.assertEqual(await asyncio.wait_for(client._reader.read(), 30), b"")
+        self.assertEqual((await gateway.stop())["clients_silent"], 1)
+
     async def test_a_place_that_is_not_asked_for_any_more_is_forgotten(self) -> None:
         """Guards the end of a request whose read ended before the question could go out: the task that is
         dropped then may not have run a step."""
@@ -436,12 +478,16 @@
         idle = await self.client(gateway)
         idle._writer.write(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
         self.assertEqual((await idle.head()).status_code, 200)
-        busy = [await self.client(gateway) for _ in range(6)]
-        for i, client in enumerate(busy[:-3]):
-            client.send(f"q{i}")
-            self.assertEqual((await client.head()).status_code, 200)
-        for client in busy[-3:]:
-            client._writer.write(b"POST /v1")  # as good as busy
+        busy = []
+        for i in range(6):
+            busy.append(await self.client(gateway))
+            if i < 3:
+                busy[-1].send(f"q{i}")
+            else:  # as good as busy: its body is awaited
+                busy[-1]._writer.write(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n"
+                                       b"Expect: 100-continue\r\n\r\n")  # fmt: skip
+            got = await asyncio.wait_for(busy[-1]._reader.readuntil(b"\r\n\r\n"), 30)
+            self.assertTrue(got.startswith(b"HTTP/1.1 200" if i < 3 else b"HTTP/1.1 100"), got)
         self.assertEqual(await asyncio.wait_for(idle._reader.read(), 30), b"")
         late = await self.client(gateway)
         status, headers, _, _ = await late.ask("q9")
