Read the configuration again on SIGHUP and move discovery without losing what is known

Checked: 129 is the default action of SIGHUP; Runtime.watch_signals had no handler for it, and RELAY_DISCOVERY went before the file, so that a handler alone would have kept the old address. At fault: Runtime.watch_signals, load_platform, Front.start (one watch, bound to one address).

Now the whole file is read and checked, then the limits and discovery change at once; at the new address the whole list is fetched first, and the old list, reports and held state stay until then. A faulty file is logged and changes nothing. The sidecar reads its registry and tools again in the same way.

--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -10,9 +10,10 @@
 import logging
 import os
 import sys
+from collections.abc import Callable
 
 from basaltspread import core
-from basaltspread.config import ConfigError, Gateway, load_platform, load_sidecar
+from basaltspread.config import ConfigError, Gateway, load_platform, load_sidecar, needs_restart
 from basaltspread.net.eureka import Eureka
 from basaltspread.net.platform import Front
 from basaltspread.net.runtime import Runtime
@@ -20,9 +21,11 @@
 from basaltspread.rules import Router
 
 IDLE_SHARE = 0.6  # of the time after which engines close an idle connection: ours are closed by then
+log = logging.getLogger("basaltspread")
+Load = Callable[[bool], tuple[Gateway | None, list[ConfigError]]]
 
 
-async def serve(config: Gateway) -> None:
+async def serve(config: Gateway, load: Load) -> None:
     state = core.State(config.settings, Router(config.settings, config.seed))
     timeout = config.settings.limits.connect_timeout or 250_000
     idle = config.idle_close / 1e6 * IDLE_SHARE
@@ -30,7 +33,26 @@
     relay = Relay(runtime, config.tools) if config.tools is not None else None
     front = Front(runtime, config, relay)
     eureka = Eureka(runtime, config, config.registry) if config.registry is not None else None
-    runtime.watch_signals()
+
+    def reload() -> None:
+        """The whole file is read and checked before any of it counts."""
+        new, faults = load(True)
+        if new is None:
+            runtime.count("reloads_refused")
+            for fault in faults:
+                log.error("reload refused, the old configuration stays: %s", fault)
+            return
+        runtime.count("reloads")
+        runtime.reconfigure(new.sockets, new.memory_mb)
+        front.reconfigure(new)
+        if relay is not None and new.tools is not None:
+            relay.reconfigure(new.tools)
+        if eureka is not None and new.registry is not None:
+            eureka.reconfigure(new.registry)
+        later = needs_restart(config, new)
+        log.info("reloaded%s", f"; only a restart changes {', '.join(later)}" if later else "")
+
+    runtime.watch_signals(reload)
     await front.start()
     if eureka is not None:
         eureka.start(front.address)
@@ -49,20 +71,21 @@
     )
     options = parser.parse_args()
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr)
-    faults: list[ConfigError] = []
-    config: Gateway | None = None
-    try:
-        if options.sidecar:
-            config, faults = load_sidecar(options.sidecar)
-        else:
-            config = load_platform(os.environ)
-    except ConfigError as error:
-        faults = [error]
+
+    def load(again: bool) -> tuple[Gateway | None, list[ConfigError]]:
+        try:
+            if options.sidecar:
+                return load_sidecar(options.sidecar)
+            return load_platform(os.environ, again), []
+        except ConfigError as error:
+            return None, [error]
+
+    config, faults = load(False)
     for fault in faults:
         print(f"basaltspread: {fault}", file=sys.stderr)
     if config is None:
         return 2
-    asyncio.run(serve(config))
+    asyncio.run(serve(config, load))
     return 0
 
 
--- a/basaltspread/config.py
+++ b/basaltspread/config.py
@@ -109,20 +109,24 @@
 # --- the platform ---------------------------------------------------------------------------------------
 
 
-def load_platform(environment: Mapping[str, str]) -> Gateway:
-    """The configuration that RELAY_CONFIG names; the other RELAY_* variables go before what it says."""
+def load_platform(environment: Mapping[str, str], again: bool = False) -> Gateway:
+    """The configuration that RELAY_CONFIG names. At the start the other RELAY_* variables go before what it
+    says; `again`, while the gateway runs, the file is newer, and they hold for what it leaves out."""
     path = environment.get("RELAY_CONFIG", "")
     if not path:
         raise ConfigError("RELAY_CONFIG", "not set", "name the gateway's JSON configuration file")
     try:
         raw = json.loads(Path(path).read_text("utf-8"))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError("RELAY_CONFIG", f"can't be read: {error}", "give a readable JSON file") from error
     if not isinstance(raw, dict):
         raise ConfigError("RELAY_CONFIG", "does not hold a JSON object", "write one object")
     settings, idle = _settings(raw.get("settings"))
-    listen = environment.get("RELAY_LISTEN") or raw.get("listen")
-    discovery = environment.get("RELAY_DISCOVERY") or raw.get("discovery")
+    listen, discovery = environment.get("RELAY_LISTEN"), environment.get("RELAY_DISCOVERY")
+    if again:
+        listen, discovery = raw.get("listen") or listen, raw.get("discovery") or discovery
+    else:
+        listen, discovery = listen or raw.get("listen"), discovery or raw.get("discovery")
     split_address("listen", listen)
     split_address("discovery", discovery)
     try:
@@ -143,6 +147,11 @@
         raise ConfigError("limits or seed", f"can't be read: {error!r}", remedy) from error
 
 
+def needs_restart(old: Gateway, new: Gateway) -> list[str]:
+    """What differs between two configurations and is only read at the start."""
+    return [name for name in ("name", "listen", "settings") if getattr(old, name) != getattr(new, name)]
+
+
 # --- an operator's file ---------------------------------------------------------------------------------
 
 
--- a/basaltspread/net/eureka.py
+++ b/basaltspread/net/eureka.py
@@ -109,24 +109,44 @@
         self._told: dict[str, Listed] = {}
         self._fetched = self._silent = False
         self._version = 0
-        self._app = f"{registry.path}/apps/{quote(config.name.upper(), safe='')}"
         self._tasks: list[asyncio.Task[None]] = []
+        self._leaving: asyncio.Task[None] | None = None
         self._listen = config.listen
 
+    @property
+    def _app(self) -> str:
+        return f"{self._registry.path}/apps/{quote(self._config.name.upper(), safe='')}"
+
     def start(self, listen: str) -> None:
         self._listen = listen
+        self._begin()
+        self.runtime.on_terminate.append(self._terminate)
+
+    def _begin(self) -> None:
         self._tasks = [
             self.runtime.spawn(self._every(self._registry.renew_s, self._renew), "renew"),
             self.runtime.spawn(self._every(self._registry.fetch_s, self._fetch), "fetch"),
         ]
-        self.runtime.on_terminate.append(
-            lambda: self._tasks.append(self.runtime.spawn(self._leave(), "leave"))
-        )
+
+    def _terminate(self) -> None:
+        if self._leaving is None:
+            self._leaving = self.runtime.spawn(self._leave(), "leave")
+
+    def reconfigure(self, registry: Registry) -> None:
+        """Registers and fetches the whole list at the new address at once; the lease at an old one runs out
+        by itself, and the last list stays in use until there is a new one."""
+        if registry == self._registry or self._leaving is not None:
+            return
+        self.runtime.pool.drop(self._registry.address)
+        self._registry, self._fetched = registry, False
+        for task in self._tasks:
+            task.cancel()
+        self._begin()
 
     async def stop(self) -> None:
         """The lease is given back before the program ends."""
-        if self._tasks[2:]:
-            await asyncio.wait(self._tasks[2:], timeout=CALL_WAIT)
+        if self._leaving is not None:
+            await asyncio.wait([self._leaving], timeout=CALL_WAIT)
         for task in self._tasks:
             task.cancel()
 
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -14,6 +14,7 @@
 import re
 import time
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -399,6 +400,7 @@
         self._bodies = 0
         self._bad_second = self._bad_lines = 0
         self._server: asyncio.Server | None = None
+        self._watching: asyncio.Task[None] | None = None
         self.address = config.listen
         runtime.carry.update({
             core.StartAttempt: self._start_attempt, core.AbandonAttempt: self._abandon_attempt,
@@ -419,8 +421,7 @@
                 self.runtime.feed(told)
             except ValueError as error:
                 log.warning("known list unusable: %s", error)
-        if self._config.discovery is not None:
-            self._spawn(self._watch(self._config.discovery, version), "watch")
+        self._discover(self._config.discovery, version)
         host, port = split_address("listen", self._config.listen)
         self._server = await asyncio.start_server(self._accept, host, port, limit=READ_SIZE, backlog=512)
         where = self._server.sockets[0].getsockname()
@@ -717,6 +718,25 @@
 
     # --- discovery --------------------------------------------------------------------------------------
 
+    def reconfigure(self, config: Gateway) -> None:
+        """Discovery moves. Its version numbers need not go on at the new address, so the whole list comes
+        first; until then, and for all else that is known of the engines, what was told before holds."""
+        old, new = self._config.discovery, config.discovery
+        if new == old:
+            return
+        if old is not None:
+            self.runtime.pool.drop(old)
+        self._config = replace(self._config, discovery=new)
+        self._discover(new, None)
+        log.info("discovery moves from %s to %s", old, new)
+
+    def _discover(self, discovery: str | None, version: int | None) -> None:
+        if self._watching is not None:
+            self._watching.cancel()
+        self._watching = None
+        if discovery is not None:
+            self._watching = self._spawn(self._watch(discovery, version), "watch")
+
     async def _watch(self, discovery: str, version: int | None) -> None:
         silent = False
         while True:
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -106,7 +106,11 @@
     """How many sockets are open, against the limit."""
 
     def __init__(self, limit: int) -> None:
-        self.limit, self.used = max(8, limit - SPARE_DESCRIPTORS), 0
+        self.used = 0
+        self.set_limit(limit)
+
+    def set_limit(self, limit: int) -> None:
+        self.limit = max(8, limit - SPARE_DESCRIPTORS)
 
     def take(self) -> bool:
         if self.used >= self.limit:
@@ -277,6 +281,11 @@
         oldest.pop(0).close()
         return True
 
+    def drop(self, address: str) -> None:
+        """Close the idle links to an address that is not used any more."""
+        for link in self._idle.pop(address, []):
+            link.close()
+
     def sweep(self) -> None:
         for address, links in list(self._idle.items()):
             limit = time.monotonic() - self._idle_limit
@@ -322,7 +331,7 @@
         self.clock = Clock()
         self.counters: Counter[str] = Counter()
         self.descriptors = Descriptors(sockets)
-        self.body_room = int(memory_mb * 1024 * 1024 * BODY_BUDGET)
+        self.reconfigure(sockets, memory_mb)
         self.pool = Pool(self.descriptors, connect_timeout, idle, self.counters)
         self.wheel = Wheel(lambda token: self.feed(core.Woken(token)), self.clock.now)
         self.over = asyncio.Event()
@@ -337,6 +346,11 @@
             core.Exit: lambda e: self.over.set(),
         }
 
+    def reconfigure(self, sockets: int, memory_mb: int) -> None:
+        """The limits; what is over a lower one comes down as it ends."""
+        self.descriptors.set_limit(sockets)
+        self.body_room = int(memory_mb * 1024 * 1024 * BODY_BUDGET)
+
     def count(self, name: str) -> None:
         self.counters[name] += 1
 
@@ -381,10 +395,11 @@
         line = " ".join(f"{name}={value}" for name, value in sorted(self.counters.items()))
         print(f"counters {line}", file=sys.stderr, flush=True)
 
-    def watch_signals(self) -> None:
+    def watch_signals(self, reload: Callable[[], None]) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._terminate)
         loop.add_signal_handler(signal.SIGINT, self._terminate)
+        loop.add_signal_handler(signal.SIGHUP, reload)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
 
     def _terminate(self) -> None:
--- a/basaltspread/net/toolcalls.py
+++ b/basaltspread/net/toolcalls.py
@@ -139,6 +139,10 @@
             core.ReturnReply: self._return_reply, core.ForgetCall: self._forget,
         })  # fmt: skip
 
+    def reconfigure(self, tools: Tools) -> None:
+        """For calls from now on."""
+        self._tools = tools
+
     def splitter(self, request: str, number: int) -> Splitter:
         return Splitter(self, request, number)
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -166,7 +166,7 @@
     """The real program in a process of its own."""
 
     def __init__(self, *arguments: str, config: dict[str, Any] | None = None) -> None:
-        self._arguments, self._config = arguments, config
+        self._arguments, self._config, self.file = arguments, config, arguments[-1] if arguments else ""
         self.lines: list[str] = []
 
     async def start(self) -> Gateway:
@@ -174,7 +174,8 @@
         if self._config is not None:
             with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
                 json.dump(self._config, file)
-            environment["RELAY_CONFIG"] = file.name
+            environment["RELAY_CONFIG"] = self.file = file.name
+            environment["RELAY_DISCOVERY"] = self._config["discovery"]
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "basaltspread", *self._arguments, cwd=ROOT, env=environment,
             stderr=asyncio.subprocess.PIPE, limit=1 << 20,
@@ -218,6 +219,15 @@
             assert await self.process.wait() == 0, self.lines
         return counters
 
+    async def reload(self, text: str | dict[str, Any], word: str) -> None:
+        """Replace the file, then SIGHUP; until the log has this word."""
+        if isinstance(text, dict):
+            text = json.dumps({**(self._config or {}), **text})
+        Path(self.file + ".new").write_text(text)
+        os.replace(self.file + ".new", self.file)
+        self.process.send_signal(signal.SIGHUP)
+        await self.until(word)
+
     async def kill(self) -> None:
         self.process.kill()
         await self.process.wait()
@@ -257,7 +267,10 @@
         return event
 
     async def answer(self) -> tuple[int, dict[bytes, bytes], bytes, bool]:
-        head, body = await self.head(), b""
+        return await self.rest(await self.head())
+
+    async def rest(self, head: h11.Response) -> tuple[int, dict[bytes, bytes], bytes, bool]:
+        body = b""
         async with asyncio.timeout(PATIENCE):
             while True:
                 try:
--- a/tests/test_eureka.py
+++ b/tests/test_eureka.py
@@ -158,5 +158,12 @@
         self.assertEqual((await client.ask("q3"))[0], 200)
         registry.down = False
         await gateway.until("registry answers again")
+
+        moved = await self.standin(registry.handle)
+        await gateway.reload(text.replace("[registry]", "[registers]"), "reload refused")
+        await gateway.reload(text.replace(server.address, moved.address), "reloaded")
+        await moved.until("GET", target="/eureka/apps")
+        await moved.until("PUT")
+        self.assertEqual((await client.ask("q4"))[0], 200)
         counters = await gateway.stop()
         self.assertEqual((counters["registry_deregistered"], registry.own), (1, {}))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -360,6 +360,65 @@
         self.assertEqual((await client.ask("q1"))[0], 200)
         self.assertEqual((await gateway.stop())["discovery_failures"], 5)
 
+    async def test_sighup_moves_discovery_and_keeps_all_that_is_known(self) -> None:
+        """Twice in a row, with a stream under way, and once more while the gateway stops."""
+        go_on = asyncio.Event()
+
+        async def wait_in_stream(asked: Asked) -> None:
+            asked.begin()
+            asked.chunk(b"data: 1\n\n")
+            await go_on.wait()
+            asked.end()
+
+        one, two = await self.standin(writing(wait_in_stream)), await self.standin(writing(answer_plainly))
+        gateway = await self.fleet(r1=await self.standin(reading()), w1=one)
+        running, client = await self.client(gateway), await self.client(gateway)
+        running.send("q1")
+        head = await running.head()
+        self.entries["w2"] = {**self.entries["w1"], "instanceId": "w2", "hostPort": two.address}
+        listed = [self.entries["r1"], self.entries["w2"], {**self.entries["w1"], "lifecycle": "draining"}]
+        whole_list = json.dumps({"generation": 3, "reset": True, "instances": listed}).encode()
+
+        async def tell_once(asked: Asked) -> None:
+            if "from=" not in asked.target:  # versions need not go on at another address
+                asked.reply(200, whole_list)
+
+        places = [await self.standin(tell_once) for _ in range(3)]
+        for place in places[:2]:
+            await gateway.reload({"discovery": place.address}, "reloaded")
+        await places[1].until("GET", target="/registry/instances?from=3&")
+        self.assertEqual((await client.ask("q2"))[0], 200)
+        self.assertEqual((one.count("POST", "/v1"), two.count("POST", "/v1")), (1, 1))
+        gateway.process.send_signal(signal.SIGTERM)
+        await gateway.until("stopping")
+        await gateway.reload({"discovery": places[2].address}, "reloaded")
+        await places[2].until("GET", target="/registry/instances?from=3&")
+        go_on.set()
+        self.assertTrue((await running.rest(head))[3])
+        await gateway.until("counters ")
+        self.assertEqual(await gateway.process.wait(), 0)
+
+    async def test_a_faulty_file_keeps_the_old_configuration(self) -> None:
+        gateway = await self.fleet(
+            r1=await self.standin(reading()), w1=await self.standin(writing(answer_plainly))
+        )
+        faulty: tuple[str | dict[str, Any], ...] = (
+            "{", "[" * 100_000, "[]", {"discovery": "nowhere"}, {"settings": {}}, {"limits": 5},
+        )  # fmt: skip
+        for text in faulty:
+            await gateway.reload(text, "reload refused")
+        await gateway.reload({"name": "n1"}, "only a restart changes name")
+        self.assertEqual((await (await self.client(gateway)).ask("q1"))[0], 200)
+        counters = await gateway.stop()
+        self.assertEqual((counters["reloads_refused"], counters["reloads"]), (6, 1))
+
+    async def test_a_reload_changes_the_limits(self) -> None:
+        gateway = await self.fleet()
+        await gateway.reload({"limits": {"memory_mb": 1}}, "reloaded")
+        client = await self.client(gateway)
+        self.assertEqual((await client.ask("q1", body=b"x" * 250_000))[0], 503)
+        self.assertEqual((await gateway.stop())["refused_for_memory"], 1)
+
     async def test_sigterm_finishes_what_was_taken_and_takes_what_still_comes(self) -> None:
         go_on = asyncio.Event()
 
