End streams that fall silent or are spoilt, and never reuse a link with more on it

At fault: Link.event (no bound on silence, on a part that has begun, or on a chunk's size), Platform._relay (the first byte counted as the first event, and an empty stream as an answer), Link.done (ignored bytes behind the answer), _ask_module (a fault abandoned attempts without telling the module, whose counts then never fell).

--- a/basaltspread/core.py
+++ b/basaltspread/core.py
@@ -51,6 +51,7 @@
     WITHDRAWN = "drained before the first byte"
     RESET = "reset after the last byte"
     CUT_SHORT = "ended before its last chunk"
+    STALLED = "the stream fell silent"
     TIMED_OUT = "nothing came in time"
     CANCELLED = "called back by the module"
     MOVED = "ended so that the client asks another gateway for the rest"
@@ -75,6 +76,7 @@
     Ending.WITHDRAWN: Outcome.CONNECT_FAILED,
     Ending.RESET: Outcome.RESET,
     Ending.CUT_SHORT: Outcome.RESET,
+    Ending.STALLED: Outcome.TIMEOUT,
     Ending.TIMED_OUT: Outcome.TIMEOUT,
     Ending.CANCELLED: Outcome.CANCELLED,
     Ending.MOVED: Outcome.CANCELLED,
@@ -549,8 +551,8 @@
             q = self.state.requests.get(getattr(event, "request", ""))
             if q is not None:
                 self._answer(q, Verdict.FAILED)
-                for attempt in q.out():
-                    self._abandon(q, attempt)
+                for attempt in q.out():  # told of each, so that the module's counts fall
+                    self._close(q, attempt, Ending.GATEWAY_FAULT, abandon=True)
             return
         for action in actions:
             self.ACTIONS[type(action)](self, action)
@@ -978,6 +980,7 @@
             else:
                 workers[listed.entry.name] = listed
         stopped = before - {n for n, w in workers.items() if w.entry.state is WorkerState.UP}
+        self.state.heard = {name: at for name, at in self.state.heard.items() if name in workers}
         entries = tuple(listed.entry for listed in event.entries)
         self.told.append(api.WorkerList(event.kind, event.version, entries))
         if not stopped:
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -28,6 +28,7 @@
     BODY_LIMIT,
     CLIENT_BUFFER,
     HEAD_LIMIT,
+    PART_PATIENCE,
     READ_SIZE,
     Headers,
     Link,
@@ -54,8 +55,11 @@
 CLIENT_PATIENCE = 30.0  # s for a client that does not read its stream
 CALL_WAIT = 1.0  # s for an answer about a place, a release or a probe
 ERROR_BODY_WAIT = 0.5  # s for the rest of an answer whose status has settled it
+STREAM_SILENCE = 4.0  # s between two pieces of a stream; the protocol lets a client wait for 5
+EVENT_LIMIT = 64 * 1024  # bytes of a stream's first event
 MOST_TOKENS = 10_000_000
 SAFE_ID = re.compile(r"[A-Za-z0-9._~-]{1,128}\Z")
+EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 CACHED = re.compile(rb'"cached_tokens"\s*:\s*(\d{1,9})')
 # Not passed on to an engine: of this hop alone, or set anew.
 HOP_HEADERS = frozenset((
@@ -70,7 +74,7 @@
 # After these a link is in no state to carry another request.
 FATAL = frozenset((
     Ending.MALFORMED, Ending.BROKE_UNSENT, Ending.RESET, Ending.CUT_SHORT,
-    Ending.CLIENT_LEFT, Ending.CLIENT_SLOW,
+    Ending.CLIENT_LEFT, Ending.CLIENT_SLOW, Ending.STALLED,
 ))  # fmt: skip
 SOCKET_REPORT_NAMES = {"inflight": "inflight", "queue": "queue", "util": "utilisation", **REPORT_NAMES}
 REASONS = {
@@ -616,7 +620,7 @@
         """A status that settles the attempt; its body matters only after a read."""
         unprocessed = fields.get(b"x-unprocessed") == b"1"
         if status == 202:
-            found = CACHED.search(await link.rest())
+            found = CACHED.search(await link.rest(silence=PART_PATIENCE))
             return Ending.READ, int(found[1]) if found else 0
         try:
             async with asyncio.timeout(ERROR_BODY_WAIT):
@@ -633,32 +637,37 @@
         self, link: Link, name: str, number: int, fields: dict[bytes, bytes], exchange: Exchange
     ) -> tuple[Ending, int]:
         """Pass an engine's events on as they come, to its last chunk."""
-        begun, tail = False, b""
+        begun, tail, first = False, b"", b""
         splitter = self._relay_calls.splitter(name, number) if self._relay_calls is not None else None
         framed = b"transfer-encoding" in fields or b"content-length" in fields
         while True:
-            event = await link.event()
+            event = await link.event(STREAM_SILENCE)
             over = isinstance(event, h11.EndOfMessage)
-            if over and not framed:
-                raise LinkError(Ending.CUT_SHORT)
+            data = bytes(event.data) if isinstance(event, h11.Data) else b""
             if not begun:
-                begun = True
+                # Until a whole event is there, what came may be anything; another engine can still answer.
+                first += data
+                if EVENT_END.search(first) is None:
+                    if over or len(first) > EVENT_LIMIT:
+                        raise LinkError(Ending.MALFORMED)
+                    continue
+                begun, data = True, first
                 self.runtime.feed(core.FirstEvent(name, number))
                 if exchange.passing == number:
                     exchange.client.begin_stream(fields.get(b"content-type", b"text/event-stream"))
+            if over and not framed:
+                raise LinkError(Ending.CUT_SHORT)
             if over:
                 rest = splitter.rest() if splitter is not None else b""
                 if rest and exchange.passing == number:
                     await exchange.client.stream(rest)
                 found = CACHED.search(tail)
                 return Ending.SERVED, int(found[1]) if found else 0
-            if isinstance(event, h11.Data):
-                data = bytes(event.data)
-                tail = (tail + data)[-512:]
-                if splitter is not None:
-                    data = splitter.feed(data)
-                if data and exchange.passing == number:
-                    await exchange.client.stream(data)
+            tail = (tail + data)[-512:]
+            if splitter is not None:
+                data = splitter.feed(data)
+            if data and exchange.passing == number:
+                await exchange.client.stream(data)
 
     def _ask_place(self, effect: core.AskPlace) -> None:
         key, begun, heard = (effect.request, effect.worker), [False], [Place.UNKNOWN]
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -30,6 +30,8 @@
 WHEEL_SLOTS = 512
 READ_SIZE = 65536
 BODY_LIMIT = 256 * 1024
+CHUNK_LIMIT = 256 * 1024  # bytes of one chunk, whatever size it declares
+PART_PATIENCE = 1.0  # s spent waiting for the rest of a head or a chunk that has begun
 HEAD_LIMIT = 32 * 1024
 CLIENT_BUFFER = 64 * 1024  # bytes that may wait for a slow reader of a stream
 SPARE_DESCRIPTORS = 48  # for the interpreter, the listener, discovery and log files
@@ -131,19 +133,41 @@
     body: bytes
 
 
+class Ear(asyncio.StreamReader):
+    """Counts what comes in, so that bytes that nobody asked for are noticed."""
+
+    heard = 0
+
+    def feed_data(self, data: Any) -> None:
+        self.heard += len(data)
+        super().feed_data(data)
+
+
+async def connect(host: str, port: int) -> tuple[Ear, asyncio.StreamWriter]:
+    """asyncio.open_connection with that reader."""
+    loop = asyncio.get_running_loop()
+    reader = Ear(limit=READ_SIZE, loop=loop)
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(lambda: protocol, host, port)
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
 class Link:
     """One connection to another party, with its h11 state. One request at a time."""
 
     def __init__(
         self,
         address: str,
-        reader: asyncio.StreamReader,
+        reader: Ear,
         writer: asyncio.StreamWriter,
         free: Callable[[], None],
     ) -> None:
         self.address, self._reader, self._writer, self._free = address, reader, writer, free
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT)
         self._eof = self._closed = False
+        self._taken = 0  # bytes read so far
+        self._in_chunk = 0  # bytes of a chunk that has not ended
+        self._part_waited = 0.0  # s waited for the rest of what has begun
         self.idle_since = 0.0
         self.written = False  # the last byte of the present request has gone out
         writer.transport.set_write_buffer_limits(high=0)  # so that drain means: all of it is written
@@ -169,8 +193,9 @@
                 raise LinkError(Ending.BROKE_UNSENT) from error
         self.written = True
 
-    async def event(self) -> h11.Event:
-        """The next event of the answer."""
+    async def event(self, silence: float | None = None, chunk: int = CHUNK_LIMIT) -> h11.Event:
+        """The next event of the answer. A head or a chunk that has begun must end soon, and no chunk is
+        waited for because of the size that it declares; `silence` bounds the wait for a next one."""
         while True:
             begun = self._http.their_state is h11.SEND_BODY  # asked now: after an error it says only that
             try:
@@ -180,25 +205,46 @@
                     raise LinkError(Ending.MALFORMED) from error
                 raise LinkError(Ending.CUT_SHORT if begun else Ending.RESET) from error
             if event is h11.NEED_DATA:
-                try:
-                    data = await self._reader.read(READ_SIZE)
-                except OSError as error:
-                    raise LinkError(Ending.RESET) from error
+                data = await self._more(silence)
                 self._eof = not data
                 self._http.receive_data(data)
             elif isinstance(event, h11.InformationalResponse):
                 continue
-            elif isinstance(event, (h11.Response, h11.Data, h11.EndOfMessage)):
+            elif isinstance(event, h11.Data):
+                if event.chunk_start or self._in_chunk:  # a body of a declared length has no chunks
+                    self._in_chunk = 0 if event.chunk_end else self._in_chunk + len(event.data)
+                if self._in_chunk > chunk:
+                    raise LinkError(Ending.MALFORMED)
+                return event
+            elif isinstance(event, (h11.Response, h11.EndOfMessage)):
+                self._in_chunk = 0
                 return event
             else:
                 raise LinkError(Ending.RESET)
 
-    async def rest(self, limit: int = BODY_LIMIT) -> bytes:
+    async def _more(self, silence: float | None) -> bytes:
+        part = bool(self._in_chunk or self._http.trailing_data[0])
+        if not part:
+            self._part_waited = 0.0
+        began = time.monotonic()
+        try:
+            async with asyncio.timeout(PART_PATIENCE - self._part_waited if part else silence):
+                data = await self._reader.read(READ_SIZE)
+        except TimeoutError as error:
+            raise LinkError(Ending.MALFORMED if part else Ending.STALLED) from error
+        except OSError as error:
+            raise LinkError(Ending.RESET) from error
+        if part:
+            self._part_waited += time.monotonic() - began
+        self._taken += len(data)
+        return data
+
+    async def rest(self, limit: int = BODY_LIMIT, silence: float | None = None) -> bytes:
         """The rest of the body, which must be small."""
         parts: list[bytes] = []
         size = 0
         while True:
-            event = await self.event()
+            event = await self.event(silence, limit)
             if isinstance(event, h11.EndOfMessage):
                 return b"".join(parts)
             if isinstance(event, h11.Data):
@@ -209,14 +255,16 @@
 
     def done(self) -> bool:
         """Whether the exchange is over and the link can carry another; readies it for that."""
-        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE and not self.dead():
+        both = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        if both and not self._http.trailing_data[0] and not self.dead():
             self._http.start_next_cycle()
             return True
         return False
 
     def dead(self) -> bool:
-        """Closed by either side."""
-        return self._eof or self._closed or self._reader.at_eof() or self._writer.transport.is_closing()
+        """Closed by either side, or holding what nobody asked for: it would be taken for the next answer."""
+        closed = self._closed or self._reader.at_eof() or self._writer.transport.is_closing()
+        return closed or self._eof or self._reader.heard != self._taken
 
     def close(self) -> None:
         if not self._closed:
@@ -252,7 +300,7 @@
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(self._connect_timeout):
-                reader, writer = await asyncio.open_connection(host, int(port), limit=READ_SIZE)
+                reader, writer = await connect(host, int(port))
         except TimeoutError as error:
             self._descriptors.free()
             raise LinkError(Ending.CONNECT_TIMED_OUT) from error
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -204,3 +204,34 @@
         self.streaming("q1")
         self.feed(core.Terminate())
         self.assertEqual([wake.token for wake in self.wakes], [("door",)])
+
+    def test_a_fault_of_the_module_ends_its_attempts_for_it_too(self) -> None:
+        """Guards the module's counts of requests in flight: they fall on every ending."""
+
+        def fault(event: Any) -> list[api.Action]:
+            raise RuntimeError("a bug")
+
+        self.begin(Arrival=send("r1"), PlaceAnswer=fault)
+        for event in (core.Taken(ARRIVAL), core.Begun("q", 0), core.Written("q", 0)):
+            self.feed(event)
+        self.state.requests["q"].asking.add("w1")
+        effects = self.kinds(core.PlaceEnded("q", 0, "w1", Place.HELD))
+        self.assertEqual(effects, ["Answer", "AbandonAttempt", "SendRelease"])
+        ended = [e for e in self.module.told if isinstance(e, api.AttemptEnded)]
+        self.assertEqual([(e.outcome, e.request_ended) for e in ended], [(api.Outcome.ERROR, True)])
+
+    def test_engines_that_left_are_forgotten(self) -> None:
+        """A long day of engines always new: nothing that is keyed by one outlives its place in the list."""
+        self.begin()
+        for generation in range(200):
+            entry = replace(FLEET[0], name=f"e{generation}")
+            self.feed(core.ListTold(api.ListKind.FULL, generation, (core.Listed(entry, "e:1"),)))
+            self.feed(core.Taken(replace(ARRIVAL, request=f"q{generation}")))
+            self.module.answers["Arrival"] = send(entry.name)
+            self.feed(core.Taken(replace(ARRIVAL, request=f"p{generation}")))
+            self.feed(core.Ended(f"p{generation}", 0, Ending.SERVER_ERROR))
+            for name in (f"q{generation}", f"p{generation}"):
+                self.feed(core.ClientLeft(name))
+        self.assertLessEqual(len(self.state.workers), 1)
+        self.assertLessEqual(len(self.state.heard), 1)
+        self.assertEqual((self.state.requests, self.state.releases, self.state.calls), ({}, {}, {}))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import unittest
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -587,3 +588,76 @@
         self.assertEqual((await client.ask("q1", cls="order"))[0], 502)
         counters = await gateway.stop()
         self.assertEqual((counters["ended_malformed"], counters.get("attempt_faults", 0)), (1, 0))
+
+    async def test_a_stream_spoilt_before_its_first_event_is_a_failed_attempt_that_may_have_run(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for spoilt in (
+            b"\x16\x03\x01 noise without an end",
+            b"HTTP/1.1 200 OK\r\nX-Endless: x",
+            b"HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n",
+            head + b"zz\r\n",
+            head + b"0\r\n\r\n",
+            head + b"5\r\ndata:\r\nzz\r\n",
+            head + b"20\r\ndata: 1\n",
+            head + b"C0000000\r\ndata: " + b"x" * 70_000,
+        ):
+
+            spoils = iter((spoilt, spoilt))  # q1's only write, and q2's first
+
+            async def spoil_twice(asked: Asked, spoils: Iterator[bytes] = spoils) -> None:
+                if spoilt := next(spoils, None):
+                    asked.raw(spoilt)
+                else:
+                    await answer_plainly(asked)
+
+            writer = await self.standin(writing(spoil_twice))
+            gateway = await self.fleet(r1=await self.standin(reading()), w1=writer)
+            client = await self.client(gateway)
+            self.assertEqual((await client.ask("q1", cls="order"))[0], 502, spoilt[:60])
+            status, _, body, whole = await client.ask("q2")
+            self.assertEqual((status, whole, body.count(b"data:")), (200, True, 2), spoilt[:60])
+            self.assertEqual((await gateway.stop())["ended_malformed"], 2, spoilt[:60])
+
+    async def test_a_stream_spoilt_later_ends_the_clients_connection_without_the_last_chunk(self) -> None:
+        for spoilt, ending in (
+            (b"zz\r\n", "malformed"),
+            (b"20\r\ndata: 2\n\n\r\n0\r\n\r\n", "malformed"),
+            (b"4\r\ndata: 2\n\n\r\n0\r\n\r\n", "malformed"),
+            (b"C0000000\r\n" + b"x" * 300_000, "malformed"),
+            (b"", "stalled"),
+        ):
+
+            async def spoil(asked: Asked, spoilt: bytes = spoilt) -> None:
+                asked.begin()
+                asked.chunk(b"data: 1\n\n")
+                asked.raw(spoilt)
+
+            writer = await self.standin(writing(spoil))
+            gateway = await self.fleet(r1=await self.standin(reading()), w1=writer)
+            client = await self.client(gateway)
+            status, _, body, whole = await client.ask("q1")
+            self.assertEqual((status, body[:9], whole), (200, b"data: 1\n\n", False), spoilt[:60])
+            counters = await gateway.stop()
+            self.assertEqual((counters["streams_broken"], counters[f"ended_{ending}"]), (1, 1), spoilt[:60])
+
+    async def test_a_link_that_brings_a_second_answer_carries_nothing_more(self) -> None:
+        async def answer_twice(asked: Asked) -> None:
+            body = b'{"cached_tokens":16}'
+            asked.reply(202, body)
+            asked.reply(202, body) if asked.method == "POST" else None
+
+        async def informed(asked: Asked) -> None:
+            asked.raw(b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n")
+            asked.begin()
+            asked.chunk(b"data: 1\n\n: X-Backend-Load: TEXT \xff=\x00,,x0=\n\n")
+            asked.end()
+
+        reader, writer = await self.standin(answer_twice), await self.standin(writing(informed, 409))
+        gateway = await self.fleet(r1=reader, w1=writer)
+        client = await self.client(gateway)
+        for i in range(3):
+            status, _, body, whole = await client.ask(f"q{i}", cls="order")
+            self.assertEqual((status, whole, body[-5:]), (200, True, b"x0=\n\n"))
+        reads = [a for a in reader.seen if a.target.startswith("/v1")]
+        self.assertEqual(len({id(a._writer) for a in reads}), 3)
+        self.assertEqual((await gateway.stop())["ended_read"], 3)
