Keep a tenant away from workers that turn only it away, and calm requests in their zone

With each attempt logged: 125 of 125 turn-aways in seconds 7 to 16 were of that tenant, always about 250 ms after the send, at 7 of the 14 engines, which took all other tenants in the same seconds; 39 further attempts met 410, as the state had moved to the writer that held the place and then turned the request away. Ruled out: connections (all of these links were reused, opened in 1 ms), queue length, zone, class, prompt size. At fault: Router._judge: a turn-away counted against the worker for all tenants and was forgotten after 250 ms.

--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -36,6 +36,7 @@
 LAG_MEMORY = 1 * SECOND  # half-life of what is known of a reader's queue, or as long as the queue itself
 AFFINITY = 3.0  # times the reading saved that a match may wait: a text read twice also costs memory
 AFFINITY_AIM = 0.25  # share of its aim that a request may wait for that beyond the plain saving
+NEAR_CALM = 0.25  # expected wait, over the tightest aim, up to which the own zone's readers come first
 LAG_SLACK = 30_000.0  # us that a reader with a match may always be slower
 NEAR_MARGIN = 0.10  # share of a writer's memory that a nearer one may be fuller and still be preferred
 ROOM_MEMORY = 4 * SECOND  # half-life of a reported memory share: answers come and go in about that time
@@ -143,6 +144,8 @@
         self.sent: dict[str, int] = {}  # prompts that the last report can't hold yet: request -> tokens
         self.told_at, self.heard_at, self.rest_until, self.strikes = now, now, 0, 0
         self.full_until = self.newest_answered = 0
+        self.served: dict[int, int] = {}  # tenant -> when last one of its requests was taken here
+        self.turned: dict[int, tuple[int, int]] = {}  # tenant turned away -> left out until, times so far
         self.lag, self.lag_at = 0.0, now  # what reads here lately waited, beyond the reading itself
         self.void_before = now  # prefix entries older than this are not believed
         self.credit, self.credit_at = credit, now
@@ -174,6 +177,7 @@
         self.sent = 0
         self.reader: Worker | None = None  # where the read state waits
         self.place: Worker | None = None  # writer asked to hold a place, and not known to have refused
+        self.placed = False  # it said that it holds the place
         self.asked: list[str] = []
         self.holds = False  # a state or a place may be held somewhere
         self.streaming = self.done = False
@@ -203,7 +207,7 @@
         self.asked: OrderedDict[str, Rate] = OrderedDict()  # how often each text is asked for
         self.asked_all = Rate(ENTRY_LIFE)
         self.stage_wait = {role: Rate(SEEN_MEMORY) for role in Role}  # us
-        self.timer_set = False
+        self.timer_set = self.calm = False
         self.read_time, self.first_time = Usual(), Usual()
         self.near_time, self.far_time = 0.0, dict[int, float]()  # to a first token within, out of a cell
         self.token_time = 0.0  # us to read one token, at best
@@ -308,8 +312,23 @@
         pool = [w for w in open_now if w.rest_until <= self.now]
         if len(pool) < MOST_RESTING * len(listed):
             pool = open_now
+        pool = [w for w in pool if w.turned.get(q.a.tenant, (0, 0))[0] <= self.now] or pool
         return [w for w in pool if w.name not in q.failed] or pool
 
+    def _took(self, w: Worker, q: Request) -> None:
+        w.served[q.a.tenant] = self.now
+        w.turned.pop(q.a.tenant, None)
+
+    def _turned_away(self, w: Worker, q: Request, sent_at: int) -> None:
+        """A full worker is left alone for a moment. One that took other tenants' requests just before was
+        not full: it turns this tenant away, and only this tenant goes elsewhere, each time for longer. Harms
+        if a queue that others just filled is taken for such a one: the tenant misses a worker for REST."""
+        if not any(at > sent_at - SECOND for tenant, at in w.served.items() if tenant != q.a.tenant):
+            w.full_until = self.now + FULL_REST
+            return
+        times = w.turned.get(q.a.tenant, (0, 0))[1]
+        w.turned[q.a.tenant] = (self.now + min(LONGEST_REST, REST << min(times, 8)), times + 1)
+
     def _scope_ok(self, q: Request, w: Worker) -> bool:
         """A keyed request that may have run goes only to the group that discards its repeats."""
         if q.ran is None or q.cls.effect is Effect.SAFE:
@@ -340,6 +359,7 @@
 
     def _choose_reader(self, q: Request, pool: list[Worker]) -> Worker:
         """The design's order: gap test, then capped match or home, else fewest running."""
+        self.calm = not self.many and self._expected_wait() <= NEAR_CALM * min(c.aim for c in self.s.classes)
         counts, waits = self._counts(pool), {w.name: self._wait_at(w) for w in pool}
         homes = self._home_readers(q.a, pool)
         gap = GAP / max(1, self.s.routers)
@@ -367,9 +387,15 @@
         return max(self._match("p" + a.prefix, w, shared), self._match("s" + a.session, w, a.prompt_tokens))
 
     def _home_readers(self, a: api.Arrival, pool: list[Worker]) -> list[Worker]:
-        """Readers that all routers agree on for this text, whatever each has seen of it."""
+        """Readers that all routers agree on for this text, whatever each has seen of it. Few routers agree
+        zone by zone: a text is read once more in each, and its requests need not leave theirs."""
         key = _hash(a.prefix or a.session or a.request)
-        return sorted(pool, key=lambda w: -_rank(key, w))[: self._homes(a.prefix, len(pool))]
+        ranked = sorted(pool, key=lambda w: (self._far(w), -_rank(key, w)))
+        return ranked[: self._homes(a.prefix, len(pool))]
+
+    def _far(self, w: Worker) -> bool:
+        """In another zone than this router. In a jam all workers count alike: a zone's own are not enough."""
+        return self.calm and w.zone != self.s.zone
 
     def _match_or_home(
         self, q: Request, pool: list[Worker], homes: list[Worker], counts: Figures, waits: Figures
@@ -397,7 +423,8 @@
         key = _hash(a.prefix or a.session or a.request)
         equal = [w for w in pool if counts[w.name] <= most and self._not_hot(w, pool, counts)]
         calm = min(waits[w.name] for w in equal) + LAG_SLACK
-        return max((w for w in equal if waits[w.name] <= calm), key=lambda w: _rank(key, w))
+        calmest = [w for w in equal if waits[w.name] <= calm]
+        return max(calmest, key=lambda w: (not self._far(w), _rank(key, w)))
 
     def _homes(self, prefix: str, readers: int) -> int:
         """Readers over which a text is spread: more for one asked for so often that it would fill its home.
@@ -594,7 +621,7 @@
         w.reads[q.id] = need
         self._record("p" + q.a.prefix if q.a.prefix else "", w, min(q.a.prefix_tokens, q.a.prompt_tokens))
         self._record("s" + q.a.session if q.a.session else "", w, q.a.prompt_tokens)
-        q.place, q.asked = None, []
+        q.place, q.placed, q.asked = None, False, []
         self._hold_place(q)
         return True
 
@@ -626,6 +653,7 @@
         q = self.requests.get(event.request)
         if q is None or q.out is None or q.out.number != event.attempt or not q.out.reading:
             return  # too late: the read has ended and the request has gone on
+        q.placed = event.held
         if not event.held:
             if q.place is not None and self.s.report_fields:  # fresher than any report: no room there
                 q.place.report, q.place.told_at = {**q.place.report, "memory_share": 1.0}, self.now
@@ -643,6 +671,7 @@
             return
         w.newest_answered = max(w.newest_answered, q.out.sent_at)
         q.streaming, q.holds = True, False
+        self._took(w, q)
         self.unanswered.pop(q.id, None)
         self._did(w, self._work(q))
         if not q.done:
@@ -691,6 +720,7 @@
             q.ran, q.ran_at = w, attempt.sent_at
         if outcome is Outcome.READ:
             q.reader, q.holds = w, True
+            self._took(w, q)
             self._did(w, self._work(q))
             if event.detail < BLOCK and attempt.need + BLOCK < q.a.prompt_tokens:
                 # A flush: nothing that the table promised was there, so nothing noted before is believed.
@@ -711,9 +741,11 @@
             if event.detail == 1:
                 q.reader = q.place = None  # the state is lost: read again
             else:
-                w.full_until = self.now + FULL_REST
+                self._turned_away(w, q, attempt.sent_at)
                 self._unread(attempt, q.aim)
                 q.failed.append(w.name)
+                if w is q.place and q.placed:  # the state has moved there: no other writer can have it
+                    q.reader = q.place = None
         else:
             if outcome in (Outcome.TIMEOUT, Outcome.CANCELLED):
                 self._unread(attempt, event.elapsed)
