Leave kept links alone where one was reset, and take one fault for chance

Answers logged with the module's figures: refusals at un=12, wait 1.04 s while first tokens took 84 ms, and each reset put a healthy engine to rest for 1 s and more. Ruled out: descriptors (199 of 768), the engines' queues (reads took about 100 ms throughout). At fault: Pool.acquire (a kept link was trusted whatever became of the last one), Router._judge (one reset struck a worker, while an error of a worker that only fails did not), Router._expected_wait (the gap since the last first token counted as waiting, though at 10 requests a second 250 ms between two is usual).

--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -71,11 +71,6 @@
     b"content-length", b"transfer-encoding", b"x-correlation-id", b"x-service-class", b"x-account",
     b"x-session-key", b"x-time-left-ms", b"x-facts", b"x-repeat",
 ))  # fmt: skip
-# After these a link is in no state to carry another request.
-FATAL = frozenset((
-    Ending.MALFORMED, Ending.BROKE_UNSENT, Ending.RESET, Ending.CUT_SHORT,
-    Ending.CLIENT_LEFT, Ending.CLIENT_SLOW, Ending.STALLED,
-))  # fmt: skip
 SOCKET_REPORT_NAMES = {"inflight": "inflight", "queue": "queue", "util": "utilisation", **REPORT_NAMES}
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
@@ -600,6 +595,8 @@
             self.runtime.pool.give_back(link)
         except LinkError as error:
             ending = error.ending
+            if link is not None:
+                self.runtime.pool.lost(link, ending)
             if ending in (Ending.CLIENT_LEFT, Ending.CLIENT_SLOW):
                 self.runtime.feed(core.ClientLeft(name, ending))
                 exchange.client.close()
@@ -612,7 +609,7 @@
             log.exception("attempt fault: %s to %s", name, effect.worker)
         finally:
             self._links.pop((name, number), None)
-        if ending in (Ending.GATEWAY_FAULT, *FATAL) and link is not None:
+        if ending is Ending.GATEWAY_FAULT and link is not None:
             link.close()
         self.runtime.feed(core.Ended(name, number, ending, detail, report))
 
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -35,6 +35,8 @@
 HEAD_LIMIT = 32 * 1024
 CLIENT_BUFFER = 64 * 1024  # bytes that may wait for a slow reader of a stream
 SPARE_DESCRIPTORS = 48  # for the interpreter, the listener, discovery and log files
+DISTRUST = 30.0  # s in which no kept link to an address is used, after one was reset as it was used again
+MOST_DISTRUSTED = 3  # addresses; with so many, no kept link to any address is used
 BODY_BUDGET = 0.2  # share of the memory limit that request bodies may take
 Headers = list[tuple[bytes, bytes]]
 
@@ -169,6 +171,7 @@
         self._in_chunk = 0  # bytes of a chunk that has not ended
         self._part_waited = 0.0  # s waited for the rest of what has begun
         self.idle_since = 0.0
+        self.reused = False
         self.written = False  # the last byte of the present request has gone out
         writer.transport.set_write_buffer_limits(high=0)  # so that drain means: all of it is written
 
@@ -285,14 +288,29 @@
     ) -> None:
         self._descriptors, self._connect_timeout, self._idle_limit = descriptors, connect_timeout, idle
         self._idle: dict[str, list[Link]] = {}
+        self._distrusted: dict[str, float] = {}  # by address: until when
         self._counters = counters
 
+    def _trusted(self, address: str) -> bool:
+        return address not in self._distrusted and len(self._distrusted) < MOST_DISTRUSTED
+
+    def lost(self, link: Link, ending: Ending) -> None:
+        """A link's use ended badly. Where a kept one was reset as it was used again, the other side (or what
+        lies between) drops connections without a word, and each further reuse is a request at stake: one that
+        has been written may have run. A new connection costs far less."""
+        link.close()
+        if link.reused and ending in (Ending.RESET, Ending.BROKE_UNSENT):
+            self._counters["links_stale"] += 1
+            self._distrusted[link.address] = time.monotonic() + DISTRUST
+            self.drop(link.address)
+
     async def acquire(self, address: str, fresh: bool = False) -> Link:
-        idle = [] if fresh else self._idle.get(address, [])
+        idle = [] if fresh or not self._trusted(address) else self._idle.get(address, [])
         while idle:
             link = idle.pop()
             if not link.dead() and time.monotonic() - link.idle_since < self._idle_limit:
                 self._counters["links_reused"] += 1
+                link.reused = True
                 return link
             link.close()
         if not self._descriptors.take() and not (self.shed() and self._descriptors.take()):
@@ -314,7 +332,7 @@
         return Link(address, reader, writer, self._descriptors.free)
 
     def give_back(self, link: Link) -> None:
-        if link.done():
+        if self._trusted(link.address) and link.done():
             link.idle_since = time.monotonic()
             self._idle.setdefault(link.address, []).append(link)
         else:
@@ -335,6 +353,8 @@
             link.close()
 
     def sweep(self) -> None:
+        now = time.monotonic()
+        self._distrusted = {a: until for a, until in self._distrusted.items() if until > now}
         for address, links in list(self._idle.items()):
             limit = time.monotonic() - self._idle_limit
             for link in links:
@@ -364,6 +384,9 @@
         except TimeoutError as error:
             link.close()
             raise LinkError(Ending.TIMED_OUT if link.written else Ending.BROKE_UNSENT) from error
+        except LinkError as error:
+            self.lost(link, error.ending)
+            raise
         except BaseException:
             link.close()
             raise
--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -48,6 +48,7 @@
 LEAST_PATIENCE = SECOND // 2  # no time-out is shorter: scheduling noise is not a fault
 REST = 1 * SECOND  # first rest of a worker that failed; doubles each time
 LONGEST_REST = 8 * SECOND
+FAULTS_TELL = 2  # errors and broken connections in a row that tell of a worker, not of chance
 MOST_RESTING = 0.25  # share of a pool that must be left; with less, rests count for nothing
 FULL_REST = SECOND // 4  # a worker that said "full" is passed over for this long
 LEARN = 0.05  # weight of a new sample in a fleet-wide average
@@ -67,6 +68,7 @@
 MEDIAN_STEP = 1.2  # factor by which one first token moves the running median
 LEAST_EVIDENCE = SECOND // 4  # a new router's rates are taken over this time at least
 LATELY_FACTOR = 4.0  # times the latest first-token times that a wait is never thought to exceed
+USUAL_GAPS = 2.0  # mean gaps between first tokens that are no sign of a jam
 FREE_OPEN = 4  # requests without a first token up to which their number says nothing
 SHARE_BURST = 2.0  # seconds of its quota that a tenant may send at once
 LEAST_BURST = 8.0  # requests that it may always: with many routers 2 s of one router's part is none
@@ -143,7 +145,7 @@
         self.others = 0.0  # requests there that are not this router's, as last reported
         self.sent: dict[str, int] = {}  # prompts that the last report can't hold yet: request -> tokens
         self.told_at, self.heard_at, self.rest_until, self.strikes = now, now, 0, 0
-        self.full_until = self.newest_answered = 0
+        self.full_until = self.newest_answered = self.faults = 0  # faults: failed attempts in a row
         self.served: dict[int, int] = {}  # tenant -> when last one of its requests was taken here
         self.turned: dict[int, tuple[int, int]] = {}  # tenant turned away -> left out until, times so far
         self.lag, self.lag_at = 0.0, now  # what reads here lately waited, beyond the reading itself
@@ -151,7 +153,7 @@
         self.credit, self.credit_at = credit, now
 
     def heard(self, now: int, report: dict[str, float], size: float) -> None:
-        self.heard_at, self.strikes = now, 0
+        self.heard_at = now
         self.told_at = now if report else self.told_at
         if report and report != self.report:
             self.report = report
@@ -316,7 +318,7 @@
         return [w for w in pool if w.name not in q.failed] or pool
 
     def _took(self, w: Worker, q: Request) -> None:
-        w.served[q.a.tenant] = self.now
+        w.served[q.a.tenant], w.strikes, w.faults = self.now, 0, 0
         w.turned.pop(q.a.tenant, None)
 
     def _turned_away(self, w: Worker, q: Request, sent_at: int) -> None:
@@ -666,7 +668,7 @@
         w = self.fleet.get(event.worker)
         q = self.requests.get(event.request)
         if w is not None:
-            w.heard_at, w.strikes = self.now, 0
+            w.heard_at = self.now
         if q is None or w is None or q.out is None:
             return
         w.newest_answered = max(w.newest_answered, q.out.sent_at)
@@ -751,7 +753,10 @@
                 self._unread(attempt, event.elapsed)
             q.failed.append(w.name)
             silent = outcome is Outcome.TIMEOUT and w.heard_at < attempt.sent_at
-            if silent or outcome in (Outcome.RESET, Outcome.CONNECT_FAILED):
+            # One broken connection or error is chance. A worker that only fails is sick, and the sooner it
+            # fails, the idler it looks.
+            w.faults += outcome in (Outcome.RESET, Outcome.ERROR)
+            if silent or outcome is Outcome.CONNECT_FAILED or w.faults >= FAULTS_TELL:
                 self._strike(w)
 
     def _unread(self, attempt: Attempt, waited: float) -> None:
@@ -795,7 +800,8 @@
             return 0.0
         if len(self.unanswered) < FREE_OPEN:  # too few to tell: what the pools lately let wait
             return sum(self._pool_wait(role) for role in Role)
-        lately = max(self.latency, self.now - self.first_at)
+        silence = self.now - self.first_at - USUAL_GAPS / max(rate, 1e-9)  # few requests, few first tokens
+        lately = max(self.latency, silence)
         return min(len(self.unanswered) / max(rate, 1e-9), LATELY_FACTOR * lately)
 
     def _over_share(self, a: api.Arrival) -> bool:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -661,3 +661,22 @@
         reads = [a for a in reader.seen if a.target.startswith("/v1")]
         self.assertEqual(len({id(a._writer) for a in reads}), 3)
         self.assertEqual((await gateway.stop())["ended_read"], 3)
+
+    async def test_kept_links_are_not_used_where_one_was_reset(self) -> None:
+        """Each reuse is a request at stake: what was written may have run, and an order fails."""
+        used: set[int] = set()
+
+        async def reset_the_second_use(asked: Asked) -> None:
+            if asked.method == "DELETE" or id(asked._writer) not in used:
+                used.add(id(asked._writer))
+                await writing(answer_plainly, 409)(asked)
+            else:
+                asked.reset()
+
+        writer = await self.standin(reset_the_second_use)
+        gateway = await self.fleet(r1=await self.standin(reading()), w1=writer)
+        client = await self.client(gateway)
+        for i in range(8):
+            await client.ask(f"q{i}")
+        counters = await gateway.stop()
+        self.assertEqual((counters["links_stale"], counters.get("ended_reset", 0) <= 1), (1, True))
