Call reads back from a reader that has stopped, however much waits there

Logged with tenants: 30 reads of all tenants and sizes at 3 of 7 readers that were called back after 1 to 6 s or timed out, while reads elsewhere took about 100 ms. Ruled out: tenants (5, 6, 3 and 5 of each), prompt length. At fault: Router._check_silence: a reader that had answered an older read since the send was neither silent nor known to have lost the message, and the patience grew with all that hung there.

--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -587,10 +587,11 @@
         from the worker since it was sent (then the worker is struck too: dead, cut off, hanging) or if it has
         answered what was sent later (then this message was lost). Patience grows with all that is pending."""
         w, usual = out.worker, self.read_time if out.reading else self.first_time
-        silent = w.heard_at < out.sent_at
+        stuck = out.reading and self._is_stuck(w, out)
+        silent = w.heard_at < out.sent_at or stuck
         if not silent and w.newest_answered <= out.sent_at:
             return
-        pending = sum(w.reads.values()) if out.reading else out.need
+        pending = sum(w.reads.values()) if out.reading and not stuck else out.need
         slow = usual.of(pending) + self.stage_wait[w.role].at(self.now)  # a jammed pool is not silent
         patience = max(LEAST_PATIENCE, PATIENCE * slow) if usual.count >= TAUGHT else FIRST_PATIENCE
         if self.now - out.sent_at < patience:
@@ -601,6 +602,14 @@
         if not risky and self._another_pays(q):
             self._cancel(q)
 
+    def _is_stuck(self, w: Worker, out: Attempt) -> bool:
+        """A reader that answers in turn brings one answer after the other: it is stuck if none at all has
+        come for many times what its longest read usually takes, however much waits there."""
+        longest = max(w.reads.values(), default=out.need)
+        slow = self.read_time.of(longest) + self.stage_wait[w.role].at(self.now)
+        quiet = self.now - max(out.sent_at, w.heard_at)
+        return self.read_time.count >= TAUGHT and quiet >= max(LEAST_PATIENCE, PATIENCE * slow)
+
     def _cancel(self, q: Request) -> None:
         if q.out is not None and self.s.limits.cancel and not q.out.cancelled:
             q.out.cancelled = True
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -481,6 +481,27 @@
     assert d.sent_to("a") != silent and not d.answered
 
 
+def test_a_reader_that_stops_in_the_middle_is_stuck_however_much_waits_there() -> None:
+    """It has answered since these were sent, so it is not silent, and nothing sent later is answered."""
+    d = Drive()
+    d.warm()
+    d.arrive("first", "s", "p")
+    reader = d.sent_to("first")
+    names = []
+    for i in range(12):
+        d.arrive(f"b{i}", f"s{i}", "p", after=MS)
+        names += [f"b{i}"] if d.sent_to(f"b{i}") == reader else []
+    assert len(names) > 1
+    d.end("first", Outcome.READ, after=10 * MS)
+    waited = 0
+    while not d.router.fleet[reader].strikes:
+        d.feed(api.TimerFired(rules.WATCH_TIMER), after=rules.WATCH_STEP)
+        waited += rules.WATCH_STEP
+        assert waited < 2 * rules.LEAST_PATIENCE + SECOND // 2
+    called_back = {a.request for a in d.actions if isinstance(a, api.Cancel)}
+    assert called_back & set(names)
+
+
 def test_slowness_of_all_rests_nobody() -> None:
     d = Drive()
     d.warm(60)
