Keep a crowd of connections within the descriptor budget and let releases through

Replayed with counters each second: 450 connections came within a second and said nothing; from then on now_descriptors stood at 750 and the log filled with "Too many open files" tracebacks, up to 79 at one moment. Ruled out: engine links (130 open), memory (26 of 112 MB), the 2 s bound (449 silent ones were closed by it). At fault: Front.start (asyncio accepts as many at one turn as its backlog says, 512, all before _accept asks the budget), Front._accept (a connection just evicted was still counted, and picked again, until its task ended), Pool.acquire (a release found no descriptor, so that what was held stayed).

--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -12,6 +12,7 @@
 import logging
 import math
 import re
+import socket
 import time
 from collections.abc import Mapping
 from dataclasses import replace
@@ -50,6 +51,8 @@
 FIRST_BYTES_UNDER_WAY = 0.25  # s after a connection's opening
 REQUEST_PATIENCE = 2.5  # s from a request's first byte to its last; a first one's runs from the opening
 REST_PATIENCE = 30.0  # s that a connection may rest between two requests
+QUEUE = 512  # connections that may wait to be accepted
+ACCEPTED_AT_ONCE = 8  # connections
 MOST_REFUSED = 16  # connections past the budget that are refused in words; more are closed
 BAD_REQUEST_LINES = 10  # log lines about them in a second; the counters hold them all
 CLIENT_PATIENCE = 30.0  # s for a client that does not read its stream
@@ -252,6 +255,9 @@
         if not self._writer.transport.is_closing():
             self._writer.close()
 
+    def leaving(self) -> bool:
+        return self._writer.transport.is_closing()
+
     def abort(self) -> None:
         """Closes without waiting for what was written to go out."""
         self._writer.transport.abort()
@@ -422,7 +428,15 @@
                 log.warning("known list unusable: %s", error)
         self._discover(self._config.discovery, version)
         host, port = split_address("listen", self._config.listen)
-        self._server = await asyncio.start_server(self._accept, host, port, limit=READ_SIZE, backlog=512)
+        # What is accepted holds a descriptor before the budget is asked. asyncio accepts as many at one turn
+        # as its backlog says, so that is small, and the kernel's queue is made long after it.
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        door = socket.create_server((host.strip("[]"), port), family=family, backlog=QUEUE)
+        door.setblocking(False)
+        self._server = await asyncio.start_server(
+            self._accept, sock=door, limit=READ_SIZE, backlog=ACCEPTED_AT_ONCE
+        )
+        door.listen(QUEUE)
         where = self._server.sockets[0].getsockname()
         self.address = f"{where[0]}:{where[1]}"
         log.info("serving %s on %s", self._config.name, self.address)
@@ -445,10 +459,11 @@
         # Engines need descriptors too, or each request taken would fail: an idle client goes, else this
         # one is refused in words, as an accepted connection may carry a request already.
         most = self.runtime.descriptors.limit * CLIENT_SHARE
-        if len(self._clients) >= most:
+        held = [c for c in self._clients if not c.leaving()]
+        if len(held) >= most:
             now = time.monotonic()
             idle = min(
-                (c for c in self._clients if c.idle), key=lambda c: room_rank(c.spoke, c.rests_since, now),
+                (c for c in held if c.idle), key=lambda c: room_rank(c.spoke, c.rests_since, now),
                 default=None,
             )  # fmt: skip
             if idle is not None:
@@ -456,9 +471,9 @@
             else:
                 self.runtime.count("clients_over_budget")
                 client.refused = True
-                if len(self._clients) >= most + MOST_REFUSED:
+                if len(held) >= most + MOST_REFUSED:
                     client.abort()
-        self.runtime.descriptors.used += 1
+        self.runtime.descriptors.accepted()
         task = asyncio.current_task()
         assert task is not None
         self._clients[client] = task
@@ -699,7 +714,9 @@
     async def _release(self, effect: core.SendRelease) -> None:
         done = False
         try:
-            await self.runtime.pool.call(effect.address, "DELETE", f"/state/{effect.request}", wait=CALL_WAIT)
+            await self.runtime.pool.call(
+                effect.address, "DELETE", f"/state/{effect.request}", wait=CALL_WAIT, duty=True
+            )
             done = True
         except LinkError as error:
             self.runtime.count("release_calls_failed")
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -37,6 +37,7 @@
 SPARE_DESCRIPTORS = 48  # for the interpreter, the listener, discovery and log files
 DISTRUST = 30.0  # s in which no kept link to an address is used, after one was reset as it was used again
 MOST_DISTRUSTED = 3  # addresses; with so many, no kept link to any address is used
+DUTY_DESCRIPTORS = 12  # of the spare ones, for releases
 BODY_BUDGET = 0.2  # share of the memory limit that request bodies may take
 Headers = list[tuple[bytes, bytes]]
 
@@ -110,18 +111,24 @@
     """How many sockets are open, against the limit."""
 
     def __init__(self, limit: int) -> None:
-        self.used = 0
+        self.used = self.most = 0
         self.set_limit(limit)
 
     def set_limit(self, limit: int) -> None:
         self.limit = max(8, limit - SPARE_DESCRIPTORS)
 
-    def take(self) -> bool:
-        if self.used >= self.limit:
+    def take(self, duty: bool = False) -> bool:
+        """Whether one may be opened; a duty (letting go of what is held) may go into the spare ones."""
+        if self.used >= self.limit + (DUTY_DESCRIPTORS if duty else 0):
             return False
-        self.used += 1
+        self.accepted()
         return True
 
+    def accepted(self) -> None:
+        """One that is open already."""
+        self.used += 1
+        self.most = max(self.most, self.used)
+
     def free(self) -> None:
         self.used -= 1
 
@@ -304,7 +311,7 @@
             self._distrusted[link.address] = time.monotonic() + DISTRUST
             self.drop(link.address)
 
-    async def acquire(self, address: str, fresh: bool = False) -> Link:
+    async def acquire(self, address: str, fresh: bool = False, duty: bool = False) -> Link:
         idle = [] if fresh or not self._trusted(address) else self._idle.get(address, [])
         while idle:
             link = idle.pop()
@@ -313,7 +320,7 @@
                 link.reused = True
                 return link
             link.close()
-        if not self._descriptors.take() and not (self.shed() and self._descriptors.take()):
+        if not self._descriptors.take(duty) and not (self.shed() and self._descriptors.take(duty)):
             raise LinkError(Ending.NO_DESCRIPTOR)
         host, _, port = address.rpartition(":")
         try:
@@ -366,12 +373,12 @@
 
     async def call(
         self, address: str, method: str, target: str, headers: Headers | None = None, body: bytes = b"",
-        wait: float = 1.0, begun: list[bool] | None = None, fresh: bool = False,
+        wait: float = 1.0, begun: list[bool] | None = None, fresh: bool = False, duty: bool = False,
         limit: int = BODY_LIMIT,
     ) -> Reply:  # fmt: skip
         """One whole small exchange; raises LinkError. `begun` is set when its first byte goes out; `fresh`
         asks for a new connection, which can't be stale."""
-        link = await self.acquire(address, fresh)
+        link = await self.acquire(address, fresh, duty)
         try:
             async with asyncio.timeout(wait):
                 if begun is not None:
@@ -463,6 +470,7 @@
         self.counters["now_requests"] = len(state.requests)
         self.counters["now_releases"] = len(state.releases)
         self.counters["now_descriptors"] = self.descriptors.used
+        self.counters["most_descriptors"] = self.descriptors.most
         line = " ".join(f"{name}={value}" for name, value in sorted(self.counters.items()))
         print(f"counters {line}", file=sys.stderr, flush=True)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -680,3 +680,15 @@
             await client.ask(f"q{i}")
         counters = await gateway.stop()
         self.assertEqual((counters["links_stale"], counters.get("ended_reset", 0) <= 1), (1, True))
+
+    async def test_a_crowd_of_connections_keeps_to_the_budget_and_usual_clients_are_served(self) -> None:
+        gateway = await self.fleet(
+            sockets=128, r1=await self.standin(reading()), w1=await self.standin(writing(answer_plainly))
+        )
+        crowd = await asyncio.gather(*(self.client(gateway) for _ in range(400)))
+        usual = await self.client(gateway)
+        self.assertEqual((await usual.ask("q1"))[0], 200)
+        self.assertEqual(len(crowd), 400)
+        counters = await gateway.stop()
+        self.assertLessEqual(counters["most_descriptors"], 128)
+        self.assertEqual(counters.get("ended_no_descriptor", 0), 0)
