Serve operators at an address of their own, with readiness and figures

Seen: nothing answered at the operators' address. Checked: net/management.py against silent, half and malformed calls (test table), 40 silent callers at once (more than its 16 descriptors), and the figures against what stand-ins saw. Refusals at the door (no memory, no descriptor) did not reach the core and would have been missing from `overload`: the front now tells it (TurnedAway).

The program before did not answer these calls at all.

--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -15,6 +15,7 @@
 from basaltspread import core
 from basaltspread.config import ConfigError, Gateway, load_platform, load_sidecar, needs_restart
 from basaltspread.net.eureka import Eureka
+from basaltspread.net.management import Management
 from basaltspread.net.platform import Front
 from basaltspread.net.runtime import Runtime
 from basaltspread.net.toolcalls import Relay
@@ -33,6 +34,7 @@
     relay = Relay(runtime, config.tools) if config.tools is not None else None
     front = Front(runtime, config, relay)
     eureka = Eureka(runtime, config, config.registry) if config.registry is not None else None
+    management = Management(runtime, config.management) if config.management is not None else None
 
     def reload() -> None:
         """The whole file is read and checked before any of it counts."""
@@ -53,6 +55,8 @@
         log.info("reloaded%s", f"; only a restart changes {', '.join(later)}" if later else "")
 
     runtime.watch_signals(reload)
+    if management is not None:
+        await management.start()  # first: operators may ask before clients can come
     await front.start()
     if eureka is not None:
         eureka.start(front.address)
--- a/basaltspread/config.py
+++ b/basaltspread/config.py
@@ -79,6 +79,7 @@
     idle_close: int  # us after which engines close an idle connection
     settings: api.Settings
     discovery: str | None = None
+    management: str | None = None  # where operators call
     known: Mapping[str, Any] = field(default_factory=dict)
     tools: Tools | None = None
     registry: Registry | None = None
@@ -129,6 +130,9 @@
         listen, discovery = listen or raw.get("listen"), discovery or raw.get("discovery")
     split_address("listen", listen)
     split_address("discovery", discovery)
+    management = environment.get("RELAY_MANAGEMENT") or raw.get("management") or None
+    if management is not None:
+        split_address("management", management)
     try:
         limits = raw.get("limits") or {}
         return Gateway(
@@ -140,6 +144,7 @@
             idle_close=idle,
             settings=settings,
             discovery=str(discovery),
+            management=management,
             known=raw.get("known") or {},
         )
     except (AttributeError, TypeError, ValueError) as error:
@@ -149,7 +154,8 @@
 
 def needs_restart(old: Gateway, new: Gateway) -> list[str]:
     """What differs between two configurations and is only read at the start."""
-    return [name for name in ("name", "listen", "settings") if getattr(old, name) != getattr(new, name)]
+    fixed = ("name", "listen", "management", "settings")
+    return [name for name in fixed if getattr(old, name) != getattr(new, name)]
 
 
 # --- an operator's file ---------------------------------------------------------------------------------
@@ -234,8 +240,9 @@
 def read_sidecar(raw: Mapping[str, Any]) -> tuple[Gateway | None, list[ConfigError]]:
     """The gateway that an operator's file describes, or every fault that keeps it from being one."""
     reader = _Reader(raw)
-    reader.known("", {"application", "listen", "limits", "registry", "tools", "settings"})
+    reader.known("", {"application", "listen", "management", "limits", "registry", "tools", "settings"})
     name, listen = reader.name("", "application"), reader.address("", "listen")
+    management = reader.address("", "management") if "management" in raw else None
     reader.known("limits", {"memory_mb", "sockets"})
     reader.known("registry", {"address", "path", "engines", "fetch_s", "renew_s"})
     reader.known("tools", {"address", "path", "listed"})
@@ -272,7 +279,7 @@
         return None, reader.faults
     gateway = Gateway(
         name=name, listen=listen, seed=0, memory_mb=int(memory), sockets=int(sockets), idle_close=idle,
-        settings=settings, tools=tools, registry=registry,
+        settings=settings, management=management, tools=tools, registry=registry,
     )  # fmt: skip
     return gateway, []
 
@@ -292,6 +299,7 @@
 #     python -m basaltspread.config check FILE
 application = {application}
 listen = {listen}            # where the application's clients connect
+management = {management}        # where operators call; without it, nowhere
 
 [limits]
 memory_mb = 192
@@ -385,6 +393,7 @@
     tools = _pairs(options.tool, "--tool")
     text = TEMPLATE.format(
         application=json.dumps(options.application), listen=json.dumps(options.listen),
+        management=json.dumps(options.management),
         registry=json.dumps(options.registry), engines=json.dumps(options.engines),
         tools=json.dumps(options.tools),
         listed="\n".join(
@@ -407,6 +416,7 @@
     write = commands.add_parser("write", help="print a file for one application")
     write.add_argument("--application", required=True, help="its name, also in the registry")
     write.add_argument("--listen", default="127.0.0.1:8080")
+    write.add_argument("--management", default="127.0.0.1:9800", help="where operators call")
     write.add_argument("--registry", default="127.0.0.1:8761", help="Eureka's address")
     write.add_argument("--engines", default="MODEL-ENGINES", help="the engines' application in Eureka")
     write.add_argument("--tools", default="127.0.0.1:9000", help="the tool server's address")
--- a/basaltspread/core.py
+++ b/basaltspread/core.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import traceback
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -106,8 +106,9 @@
 
 
 class Verdict(Enum):
-    """The final answers that the gateway words itself."""
+    """How a request ends for its client."""
 
+    SERVED = "served"
     REFUSED = "refused"
     FAILED = "failed"
 
@@ -148,6 +149,13 @@
     arrival: api.Arrival
 
 
+@dataclass(frozen=True, slots=True)
+class TurnedAway:
+    """A request that the front had no room to take: it was refused there and then."""
+
+    request_class: int
+
+
 @dataclass(frozen=True, slots=True)
 class ClientLeft:
     request: str
@@ -258,14 +266,19 @@
     token: tuple[Any, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Serving:
+    """Clients can come: the front has opened its door."""
+
+
 @dataclass(frozen=True, slots=True)
 class Terminate:
     pass
 
 
 Input = (
-    Taken | ClientLeft | Begun | Written | FirstEvent | Ended | PlaceEnded | ReleaseEnded | Probed | ListTold
-    | ToolCalled | ToolEnded | ReplyEnded | Woken | Terminate
+    Taken | TurnedAway | ClientLeft | Begun | Written | FirstEvent | Ended | PlaceEnded | ReleaseEnded
+    | Probed | ListTold | ToolCalled | ToolEnded | ReplyEnded | Woken | Serving | Terminate
 )  # fmt: skip
 
 
@@ -423,6 +436,8 @@
 class Module(Protocol):
     def handle(self, now: int, events: list[api.Event]) -> list[api.Action]: ...
 
+    def resting(self, now: int) -> set[str]: ...
+
 
 @dataclass(slots=True)
 class Attempt:
@@ -439,6 +454,7 @@
 @dataclass(slots=True)
 class Request:
     id: str
+    request_class: int
     deadline: int
     unsafe: bool = False
     resumed: bool = False
@@ -485,12 +501,42 @@
     requests: dict[str, Request] = field(default_factory=dict)
     releases: dict[str, Release] = field(default_factory=dict)
     calls: dict[tuple[str, str], ToolCall] = field(default_factory=dict)  # open ones
+    replies: Counter[tuple[int, Verdict]] = field(default_factory=Counter)  # by class, since the start
+    dispatches: int = 0  # attempts written whole
+    serving: bool = False
     stopping: bool = False
     stop_by: int = 0
     accepting: bool = True
     exited: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """What operators are shown."""
+
+    replies: dict[str, dict[Verdict, int]]  # by class name; every class from the start
+    dispatches: int
+    concurrent: int  # requests taken and not ended
+    targets: int  # engines in the list
+    targets_disabled: int  # those of them that are avoided now
+
+
+def figures(state: State, now: int) -> Figures:
+    avoided = state.module.resting(now)
+    return Figures(
+        {c.name: {v: state.replies[i, v] for v in Verdict} for i, c in enumerate(state.settings.classes)},
+        state.dispatches,
+        sum(not q.ended for q in state.requests.values()),
+        len(state.workers),
+        len(avoided.intersection(state.workers)),
+    )
+
+
+def ready(state: State) -> bool:
+    """Whether this process is one for new clients."""
+    return state.serving and not state.stopping
+
+
 def reduce(state: State, now: int, event: Input) -> list[Effect]:
     """One step: the state after this input, and what is to be done about it."""
     step = _Step(state, now)
@@ -535,6 +581,7 @@
         if q is None:
             return
         if not q.ended:
+            self._end(q, Verdict.FAILED)
             self.do(Answer(q.id, Verdict.FAILED) if q.stream is None else BreakClient(q.id))
         for attempt in q.out():
             self.do(AbandonAttempt(q.id, attempt.number))
@@ -586,7 +633,8 @@
             a.tenant, left, a.hint, a.is_retry, a.is_resumed,
         )  # fmt: skip
         cls = self.state.settings.classes[a.request_class]
-        q = Request(a.request, self.now + left, cls.effect is api.Effect.UNSAFE, a.is_resumed)
+        unsafe = cls.effect is api.Effect.UNSAFE
+        q = Request(a.request, a.request_class, self.now + left, unsafe, a.is_resumed)
         self.state.requests[q.id] = q
         self.touched[q.id] = None
         self.count("requests_taken")
@@ -598,18 +646,29 @@
         if q is None or q.ended:
             return
         self.count("clients_gone")
-        q.ended = True
-        self.touched[q.id] = None
+        self._end(q, None)
         if q.stream is not None:
             self._close(q, q.stream, event.ending, abandon=True)
         else:
             self.told.append(api.ClientGone(q.id))
 
+    def turned_away(self, event: TurnedAway) -> None:
+        self.state.replies[event.request_class, Verdict.REFUSED] += 1
+
+    def serving(self, event: Serving) -> None:
+        self.state.serving = True
+
+    def _end(self, q: Request, verdict: Verdict | None) -> None:
+        """The one place where a request ends for its client; with None, the client went away."""
+        q.ended = True
+        self.touched[q.id] = None
+        if verdict is not None:
+            self.state.replies[q.request_class, verdict] += 1
+
     def _answer(self, q: Request, verdict: Verdict, retry_after: int = 0) -> None:
         if q.ended or q.stream is not None:
             return
-        q.ended = True
-        self.touched[q.id] = None
+        self._end(q, verdict)
         self.count(f"answers_{verdict.value}")
         self.do(Answer(q.id, verdict, retry_after))
 
@@ -670,6 +729,7 @@
             return
         q, attempt = found
         attempt.written = True
+        self.state.dispatches += 1
         if attempt.reading:
             q.may_hold = True
             if q.place is not None:
@@ -736,7 +796,7 @@
             for worker in q.asking:
                 self.do(DropPlace(q.id, worker))
         if q.stream is attempt and not q.ended:
-            q.ended = True
+            self._end(q, Verdict.SERVED if ending is Ending.SERVED else Verdict.FAILED)
             if ending is Ending.SERVED:
                 self.count("answers_served")
                 self.do(EndStream(q.id))
@@ -1095,7 +1155,8 @@
             self.do(Wake(self.now + MOVE_STEP, ("move",)))
 
     HANDLERS: ClassVar[dict[type, Callable[[_Step, Any], None]]] = {
-        Taken: taken, ClientLeft: client_left, Begun: begun, Written: written, FirstEvent: first_event,
+        Taken: taken, TurnedAway: turned_away, ClientLeft: client_left, Serving: serving,
+        Begun: begun, Written: written, FirstEvent: first_event,
         Ended: ended, PlaceEnded: place_ended, ReleaseEnded: release_ended, Probed: probed,
         ListTold: list_told, ToolCalled: tool_called, ToolEnded: tool_ended, ReplyEnded: reply_ended,
         Woken: woken, Terminate: terminate,
--- /dev/null
+++ b/basaltspread/net/management.py
@@ -0,0 +1,143 @@
+"""Operators' calls, apart from the clients': HTTP/1.1 on an address of their own, one call to a connection.
+
+It turns each call into an input of the core or a look at it, and words the answer. It must never wait for
+client work, hold more than its own few descriptors, or keep any state of the gateway.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import h11
+
+from basaltspread import core
+from basaltspread.core import Verdict
+from basaltspread.net.platform import REASONS, BadRequest
+from basaltspread.net.runtime import MANAGEMENT_DESCRIPTORS, READ_SIZE, Runtime, address_of, open_door
+
+log = logging.getLogger("basaltspread")
+CALL_PATIENCE = 2.0  # s from a connection's opening to the last byte of its call
+LINGER = 0.5  # s in which the caller may take the answer and close
+HEAD_LIMIT = 8 * 1024
+BODY_LIMIT = 8 * 1024  # no call needs a body; a small one is read and dropped
+QUEUE = 64  # connections that may wait to be accepted
+ACCEPTED_AT_ONCE = 4
+OUTCOME_NAMES = {Verdict.SERVED: "success", Verdict.REFUSED: "overload", Verdict.FAILED: "error"}
+
+
+class Management:
+    """Serves operators."""
+
+    def __init__(self, runtime: Runtime, listen: str) -> None:
+        self._runtime, self._listen = runtime, listen
+        self._open: dict[asyncio.StreamWriter, None] = {}  # oldest first
+
+    async def start(self) -> None:
+        server = await open_door("management", self._listen, self._accept, QUEUE, ACCEPTED_AT_ONCE)
+        log.info("operators call %s", address_of(server))
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Whoever says nothing makes room for the next caller: a whole call is answered at once."""
+        if len(self._open) >= MANAGEMENT_DESCRIPTORS:
+            oldest = next(iter(self._open))
+            del self._open[oldest]
+            oldest.transport.abort()
+        self._open[writer] = None
+        try:
+            await self._serve(reader, writer)
+        except (OSError, TimeoutError):
+            pass
+        except Exception:
+            self._runtime.count("task_faults")
+            log.exception("management fault")
+        finally:
+            self._open.pop(writer, None)
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
+        status, reply = 200, dict[str, Any]()
+        try:
+            request = await self._read(http, reader)
+            if request is None:
+                return
+            reply = self._answer(request.method, request.target.split(b"?")[0])
+        except BadRequest as error:
+            status, reply = error.status, {"error": {"message": error.why, "code": error.status}}
+            self._runtime.count(f"management_refused_{error.status}")
+        body = json.dumps(reply).encode()
+        head = [("Content-Type", "application/json"), ("Content-Length", str(len(body))),
+                ("Connection", "close")]  # fmt: skip
+        events = h11.Response(status_code=status, headers=head, reason=REASONS[status]), h11.Data(data=body)
+        writer.write(b"".join(http.send(event) or b"" for event in (*events, h11.EndOfMessage())))
+        # Closing on what has not been read would reset the connection, and the answer be lost with it.
+        writer.write_eof()
+        async with asyncio.timeout(LINGER):
+            while await reader.read(READ_SIZE):
+                pass
+
+    async def _read(self, http: h11.Connection, reader: asyncio.StreamReader) -> h11.Request | None:
+        """The call, whole; None if the caller went or said nothing at all."""
+        request: h11.Request | None = None
+        size, spoke = 0, False
+        try:
+            async with asyncio.timeout(CALL_PATIENCE):
+                while True:
+                    event = http.next_event()
+                    if event is h11.NEED_DATA:
+                        data = await reader.read(READ_SIZE)
+                        if not data:
+                            return None
+                        spoke = True
+                        http.receive_data(data)
+                    elif isinstance(event, h11.Request):
+                        request = event
+                    elif isinstance(event, h11.Data):
+                        size += len(event.data)
+                        if size > BODY_LIMIT:
+                            raise BadRequest(413, "a call needs no body")
+                    else:
+                        return request
+        except h11.RemoteProtocolError as error:
+            raise BadRequest(431 if error.error_status_hint == 431 else 400, "not HTTP/1.1") from error
+        except TimeoutError as error:
+            if not spoke:
+                return None
+            raise BadRequest(408, "the call did not arrive whole") from error
+
+    def _answer(self, method: bytes, path: bytes) -> dict[str, Any]:
+        calls: dict[bytes, tuple[bytes, Callable[[], dict[str, Any]]]] = {
+            b"/-/ready": (b"GET", self._ready),
+            b"/-/metrics": (b"GET", self._metrics),
+        }
+        if path not in calls:
+            raise BadRequest(404, "no such call")
+        wanted, call = calls[path]
+        if method != wanted:
+            raise BadRequest(405, f"{wanted.decode()} is wanted here")
+        return call()
+
+    def _ready(self) -> dict[str, Any]:
+        if not core.ready(self._runtime.state):
+            raise BadRequest(503, "not ready")
+        return {"ready": True}
+
+    def _metrics(self) -> dict[str, Any]:
+        found = core.figures(self._runtime.state, self._runtime.clock.now())
+        counters = self._runtime.counters
+        return {
+            "replies": {
+                name: {OUTCOME_NAMES[verdict]: count for verdict, count in ends.items()}
+                for name, ends in found.replies.items()
+            },
+            "dispatches": found.dispatches,
+            "concurrent": found.concurrent,
+            "targets": found.targets,
+            "targets_disabled": found.targets_disabled,
+            "reload_success": counters["reloads"],
+            "reload_failure": counters["reloads_refused"],
+        }
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -12,7 +12,6 @@
 import logging
 import math
 import re
-import socket
 import time
 from collections.abc import Mapping
 from dataclasses import replace
@@ -35,7 +34,9 @@
     Link,
     LinkError,
     Runtime,
+    address_of,
     load_json,
+    open_door,
 )
 
 if TYPE_CHECKING:
@@ -427,18 +428,9 @@
             except ValueError as error:
                 log.warning("known list unusable: %s", error)
         self._discover(self._config.discovery, version)
-        host, port = split_address("listen", self._config.listen)
-        # What is accepted holds a descriptor before the budget is asked. asyncio accepts as many at one turn
-        # as its backlog says, so that is small, and the kernel's queue is made long after it.
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        door = socket.create_server((host.strip("[]"), port), family=family, backlog=QUEUE)
-        door.setblocking(False)
-        self._server = await asyncio.start_server(
-            self._accept, sock=door, limit=READ_SIZE, backlog=ACCEPTED_AT_ONCE
-        )
-        door.listen(QUEUE)
-        where = self._server.sockets[0].getsockname()
-        self.address = f"{where[0]}:{where[1]}"
+        self._server = await open_door("listen", self._config.listen, self._accept, QUEUE, ACCEPTED_AT_ONCE)
+        self.address = address_of(self._server)
+        self.runtime.feed(core.Serving())
         log.info("serving %s on %s", self._config.name, self.address)
 
     async def stop(self) -> None:
@@ -505,13 +497,11 @@
     async def route(self, client: Client, request: h11.Request, body: bytes) -> None:
         path = request.target.split(b"?")[0]
         if path == b"/health/ready":
-            client.answer(200, "")
+            client.answer(200, "") if core.ready(self.runtime.state) else client.answer(503, "not ready")
         elif path != COMPLETIONS:
             raise BadRequest(404, "no such path")
         elif request.method != b"POST":
             raise BadRequest(405, "POST is wanted here")
-        elif client.refused:
-            client.answer_last(503, "out of connections", [(b"Retry-After", b"1")])
         else:
             await self._exchange(client, request, body)
 
@@ -519,10 +509,15 @@
         fields = {k.decode(): v.decode("latin-1") for k, v in request.headers}
         arrival = arrival_from(fields, self._config.settings)
         rid = arrival.request
+        if client.refused:
+            self.runtime.feed(core.TurnedAway(arrival.request_class))
+            client.answer_last(503, "out of connections", [(b"Retry-After", b"1")])
+            return
         if rid in self._exchanges or rid in self.runtime.state.requests:
             raise BadRequest(409, "a request with this X-Correlation-Id is under way")
         if self._bodies + len(body) > self.runtime.body_room:
             self.runtime.count("refused_for_memory")
+            self.runtime.feed(core.TurnedAway(arrival.request_class))
             client.answer(503, "out of memory for requests", [(b"Retry-After", b"1")])
             return
         exchange = self._exchanges[rid] = Exchange(client, request, body)
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -23,6 +23,7 @@
 import h11
 
 from basaltspread import core
+from basaltspread.config import split_address
 from basaltspread.core import Ending
 
 log = logging.getLogger("basaltspread")
@@ -38,6 +39,7 @@
 DISTRUST = 30.0  # s in which no kept link to an address is used, after one was reset as it was used again
 MOST_DISTRUSTED = 3  # addresses; with so many, no kept link to any address is used
 DUTY_DESCRIPTORS = 12  # of the spare ones, for releases
+MANAGEMENT_DESCRIPTORS = 16  # of the spare ones, for operators
 BODY_BUDGET = 0.2  # share of the memory limit that request bodies may take
 Headers = list[tuple[bytes, bytes]]
 
@@ -161,6 +163,25 @@
     return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
 
 
+Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Coroutine[Any, Any, None]]
+
+
+async def open_door(key: str, listen: str, accept: Accept, queue: int, at_once: int) -> asyncio.Server:
+    """Serve what connects to an address. asyncio accepts as many connections at one turn as its backlog
+    says, before any budget is asked: that is small here, and the kernel's queue is made long after it."""
+    host, port = split_address(key, listen)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    door = socket.create_server((host.strip("[]"), port), family=family, backlog=queue)
+    door.setblocking(False)
+    server = await asyncio.start_server(accept, sock=door, limit=READ_SIZE, backlog=at_once)
+    door.listen(queue)
+    return server
+
+
+def address_of(server: asyncio.Server) -> str:
+    return "{}:{}".format(*server.sockets[0].getsockname()[:2])
+
+
 class Link:
     """One connection to another party, with its h11 state. One request at a time."""
 
--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -233,6 +233,15 @@
             self.out.append(api.SetTimer(max(WATCH_STEP, self.s.tick), WATCH_TIMER))
         return self.out
 
+    def resting(self, now: int) -> set[str]:
+        """Workers left out for their failures, for the operators; as in _pool, never most of a role."""
+        found = set[str]()
+        for pool in self.up.values():
+            resting = {w.name for w in pool if w.rest_until > now}
+            if len(pool) - len(resting) >= MOST_RESTING * len(pool):
+                found |= resting
+        return found
+
     # --- fleet view: list, health, load ---------------------------------------------------------------
 
     def _listed(self, event: api.WorkerList) -> None:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -162,6 +162,22 @@
     asked.stream(b'data: {"choices":[{"delta":{"content":"hello"}}]}\n\n')
 
 
+async def exchange(address: str, *pieces: bytes) -> tuple[int, bytes, bytes]:
+    """Write these pieces to a new connection; status, head and body of what comes until its end, 0 for
+    nothing."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        for piece in pieces:
+            writer.write(piece)
+            await writer.drain()
+        async with asyncio.timeout(PATIENCE):
+            head, _, body = (await reader.read(-1)).partition(b"\r\n\r\n")
+        return int(head.split()[1]) if head else 0, head, body
+    finally:
+        writer.close()
+
+
 class Gateway:
     """The real program in a process of its own."""
 
@@ -180,6 +196,8 @@
             sys.executable, "-m", "basaltspread", *self._arguments, cwd=ROOT, env=environment,
             stderr=asyncio.subprocess.PIPE, limit=1 << 20,
         )  # fmt: skip
+        if self._config is not None and "management" in self._config:
+            self.management = (await self.until(" operators call ")).split()[-1]
         line = await self.until(" serving ")
         self.address = line.split()[-1]
         return self
@@ -198,6 +216,12 @@
         self.process.send_signal(signal.SIGUSR1)
         return self._parsed(await self.until("counters "))
 
+    async def operate(self, method: str, path: str) -> tuple[int, Any]:
+        """One operator's call: its status, and what the answer holds."""
+        call = f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+        status, _, body = await exchange(self.management, call)
+        return status, json.loads(body)
+
     async def until_counter(self, name: str, least: int = 1) -> None:
         await self.until_true(lambda counters: counters.get(name, 0) >= least)
 
@@ -313,3 +337,33 @@
         client = await Client(gateway.address).open()
         self.addCleanup(client.close)
         return client
+
+
+class FleetTest(LoopbackTest):
+    """A gateway between stand-ins, r* readers and w* writers."""
+
+    async def fleet(
+        self, sockets: int = 1024, memory_mb: int = 192, more: dict[str, Any] | None = None,
+        **engines: Standin | str,
+    ) -> Gateway:  # fmt: skip
+        self.entries = {
+            name: {"instanceId": name, "hostPort": e if isinstance(e, str) else e.address, "zone": "a",
+                   "machineType": "prefill" if name[0] == "r" else "decode", "lifecycle": "up"}
+            for name, e in engines.items()
+        }  # fmt: skip
+        self.news: asyncio.Queue[bytes] = asyncio.Queue()
+        self.discovery = await self.standin(self._discover)
+        listed = {"generation": 41, "reset": True, "instances": list(self.entries.values())}
+        return await self.started(Gateway(config={
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "1f",
+            "known": listed, "settings": SETTINGS, "limits": {"sockets": sockets, "memory_mb": memory_mb},
+            **(more or {}),
+        }))  # fmt: skip
+
+    async def _discover(self, asked: Asked) -> None:
+        asked.reply(200, await self.news.get())
+
+    def tell(self, version: int, name: str, state: str) -> None:
+        changed = [{**self.entries[name], "lifecycle": state}]
+        change = {"generation": version, "reset": False, "instances": changed}
+        self.news.put_nowait(json.dumps(change).encode())
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -25,6 +25,9 @@
         self.told += events
         return [a for e in events for a in self.answers.get(type(e).__name__, lambda _: [])(e)]
 
+    def resting(self, now: int) -> set[str]:
+        return {"r3", "unlisted"}
+
 
 def send(worker: str, timeout: int = 0) -> Callable[[Any], list[api.Action]]:
     return lambda e: [api.Send(e.request, worker, timeout)]
@@ -235,3 +238,17 @@
         self.assertLessEqual(len(self.state.workers), 1)
         self.assertLessEqual(len(self.state.heard), 1)
         self.assertEqual((self.state.requests, self.state.releases, self.state.calls), ({}, {}, {}))
+
+    def test_figures_count_each_request_once_where_it_ends(self) -> None:
+        self.begin(Arrival=send("r1"), AttemptEnded=lambda e: [api.Fail("q"), api.Refuse("q", 0)])
+        self.feed(core.Taken(ARRIVAL))
+        self.feed(core.Written("q", 0))
+        self.assertEqual(core.figures(self.state, self.now).concurrent, 1)
+        self.feed(core.Ended("q", 0, Ending.SERVER_ERROR))
+        found = core.figures(self.state, self.now)
+        self.assertEqual(found.replies["c"], {Verdict.SERVED: 0, Verdict.REFUSED: 0, Verdict.FAILED: 1})
+        self.assertEqual((found.dispatches, found.concurrent, found.targets), (1, 0, len(FLEET)))
+        self.assertEqual(found.targets_disabled, 1)  # what is not listed is not counted
+        self.feed(core.Taken(ARRIVAL))
+        self.feed(core.ClientLeft("q"))
+        self.assertEqual(sum(core.figures(self.state, self.now).replies["c"].values()), 1)
--- a/tests/test_eureka.py
+++ b/tests/test_eureka.py
@@ -123,7 +123,7 @@
         server = await self.standin(registry.handle)
         text = write_sidecar(argparse.Namespace(
             application="duty-free", listen="127.0.0.1:0", registry=server.address, engines="MODEL-ENGINES",
-            tools="127.0.0.1:9", tool=[], request_class=None,
+            tools="127.0.0.1:9", tool=[], management="127.0.0.1:0", request_class=None,
         ))  # fmt: skip
         with tempfile.NamedTemporaryFile("w", suffix=".toml", delete=False) as file:
             text = text.replace("fetch_s = 5", "fetch_s = 0.05")
--- /dev/null
+++ b/tests/test_management.py
@@ -0,0 +1,70 @@
+"""Operators' calls, on real sockets and in the core."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from tests.standins import (
+    FleetTest,
+    Gateway,
+    answer_plainly,
+    exchange,
+    reading,
+    writing,
+)
+
+ANYWHERE = {"management": "127.0.0.1:0"}
+
+
+class ManagementTest(FleetTest):
+    async def managed(self, **options: Any) -> Gateway:
+        self.reader = await self.standin(reading())
+        self.writer = await self.standin(writing(answer_plainly))
+        return await self.fleet(more=ANYWHERE, r1=self.reader, w1=self.writer, **options)
+
+    async def test_what_is_not_a_call_gets_its_own_4xx(self) -> None:
+        gateway = await self.managed()
+        end = b" HTTP/1.1\r\nHost: x\r\n\r\n"
+        for pieces, status in (
+            ((b"GET /-/ready" + end,), 200), ((b"GET /-/re", b"ady" + end), 200),
+            ((b"PUT /-/ready" + end,), 405), ((b"GET /-/nothing" + end,), 404),
+            ((b"GET /health/ready" + end,), 404), ((b"POST /v1/chat/completions" + end,), 404),
+            ((b"nonsense\r\n\r\n",), 400),
+            ((b"GET /-/ready HTTP/1.1\r\n\r\n",), 400), ((b"x" * 9000,), 431),
+            ((b"GET /-/ready HTTP/1.1\r\nHost: x\r\nContent-Length: 9000\r\n\r\n", b"x" * 9000), 413),
+            ((b"GET /-/ready HTTP/1.1\r\nHost:",), 408),
+        ):  # fmt: skip
+            self.assertEqual((await exchange(gateway.management, *pieces))[0], status, pieces[0][:40])
+        self.assertEqual((await gateway.stop()).get("task_faults", 0), 0)
+
+    async def test_callers_that_say_nothing_make_room_for_those_that_call(self) -> None:
+        """Guards the descriptors set aside for operators: all of them may be held by silent callers."""
+        gateway = await self.managed()
+        host, _, port = gateway.management.rpartition(":")
+        silent = [await asyncio.open_connection(host, int(port)) for _ in range(40)]
+        for i, (_, writer) in enumerate(silent):
+            writer.write(b"GET /-/ready HTTP/1.1\r\n"[: i % 8])
+        self.assertEqual((await gateway.operate("GET", "/-/ready"))[0], 200)
+        for _, writer in silent:
+            writer.close()
+
+    async def test_the_figures_say_how_each_request_ended(self) -> None:
+        gateway = await self.managed()
+        nothing = {"success": 0, "overload": 0, "error": 0}
+        _, figures = await gateway.operate("GET", "/-/metrics")
+        self.assertEqual(figures["replies"], {"ask": nothing, "order": nothing})
+        client = await self.client(gateway)
+        for i in range(2):
+            self.assertEqual((await client.ask(f"q{i}"))[0], 200)
+        _, figures = await gateway.operate("GET", "/-/metrics")
+        self.assertEqual(figures["replies"], {"ask": {**nothing, "success": 2}, "order": nothing})
+        self.assertEqual((figures["dispatches"], figures["concurrent"]), (4, 0))
+        self.assertEqual((figures["targets"], figures["targets_disabled"]), (2, 0))
+
+    async def test_a_request_refused_at_the_door_is_counted(self) -> None:
+        gateway = await self.managed(memory_mb=1)
+        client = await self.client(gateway)
+        self.assertEqual((await client.ask("q1", cls="order", body=b"x" * 250_000))[0], 503)
+        _, figures = await gateway.operate("GET", "/-/metrics")
+        self.assertEqual(figures["replies"]["order"], {"success": 0, "overload": 1, "error": 0})
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -28,9 +28,7 @@
     DONE,
     SETTINGS,
     Asked,
-    Gateway,
-    LoopbackTest,
-    Standin,
+    FleetTest,
     answer_plainly,
     reading,
     writing,
@@ -116,31 +114,9 @@
                 parse_list(raw, PARSED)
 
 
-class GatewayTest(LoopbackTest):
+class GatewayTest(FleetTest):
     """A gateway between stand-ins, r* readers and w* writers."""
 
-    async def fleet(self, sockets: int = 1024, memory_mb: int = 192, **engines: Standin | str) -> Gateway:
-        self.entries = {
-            name: {"instanceId": name, "hostPort": e if isinstance(e, str) else e.address, "zone": "a",
-                   "machineType": "prefill" if name[0] == "r" else "decode", "lifecycle": "up"}
-            for name, e in engines.items()
-        }  # fmt: skip
-        self.news: asyncio.Queue[bytes] = asyncio.Queue()
-        self.discovery = await self.standin(self._discover)
-        listed = {"generation": 41, "reset": True, "instances": list(self.entries.values())}
-        return await self.started(Gateway(config={
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "1f",
-            "known": listed, "settings": SETTINGS, "limits": {"sockets": sockets, "memory_mb": memory_mb},
-        }))  # fmt: skip
-
-    async def _discover(self, asked: Asked) -> None:
-        asked.reply(200, await self.news.get())
-
-    def tell(self, version: int, name: str, state: str) -> None:
-        changed = [{**self.entries[name], "lifecycle": state}]
-        change = {"generation": version, "reset": False, "instances": changed}
-        self.news.put_nowait(json.dumps(change).encode())
-
     async def test_a_request_reads_then_writes_and_its_events_come_unchanged(self) -> None:
         reader, writer = await self.standin(reading()), await self.standin(writing(answer_plainly))
         gateway = await self.fleet(r1=reader, w1=writer)
--- a/tests/test_toolcalls.py
+++ b/tests/test_toolcalls.py
@@ -158,6 +158,7 @@
         text = write_sidecar(argparse.Namespace(
             application="duty-free", listen="127.0.0.1:0", registry=eureka.address, engines="MODEL-ENGINES",
             tools=tools if isinstance(tools, str) else tools.address, tool=TOOLS, request_class=None,
+            management="127.0.0.1:0",
         ))  # fmt: skip
         text = text.replace("fetch_s = 5", "fetch_s = 0.05").replace("renew_s = 10", "renew_s = 0.05")
         text = text.replace("deadline_ms = 5000", f"deadline_ms = {deadline_ms}")
