Let operators drain a gateway of its clients, and resume

At fault: Front.route answered 200 to /health/ready whatever the state; Client._send_head said Connection: close only once SIGTERM had come; nothing closed connections that rest.

--- a/basaltspread/core.py
+++ b/basaltspread/core.py
@@ -32,6 +32,8 @@
 LEAST_DOOR = 550 * MS  # clients may still come for 400 ms after SIGTERM
 MOVE_TIME = 1000 * MS  # the last of the grace: the door is shut, and streams still running go elsewhere
 MOVE_STEP = 50 * MS
+DRAIN_DOOR = 1000 * MS  # after an operator's drain, idle clients stay so long: a front learns of it by asking
+DRAIN_STEP = 200 * MS  # between two looks for idle clients from then on
 
 
 class Ending(Enum):
@@ -113,6 +115,13 @@
     FAILED = "failed"
 
 
+class Order(Enum):
+    """What an operator can ask for."""
+
+    DRAIN = "drain"
+    RESUME = "resume"
+
+
 class ToolFault(Enum):
     """Every way in which a tool call can fail, in the core's terms; a front words them on its wire."""
 
@@ -271,6 +280,14 @@
     """Clients can come: the front has opened its door."""
 
 
+@dataclass(frozen=True, slots=True)
+class Operate:
+    """An operator's call; each gets one OperatorAnswer."""
+
+    call: int
+    order: Order
+
+
 @dataclass(frozen=True, slots=True)
 class Terminate:
     pass
@@ -278,7 +295,7 @@
 
 Input = (
     Taken | TurnedAway | ClientLeft | Begun | Written | FirstEvent | Ended | PlaceEnded | ReleaseEnded
-    | Probed | ListTold | ToolCalled | ToolEnded | ReplyEnded | Woken | Serving | Terminate
+    | Probed | ListTold | ToolCalled | ToolEnded | ReplyEnded | Woken | Serving | Operate | Terminate
 )  # fmt: skip
 
 
@@ -413,6 +430,18 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True)
+class OperatorAnswer:
+    call: int
+    done: bool
+    why: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class CloseIdle:
+    """End the client connections on which nothing is under way."""
+
+
 @dataclass(frozen=True, slots=True)
 class StopAccepting:
     pass
@@ -426,7 +455,7 @@
 Effect = (
     StartAttempt | AbandonAttempt | PassOn | EndStream | BreakClient | Answer | AskPlace | DropPlace
     | SendRelease | StartProbe | FetchWholeList | CallTool | AbandonTool | ReturnReply | ForgetCall
-    | Wake | Count | Say | StopAccepting | Exit
+    | Wake | Count | Say | OperatorAnswer | CloseIdle | StopAccepting | Exit
 )  # fmt: skip
 
 
@@ -504,6 +533,7 @@
     replies: Counter[tuple[int, Verdict]] = field(default_factory=Counter)  # by class, since the start
     dispatches: int = 0  # attempts written whole
     serving: bool = False
+    draining_since: int | None = None  # an operator sends the clients away
     stopping: bool = False
     stop_by: int = 0
     accepting: bool = True
@@ -534,7 +564,12 @@
 
 def ready(state: State) -> bool:
     """Whether this process is one for new clients."""
-    return state.serving and not state.stopping
+    return state.serving and not leaving(state)
+
+
+def leaving(state: State) -> bool:
+    """Whether clients are told to go elsewhere with each answer."""
+    return state.stopping or state.draining_since is not None
 
 
 def reduce(state: State, now: int, event: Input) -> list[Effect]:
@@ -1066,6 +1101,24 @@
     def fetch_list(self, action: api.FetchList) -> None:
         self.do(FetchWholeList())
 
+    # --- operators --------------------------------------------------------------------------------------
+
+    def operate(self, event: Operate) -> None:
+        """Each call may come twice, and cross another or SIGTERM."""
+        state = self.state
+        match event.order:
+            case Order.DRAIN:
+                if state.draining_since is None:
+                    state.draining_since = self.now
+                    self.do(Wake(self.now + DRAIN_DOOR, ("drain", self.now)))
+            case Order.RESUME if state.stopping:
+                self.do(OperatorAnswer(event.call, False, "this process has been told to stop"))
+                return
+            case Order.RESUME:
+                state.draining_since = None
+        self.count(f"operator_{event.order.value}")
+        self.do(OperatorAnswer(event.call, True))
+
     # --- time and the end ------------------------------------------------------------------------------
 
     def woken(self, event: Woken) -> None:
@@ -1101,6 +1154,10 @@
                     self._try_call((name, ident), call)
             case ("move",):
                 self._move_streams()
+            case ("drain", int(since)):
+                if self.state.draining_since == since:
+                    self.do(CloseIdle())
+                    self.do(Wake(self.now + DRAIN_STEP, event.token))
             case ("door",):
                 self.state.accepting = False
                 self.do(StopAccepting())
@@ -1159,7 +1216,7 @@
         Begun: begun, Written: written, FirstEvent: first_event,
         Ended: ended, PlaceEnded: place_ended, ReleaseEnded: release_ended, Probed: probed,
         ListTold: list_told, ToolCalled: tool_called, ToolEnded: tool_ended, ReplyEnded: reply_ended,
-        Woken: woken, Terminate: terminate,
+        Woken: woken, Operate: operate, Terminate: terminate,
     }  # fmt: skip
     ACTIONS: ClassVar[dict[type, Callable[[_Step, Any], None]]] = {
         api.Send: send, api.HoldPlace: hold_place, api.Release: release, api.Cancel: cancel,
--- a/basaltspread/net/management.py
+++ b/basaltspread/net/management.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import logging
 from collections.abc import Callable
@@ -15,7 +16,7 @@
 import h11
 
 from basaltspread import core
-from basaltspread.core import Verdict
+from basaltspread.core import Order, Verdict
 from basaltspread.net.platform import REASONS, BadRequest
 from basaltspread.net.runtime import MANAGEMENT_DESCRIPTORS, READ_SIZE, Runtime, address_of, open_door
 
@@ -35,6 +36,9 @@
     def __init__(self, runtime: Runtime, listen: str) -> None:
         self._runtime, self._listen = runtime, listen
         self._open: dict[asyncio.StreamWriter, None] = {}  # oldest first
+        self._numbers = itertools.count()
+        self._answers: dict[int, core.OperatorAnswer] = {}  # from the core's answer to the end of its turn
+        runtime.carry[core.OperatorAnswer] = lambda e: self._answers.update({e.call: e})
 
     async def start(self) -> None:
         server = await open_door("management", self._listen, self._accept, QUEUE, ACCEPTED_AT_ONCE)
@@ -113,6 +117,8 @@
         calls: dict[bytes, tuple[bytes, Callable[[], dict[str, Any]]]] = {
             b"/-/ready": (b"GET", self._ready),
             b"/-/metrics": (b"GET", self._metrics),
+            b"/-/drain": (b"PUT", lambda: self._operate(Order.DRAIN)),
+            b"/-/resume": (b"PUT", lambda: self._operate(Order.RESUME)),
         }
         if path not in calls:
             raise BadRequest(404, "no such call")
@@ -126,6 +132,15 @@
             raise BadRequest(503, "not ready")
         return {"ready": True}
 
+    def _operate(self, order: Order) -> dict[str, Any]:
+        call = next(self._numbers)
+        self._runtime.feed(core.Operate(call, order))
+        answer = self._answers.pop(call)
+        log.info("operator: %s: %s", order.value, "done" if answer.done else answer.why)
+        if not answer.done:
+            raise BadRequest(409, answer.why)
+        return {"done": True}
+
     def _metrics(self) -> dict[str, Any]:
         found = core.figures(self._runtime.state, self._runtime.clock.now())
         counters = self._runtime.counters
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -51,6 +51,7 @@
 FIRST_BYTE_PATIENCE = 2.0  # s from a connection's opening to its first byte; it may be closed without one
 FIRST_BYTES_UNDER_WAY = 0.25  # s after a connection's opening
 REQUEST_PATIENCE = 2.5  # s from a request's first byte to its last; a first one's runs from the opening
+CLOSE_AFTER = 0.4  # s that a connection has rested before a drain closes it
 REST_PATIENCE = 30.0  # s that a connection may rest between two requests
 QUEUE = 512  # connections that may wait to be accepted
 ACCEPTED_AT_ONCE = 8  # connections
@@ -244,8 +245,8 @@
         try:
             while await self._one():
                 self.idle, self.rests_since = True, time.monotonic()
-                if not self._front.runtime.state.accepting:
-                    break
+                if core.leaving(self._front.runtime.state):
+                    break  # a head that went out before could not say so
         except (OSError, LinkError):
             pass
         finally:
@@ -345,7 +346,7 @@
         self.answer(status, why, headers)
 
     def _send_head(self, status: int, headers: Headers) -> None:
-        if self._last or self._front.runtime.state.stopping or self._http.their_state is not h11.DONE:
+        if self._last or core.leaving(self._front.runtime.state) or self._http.their_state is not h11.DONE:
             headers = [*headers, (b"Connection", b"close")]
         head = h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b""))
         self._writer.write(self._http.send(head) or b"")
@@ -415,6 +416,7 @@
             core.AskPlace: self._ask_place, core.DropPlace: self._drop_place,
             core.SendRelease: self._send_release, core.StartProbe: self._start_probe,
             core.FetchWholeList: self._fetch_list,
+            core.CloseIdle: lambda e: self._close_idle(CLOSE_AFTER),
             core.StopAccepting: lambda e: self._stop_accepting(),
         })  # fmt: skip
 
@@ -442,8 +444,13 @@
     def _stop_accepting(self) -> None:
         if self._server is not None:
             self._server.close()
+        self._close_idle(0.0)
+
+    def _close_idle(self, rest: float) -> None:
+        """A connection just opened, or just answered, may have bytes under way."""
+        before = time.monotonic() - rest
         for client in list(self._clients):
-            if client.idle:
+            if client.idle and client.rests_since <= before:
                 client.close()
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -311,6 +311,11 @@
         self.send(rid, **options)
         return await self.answer()
 
+    async def closed(self) -> None:
+        """Until the gateway has closed this connection."""
+        async with asyncio.timeout(PATIENCE):
+            assert await self._reader.read() == b""
+
     def close(self) -> None:
         self._writer.close()
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -9,7 +9,7 @@
 
 from basaltspread import core
 from basaltspread import interface as api
-from basaltspread.core import Ending, Place, Verdict
+from basaltspread.core import Ending, Order, Place, Verdict
 from tests.helpers import FLEET, MS, SECOND, settings
 
 ARRIVAL = api.Arrival("q", "s", "p", 100, 200, 50, 0, 0, SECOND, 0, False, False)
@@ -252,3 +252,26 @@
         self.feed(core.Taken(ARRIVAL))
         self.feed(core.ClientLeft("q"))
         self.assertEqual(sum(core.figures(self.state, self.now).replies["c"].values()), 1)
+
+    def operate(self, order: core.Order) -> bool:
+        (answer,) = [e for e in self.feed(core.Operate(1, order)) if isinstance(e, core.OperatorAnswer)]
+        return answer.done
+
+    def test_drain_resume_and_the_end_may_come_twice_or_cross(self) -> None:
+        self.begin()
+        self.feed(core.Serving())
+        self.assertTrue(self.operate(Order.DRAIN))
+        (first,) = self.wakes
+        self.assertTrue(self.operate(Order.DRAIN))
+        self.assertEqual((self.wakes, core.ready(self.state)), ([], False))
+        self.now = first.at
+        self.assertEqual(self.feed(core.Woken(first.token)), [core.CloseIdle()])
+        (again,) = self.wakes
+        for _ in range(2):
+            self.assertTrue(self.operate(Order.RESUME))
+            self.assertTrue(core.ready(self.state))
+        self.assertTrue(self.operate(Order.DRAIN))
+        self.assertEqual(self.feed(core.Woken(again.token)), [])  # of the drain that was undone
+        self.feed(core.Terminate())
+        self.assertEqual((self.operate(Order.RESUME), core.ready(self.state)), (False, False))
+        self.assertTrue(self.operate(Order.DRAIN))
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 from tests.standins import (
+    DONE,
+    Asked,
     FleetTest,
     Gateway,
     answer_plainly,
@@ -68,3 +70,46 @@
         self.assertEqual((await client.ask("q1", cls="order", body=b"x" * 250_000))[0], 503)
         _, figures = await gateway.operate("GET", "/-/metrics")
         self.assertEqual(figures["replies"]["order"], {"success": 0, "overload": 1, "error": 0})
+
+    async def test_a_drain_sends_clients_away_until_it_is_resumed(self) -> None:
+        gateway = await self.managed()
+        resting, client = await self.client(gateway), await self.client(gateway)
+        self.assertEqual((await resting.ask("q0"))[0], 200)
+        health = b"GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        for _ in range(2):
+            self.assertEqual((await gateway.operate("PUT", "/-/drain"))[0], 200)
+            self.assertEqual((await exchange(gateway.address, health))[0], 503)
+            self.assertEqual((await gateway.operate("GET", "/-/ready"))[0], 503)
+        status, headers, _, whole = await client.ask("q1")
+        self.assertEqual((status, headers[b"connection"], whole), (200, b"close", True))
+        await resting.closed()
+        late = await self.client(gateway)  # the front may not have asked yet
+        self.assertEqual((await late.ask("q2"))[0], 200)
+        for _ in range(2):
+            self.assertEqual((await gateway.operate("PUT", "/-/resume"))[0], 200)
+            self.assertEqual((await exchange(gateway.address, health))[0], 200)
+        kept = await self.client(gateway)
+        for i in range(3, 5):
+            self.assertEqual((await kept.ask(f"q{i}"))[0], 200)
+        self.assertEqual((await gateway.stop())["answers_served"], 5)
+
+    async def test_a_stream_that_ends_during_a_drain_ends_its_connection(self) -> None:
+        """Its head went out before the drain and could not say that the connection closes."""
+        go_on = asyncio.Event()
+
+        async def pause(asked: Asked) -> None:
+            asked.begin()
+            asked.chunk(b"data: 1\n\n")
+            await go_on.wait()
+            asked.chunk(DONE)
+            asked.end()
+
+        gateway = await self.managed()
+        self.writer.handler = writing(pause)
+        client = await self.client(gateway)
+        client.send("q1")
+        head = await client.head()
+        await gateway.operate("PUT", "/-/drain")
+        go_on.set()
+        self.assertTrue((await client.rest(head))[3])
+        await client.closed()
