Leave engines out on an operator's word, through discovery's news and an upgrade

Seen: no way to leave an engine out; each such call was answered with nothing. A core test also showed that the file is written before the yes.

--- a/basaltspread/config.py
+++ b/basaltspread/config.py
@@ -11,6 +11,7 @@
 
 import argparse
 import json
+import os
 import re
 import sys
 import tomllib
@@ -80,6 +81,7 @@
     settings: api.Settings
     discovery: str | None = None
     management: str | None = None  # where operators call
+    scratch: str | None = None  # a folder that this gateway's processes share, an old and a new version
     known: Mapping[str, Any] = field(default_factory=dict)
     tools: Tools | None = None
     registry: Registry | None = None
@@ -145,6 +147,7 @@
             settings=settings,
             discovery=str(discovery),
             management=management,
+            scratch=environment.get("TMPDIR") or None,
             known=raw.get("known") or {},
         )
     except (AttributeError, TypeError, ValueError) as error:
@@ -279,7 +282,8 @@
         return None, reader.faults
     gateway = Gateway(
         name=name, listen=listen, seed=0, memory_mb=int(memory), sockets=int(sockets), idle_close=idle,
-        settings=settings, management=management, tools=tools, registry=registry,
+        settings=settings, management=management, scratch=os.environ.get("TMPDIR") or None,
+        tools=tools, registry=registry,
     )  # fmt: skip
     return gateway, []
 
--- a/basaltspread/core.py
+++ b/basaltspread/core.py
@@ -10,8 +10,8 @@
 
 import traceback
 from collections import Counter, deque
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Any, ClassVar, Protocol
 
@@ -32,6 +32,7 @@
 LEAST_DOOR = 550 * MS  # clients may still come for 400 ms after SIGTERM
 MOVE_TIME = 1000 * MS  # the last of the grace: the door is shut, and streams still running go elsewhere
 MOVE_STEP = 50 * MS
+MOST_BANS = 1024  # engines left out at once, listed or not
 DRAIN_DOOR = 1000 * MS  # after an operator's drain, idle clients stay so long: a front learns of it by asking
 DRAIN_STEP = 200 * MS  # between two looks for idle clients from then on
 
@@ -118,6 +119,8 @@
 class Order(Enum):
     """What an operator can ask for."""
 
+    DISABLE = "disable"
+    ENABLE = "enable"
     DRAIN = "drain"
     RESUME = "resume"
 
@@ -286,6 +289,16 @@
 
     call: int
     order: Order
+    engine: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class BansTold:
+    """What a file shared with this gateway's other process says: engines left out, and when others of them
+    came back."""
+
+    disabled: frozenset[str]
+    returned: Mapping[str, int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -295,7 +308,8 @@
 
 Input = (
     Taken | TurnedAway | ClientLeft | Begun | Written | FirstEvent | Ended | PlaceEnded | ReleaseEnded
-    | Probed | ListTold | ToolCalled | ToolEnded | ReplyEnded | Woken | Serving | Operate | Terminate
+    | Probed | ListTold | ToolCalled | ToolEnded | ReplyEnded | Woken | Serving | Operate | BansTold
+    | Terminate
 )  # fmt: skip
 
 
@@ -437,6 +451,15 @@
     why: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class KeepBans:
+    """Keep what is known of bans, of which this engine's has just changed."""
+
+    engine: str
+    disabled: frozenset[str]
+    returned: Mapping[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class CloseIdle:
     """End the client connections on which nothing is under way."""
@@ -455,7 +478,7 @@
 Effect = (
     StartAttempt | AbandonAttempt | PassOn | EndStream | BreakClient | Answer | AskPlace | DropPlace
     | SendRelease | StartProbe | FetchWholeList | CallTool | AbandonTool | ReturnReply | ForgetCall
-    | Wake | Count | Say | OperatorAnswer | CloseIdle | StopAccepting | Exit
+    | Wake | Count | Say | OperatorAnswer | KeepBans | CloseIdle | StopAccepting | Exit
 )  # fmt: skip
 
 
@@ -525,7 +548,11 @@
 class State:
     settings: api.Settings
     module: Module
-    workers: dict[str, Listed] = field(default_factory=dict)
+    listed: dict[str, Listed] = field(default_factory=dict)  # as discovery tells it
+    version: int = 0
+    disabled: set[str] = field(default_factory=set)  # engines that operators left out, listed or not
+    returned: dict[str, int] = field(default_factory=dict)  # when one was let in again
+    workers: dict[str, Listed] = field(default_factory=dict)  # as it is treated: the list, less the bans
     heard: dict[str, int] = field(default_factory=dict)  # when an engine last said anything
     requests: dict[str, Request] = field(default_factory=dict)
     releases: dict[str, Release] = field(default_factory=dict)
@@ -552,7 +579,7 @@
 
 
 def figures(state: State, now: int) -> Figures:
-    avoided = state.module.resting(now)
+    avoided = state.module.resting(now) | state.disabled
     return Figures(
         {c.name: {v: state.replies[i, v] for v in Verdict} for i, c in enumerate(state.settings.classes)},
         state.dispatches,
@@ -1064,20 +1091,37 @@
     # --- the fleet ------------------------------------------------------------------------------------
 
     def list_told(self, event: ListTold) -> None:
-        workers = self.state.workers
         self.count("lists_" + event.kind.value)
-        before = {n for n, w in workers.items() if w.entry.state is WorkerState.UP}
+        state = self.state
         if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
-            workers.clear()
+            state.listed.clear()
         for listed in event.entries:
             if listed.entry.state is WorkerState.REMOVED:
-                workers.pop(listed.entry.name, None)
+                state.listed.pop(listed.entry.name, None)
             else:
-                workers[listed.entry.name] = listed
-        stopped = before - {n for n, w in workers.items() if w.entry.state is WorkerState.UP}
-        self.state.heard = {name: at for name, at in self.state.heard.items() if name in workers}
-        entries = tuple(listed.entry for listed in event.entries)
-        self.told.append(api.WorkerList(event.kind, event.version, entries))
+                state.listed[listed.entry.name] = listed
+        state.version = max(state.version, event.version)
+        state.heard = {name: at for name, at in state.heard.items() if name in state.listed}
+        state.returned = {name: at for name, at in state.returned.items() if name in state.listed}
+        self._fleet_changed(event.kind, event.version, event.entries)
+
+    def _treated(self, listed: Listed) -> Listed:
+        """An engine that is left out counts as draining, and one let in again as started just then: it may
+        have been restarted meanwhile, and discovery may tell of that late."""
+        entry, state = listed.entry, self.state
+        if entry.name in state.disabled and entry.state is WorkerState.UP:
+            entry = replace(entry, state=WorkerState.DRAINING)
+        started = max(entry.started, state.returned.get(entry.name, 0))
+        return Listed(replace(entry, started=started), listed.address)
+
+    def _fleet_changed(self, kind: api.ListKind, version: int, changed: Iterable[Listed]) -> None:
+        """The one path by which engines come and go, on discovery's word or an operator's."""
+        state = self.state
+        before = {n for n, w in state.workers.items() if w.entry.state is WorkerState.UP}
+        state.workers = {name: self._treated(listed) for name, listed in state.listed.items()}
+        stopped = before - {n for n, w in state.workers.items() if w.entry.state is WorkerState.UP}
+        entries = tuple(self._treated(listed).entry for listed in changed)
+        self.told.append(api.WorkerList(kind, version, entries))
         if not stopped:
             return
         # What waits for a connection would go out whenever that comes up, long after the drain was told.
@@ -1106,7 +1150,22 @@
     def operate(self, event: Operate) -> None:
         """Each call may come twice, and cross another or SIGTERM."""
         state = self.state
+        known = event.engine in state.listed or event.engine in state.disabled
         match event.order:
+            case Order.DISABLE | Order.ENABLE if not known:
+                self.do(OperatorAnswer(event.call, False, "no such engine"))
+                return
+            case Order.DISABLE if event.engine not in state.disabled:
+                if len(state.disabled) >= MOST_BANS:
+                    self.do(OperatorAnswer(event.call, False, f"{MOST_BANS} engines are left out already"))
+                    return
+                state.disabled.add(event.engine)
+                state.returned.pop(event.engine, None)
+                self._ban_changed(event.engine)
+            case Order.ENABLE if event.engine in state.disabled:
+                state.disabled.discard(event.engine)
+                state.returned[event.engine] = self.now
+                self._ban_changed(event.engine)
             case Order.DRAIN:
                 if state.draining_since is None:
                     state.draining_since = self.now
@@ -1119,6 +1178,27 @@
         self.count(f"operator_{event.order.value}")
         self.do(OperatorAnswer(event.call, True))
 
+    def _ban_changed(self, engine: str) -> None:
+        state = self.state
+        self.do(KeepBans(engine, frozenset(state.disabled), dict(state.returned)))
+        self._treat_anew({engine})
+
+    def _treat_anew(self, names: set[str]) -> None:
+        entries = [listed for name, listed in self.state.listed.items() if name in names]
+        if entries:
+            self._fleet_changed(api.ListKind.DELTA, self.state.version, entries)
+
+    def bans_told(self, event: BansTold) -> None:
+        state = self.state
+        changed = state.disabled ^ event.disabled
+        changed |= {n for n, at in event.returned.items() if at > state.returned.get(n, 0)}
+        state.disabled = set(event.disabled)
+        for name in changed - state.disabled:
+            state.returned[name] = max(event.returned.get(name, 0), state.returned.get(name, 0))
+        if changed:
+            self.count("bans_told")
+            self._treat_anew(changed)
+
     # --- time and the end ------------------------------------------------------------------------------
 
     def woken(self, event: Woken) -> None:
@@ -1216,7 +1296,7 @@
         Begun: begun, Written: written, FirstEvent: first_event,
         Ended: ended, PlaceEnded: place_ended, ReleaseEnded: release_ended, Probed: probed,
         ListTold: list_told, ToolCalled: tool_called, ToolEnded: tool_ended, ReplyEnded: reply_ended,
-        Woken: woken, Operate: operate, Terminate: terminate,
+        Woken: woken, Operate: operate, BansTold: bans_told, Terminate: terminate,
     }  # fmt: skip
     ACTIONS: ClassVar[dict[type, Callable[[_Step, Any], None]]] = {
         api.Send: send, api.HoldPlace: hold_place, api.Release: release, api.Cancel: cancel,
--- a/basaltspread/net/management.py
+++ b/basaltspread/net/management.py
@@ -10,8 +10,10 @@
 import itertools
 import json
 import logging
+import re
 from collections.abc import Callable
 from typing import Any
+from urllib.parse import unquote_to_bytes
 
 import h11
 
@@ -27,6 +29,7 @@
 BODY_LIMIT = 8 * 1024  # no call needs a body; a small one is read and dropped
 QUEUE = 64  # connections that may wait to be accepted
 ACCEPTED_AT_ONCE = 4
+ENGINE_CALL = re.compile(rb"/-/engines/([^/]+)/(disable|enable)")
 OUTCOME_NAMES = {Verdict.SERVED: "success", Verdict.REFUSED: "overload", Verdict.FAILED: "error"}
 
 
@@ -120,6 +123,10 @@
             b"/-/drain": (b"PUT", lambda: self._operate(Order.DRAIN)),
             b"/-/resume": (b"PUT", lambda: self._operate(Order.RESUME)),
         }
+        found = ENGINE_CALL.fullmatch(path)
+        if found is not None:
+            engine = unquote_to_bytes(found[1]).decode("utf-8", "replace")
+            calls[path] = b"PUT", lambda: self._operate(Order(found[2].decode()), engine)
         if path not in calls:
             raise BadRequest(404, "no such call")
         wanted, call = calls[path]
@@ -132,13 +139,13 @@
             raise BadRequest(503, "not ready")
         return {"ready": True}
 
-    def _operate(self, order: Order) -> dict[str, Any]:
+    def _operate(self, order: Order, engine: str = "") -> dict[str, Any]:
         call = next(self._numbers)
-        self._runtime.feed(core.Operate(call, order))
+        self._runtime.feed(core.Operate(call, order, engine))
         answer = self._answers.pop(call)
-        log.info("operator: %s: %s", order.value, "done" if answer.done else answer.why)
+        log.info("operator: %s %s: %s", order.value, ascii(engine)[:140], answer.why or "done")
         if not answer.done:
-            raise BadRequest(409, answer.why)
+            raise BadRequest(404 if engine else 409, answer.why)
         return {"done": True}
 
     def _metrics(self) -> dict[str, Any]:
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -9,15 +9,20 @@
 
 import asyncio
 import contextlib
+import fcntl
 import json
 import logging
+import os
+import re
 import signal
 import socket
 import sys
+import tempfile
 import time
 from collections import Counter, deque
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 import h11
@@ -40,6 +45,8 @@
 MOST_DISTRUSTED = 3  # addresses; with so many, no kept link to any address is used
 DUTY_DESCRIPTORS = 12  # of the spare ones, for releases
 MANAGEMENT_DESCRIPTORS = 16  # of the spare ones, for operators
+BANS_STEP = 0.05  # s between two looks at what the other process keeps of bans
+RETURNS_KEPT = 60_000_000  # us for which the file tells when an engine was let in again; warm by then
 BODY_BUDGET = 0.2  # share of the memory limit that request bodies may take
 Headers = list[tuple[bytes, bytes]]
 
@@ -144,6 +151,64 @@
     body: bytes
 
 
+class BanFile:
+    """The engines that operators left out, in a file that this gateway's processes share: an old and a new
+    version of it run side by side for a while. It is replaced whole, under a lock, and only what can be read
+    in full counts."""
+
+    def __init__(self, folder: str, name: str) -> None:
+        plain = re.sub(r"[^A-Za-z0-9._-]", "_", name)
+        self.path = Path(folder) / f"basaltspread-{plain}-engines.json"
+        self._seen: tuple[int, ...] = ()
+
+    def news(self) -> core.BansTold | None:
+        """What it says, if that has changed since the last look."""
+        try:
+            about = self.path.stat()
+        except OSError:
+            return None
+        seen = (about.st_ino, about.st_mtime_ns, about.st_size)
+        if seen == self._seen:
+            return None
+        self._seen = seen
+        return self._read()
+
+    def _read(self) -> core.BansTold | None:
+        try:
+            raw = load_json(self.path.read_bytes())
+            disabled, returned = raw["disabled"], raw["returned"]
+            texts = [*disabled, *returned]
+            if not isinstance(disabled, list) or not all(isinstance(t, str) for t in texts):
+                raise ValueError("not a list of engines")
+            return core.BansTold(frozenset(disabled), {name: int(at) for name, at in returned.items()})
+        except FileNotFoundError:
+            return None
+        except (OSError, ValueError, TypeError, KeyError, AttributeError) as error:
+            log.error("bans kept in %s can't be read and do not count: %r", self.path.name, error)
+            return None
+
+    def keep(self, effect: core.KeepBans) -> None:
+        """Only this engine's entry changes: the other process may have changed others meanwhile."""
+        lock = os.open(f"{self.path}.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW, 0o600)
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX)
+            held = self._read()
+            disabled, returned = effect.disabled, dict(effect.returned)
+            if held is not None:
+                disabled = held.disabled - {effect.engine} | effect.disabled & {effect.engine}
+                returned = {**held.returned, **effect.returned}
+                if effect.engine not in effect.returned:
+                    returned.pop(effect.engine, None)
+            lately = max(returned.values(), default=0) - RETURNS_KEPT
+            returned = {name: at for name, at in returned.items() if at > lately}
+            text = json.dumps({"disabled": sorted(disabled), "returned": returned})
+            with tempfile.NamedTemporaryFile("w", dir=self.path.parent, delete=False) as file:
+                file.write(text)
+            os.replace(file.name, self.path)
+        finally:
+            os.close(lock)
+
+
 class Ear(asyncio.StreamReader):
     """Counts what comes in, so that bytes that nobody asked for are noticed."""
 
@@ -425,8 +490,11 @@
 class Runtime:
     """Feeds inputs to the reducer and hands each effect to whoever carries it out."""
 
-    def __init__(self, state: core.State, sockets: int, memory_mb: int, connect_timeout: float, idle: float):
-        self.state = state
+    def __init__(
+        self, state: core.State, sockets: int, memory_mb: int, connect_timeout: float, idle: float,
+        bans: BanFile | None = None,
+    ) -> None:  # fmt: skip
+        self.state, self.bans = state, bans
         self.clock = Clock()
         self.counters: Counter[str] = Counter()
         self.descriptors = Descriptors(sockets)
@@ -442,6 +510,7 @@
             core.Wake: lambda e: self.wheel.set(e.at, e.token),
             core.Count: lambda e: self.count(e.name),
             core.Say: lambda e: log.info("%s", e.text),
+            core.KeepBans: self._keep_bans,
             core.Exit: lambda e: self.over.set(),
         }
 
@@ -502,6 +571,21 @@
         loop.add_signal_handler(signal.SIGHUP, reload)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
 
+    async def watch_bans(self) -> None:
+        """The other process's calls bind this one too, well within the time that a drain allows."""
+        while self.bans is not None:
+            self.look_at_bans()
+            await asyncio.sleep(BANS_STEP)
+
+    def look_at_bans(self) -> None:
+        told = self.bans.news() if self.bans is not None else None
+        if told is not None:
+            self.feed(told)
+
+    def _keep_bans(self, effect: core.KeepBans) -> None:
+        if self.bans is not None:
+            self.bans.keep(effect)
+
     def _terminate(self) -> None:
         log.info("stopping: finishing %d requests", len(self.state.requests))
         for call in self.on_terminate:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -253,8 +253,9 @@
         self.feed(core.ClientLeft("q"))
         self.assertEqual(sum(core.figures(self.state, self.now).replies["c"].values()), 1)
 
-    def operate(self, order: core.Order) -> bool:
-        (answer,) = [e for e in self.feed(core.Operate(1, order)) if isinstance(e, core.OperatorAnswer)]
+    def operate(self, order: core.Order, engine: str = "") -> bool:
+        effects = self.feed(core.Operate(1, order, engine))
+        (answer,) = [e for e in effects if isinstance(e, core.OperatorAnswer)]
         return answer.done
 
     def test_drain_resume_and_the_end_may_come_twice_or_cross(self) -> None:
@@ -275,3 +276,41 @@
         self.feed(core.Terminate())
         self.assertEqual((self.operate(Order.RESUME), core.ready(self.state)), (False, False))
         self.assertTrue(self.operate(Order.DRAIN))
+
+    def test_a_ban_binds_as_a_drain_does_and_discovery_cannot_lift_it(self) -> None:
+        again: list[list[api.Action]] = [[api.Send("q", "r1", 0)]]
+        self.begin(Arrival=send("r1"), AttemptEnded=lambda _: again.pop() if again else [])
+        self.feed(core.Taken(ARRIVAL))
+        effects = self.feed(core.Operate(1, Order.DISABLE, "r1"))
+        kept = core.KeepBans("r1", frozenset({"r1"}), {})
+        # Kept before the answer, and nothing more is started there though the module asks for it.
+        self.assertEqual(effects, [kept, core.AbandonAttempt("q", 0), core.OperatorAnswer(1, True)])
+        self.feed(core.ListTold(api.ListKind.FULL, 2, tuple(self.state.listed.values())))
+        self.assertIs(self.state.workers["r1"].entry.state, api.WorkerState.DRAINING)
+        self.assertTrue(self.operate(Order.DISABLE, "r1"))
+        self.assertEqual(core.figures(self.state, self.now).targets_disabled, 2)  # r3 rests
+        for order in (Order.DISABLE, Order.ENABLE):
+            self.assertFalse(self.operate(order, "nobody"))
+
+    def test_an_engine_that_returns_is_cold_and_one_call_back_undoes_two(self) -> None:
+        self.begin()
+        for order in (Order.DISABLE, Order.DISABLE, Order.ENABLE):
+            self.assertTrue(self.operate(order, "r1"))
+        back = self.module.told[-1]
+        assert isinstance(back, api.WorkerList)
+        self.assertEqual([(e.name, e.state, e.started) for e in back.entries],
+                         [("r1", api.WorkerState.UP, self.now)])  # fmt: skip
+        returned = self.now
+        self.now += SECOND
+        self.assertTrue(self.operate(Order.ENABLE, "r1"))  # nothing to undo: it does not get cold again
+        self.feed(core.ListTold(api.ListKind.FULL, 2, tuple(self.state.listed.values())))
+        self.assertEqual(self.state.workers["r1"].entry.started, returned)
+
+    def test_the_other_processs_calls_bind_this_one(self) -> None:
+        self.begin(Arrival=send("r1"))
+        self.feed(core.Taken(ARRIVAL))
+        told = core.BansTold(frozenset({"r1", "later"}), {})
+        self.assertEqual(self.feed(told), [core.AbandonAttempt("q", 0)])
+        self.assertTrue(self.operate(Order.ENABLE, "later"))  # known by its ban alone
+        self.feed(core.BansTold(frozenset(), {"r1": self.now - SECOND}))
+        self.assertEqual(self.state.workers["r1"].entry.started, self.now - SECOND)
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -3,10 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import tempfile
+import unittest
 from typing import Any
 
+from basaltspread import core
+from basaltspread.net.runtime import BanFile
 from tests.standins import (
     DONE,
+    PATIENCE,
     Asked,
     FleetTest,
     Gateway,
@@ -23,7 +29,8 @@
     async def managed(self, **options: Any) -> Gateway:
         self.reader = await self.standin(reading())
         self.writer = await self.standin(writing(answer_plainly))
-        return await self.fleet(more=ANYWHERE, r1=self.reader, w1=self.writer, **options)
+        options = {"r1": self.reader, "w1": self.writer, **options}
+        return await self.fleet(more=ANYWHERE, **options)
 
     async def test_what_is_not_a_call_gets_its_own_4xx(self) -> None:
         gateway = await self.managed()
@@ -113,3 +120,58 @@
         go_on.set()
         self.assertTrue((await client.rest(head))[3])
         await client.closed()
+
+    async def test_an_engine_is_left_out_and_used_again_on_an_operators_word(self) -> None:
+        other = await self.standin(writing(answer_plainly))
+        gateway = await self.managed(w2=other)
+        client = await self.client(gateway)
+        for _ in range(2):
+            self.assertEqual((await gateway.operate("PUT", "/-/engines/w%31/disable"))[0], 200)
+        for method, path, status in (
+            ("PUT", "/-/engines/w9/disable", 404), ("PUT", "/-/engines/w9/enable", 404),
+            ("GET", "/-/engines/w1/disable", 405), ("PUT", "/-/engines//disable", 404),
+            ("PUT", "/-/engines/w1/forget", 404),
+        ):  # fmt: skip
+            self.assertEqual((await gateway.operate(method, path))[0], status, path)
+        self.tell(42, "w1", "up")
+        await gateway.until_counter("lists_delta")
+        for i in range(8):
+            self.assertEqual((await client.ask(f"q{i}"))[0], 200)
+        self.assertEqual((self.writer.seen, other.count("POST", "/v1")), ([], 8))
+        self.assertEqual((await gateway.operate("GET", "/-/metrics"))[1]["targets_disabled"], 1)
+        self.assertEqual((await gateway.operate("PUT", "/-/engines/w1/enable"))[0], 200)
+        await gateway.operate("PUT", "/-/engines/w2/disable")
+        async with asyncio.timeout(PATIENCE):
+            for i in itertools.count(8):  # it is cold, and takes its first requests one by one
+                if (await client.ask(f"q{i}"))[0] == 200:
+                    break
+        self.assertEqual(self.writer.count("POST", "/v1"), 1)
+
+
+class BanFileTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.ours, self.theirs = BanFile(folder.name, "n/0"), BanFile(folder.name, "n/0")
+
+    def test_each_process_hears_what_the_other_kept_and_loses_none_of_it(self) -> None:
+        self.assertIsNone(self.ours.news())
+        self.ours.keep(core.KeepBans("a", frozenset("a"), {}))
+        self.theirs.keep(core.KeepBans("b", frozenset("b"), {}))  # it has not looked yet
+        self.assertEqual(self.theirs.news(), core.BansTold(frozenset("ab"), {}))
+        self.assertIsNone(self.theirs.news())
+        self.ours.keep(core.KeepBans("a", frozenset(), {"a": 7}))
+        self.assertEqual(self.theirs.news(), core.BansTold(frozenset("b"), {"a": 7}))
+        self.ours.keep(core.KeepBans("a", frozenset("a"), {}))
+        self.assertEqual(self.theirs.news(), core.BansTold(frozenset("ab"), {}))
+        self.assertEqual(len(list(self.ours.path.parent.iterdir())), 2)  # the file and its lock
+
+    def test_a_spoilt_file_does_not_count_and_is_written_anew(self) -> None:
+        for text in ("", "{", "[]", '{"disabled": "ab", "returned": {}}', '{"disabled": [1], "returned": {}}',
+                     '{"disabled": [], "returned": {"a": "soon"}}', "{" * 100_000, "\xff"):  # fmt: skip
+            self.ours.path.write_bytes(text.encode("latin-1"))
+            with self.assertLogs("basaltspread", "ERROR"):
+                self.assertIsNone(self.ours.news(), text[:30])
+        with self.assertLogs("basaltspread", "ERROR"):
+            self.ours.keep(core.KeepBans("a", frozenset("ac"), {}))
+        self.assertEqual(self.theirs.news(), core.BansTold(frozenset("ac"), {}))
