Take over the clients' socket from an old version while it finishes

At fault: Front.start bound the clients' address itself; Terminate left the door open for 2 s, in which an old version would accept what the new one should serve.

--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -17,7 +17,7 @@
 from basaltspread.net.eureka import Eureka
 from basaltspread.net.management import Management
 from basaltspread.net.platform import Front
-from basaltspread.net.runtime import BanFile, Runtime
+from basaltspread.net.runtime import BanFile, Overlap, Runtime
 from basaltspread.net.toolcalls import Relay
 from basaltspread.rules import Router
 
@@ -27,13 +27,15 @@
 
 
 async def serve(config: Gateway, load: Load) -> None:
-    state = core.State(config.settings, Router(config.settings, config.seed))
+    inherited = config.door is not None
+    state = core.State(config.settings, Router(config.settings, config.seed), inherited=inherited)
     timeout = config.settings.limits.connect_timeout or 250_000
     idle = config.idle_close / 1e6 * IDLE_SHARE
-    shared = config.scratch if config.management is not None else None
+    scratch = config.scratch
     runtime = Runtime(
         state, config.sockets, config.memory_mb, connect_timeout=timeout / 1e6, idle=idle,
-        bans=BanFile(shared, config.name) if shared is not None else None,
+        bans=BanFile(scratch, config.name) if scratch is not None and config.management is not None else None,
+        overlap=Overlap(scratch, config.name) if scratch is not None and inherited else None,
     )  # fmt: skip
     relay = Relay(runtime, config.tools) if config.tools is not None else None
     front = Front(runtime, config, relay)
@@ -59,8 +61,8 @@
         log.info("reloaded%s", f"; only a restart changes {', '.join(later)}" if later else "")
 
     runtime.watch_signals(reload)
-    runtime.look_at_bans()  # before a list can name an engine that was left out
-    runtime.spawn(runtime.watch_bans(), "bans")
+    runtime.look_at_other()  # before a list can name an engine that was left out
+    runtime.spawn(runtime.watch_other(), "other")
     if management is not None:
         await management.start()  # first: operators may ask before clients can come
     await front.start()
--- a/basaltspread/config.py
+++ b/basaltspread/config.py
@@ -81,6 +81,7 @@
     settings: api.Settings
     discovery: str | None = None
     management: str | None = None  # where operators call
+    door: int | None = None  # a descriptor on which the clients' address listens already
     scratch: str | None = None  # a folder that this gateway's processes share, an old and a new version
     known: Mapping[str, Any] = field(default_factory=dict)
     tools: Tools | None = None
@@ -135,6 +136,9 @@
     management = environment.get("RELAY_MANAGEMENT") or raw.get("management") or None
     if management is not None:
         split_address("management", management)
+    door = environment.get("RELAY_FD") or None
+    if door is not None and not (door.isascii() and door.isdigit() and len(door) < 6):
+        raise ConfigError("RELAY_FD", f"{door!r} is not a descriptor", "give a listening socket's number")
     try:
         limits = raw.get("limits") or {}
         return Gateway(
@@ -147,6 +151,7 @@
             settings=settings,
             discovery=str(discovery),
             management=management,
+            door=int(door) if door is not None else None,
             scratch=environment.get("TMPDIR") or None,
             known=raw.get("known") or {},
         )
--- a/basaltspread/core.py
+++ b/basaltspread/core.py
@@ -465,9 +465,14 @@
     """End the client connections on which nothing is under way."""
 
 
+@dataclass(frozen=True, slots=True)
+class StopListening:
+    """Accept no more connections; the address itself may be served by another process."""
+
+
 @dataclass(frozen=True, slots=True)
 class StopAccepting:
-    pass
+    """The same, and end the connections on which nothing is under way."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -478,7 +483,8 @@
 Effect = (
     StartAttempt | AbandonAttempt | PassOn | EndStream | BreakClient | Answer | AskPlace | DropPlace
     | SendRelease | StartProbe | FetchWholeList | CallTool | AbandonTool | ReturnReply | ForgetCall
-    | Wake | Count | Say | OperatorAnswer | KeepBans | CloseIdle | StopAccepting | Exit
+    | Wake | Count | Say | OperatorAnswer | KeepBans | CloseIdle | StopListening | StopAccepting
+    | Exit
 )  # fmt: skip
 
 
@@ -559,6 +565,7 @@
     calls: dict[tuple[str, str], ToolCall] = field(default_factory=dict)  # open ones
     replies: Counter[tuple[int, Verdict]] = field(default_factory=Counter)  # by class, since the start
     dispatches: int = 0  # attempts written whole
+    inherited: bool = False  # the clients' socket is the platform's, and outlives this process
     serving: bool = False
     draining_since: int | None = None  # an operator sends the clients away
     stopping: bool = False
@@ -594,6 +601,12 @@
     return state.serving and not leaving(state)
 
 
+def door_open(state: State) -> bool:
+    """Whether the clients' address is one for new clients. What came to an inherited socket and is not
+    accepted here goes to the process that follows."""
+    return state.serving and state.draining_since is None and (state.inherited or not state.stopping)
+
+
 def leaving(state: State) -> bool:
     """Whether clients are told to go elsewhere with each answer."""
     return state.stopping or state.draining_since is not None
@@ -1273,8 +1286,13 @@
             self.state.stop_by = self.now + min(longest, LONGEST_GRACE)
             door = self.now + LEAST_DOOR
             if self.state.settings.resumable:  # else a stream begun now would only be cut off
-                door = max(door, self.state.stop_by - MOVE_TIME)
-                self.do(Wake(door, ("move",)))
+                move = max(door, self.state.stop_by - MOVE_TIME)
+                self.do(Wake(move, ("move",)))
+                door = door if self.state.inherited else move
+            if self.state.inherited:
+                # Who comes now is better served by the process that follows, to the end.
+                self.do(StopListening())
+                self.do(CloseIdle())
             self.do(Wake(door, ("door",)))
 
     def _move_streams(self) -> None:
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import logging
 import math
@@ -51,6 +52,7 @@
 FIRST_BYTE_PATIENCE = 2.0  # s from a connection's opening to its first byte; it may be closed without one
 FIRST_BYTES_UNDER_WAY = 0.25  # s after a connection's opening
 REQUEST_PATIENCE = 2.5  # s from a request's first byte to its last; a first one's runs from the opening
+LAST_LOOK = 0.005  # s for bytes under way, before a resting connection is closed from this side
 CLOSE_AFTER = 0.4  # s that a connection has rested before a drain closes it
 REST_PATIENCE = 30.0  # s that a connection may rest between two requests
 QUEUE = 512  # connections that may wait to be accepted
@@ -238,6 +240,7 @@
         self.spoke = False  # a byte has come at all
         self.rests_since = self._opened = time.monotonic()
         self.refused = False  # over the budget: its request is refused
+        self._wait: asyncio.Timeout | None = None  # for a first byte, while one is waited for
         self._last = False  # the connection ends with this answer
         writer.transport.set_write_buffer_limits(high=CLIENT_BUFFER)
 
@@ -257,6 +260,11 @@
         if not self._writer.transport.is_closing():
             self._writer.close()
 
+    def let_go(self) -> None:
+        """Close a resting connection, unless the next request's bytes are there already."""
+        if self._wait is not None and not self._wait.expired():
+            self._wait.reschedule(0.0)
+
     def leaving(self) -> bool:
         return self._writer.transport.is_closing()
 
@@ -303,15 +311,7 @@
                     self._writer.write(self._http.send(go_on) or b"")
                 data, self._early = self._early, b""
                 if not data:
-                    try:
-                        async with asyncio.timeout(by - time.monotonic()):
-                            data = await self._reader.read(READ_SIZE)
-                    except TimeoutError as error:
-                        if self.idle:
-                            which = "clients_rested_out" if self.spoke else "clients_silent"
-                            self._front.runtime.count(which)
-                            return None
-                        raise BadRequest(408, "the request did not arrive whole") from error
+                    data = await (self._first_bytes(by) if self.idle else self._more_bytes(by))
                     if not data and self.idle:
                         return None
                 if self.idle:
@@ -330,6 +330,27 @@
             else:
                 return None
 
+    async def _first_bytes(self, by: float) -> bytes:
+        """Of a next request; none if the connection has rested too long, or is let go."""
+        try:
+            async with asyncio.timeout(by - time.monotonic()) as self._wait:
+                return await self._reader.read(READ_SIZE)
+        except TimeoutError:
+            self._front.runtime.count("clients_rested_out" if self.spoke else "clients_silent")
+        finally:
+            self._wait = None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_LOOK):
+                return await self._reader.read(READ_SIZE)
+        return b""
+
+    async def _more_bytes(self, by: float) -> bytes:
+        try:
+            async with asyncio.timeout(by - time.monotonic()):
+                return await self._reader.read(READ_SIZE)
+        except TimeoutError as error:
+            raise BadRequest(408, "the request did not arrive whole") from error
+
     def answer(self, status: int, why: str, headers: Headers | None = None) -> None:
         """A whole answer in the gateway's own words."""
         body = b"" if status == 200 else json.dumps({"error": {"message": why, "code": status}}).encode()
@@ -417,6 +438,7 @@
             core.SendRelease: self._send_release, core.StartProbe: self._start_probe,
             core.FetchWholeList: self._fetch_list,
             core.CloseIdle: lambda e: self._close_idle(CLOSE_AFTER),
+            core.StopListening: lambda e: self._stop_listening(),
             core.StopAccepting: lambda e: self._stop_accepting(),
         })  # fmt: skip
 
@@ -430,20 +452,26 @@
             except ValueError as error:
                 log.warning("known list unusable: %s", error)
         self._discover(self._config.discovery, version)
-        self._server = await open_door("listen", self._config.listen, self._accept, QUEUE, ACCEPTED_AT_ONCE)
+        self._server = await open_door(
+            "listen", self._config.listen, self._accept, QUEUE, ACCEPTED_AT_ONCE, self._config.door
+        )
         self.address = address_of(self._server)
         self.runtime.feed(core.Serving())
         log.info("serving %s on %s", self._config.name, self.address)
 
     async def stop(self) -> None:
         """Let answers under way and requests half read come to their end."""
+        await asyncio.sleep(2 * LAST_LOOK)
         busy = [task for client, task in self._clients.items() if not client.idle]
         if busy:
             await asyncio.wait(busy, timeout=2.0)
 
-    def _stop_accepting(self) -> None:
+    def _stop_listening(self) -> None:
         if self._server is not None:
             self._server.close()
+
+    def _stop_accepting(self) -> None:
+        self._stop_listening()
         self._close_idle(0.0)
 
     def _close_idle(self, rest: float) -> None:
@@ -451,7 +479,7 @@
         before = time.monotonic() - rest
         for client in list(self._clients):
             if client.idle and client.rests_since <= before:
-                client.close()
+                client.let_go()
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         client = Client(self, reader, writer)
@@ -504,7 +532,7 @@
     async def route(self, client: Client, request: h11.Request, body: bytes) -> None:
         path = request.target.split(b"?")[0]
         if path == b"/health/ready":
-            client.answer(200, "") if core.ready(self.runtime.state) else client.answer(503, "not ready")
+            client.answer(200, "") if core.door_open(self.runtime.state) else client.answer(503, "not ready")
         elif path != COMPLETIONS:
             raise BadRequest(404, "no such path")
         elif request.method != b"POST":
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -45,7 +45,7 @@
 MOST_DISTRUSTED = 3  # addresses; with so many, no kept link to any address is used
 DUTY_DESCRIPTORS = 12  # of the spare ones, for releases
 MANAGEMENT_DESCRIPTORS = 16  # of the spare ones, for operators
-BANS_STEP = 0.05  # s between two looks at what the other process keeps of bans
+OTHER_STEP = 0.05  # s between two looks at this gateway's other process
 RETURNS_KEPT = 60_000_000  # us for which the file tells when an engine was let in again; warm by then
 BODY_BUDGET = 0.2  # share of the memory limit that request bodies may take
 Headers = list[tuple[bytes, bytes]]
@@ -157,8 +157,7 @@
     in full counts."""
 
     def __init__(self, folder: str, name: str) -> None:
-        plain = re.sub(r"[^A-Za-z0-9._-]", "_", name)
-        self.path = Path(folder) / f"basaltspread-{plain}-engines.json"
+        self.path = Path(folder) / f"basaltspread-{plain(name)}-engines.json"
         self._seen: tuple[int, ...] = ()
 
     def news(self) -> core.BansTold | None:
@@ -209,6 +208,30 @@
             os.close(lock)
 
 
+class Overlap:
+    """Whether another process of this gateway runs beside this one, as a new version beside the old. Each
+    holds the same lock shared as long as it lives, so that only one that is alone can have it for itself."""
+
+    def __init__(self, folder: str, name: str) -> None:
+        path = Path(folder) / f"basaltspread-{plain(name)}.lock"
+        self._lock = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW, 0o600)
+
+    def alone(self) -> bool:
+        # POSIX locks: a failed try for the whole lock keeps the share that is held.
+        try:
+            fcntl.lockf(self._lock, fcntl.LOCK_SH | fcntl.LOCK_NB)
+            fcntl.lockf(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            fcntl.lockf(self._lock, fcntl.LOCK_SH | fcntl.LOCK_NB)
+        except OSError:
+            return False
+        return True
+
+
+def plain(name: str) -> str:
+    """A gateway's name as part of a file's."""
+    return re.sub(r"[^A-Za-z0-9._-]", "_", name)
+
+
 class Ear(asyncio.StreamReader):
     """Counts what comes in, so that bytes that nobody asked for are noticed."""
 
@@ -231,12 +254,18 @@
 Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Coroutine[Any, Any, None]]
 
 
-async def open_door(key: str, listen: str, accept: Accept, queue: int, at_once: int) -> asyncio.Server:
-    """Serve what connects to an address. asyncio accepts as many connections at one turn as its backlog
-    says, before any budget is asked: that is small here, and the kernel's queue is made long after it."""
+async def open_door(
+    key: str, listen: str, accept: Accept, queue: int, at_once: int, inherited: int | None = None
+) -> asyncio.Server:
+    """Serve what connects to an address, or to a socket that listens there already. asyncio accepts as many
+    connections at one turn as its backlog says, before any budget is asked: that is small here, and the
+    kernel's queue is made long after it."""
     host, port = split_address(key, listen)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    door = socket.create_server((host.strip("[]"), port), family=family, backlog=queue)
+    if inherited is None:
+        door = socket.create_server((host.strip("[]"), port), family=family, backlog=queue)
+    else:
+        door = socket.socket(fileno=inherited)
     door.setblocking(False)
     server = await asyncio.start_server(accept, sock=door, limit=READ_SIZE, backlog=at_once)
     door.listen(queue)
@@ -492,14 +521,15 @@
 
     def __init__(
         self, state: core.State, sockets: int, memory_mb: int, connect_timeout: float, idle: float,
-        bans: BanFile | None = None,
+        bans: BanFile | None = None, overlap: Overlap | None = None,
     ) -> None:  # fmt: skip
-        self.state, self.bans = state, bans
+        self.state, self.bans, self._overlap = state, bans, overlap
+        self._processes = 1 if overlap is None or overlap.alone() else 2
         self.clock = Clock()
         self.counters: Counter[str] = Counter()
         self.descriptors = Descriptors(sockets)
-        self.reconfigure(sockets, memory_mb)
         self.pool = Pool(self.descriptors, connect_timeout, idle, self.counters)
+        self.reconfigure(sockets, memory_mb)
         self.wheel = Wheel(lambda token: self.feed(core.Woken(token)), self.clock.now)
         self.over = asyncio.Event()
         self.on_terminate: list[Callable[[], None]] = []
@@ -516,8 +546,11 @@
 
     def reconfigure(self, sockets: int, memory_mb: int) -> None:
         """The limits; what is over a lower one comes down as it ends."""
-        self.descriptors.set_limit(sockets)
-        self.body_room = int(memory_mb * 1024 * 1024 * BODY_BUDGET)
+        self._limits = sockets, memory_mb
+        self.descriptors.set_limit(sockets // self._processes)
+        while self.descriptors.used > self.descriptors.limit and self.pool.shed():
+            pass
+        self.body_room = int(memory_mb * 1024 * 1024 * BODY_BUDGET) // self._processes
 
     def count(self, name: str) -> None:
         self.counters[name] += 1
@@ -571,16 +604,22 @@
         loop.add_signal_handler(signal.SIGHUP, reload)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
 
-    async def watch_bans(self) -> None:
-        """The other process's calls bind this one too, well within the time that a drain allows."""
-        while self.bans is not None:
-            self.look_at_bans()
-            await asyncio.sleep(BANS_STEP)
+    async def watch_other(self) -> None:
+        """The other process's calls bind this one too, well within the time that a drain allows, and both
+        together keep the limits of one."""
+        while self.bans is not None or self._overlap is not None:
+            self.look_at_other()
+            await asyncio.sleep(OTHER_STEP)
 
-    def look_at_bans(self) -> None:
+    def look_at_other(self) -> None:
         told = self.bans.news() if self.bans is not None else None
         if told is not None:
             self.feed(told)
+        processes = 1 if self._overlap is None or self._overlap.alone() else 2
+        if processes != self._processes:
+            self._processes = processes
+            self.reconfigure(*self._limits)
+            log.info("another process of this gateway %s", "runs" if processes > 1 else "has ended")
 
     def _keep_bans(self, effect: core.KeepBans) -> None:
         if self.bans is not None:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -181,8 +181,12 @@
 class Gateway:
     """The real program in a process of its own."""
 
-    def __init__(self, *arguments: str, config: dict[str, Any] | None = None) -> None:
+    def __init__(
+        self, *arguments: str, config: dict[str, Any] | None = None, door: int | None = None,
+        scratch: str = "",
+    ) -> None:  # fmt: skip
         self._arguments, self._config, self.file = arguments, config, arguments[-1] if arguments else ""
+        self._door, self._scratch = door, scratch
         self.lines: list[str] = []
 
     async def start(self) -> Gateway:
@@ -192,9 +196,14 @@
                 json.dump(self._config, file)
             environment["RELAY_CONFIG"] = self.file = file.name
             environment["RELAY_DISCOVERY"] = self._config["discovery"]
+        if self._door is not None:
+            environment["RELAY_FD"] = str(self._door)
+        if self._scratch:
+            environment["TMPDIR"] = self._scratch
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "basaltspread", *self._arguments, cwd=ROOT, env=environment,
             stderr=asyncio.subprocess.PIPE, limit=1 << 20,
+            pass_fds=() if self._door is None else (self._door,),
         )  # fmt: skip
         if self._config is not None and "management" in self._config:
             self.management = (await self.until(" operators call ")).split()[-1]
@@ -349,7 +358,7 @@
 
     async def fleet(
         self, sockets: int = 1024, memory_mb: int = 192, more: dict[str, Any] | None = None,
-        **engines: Standin | str,
+        door: int | None = None, scratch: str = "", **engines: Standin | str,
     ) -> Gateway:  # fmt: skip
         self.entries = {
             name: {"instanceId": name, "hostPort": e if isinstance(e, str) else e.address, "zone": "a",
@@ -359,11 +368,12 @@
         self.news: asyncio.Queue[bytes] = asyncio.Queue()
         self.discovery = await self.standin(self._discover)
         listed = {"generation": 41, "reset": True, "instances": list(self.entries.values())}
-        return await self.started(Gateway(config={
+        self.config = {
             "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "1f",
             "known": listed, "settings": SETTINGS, "limits": {"sockets": sockets, "memory_mb": memory_mb},
             **(more or {}),
-        }))  # fmt: skip
+        }  # fmt: skip
+        return await self.started(Gateway(config=self.config, door=door, scratch=scratch))
 
     async def _discover(self, asked: Asked) -> None:
         asked.reply(200, await self.news.get())
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -44,6 +44,14 @@
         self.assertEqual((found.name, found.listen, found.discovery), ("n4", "10.0.0.5:1", "10.2.0.1:8500"))
         self.assertEqual((found.seed, found.memory_mb, found.sockets), (0x8C1F, 128, 512))
         self.assertEqual((found.tools, found.registry), (None, None))
+        self.assertEqual((found.management, found.door), (None, None))
+        given = {**PLATFORM, "management": "10.0.0.4:9"}
+        self.assertEqual(self.load(given).management, "10.0.0.4:9")
+        found = self.load(given, RELAY_MANAGEMENT="10.0.0.5:9", RELAY_FD="4", TMPDIR="/scratch")
+        self.assertEqual((found.management, found.door, found.scratch), ("10.0.0.5:9", 4, "/scratch"))
+        for fault in ({"RELAY_FD": "four"}, {"RELAY_FD": "-1"}, {"RELAY_MANAGEMENT": "here"}):
+            with self.assertRaises(ConfigError):
+                self.load(PLATFORM, **fault)
 
     def test_each_fault_names_its_key(self) -> None:
         for raw, key in (
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -314,3 +314,15 @@
         self.assertTrue(self.operate(Order.ENABLE, "later"))  # known by its ban alone
         self.feed(core.BansTold(frozenset(), {"r1": self.now - SECOND}))
         self.assertEqual(self.state.workers["r1"].entry.started, self.now - SECOND)
+
+    def test_with_an_inherited_socket_the_end_begins_by_not_listening(self) -> None:
+        self.begin()
+        self.state.inherited = True
+        self.feed(core.Serving())
+        self.assertEqual(self.feed(core.Terminate()), [core.StopListening(), core.CloseIdle()])
+        (door,) = self.wakes
+        self.assertEqual(self.feed(core.Terminate()), [])
+        self.assertTrue(core.door_open(self.state))  # the next process serves who comes
+        self.assertFalse(core.ready(self.state))
+        self.now = door.at
+        self.assertEqual(self.feed(core.Woken(door.token)), [core.StopAccepting(), core.Exit()])
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -4,11 +4,16 @@
 
 import asyncio
 import itertools
+import signal
+import socket
 import tempfile
+import time
 import unittest
 from typing import Any
+from unittest import mock
 
 from basaltspread import core
+from basaltspread.net.platform import Client
 from basaltspread.net.runtime import BanFile
 from tests.standins import (
     DONE,
@@ -25,13 +30,15 @@
 ANYWHERE = {"management": "127.0.0.1:0"}
 
 
-class ManagementTest(FleetTest):
+class ManagedTest(FleetTest):
     async def managed(self, **options: Any) -> Gateway:
         self.reader = await self.standin(reading())
         self.writer = await self.standin(writing(answer_plainly))
         options = {"r1": self.reader, "w1": self.writer, **options}
         return await self.fleet(more=ANYWHERE, **options)
 
+
+class ManagementTest(ManagedTest):
     async def test_what_is_not_a_call_gets_its_own_4xx(self) -> None:
         gateway = await self.managed()
         end = b" HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -148,6 +155,68 @@
         self.assertEqual(self.writer.count("POST", "/v1"), 1)
 
 
+class UpgradeTest(ManagedTest):
+    async def test_a_new_version_takes_over_and_each_call_binds_both(self) -> None:
+        go_on = asyncio.Event()
+
+        async def pause_one(asked: Asked) -> None:
+            if asked.rid != "q1":
+                return await answer_plainly(asked)
+            asked.begin()
+            asked.chunk(b"data: 1\n\n")
+            await go_on.wait()
+            asked.chunk(DONE)
+            asked.end()
+
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        door = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(door.close)
+        shared: dict[str, Any] = {"door": door.fileno(), "scratch": folder.name}
+        old = await self.managed(w2=await self.standin(writing(answer_plainly)), **shared)
+        self.writer.handler = writing(pause_one)
+        await old.operate("PUT", "/-/engines/w2/disable")
+        resting, running = await self.client(old), await self.client(old)
+        self.assertEqual((await resting.ask("q0"))[0], 200)
+        running.send("q1")
+        head = await running.head()
+
+        new = await self.started(Gateway(config=self.config, **shared))
+        self.assertEqual(new.address, old.address)
+        await old.until("another process of this gateway runs")
+        self.assertEqual((await new.operate("GET", "/-/metrics"))[1]["targets_disabled"], 1)
+        for one, other, call, left_out in ((old, new, "enable", 0), (new, old, "disable", 1)):
+            told = (await other.counters()).get("bans_told", 0)
+            await one.operate("PUT", f"/-/engines/w2/{call}")
+            await other.until_counter("bans_told", told + 1)
+            self.assertEqual((await other.operate("GET", "/-/metrics"))[1]["targets_disabled"], left_out)
+
+        old.process.send_signal(signal.SIGTERM)
+        await resting.closed()
+        late = await self.client(new)
+        self.assertEqual((await late.ask("q2"))[0], 200)
+        self.assertEqual((await new.operate("GET", "/-/metrics"))[1]["replies"]["ask"]["success"], 1)
+        go_on.set()
+        self.assertTrue((await running.rest(head))[3])
+        self.assertEqual((await old.stop())["answers_served"], 2)
+        await new.until("another process of this gateway has ended")
+        self.assertEqual((await late.ask("q3"))[0], 200)
+
+
+class LetGoTest(unittest.IsolatedAsyncioTestCase):
+    async def test_bytes_under_way_keep_a_connection_that_is_let_go(self) -> None:
+        for under_way in (b"", b"POST"):
+            reader = asyncio.StreamReader()
+            client = Client(mock.MagicMock(), reader, mock.MagicMock())
+            first = asyncio.ensure_future(client._first_bytes(time.monotonic() + PATIENCE))
+            await asyncio.sleep(0)
+            client.let_go()
+            if under_way:
+                reader.feed_data(under_way)
+            self.assertEqual(await first, under_way)
+            client.let_go()  # it does not wait any more
+
+
 class BanFileTest(unittest.TestCase):
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
