Let a new version start from what the old one's module has learnt

The new process knew no rates, so that workers that had just started (a release, engines put back by hand) got next to nothing for seconds (`_cold_room`: `normal` begins at 0), and no session's text was known anywhere. Checked: the old process's counters (77 served, 46 refused before its SIGTERM). Ruled out: the door (0 requests ended there), descriptors (260 of 768), CPU (0.60 in the busiest second). Done: an old process that notices the new one writes its module's knowledge (rates, usual times, workers' health, the prefix table's newest 5000 keys) beside the lock; the new one waits for it for 0.5 s at most before it lets clients come, and starts without it if it can't be used. Way not taken: taking young rates as they come. The first few first tokens of a process overrate a warm peer, and the cold rule is broken by a burst. Nor writing it every second: it is wanted once.

--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -65,6 +65,8 @@
     runtime.spawn(runtime.watch_other(), "other")
     if management is not None:
         await management.start()  # first: operators may ask before clients can come
+    front.begin()
+    await runtime.take_over()
     await front.start()
     if eureka is not None:
         eureka.start(front.address)
--- a/basaltspread/core.py
+++ b/basaltspread/core.py
@@ -301,6 +301,13 @@
     returned: Mapping[str, int]
 
 
+@dataclass(frozen=True, slots=True)
+class Recalled:
+    """What the module of the process that this one takes over from has learnt."""
+
+    knowledge: Any
+
+
 @dataclass(frozen=True, slots=True)
 class Terminate:
     pass
@@ -309,7 +316,7 @@
 Input = (
     Taken | TurnedAway | ClientLeft | Begun | Written | FirstEvent | Ended | PlaceEnded | ReleaseEnded
     | Probed | ListTold | ToolCalled | ToolEnded | ReplyEnded | Woken | Serving | Operate | BansTold
-    | Terminate
+    | Recalled | Terminate
 )  # fmt: skip
 
 
@@ -496,6 +503,10 @@
 
     def resting(self, now: int) -> set[str]: ...
 
+    def knowledge(self) -> dict[str, Any]: ...
+
+    def recall(self, now: int, told: dict[str, Any]) -> None: ...
+
 
 @dataclass(slots=True)
 class Attempt:
@@ -1212,6 +1223,13 @@
             self.count("bans_told")
             self._treat_anew(changed)
 
+    def recalled(self, event: Recalled) -> None:
+        try:
+            self.state.module.recall(self.now, event.knowledge)
+            self.count("knowledge_recalled")
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            self.do(Say(f"what the other process knew can't be used: {error!r}"))
+
     # --- time and the end ------------------------------------------------------------------------------
 
     def woken(self, event: Woken) -> None:
@@ -1314,7 +1332,7 @@
         Begun: begun, Written: written, FirstEvent: first_event,
         Ended: ended, PlaceEnded: place_ended, ReleaseEnded: release_ended, Probed: probed,
         ListTold: list_told, ToolCalled: tool_called, ToolEnded: tool_ended, ReplyEnded: reply_ended,
-        Woken: woken, Operate: operate, BansTold: bans_told, Terminate: terminate,
+        Woken: woken, Operate: operate, BansTold: bans_told, Recalled: recalled, Terminate: terminate,
     }  # fmt: skip
     ACTIONS: ClassVar[dict[type, Callable[[_Step, Any], None]]] = {
         api.Send: send, api.HoldPlace: hold_place, api.Release: release, api.Cancel: cancel,
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -442,7 +442,8 @@
             core.StopAccepting: lambda e: self._stop_accepting(),
         })  # fmt: skip
 
-    async def start(self) -> None:
+    def begin(self) -> None:
+        """Learn of the engines."""
         version: int | None = None
         if self._config.known:
             try:
@@ -452,6 +453,9 @@
             except ValueError as error:
                 log.warning("known list unusable: %s", error)
         self._discover(self._config.discovery, version)
+
+    async def start(self) -> None:
+        """Let clients come."""
         self._server = await open_door(
             "listen", self._config.listen, self._accept, QUEUE, ACCEPTED_AT_ONCE, self._config.door
         )
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -45,6 +45,8 @@
 MOST_DISTRUSTED = 3  # addresses; with so many, no kept link to any address is used
 DUTY_DESCRIPTORS = 12  # of the spare ones, for releases
 MANAGEMENT_DESCRIPTORS = 16  # of the spare ones, for operators
+TOLD_WAIT = 0.5  # s for the other process to tell what it knows
+TELL_STEP = 0.01
 OTHER_STEP = 0.05  # s between two looks at this gateway's other process
 RETURNS_KEPT = 60_000_000  # us for which the file tells when an engine was let in again; warm by then
 BODY_BUDGET = 0.2  # share of the memory limit that request bodies may take
@@ -188,7 +190,7 @@
 
     def keep(self, effect: core.KeepBans) -> None:
         """Only this engine's entry changes: the other process may have changed others meanwhile."""
-        lock = os.open(f"{self.path}.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW, 0o600)
+        lock = open_lock(self.path.with_suffix(".lock"))
         try:
             fcntl.flock(lock, fcntl.LOCK_EX)
             held = self._read()
@@ -200,10 +202,7 @@
                     returned.pop(effect.engine, None)
             lately = max(returned.values(), default=0) - RETURNS_KEPT
             returned = {name: at for name, at in returned.items() if at > lately}
-            text = json.dumps({"disabled": sorted(disabled), "returned": returned})
-            with tempfile.NamedTemporaryFile("w", dir=self.path.parent, delete=False) as file:
-                file.write(text)
-            os.replace(file.name, self.path)
+            replace_file(self.path, {"disabled": sorted(disabled), "returned": returned})
         finally:
             os.close(lock)
 
@@ -213,8 +212,9 @@
     holds the same lock shared as long as it lives, so that only one that is alone can have it for itself."""
 
     def __init__(self, folder: str, name: str) -> None:
-        path = Path(folder) / f"basaltspread-{plain(name)}.lock"
-        self._lock = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW, 0o600)
+        self._path = Path(folder) / f"basaltspread-{plain(name)}-knowledge.json"
+        self._path.unlink(missing_ok=True)  # of an earlier time; the other process writes it once we are seen
+        self._lock = open_lock(Path(folder) / f"basaltspread-{plain(name)}.lock")
 
     def alone(self) -> bool:
         # POSIX locks: a failed try for the whole lock keeps the share that is held.
@@ -226,6 +226,28 @@
             return False
         return True
 
+    def tell(self, knowledge: dict[str, Any]) -> None:
+        replace_file(self._path, knowledge)
+
+    async def told(self) -> Any:
+        """What the other process tells, soon after this one began; None if it says nothing."""
+        for _ in range(int(TOLD_WAIT / TELL_STEP)):
+            with contextlib.suppress(FileNotFoundError):
+                return load_json(self._path.read_bytes())
+            await asyncio.sleep(TELL_STEP)
+        return None
+
+
+def open_lock(path: Path) -> int:
+    return os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW, 0o600)
+
+
+def replace_file(path: Path, content: Any) -> None:
+    """Written whole, then renamed: a reader finds the old or the new."""
+    with tempfile.NamedTemporaryFile("w", dir=path.parent, delete=False) as file:
+        json.dump(content, file)
+    os.replace(file.name, path)
+
 
 def plain(name: str) -> str:
     """A gateway's name as part of a file's."""
@@ -619,8 +641,21 @@
         if processes != self._processes:
             self._processes = processes
             self.reconfigure(*self._limits)
+            if processes > 1 and self._overlap is not None:
+                self._overlap.tell(self.state.module.knowledge())
             log.info("another process of this gateway %s", "runs" if processes > 1 else "has ended")
 
+    async def take_over(self) -> None:
+        """Learn from the process that this one is to replace, before clients come."""
+        if self._overlap is not None and self._processes > 1:
+            try:
+                knowledge = await self._overlap.told()
+            except (OSError, ValueError) as error:
+                log.error("what the other process knew can't be read: %s", error)
+                return
+            if knowledge is not None:
+                self.feed(core.Recalled(knowledge))
+
     def _keep_bans(self, effect: core.KeepBans) -> None:
         if self.bans is not None:
             self.bans.keep(effect)
--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -77,6 +77,7 @@
 WAIT_HOLDING = 0.3  # share of the release limit that a held state may wait for a writer
 WAIT_EMPTY = SECOND // 4  # how long a request that holds nothing may wait for a reader
 WATCH_TIMER = 1
+MOST_TOLD = 5000  # texts and sessions that a process which takes over is told of
 HASH_MASK = (1 << 64) - 1
 Figures = dict[str, float]  # by worker name
 
@@ -242,6 +243,43 @@
                 found |= resting
         return found
 
+    def _learnt(self) -> tuple[list[Rate], list[Usual]]:
+        rates = [*self.did.values(), *self.normal.values(), *self.stage_wait.values(), *self.first_rates]
+        return rates, [self.read_time, self.first_time, *self.class_work]
+
+    def knowledge(self) -> dict[str, Any]:
+        """What was learnt of fleet and traffic, in plain lists, for a process that takes over."""
+        rates, usuals = self._learnt()
+        fleet = self.fleet.values()
+        return {
+            "rates": [(r.at(self.now), r.since) for r in rates],
+            "usuals": [(u.count, u.time, u.size) for u in usuals],
+            "times": (self.token_time, self.near_time, self.latency),
+            "workers": [(w.name, w.started, w.void_before, w.rest_until, w.strikes) for w in fleet],
+            "table": [(key, list(runs.items())) for key, runs in list(self.table.items())[-MOST_TOLD:]],
+        }
+
+    def recall(self, now: int, told: dict[str, Any]) -> None:
+        """Start from another process's knowledge; raises on what is none, and has then changed nothing."""
+        rates, usuals = self._learnt()
+        known = [(float(value), int(since)) for value, since in told["rates"]]
+        usual = [(int(count), float(time), float(size)) for count, time, size in told["usuals"]]
+        token, near, latency = (float(time) for time in told["times"])
+        workers = {(str(n), int(s)): (int(v), int(r), int(k)) for n, s, v, r, k in told["workers"]}
+        table = [(str(k), {str(n): (int(r), int(at)) for n, (r, at) in runs}) for k, runs in told["table"]]
+        if (len(known), len(usual)) != (len(rates), len(usuals)):
+            raise ValueError("of another version")
+        for rate, (value, since) in zip(rates, known, strict=True):
+            rate.value, rate.when, rate.since = value, now, since
+        for use, figures in zip(usuals, usual, strict=True):
+            use.count, use.time, use.size = figures
+        self.token_time, self.near_time, self.latency, self.first_at = token, near, latency, now
+        for w in self.fleet.values():
+            void, rest, strikes = workers.get((w.name, w.started), (w.void_before, w.rest_until, w.strikes))
+            w.void_before, w.rest_until, w.strikes = void, rest, strikes
+        self.table = OrderedDict(table)
+        self.blocks = sum(run for runs in self.table.values() for run, _ in runs.values())
+
     # --- fleet view: list, health, load ---------------------------------------------------------------
 
     def _listed(self, event: api.WorkerList) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -28,6 +28,12 @@
     def resting(self, now: int) -> set[str]:
         return {"r3", "unlisted"}
 
+    def knowledge(self) -> dict[str, Any]:
+        return {}
+
+    def recall(self, now: int, told: dict[str, Any]) -> None:
+        raise KeyError("rates")
+
 
 def send(worker: str, timeout: int = 0) -> Callable[[Any], list[api.Action]]:
     return lambda e: [api.Send(e.request, worker, timeout)]
@@ -326,3 +332,8 @@
         self.assertFalse(core.ready(self.state))
         self.now = door.at
         self.assertEqual(self.feed(core.Woken(door.token)), [core.StopAccepting(), core.Exit()])
+
+    def test_knowledge_that_cannot_be_used_changes_nothing(self) -> None:
+        self.begin()
+        for told in (None, [], {}, {"rates": 1}):
+            self.assertEqual(self.feed(core.Recalled(told)), [])
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -183,6 +183,7 @@
 
         new = await self.started(Gateway(config=self.config, **shared))
         self.assertEqual(new.address, old.address)
+        self.assertEqual((await new.counters())["knowledge_recalled"], 1)
         await old.until("another process of this gateway runs")
         self.assertEqual((await new.operate("GET", "/-/metrics"))[1]["targets_disabled"], 1)
         for one, other, call, left_out in ((old, new, "enable", 0), (new, old, "disable", 1)):
