Keep to a place at a cold writer: its credit is taken with the place

The state moves to the place, so any other writer finds none, and the prompt is read again. Ruled out: rests (2 of 107), drains (3), full writers (0). At fault: `_pool` in `_send_write`, `_send` (credit taken only there). The credit is now taken with the place, and goes back when the place is refused or not used.

--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -181,6 +181,7 @@
         self.reader: Worker | None = None  # where the read state waits
         self.place: Worker | None = None  # writer asked to hold a place, and not known to have refused
         self.placed = False  # it said that it holds the place
+        self.paid: Worker | None = None  # cold worker whose credit this place has taken
         self.asked: list[str] = []
         self.holds = False  # a state or a place may be held somewhere
         self.streaming = self.done = False
@@ -236,12 +237,8 @@
 
     def resting(self, now: int) -> set[str]:
         """Workers left out for their failures, for the operators; as in _pool, never most of a role."""
-        found = set[str]()
-        for pool in self.up.values():
-            resting = {w.name for w in pool if w.rest_until > now}
-            if len(pool) - len(resting) >= MOST_RESTING * len(pool):
-                found |= resting
-        return found
+        pools = [(pool, {w.name for w in pool if w.rest_until > now}) for pool in self.up.values()]
+        return {n for pool, rest in pools if len(rest) <= (1 - MOST_RESTING) * len(pool) for n in rest}
 
     def _learnt(self) -> tuple[list[Rate], list[Usual]]:
         rates = [*self.did.values(), *self.normal.values(), *self.stage_wait.values(), *self.first_rates]
@@ -249,13 +246,12 @@
 
     def knowledge(self) -> dict[str, Any]:
         """What was learnt of fleet and traffic, in plain lists, for a process that takes over."""
-        rates, usuals = self._learnt()
-        fleet = self.fleet.values()
+        (rates, usuals), workers = self._learnt(), self.fleet.items()
         return {
             "rates": [(r.at(self.now), r.since) for r in rates],
             "usuals": [(u.count, u.time, u.size) for u in usuals],
             "times": (self.token_time, self.near_time, self.latency),
-            "workers": [(w.name, w.started, w.void_before, w.rest_until, w.strikes) for w in fleet],
+            "workers": [(n, w.started, w.void_before, w.rest_until, w.strikes) for n, w in workers],
             "table": [(key, list(runs.items())) for key, runs in list(self.table.items())[-MOST_TOLD:]],
         }
 
@@ -275,8 +271,8 @@
             use.count, use.time, use.size = figures
         self.token_time, self.near_time, self.latency, self.first_at = token, near, latency, now
         for w in self.fleet.values():
-            void, rest, strikes = workers.get((w.name, w.started), (w.void_before, w.rest_until, w.strikes))
-            w.void_before, w.rest_until, w.strikes = void, rest, strikes
+            own = w.void_before, w.rest_until, w.strikes
+            w.void_before, w.rest_until, w.strikes = workers.get((w.name, w.started), own)
         self.table = OrderedDict(table)
         self.blocks = sum(run for runs in self.table.values() for run, _ in runs.values())
 
@@ -323,6 +319,16 @@
         w.credit_at = self.now
         return w.credit >= min(1.0, work)
 
+    def _pay(self, q: Request, w: Worker | None) -> None:
+        """Take a cold worker's credit, with the place already; what was paid elsewhere goes back. Guards
+        against a read done in vain: its state moves to the place, and nobody else can have it then."""
+        if q.paid is not w:
+            if q.paid is not None:
+                q.paid.credit += self._work(q)
+            q.paid = w if w is not None and self._is_cold(w) else None
+            if q.paid is not None:
+                q.paid.credit -= self._work(q)
+
     def _did(self, w: Worker, work: float) -> None:
         """What a warm peer normally does, kept through an outage: dead peers would teach that it is 0."""
         self.did[w.role].add(self.now, work)
@@ -333,8 +339,7 @@
             normal.value, normal.when = rate, self.now
 
     def _strike(self, w: Worker) -> None:
-        """Rest a worker that failed or fell silent. Guards against dead, cut-off and hanging workers
-        whatever the cause; harms if a healthy one is struck for a moment's noise: it then idles for REST."""
+        """Rest a worker that failed or fell silent, whatever the cause; harms where it was chance."""
         if w.rest_until > self.now:
             return
         w.rest_until = self.now + min(LONGEST_REST, REST << min(w.strikes, 8))
@@ -354,10 +359,9 @@
     def _pool(self, q: Request, roles: tuple[Role, ...]) -> list[Worker]:
         """Workers of these roles that may work now, those that failed this request last. Rests never
         empty a pool: then every listed worker counts, as far as its cold budget goes."""
-        work = self._work(q)
-        listed = [w for role in roles for w in self.up[role]]
-        listed = [w for w in listed if q.ran is None or self._scope_ok(q, w)]
-        open_now = [w for w in listed if w.full_until <= self.now and self._cold_room(w, work)]
+        listed = [w for role in roles for w in self.up[role] if q.ran is None or self._scope_ok(q, w)]
+        open_now = [w for w in listed if w is q.paid or self._cold_room(w, self._work(q))]
+        open_now = [w for w in open_now if w.full_until <= self.now]
         pool = [w for w in open_now if w.rest_until <= self.now]
         if len(pool) < MOST_RESTING * len(listed):
             pool = open_now
@@ -420,8 +424,7 @@
         return w or self._fewest_running(q.a, pool, counts, waits)
 
     def _counts(self, pool: list[Worker]) -> Figures:
-        """Own unfinished reads; with many routers also the others', as reports tell, fading to the pool's
-        average."""
+        """Own unfinished reads; with many routers the others' too, as reports tell, fading to the average."""
         counts = {w.name: float(len(w.reads)) for w in pool}
         if self.many:
             average = sum(w.others for w in pool) / len(pool)
@@ -436,8 +439,7 @@
         return max(self._match("p" + a.prefix, w, shared), self._match("s" + a.session, w, a.prompt_tokens))
 
     def _home_readers(self, a: api.Arrival, pool: list[Worker]) -> list[Worker]:
-        """Readers that all routers agree on for this text, whatever each has seen of it. Few routers agree
-        zone by zone: a text is read once more in each, and its requests need not leave theirs."""
+        """Readers that all routers agree on for this text, whatever each has seen; few agree zone by zone."""
         key = _hash(a.prefix or a.session or a.request)
         ranked = sorted(pool, key=lambda w: (self._far(w), -_rank(key, w)))
         return ranked[: self._homes(a.prefix, len(pool))]
@@ -476,8 +478,7 @@
         return max(calmest, key=lambda w: (not self._far(w), _rank(key, w)))
 
     def _homes(self, prefix: str, readers: int) -> int:
-        """Readers over which a text is spread: more for one asked for so often that it would fill its home.
-        Without a text the session alone is hashed."""
+        """Readers over which a text is spread: more for one that would fill its home. A session has one."""
         if not prefix:
             return 1
         self.asked.setdefault(prefix, Rate(ENTRY_LIFE)).add(self.now, 1.0)
@@ -501,7 +502,10 @@
         return max(lately, sum(w.reads.values()) * self.token_time)
 
     def _pool_wait(self, role: Role) -> float:
-        return self.stage_wait[role].at(self.now) if self.many else 0.0
+        return self._seen(role) if self.many else 0.0
+
+    def _seen(self, role: Role) -> float:
+        return self.stage_wait[role].at(self.now)
 
     def _saves(self, q: Request, tokens: int) -> float:
         """How much longer than elsewhere a request may wait for its text."""
@@ -562,6 +566,7 @@
             if w is not None and w.name not in q.asked:
                 q.place, q.holds = w, True
                 q.asked.append(w.name)
+                self._pay(q, w)
                 self.out.append(api.HoldPlace(q.id, w.name))
 
     # --- request lifecycle ------------------------------------------------------------------------------
@@ -580,6 +585,7 @@
         if q.out is not None:
             return
         if q.done:
+            self._pay(q, None)
             if q.holds:
                 self.out.append(api.Release(q.id))
             self.requests.pop(q.id, None)
@@ -623,10 +629,9 @@
                 self._check_silence(q, q.out)
 
     def _too_late(self, q: Request) -> bool:
-        """Many routers: not even read when its first token was due. Let go and answered at once: a reader's
-        queue never grows past the aim then, whatever filled it (restarts, hot texts, slow or silent readers),
-        and the client comes back while others are served in time. Harms where late answers are worth much;
-        few routers know their queues well enough to have refused it before, and lose by it."""
+        """Many routers: not even read when its first token was due. Let go and answered at once: no reader's
+        queue grows past the aim then, whatever filled it, and the client comes back while others are served.
+        Harms where late answers are worth much; few routers know their queues and have refused it before."""
         return self.many and q.reader is None and self.now - q.arrived > q.aim
 
     def _check_silence(self, q: Request, out: Attempt) -> None:
@@ -639,7 +644,7 @@
         if not silent and w.newest_answered <= out.sent_at:
             return
         pending = sum(w.reads.values()) if out.reading and not stuck else out.need
-        slow = usual.of(pending) + self.stage_wait[w.role].at(self.now)  # a jammed pool is not silent
+        slow = usual.of(pending) + self._seen(w.role)  # a jammed pool is not silent
         patience = max(LEAST_PATIENCE, PATIENCE * slow) if usual.count >= TAUGHT else FIRST_PATIENCE
         if self.now - out.sent_at < patience:
             return
@@ -652,8 +657,7 @@
     def _is_stuck(self, w: Worker, out: Attempt) -> bool:
         """A reader that answers in turn brings one answer after the other: it is stuck if none at all has
         come for many times what its longest read usually takes, however much waits there."""
-        longest = max(w.reads.values(), default=out.need)
-        slow = self.read_time.of(longest) + self.stage_wait[w.role].at(self.now)
+        slow = self.read_time.of(max(w.reads.values(), default=out.need)) + self._seen(w.role)
         quiet = self.now - max(out.sent_at, w.heard_at)
         return self.read_time.count >= TAUGHT and quiet >= max(LEAST_PATIENCE, PATIENCE * slow)
 
@@ -700,11 +704,10 @@
         another = q.cls.effect is Effect.SAFE and q.sent + 1 < self.s.limits.max_attempts
         if another and not self.s.limits.cancel:
             timeout = min(left, max(LEAST_PATIENCE, int(PATIENCE * usual)))  # no other way to call it back
-        work = self._work(q)
         q.out = Attempt(q.sent, w, reading, self.now, need)
         q.sent += 1
-        if self._is_cold(w):
-            w.credit -= work
+        self._pay(q, w)
+        q.paid = None
         self.out.append(api.Send(q.id, w.name, max(1, timeout)))
 
     def _place_answer(self, event: api.PlaceAnswer) -> None:
@@ -713,6 +716,7 @@
             return  # too late: the read has ended and the request has gone on
         q.placed = event.held
         if not event.held:
+            self._pay(q, None)
             if q.place is not None and self.s.report_fields:  # fresher than any report: no room there
                 q.place.report, q.place.told_at = {**q.place.report, "memory_share": 1.0}, self.now
             self._seen_wait(Role.WRITER, q.aim / 2)  # who was refused would have waited
@@ -816,9 +820,8 @@
                 self._strike(w)
 
     def _unread(self, attempt: Attempt, waited: float) -> None:
-        """Many routers: a read that was called back, timed out or found no room had waited, or would have, as
-        long as this at least. Guards against judging a jam by what survives it: where most reads end unread,
-        the few that finish look quick. Harms for seconds if a time-out was a lost message, not a queue."""
+        """Many routers: a read called back, timed out or turned away had waited this long at least. Guards
+        against judging a jam by the few reads that survive it. Harms for seconds where a message was lost."""
         if self.many and attempt.reading:
             w = attempt.worker
             w.lag, w.lag_at = max(w.lag, waited), self.now
@@ -886,10 +889,9 @@
     def _promising(self, q: Request, w: Worker) -> bool:
         """Many routers: whether to send a read there, by what that reader and the writers now let wait.
 
-        Guards against a jam that outlives its cause (restart, flush, burst): nobody is refused for the queue
-        of a reader that he would not go to. What is over is thinned by a lot that all routers draw alike from
-        the session: some sessions are served turn by turn and find their text kept, where thinning by chance
-        lets every session's text be dropped before its next turn. Harms long sessions: the same ones wait.
+        Guards against a jam that outlives its cause: nobody is refused for a queue that he would not join.
+        What is over is thinned by a lot that all routers draw alike from the session: some are served turn by
+        turn and find their text kept. Harms long sessions: the same ones wait.
         """
         if not self.many:
             return True
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import subprocess
 import sys
@@ -1089,3 +1090,67 @@
             sent += 1
             d.serve(f"c{i}", after=2 * MS)
     assert sent >= 30
+
+
+# --- taking over
+
+
+def test_a_router_that_takes_over_goes_on_with_what_the_other_learnt() -> None:
+    """Guards an upgrade: cold workers were starved while rates were learnt anew, and no text was known."""
+    old, new = Drive(), Drive()
+    old.warm()
+    holders = {}
+    for i in range(8):
+        old.arrive(f"q{i}", session=f"s{i}", after=50 * MS)
+        holders[i] = old.sent_to(f"q{i}")
+        old.serve(f"q{i}")
+    assert len(set(holders.values())) > 1
+    told = json.loads(json.dumps(old.router.knowledge()))
+    new.now = old.now
+    new.router.recall(new.now, told)
+    assert new.router.normal[api.Role.READER].at(new.now) > 0
+    for i, holder in holders.items():
+        new.arrive(f"n{i}", session=f"s{i}", prompt=2100, after=50 * MS)
+        assert new.sent_to(f"n{i}") == holder
+        new.serve(f"n{i}")
+
+
+@pytest.mark.parametrize("change", [
+    {"rates": []}, {"rates": [["x", 0]]}, {"usuals": [[1, 2]]}, {"times": [1.0]}, {"workers": {"r1": 0}},
+    {"table": [["p", [["r1", 5]]]]}, {"table": None},
+])  # fmt: skip
+def test_odd_knowledge_changes_nothing(change: dict[str, object]) -> None:
+    old, new = Drive(), Drive()
+    old.warm()
+    before = new.router.knowledge()
+    with pytest.raises((ValueError, TypeError, KeyError, AttributeError)):
+        new.router.recall(new.now, {**old.router.knowledge(), **change})
+    assert new.router.knowledge() == before
+
+
+def test_a_place_at_a_cold_worker_takes_its_credit_and_is_kept_to() -> None:
+    """Guards against a read in vain: its state moves to the place, and another writer finds none to fetch."""
+    d = Drive(settings(zones=("a",)), (entry("r1", 0), entry("w1", 1)))
+    d.warm()
+    d.listed(entry("w1", 1, started=d.now), entry("w2", 1))
+    cold = d.router.fleet["w1"]
+    cold.credit = 1.0
+    d.arrive("q1")
+    assert d.router.requests["q1"].place is cold and cold.credit < 0.5
+    cold.credit_at = d.now + SECOND  # no more of it comes meanwhile
+    d.feed(api.PlaceAnswer("q1", 0, "w1", True))
+    d.end("q1", Outcome.READ)
+    assert d.sent_to("q1") == "w1"
+
+
+def test_credit_taken_with_a_place_goes_back_when_it_is_not_used() -> None:
+    d = Drive(settings(zones=("a",)), (entry("r1", 0), entry("w1", 1)))
+    d.warm()
+    d.listed(entry("w1", 1, started=d.now))
+    cold = d.router.fleet["w1"]
+    cold.credit = 1.0
+    d.arrive("q1")
+    taken = cold.credit
+    assert taken < 0.5
+    d.feed(api.PlaceAnswer("q1", 0, "w1", False))
+    assert cold.credit > taken + 0.5
