Hand streams to a successor one by one, and leave nothing for the kill

In a second upgrade 46 streams were ended within the last second, each read anew by the new process, where 25 requests a second are usual. Checked: the log of that process (SIGTERM 8.53 s, lock given up 12.29 s, no counters line). Ruled out: streams, which were all moved by 3.0 s. What stayed open must have been requests whose deadline (6 to 8 s) lies past the kill; which one held the state was not seen. At fault: `terminate` and `_move_streams` looked at streams alone. Now who has had nothing 250 ms past the grace is answered there (refused, or failed if an order may have run), and the module lets go of what is held. Beside a successor streams move from the first moment on, evenly, the newest first.

--- a/basaltspread/core.py
+++ b/basaltspread/core.py
@@ -32,6 +32,7 @@
 LEAST_DOOR = 550 * MS  # clients may still come for 400 ms after SIGTERM
 MOVE_TIME = 1000 * MS  # the last of the grace: the door is shut, and streams still running go elsewhere
 MOVE_STEP = 50 * MS
+LAST_ANSWERS = 250 * MS  # past the grace: who has had nothing by then is told to ask elsewhere
 MOST_BANS = 1024  # engines left out at once, listed or not
 DRAIN_DOOR = 1000 * MS  # after an operator's drain, idle clients stay so long: a front learns of it by asking
 DRAIN_STEP = 200 * MS  # between two looks for idle clients from then on
@@ -1263,6 +1264,8 @@
                 call = self.state.calls.get((name, ident))
                 if call is not None and not call.settled and not call.open:
                     self._try_call((name, ident), call)
+            case ("last",):
+                self._answer_the_rest()
             case ("move",):
                 self._move_streams()
             case ("drain", int(since)):
@@ -1302,17 +1305,32 @@
             self.state.stopping = True
             longest = max((c.deadline for c in self.state.settings.classes), default=0)
             self.state.stop_by = self.now + min(longest, LONGEST_GRACE)
+            self.do(Wake(self.state.stop_by + LAST_ANSWERS, ("last",)))
             door = self.now + LEAST_DOOR
             if self.state.settings.resumable:  # else a stream begun now would only be cut off
-                move = max(door, self.state.stop_by - MOVE_TIME)
+                # Where another process serves already, it gets them all the while: each is read anew there,
+                # and all at once they would keep it from its own.
+                inherited = self.state.inherited
+                move = self.now + MOVE_STEP if inherited else max(door, self.state.stop_by - MOVE_TIME)
                 self.do(Wake(move, ("move",)))
-                door = door if self.state.inherited else move
+                door = door if inherited else move
             if self.state.inherited:
                 # Who comes now is better served by the process that follows, to the end.
                 self.do(StopListening())
                 self.do(CloseIdle())
             self.do(Wake(door, ("door",)))
 
+    def _answer_the_rest(self) -> None:
+        """The kill would find them unanswered, and what is held for them would stay at the engines. What
+        can't have run, or may run twice, is refused: it can be asked for again at once."""
+        for q in [q for q in self.state.requests.values() if not q.ended and q.stream is None]:
+            ran = any(a.written and not a.reading for a in q.attempts)
+            self.do(Say(f"{q.id} is given up: this process has to end"))
+            self.told.append(api.ClientGone(q.id))  # the module takes it as over
+            self._answer(q, Verdict.FAILED if q.unsafe and ran else Verdict.REFUSED)
+        if self.state.requests:
+            self.do(Wake(self.now + MOVE_STEP, ("last",)))
+
     def _move_streams(self) -> None:
         """What still runs would be cut off by the kill, all at once. So it is ended from here, a few streams
         at a time and the newest first: they have the most before them, and the least that must be read
@@ -1321,11 +1339,13 @@
         busy = {name for name, _ in state.calls}
         running = [(q, q.stream) for q in state.requests.values() if not q.ended and q.id not in busy]
         streams = [(q, stream) for q, stream in reversed(running) if stream is not None]
-        steps = max(1, (state.stop_by - self.now) // MOVE_STEP)
+        left = state.stop_by - self.now
+        steps = max(1, left // MOVE_STEP)
         for q, stream in streams[: -(-len(streams) // steps)]:
             self._close(q, stream, Ending.MOVED, abandon=True)
         if state.requests:
-            self.do(Wake(self.now + MOVE_STEP, ("move",)))
+            pause = max(MOVE_STEP, left // (len(streams) + 1))  # few: one at a time, evenly
+            self.do(Wake(self.now + pause, ("move",)))
 
     HANDLERS: ClassVar[dict[type, Callable[[_Step, Any], None]]] = {
         Taken: taken, TurnedAway: turned_away, ClientLeft: client_left, Serving: serving,
