--- a/basaltspread/core.py
+++ b/basaltspread/core.py
@@ -28,11 +28,12 @@
 TOOL_TRIES = 3  # a safe call, in all
 TOOL_PAUSE = 50 * MS  # before a safe call is written again
 MOST_CALLS = 16  # open tool calls of one request
-LONGEST_GRACE = 3000 * MS  # after SIGTERM; less where every class has a shorter deadline
+LONGEST_GRACE = 3300 * MS  # after SIGTERM; less where every class has a shorter deadline
 LEAST_DOOR = 550 * MS  # clients may still come for 400 ms after SIGTERM
 MOVE_TIME = 1000 * MS  # the last of the grace: the door is shut, and streams still running go elsewhere
+MOVE_TIME_BESIDE = 2000 * MS  # the same beside a successor, which gets them all and has to read each anew
 MOVE_STEP = 50 * MS
-LAST_ANSWERS = 250 * MS  # past the grace: who has had nothing by then is told to ask elsewhere
+LAST_ANSWERS = 150 * MS  # past the grace: who has had nothing by then is told to ask elsewhere
 MOST_BANS = 1024  # engines left out at once, listed or not
 DRAIN_DOOR = 1000 * MS  # after an operator's drain, idle clients stay so long: a front learns of it by asking
 DRAIN_STEP = 200 * MS  # between two looks for idle clients from then on
@@ -1308,10 +1309,8 @@
             self.do(Wake(self.state.stop_by + LAST_ANSWERS, ("last",)))
             door = self.now + LEAST_DOOR
             if self.state.settings.resumable:  # else a stream begun now would only be cut off
-                # Where another process serves already, it gets them all the while: each is read anew there,
-                # and all at once they would keep it from its own.
                 inherited = self.state.inherited
-                move = self.now + MOVE_STEP if inherited else max(door, self.state.stop_by - MOVE_TIME)
+                move = max(door, self.state.stop_by - (MOVE_TIME_BESIDE if inherited else MOVE_TIME))
                 self.do(Wake(move, ("move",)))
                 door = door if inherited else move
             if self.state.inherited:
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -12,6 +12,7 @@
 import json
 import logging
 import math
+import random
 import re
 import time
 from collections.abc import Mapping
@@ -47,7 +48,9 @@
 COMPLETIONS = b"/v1/chat/completions"
 HOLD_MS = 5000  # of one discovery call
 WATCH_SLACK = 2.0  # s past it after which discovery is taken as silent
-RETRY_PAUSE = 0.05  # s; well within the 200 ms that a watch may pause
+RETRY_PAUSE = 0.05  # s before the first new try; well within the 200 ms that a watch may pause
+LONGEST_PAUSE = 1.0  # s; many gateways share discovery, and it may be short of room for all of them
+START_SPREAD = 0.3  # s over which gateways that start at one moment, each with a list, first ask for news
 CLIENT_SHARE = 0.6  # of the descriptors, for clients; a request has one here and at most two at engines
 FIRST_BYTE_PATIENCE = 2.0  # s from a connection's opening to its first byte; it may be closed without one
 FIRST_BYTES_UNDER_WAY = 0.25  # s after a connection's opening
@@ -205,6 +208,12 @@
     return core.ListTold(kind, version, tuple(entries))
 
 
+def retry_pause(failures: int, lot: float) -> float:
+    """How long to leave discovery alone after so many failures in a row; `lot` in [0, 1) keeps gateways that
+    failed together from coming back together."""
+    return min(LONGEST_PAUSE, RETRY_PAUSE * 2.0 ** min(failures - 1, 16)) * (0.5 + 0.5 * lot)
+
+
 def room_rank(spoke: bool, since: float, now: float) -> tuple[bool, bool, float]:
     """Which idle connection makes room first: one that was opened and said nothing, then the one that rests
     longest; one just opened only after these, as its first bytes may be under way."""
@@ -795,19 +804,21 @@
             self._watching = self._spawn(self._watch(discovery, version), "watch")
 
     async def _watch(self, discovery: str, version: int | None) -> None:
-        silent = False
+        failures = 0
+        if version is not None:
+            await asyncio.sleep(START_SPREAD * random.random())
         while True:
             try:
                 version = await self._fetch(discovery, version)
-                if silent:
+                if failures:
                     log.info("discovery answers again at version %d", version)
-                silent = False
+                failures = 0
             except (LinkError, ValueError) as error:
                 self.runtime.count("discovery_failures")
-                if not silent:
+                if not failures:
                     log.warning("discovery: %s", error)
-                silent = True
-                await asyncio.sleep(RETRY_PAUSE)
+                failures += 1
+                await asyncio.sleep(retry_pause(failures, random.random()))
 
     def _fetch_list(self, effect: core.FetchWholeList) -> None:
         if self._config.discovery is not None:
--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -11,8 +11,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from hashlib import blake2b
-from math import exp2
-from statistics import pstdev
+from math import dist, exp2, sqrt
 from typing import Any
 
 from basaltspread import interface as api
@@ -520,7 +519,8 @@
             return True
         told = [len(p.reads) + (p.others if self.many else 0.0) for p in others]
         mean = sum(counts[p.name] for p in others) / len(others)
-        return counts[w.name] <= mean + LOAD_FACTOR * pstdev(told) + SPARE
+        deviation = dist(told, [sum(told) / len(told)] * len(told)) / sqrt(len(told))
+        return counts[w.name] <= mean + LOAD_FACTOR * deviation + SPARE
 
     # --- writer choice ----------------------------------------------------------------------------------
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -227,7 +227,7 @@
             self.assertIn("SendRelease", [type(e).__name__ for e in effects])
             self.assertEqual(self.state.requests, {})
 
-    def test_beside_a_successor_streams_are_handed_on_one_at_a_time_from_the_first_moment(self) -> None:
+    def test_beside_a_successor_streams_are_handed_on_one_at_a_time_and_evenly(self) -> None:
         """Each is read anew by the new process: all in the last second, they kept it from its own."""
         self.begin(Arrival=lambda e: [api.Send(e.request, "w1", 0)])
         self.state.settings, self.state.inherited = settings(resumable=True), True
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,19 +11,24 @@
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 import h11
 
 from basaltspread import interface as api
 from basaltspread.adapter import settings_from
+from basaltspread.core import Ending
 from basaltspread.net.platform import (
     BadRequest,
+    Front,
     arrival_from,
     parse_facts,
     parse_list,
     parse_report,
+    retry_pause,
     room_rank,
 )
+from basaltspread.net.runtime import LinkError
 from tests.standins import (
     DONE,
     SETTINGS,
@@ -84,6 +89,13 @@
                 arrival_from({**HEADERS, **change}, PARSED)
             self.assertEqual(caught.exception.status, 400)
 
+    def test_pauses_between_calls_to_a_discovery_that_fails(self) -> None:
+        for failures, least, most in (
+            (1, 0.025, 0.05), (2, 0.05, 0.1), (5, 0.4, 0.8), (6, 0.5, 1.0), (9999, 0.5, 1.0),
+        ):  # fmt: skip
+            found = retry_pause(failures, 0.0), retry_pause(failures, 1.0)
+            self.assertEqual(found, (least, most), failures)
+
     def test_which_idle_connection_makes_room(self) -> None:
         now, silent, resting = 100.0, (False, 99.0), (True, 50.0)
         rested_less, fresh, fresher = (True, 60.0), (False, 99.9), (False, 99.95)
@@ -114,6 +126,28 @@
                 parse_list(raw, PARSED)
 
 
+class WatchTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_discovery_that_turns_calls_away_is_asked_ever_less(self) -> None:
+        """Guards a discovery that is short of room: all its gateways at once asked twenty times a second."""
+        runtime, slept = mock.MagicMock(), list[float]()
+        runtime.pool.call = mock.AsyncMock(side_effect=LinkError(Ending.RESET))
+
+        async def sleep(seconds: float) -> None:
+            slept.append(seconds)
+            if len(slept) == 12:
+                raise asyncio.CancelledError
+
+        front = Front(runtime, mock.MagicMock())
+        with (
+            mock.patch("basaltspread.net.platform.asyncio.sleep", sleep),
+            mock.patch("basaltspread.net.platform.random.random", lambda: 0.5),
+            self.assertRaises(asyncio.CancelledError),
+        ):
+            await front._watch("127.0.0.1:1", 41)
+        spread, *pauses = slept
+        self.assertEqual((spread, pauses), (0.15, [retry_pause(n, 0.5) for n in range(1, 12)]))
+
+
 class GatewayTest(FleetTest):
     """A gateway between stand-ins, r* readers and w* writers."""
 
