Hand running streams to a new version, connections and all

An order that resumes a stream has run in part: `_give_up` and `_answer_the_rest` now fail it. That it was such a one could not be read from the log; it names them now.

--- a/basaltspread/core.py
+++ b/basaltspread/core.py
@@ -31,7 +31,6 @@
 LONGEST_GRACE = 3300 * MS  # after SIGTERM; less where every class has a shorter deadline
 LEAST_DOOR = 550 * MS  # clients may still come for 400 ms after SIGTERM
 MOVE_TIME = 1000 * MS  # the last of the grace: the door is shut, and streams still running go elsewhere
-MOVE_TIME_BESIDE = 2000 * MS  # the same beside a successor, which gets them all and has to read each anew
 MOVE_STEP = 50 * MS
 LAST_ANSWERS = 150 * MS  # past the grace: who has had nothing by then is told to ask elsewhere
 MOST_BANS = 1024  # engines left out at once, listed or not
@@ -59,6 +58,7 @@
     STALLED = "the stream fell silent"
     TIMED_OUT = "nothing came in time"
     CANCELLED = "called back by the module"
+    HANDED_ON = "handed on to the process that follows, connections and all"
     MOVED = "ended so that the client asks another gateway for the rest"
     CLIENT_LEFT = "the client went away"
     CLIENT_SLOW = "the client stopped reading"
@@ -84,6 +84,7 @@
     Ending.STALLED: Outcome.TIMEOUT,
     Ending.TIMED_OUT: Outcome.TIMEOUT,
     Ending.CANCELLED: Outcome.CANCELLED,
+    Ending.HANDED_ON: Outcome.CANCELLED,
     Ending.MOVED: Outcome.CANCELLED,
     Ending.CLIENT_LEFT: Outcome.CANCELLED,
     Ending.CLIENT_SLOW: Outcome.CANCELLED,
@@ -99,6 +100,7 @@
 # The endings of an ordinary day, which are counted but not logged.
 QUIET = frozenset((
     Ending.SERVED, Ending.READ, Ending.TURNED_AWAY, Ending.CLIENT_LEFT, Ending.NOT_SENT, Ending.MOVED,
+    Ending.HANDED_ON,
 ))  # fmt: skip
 
 
@@ -310,6 +312,23 @@
     knowledge: Any
 
 
+@dataclass(frozen=True, slots=True)
+class HandedOn:
+    """The process that follows has this stream, and its client, from here on."""
+
+    request: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Adopted:
+    """A stream that the process before had begun to pass on; it is attempt 0 here."""
+
+    request: str
+    request_class: int
+    worker: str
+
+
 @dataclass(frozen=True, slots=True)
 class Terminate:
     pass
@@ -318,7 +337,7 @@
 Input = (
     Taken | TurnedAway | ClientLeft | Begun | Written | FirstEvent | Ended | PlaceEnded | ReleaseEnded
     | Probed | ListTold | ToolCalled | ToolEnded | ReplyEnded | Woken | Serving | Operate | BansTold
-    | Recalled | Terminate
+    | Recalled | HandedOn | Adopted | Terminate
 )  # fmt: skip
 
 
@@ -349,6 +368,18 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class HandOn:
+    """Hand the connections of this stream to the process that follows, if there is one and they can be
+    handed on at this moment; HandedOn says that it was done."""
+
+    request: str
+    number: int
+    request_class: int
+    worker: str
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class EndStream:
     request: str
@@ -490,7 +521,7 @@
 
 
 Effect = (
-    StartAttempt | AbandonAttempt | PassOn | EndStream | BreakClient | Answer | AskPlace | DropPlace
+    StartAttempt | AbandonAttempt | PassOn | HandOn | EndStream | BreakClient | Answer | AskPlace | DropPlace
     | SendRelease | StartProbe | FetchWholeList | CallTool | AbandonTool | ReturnReply | ForgetCall
     | Wake | Count | Say | OperatorAnswer | KeepBans | CloseIdle | StopListening | StopAccepting
     | Exit
@@ -883,7 +914,10 @@
                 q.place = None
             for worker in q.asking:
                 self.do(DropPlace(q.id, worker))
-        if q.stream is attempt and not q.ended:
+        if q.stream is attempt and not q.ended and ending is Ending.HANDED_ON:
+            self._end(q, None)  # its end is counted where it will be seen
+            self.count("streams_handed_on")
+        elif q.stream is attempt and not q.ended:
             self._end(q, Verdict.SERVED if ending is Ending.SERVED else Verdict.FAILED)
             if ending is Ending.SERVED:
                 self.count("answers_served")
@@ -1267,6 +1301,8 @@
                     self._try_call((name, ident), call)
             case ("last",):
                 self._answer_the_rest()
+            case ("hand",):
+                self._hand_on_streams()
             case ("move",):
                 self._move_streams()
             case ("drain", int(since)):
@@ -1309,14 +1345,14 @@
             self.do(Wake(self.state.stop_by + LAST_ANSWERS, ("last",)))
             door = self.now + LEAST_DOOR
             if self.state.settings.resumable:  # else a stream begun now would only be cut off
-                inherited = self.state.inherited
-                move = max(door, self.state.stop_by - (MOVE_TIME_BESIDE if inherited else MOVE_TIME))
+                move = max(door, self.state.stop_by - MOVE_TIME)
                 self.do(Wake(move, ("move",)))
-                door = door if inherited else move
+                door = door if self.state.inherited else move
             if self.state.inherited:
                 # Who comes now is better served by the process that follows, to the end.
                 self.do(StopListening())
                 self.do(CloseIdle())
+                self._hand_on_streams()
             self.do(Wake(door, ("door",)))
 
     def _answer_the_rest(self) -> None:
@@ -1324,20 +1360,45 @@
         can't have run, or may run twice, is refused: it can be asked for again at once."""
         for q in [q for q in self.state.requests.values() if not q.ended and q.stream is None]:
             ran = any(a.written and not a.reading for a in q.attempts)
-            self.do(Say(f"{q.id} is given up: this process has to end"))
+            what = "the rest of a stream" if q.resumed else "a request"
+            self.do(Say(f"{q.id}, {what}, is given up: this process has to end"))
             self.told.append(api.ClientGone(q.id))  # the module takes it as over
-            self._answer(q, Verdict.FAILED if q.unsafe and ran else Verdict.REFUSED)
+            may_have_run = ran or q.resumed  # of what is resumed, a part was answered
+            self._answer(q, Verdict.FAILED if q.unsafe and may_have_run else Verdict.REFUSED)
         if self.state.requests:
             self.do(Wake(self.now + MOVE_STEP, ("last",)))
 
+    def _running(self) -> list[tuple[Request, Attempt]]:
+        """The streams that may leave this process, oldest first; one with a tool call open stays."""
+        busy = {name for name, _ in self.state.calls}
+        running = [(q, q.stream) for q in self.state.requests.values() if not q.ended and q.id not in busy]
+        return [(q, stream) for q, stream in running if stream is not None]
+
+    def _hand_on_streams(self) -> None:
+        """Tried again and again until each is between two chunks, and for those that begin yet."""
+        for q, stream in self._running():
+            listed = self.state.workers.get(stream.worker)
+            address = listed.address if listed is not None else ""
+            self.do(HandOn(q.id, stream.number, q.request_class, stream.worker, address))
+        if self.state.requests:
+            self.do(Wake(self.now + MOVE_STEP, ("hand",)))
+
+    def handed_on(self, event: HandedOn) -> None:
+        found = self._find(event.request, event.number)
+        if found is not None:
+            self._close(*found, Ending.HANDED_ON)
+
+    def adopted(self, event: Adopted) -> None:
+        stream = Attempt(0, event.worker, False, self.now, begun=True, written=True)
+        q = Request(event.request, event.request_class, self.now, attempts=[stream], stream=stream)
+        self.state.requests[q.id] = q
+        self.count("streams_adopted")
+
     def _move_streams(self) -> None:
         """What still runs would be cut off by the kill, all at once. So it is ended from here, a few streams
         at a time and the newest first: they have the most before them, and the least that must be read
-        again. One with a tool call open stays to its end."""
-        state = self.state
-        busy = {name for name, _ in state.calls}
-        running = [(q, q.stream) for q in state.requests.values() if not q.ended and q.id not in busy]
-        streams = [(q, stream) for q, stream in reversed(running) if stream is not None]
+        again."""
+        state, streams = self.state, self._running()[::-1]
         left = state.stop_by - self.now
         steps = max(1, left // MOVE_STEP)
         for q, stream in streams[: -(-len(streams) // steps)]:
@@ -1351,7 +1412,8 @@
         Begun: begun, Written: written, FirstEvent: first_event,
         Ended: ended, PlaceEnded: place_ended, ReleaseEnded: release_ended, Probed: probed,
         ListTold: list_told, ToolCalled: tool_called, ToolEnded: tool_ended, ReplyEnded: reply_ended,
-        Woken: woken, Operate: operate, BansTold: bans_told, Recalled: recalled, Terminate: terminate,
+        Woken: woken, Operate: operate, BansTold: bans_told, Recalled: recalled,
+        HandedOn: handed_on, Adopted: adopted, Terminate: terminate,
     }  # fmt: skip
     ACTIONS: ClassVar[dict[type, Callable[[_Step, Any], None]]] = {
         api.Send: send, api.HoldPlace: hold_place, api.Release: release, api.Cancel: cancel,
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -14,8 +14,9 @@
 import math
 import random
 import re
+import socket
 import time
-from collections.abc import Mapping
+from collections.abc import Coroutine, Mapping
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
@@ -269,6 +270,26 @@
         if not self._writer.transport.is_closing():
             self._writer.close()
 
+    def carry_on(self) -> h11.Request:
+        """For a connection on which another process has begun to answer in chunks. It ends with that answer:
+        what its head said of the connection is not known here."""
+        self._http.receive_data(b"GET / HTTP/1.1\r\nHost: -\r\n\r\n")
+        request = self._http.next_event()
+        assert isinstance(request, h11.Request)
+        self._http.next_event()
+        self._http.send(h11.Response(status_code=200, headers=[("Transfer-Encoding", "chunked")]))
+        self.idle, self.spoke, self._last = False, True, True
+        return request
+
+    def can_leave(self) -> bool:
+        """Whether another process can go on with the answer: all that was written is out, nothing came."""
+        waiting = self._writer.transport.get_write_buffer_size()
+        return not self.leaving() and not waiting and not self._early and not self._reader.at_eof()
+
+    def leave(self) -> int:
+        """The connection's descriptor, for that process."""
+        return int(self._writer.get_extra_info("socket").fileno())
+
     def let_go(self) -> None:
         """Close a resting connection, unless the next request's bytes are there already."""
         if self._wait is not None and not self._wait.expired():
@@ -441,7 +462,7 @@
         self.address = config.listen
         runtime.carry.update({
             core.StartAttempt: self._start_attempt, core.AbandonAttempt: self._abandon_attempt,
-            core.PassOn: self._pass_on, core.EndStream: self._end_stream,
+            core.PassOn: self._pass_on, core.HandOn: self._hand_on, core.EndStream: self._end_stream,
             core.BreakClient: self._break_client, core.Answer: self._answer,
             core.AskPlace: self._ask_place, core.DropPlace: self._drop_place,
             core.SendRelease: self._send_release, core.StartProbe: self._start_probe,
@@ -469,6 +490,7 @@
             "listen", self._config.listen, self._accept, QUEUE, ACCEPTED_AT_ONCE, self._config.door
         )
         self.address = address_of(self._server)
+        self.runtime.take_over_streams(self._take_over)
         self.runtime.feed(core.Serving())
         log.info("serving %s on %s", self._config.name, self.address)
 
@@ -513,13 +535,19 @@
                 client.refused = True
                 if len(held) >= most + MOST_REFUSED:
                     client.abort()
+        self.runtime.count("clients_accepted")
+        await self._keep(client, writer, client.serve())
+
+    async def _keep(
+        self, client: Client, writer: asyncio.StreamWriter, work: Coroutine[Any, Any, None]
+    ) -> None:
+        """A client's connection, from its opening here to its end."""
         self.runtime.descriptors.accepted()
         task = asyncio.current_task()
         assert task is not None
         self._clients[client] = task
-        self.runtime.count("clients_accepted")
         try:
-            await client.serve()
+            await work
             async with asyncio.timeout(CLIENT_PATIENCE):
                 await writer.wait_closed()
         except (OSError, TimeoutError):
@@ -572,14 +600,68 @@
         self._bodies += len(body)
         try:
             self.runtime.feed(core.Taken(arrival))
-            stays = await client.wait_for(exchange)
-            if not stays:
-                self.runtime.feed(core.ClientLeft(rid))
-                client.close()
+            await self._until_end(client, exchange, rid)
         finally:
             self._bodies -= len(body)
             del self._exchanges[rid]
 
+    async def _until_end(self, client: Client, exchange: Exchange, rid: str) -> None:
+        if not await client.wait_for(exchange):
+            self.runtime.feed(core.ClientLeft(rid))
+            client.close()
+
+    # --- streams from one process to the next -----------------------------------------------------------
+
+    def _hand_on(self, effect: core.HandOn) -> None:
+        """All in one turn: nothing is read or written between the look and the handing on."""
+        key = (effect.request, effect.number)
+        exchange, link = self._exchanges.get(effect.request), self._links.get(key)
+        if exchange is None or link is None or self._relay_calls is not None:
+            return
+        client = exchange.client
+        if exchange.passing != effect.number or not (link.between_chunks() and client.can_leave()):
+            return
+        about = {
+            "request": effect.request, "class": effect.request_class,
+            "worker": effect.worker, "address": effect.address,
+        }  # fmt: skip
+        if self.runtime.hand_on(about, [client.leave(), link.leave()]):
+            link.left()
+            client.abort()
+            self._attempts[key].cancel()
+            self.runtime.feed(core.HandedOn(*key))
+            exchange.finish()
+
+    def _take_over(self, about: Any, sockets: list[socket.socket]) -> None:
+        client, engine = sockets
+        request, address = str(about["request"]), str(about["address"])
+        effect = core.StartAttempt(request, 0, str(about["worker"]), address, False, 0)
+        if request in self._exchanges or request in self.runtime.state.requests:
+            raise ValueError(f"{request} is under way here")
+        self._spawn(self._carry_on(effect, int(about["class"]), client, engine), f"taken over {request}")
+
+    async def _carry_on(
+        self, effect: core.StartAttempt, request_class: int, connection: socket.socket, engine: socket.socket
+    ) -> None:
+        for taken in (connection, engine):
+            taken.setblocking(False)
+        link = await self.runtime.pool.adopt(effect.address, engine)
+        reader, writer = await asyncio.open_connection(sock=connection, limit=READ_SIZE)
+        client = Client(self, reader, writer)
+        exchange = self._exchanges[effect.request] = Exchange(client, client.carry_on(), b"")
+        exchange.passing = effect.number
+        self.runtime.feed(core.Adopted(effect.request, request_class, effect.worker))
+        self._start_attempt(effect, link)
+
+        async def work() -> None:
+            try:
+                await self._until_end(client, exchange, effect.request)
+            finally:
+                del self._exchanges[effect.request]
+                client.close()
+
+        await self._keep(client, writer, work())
+
     def _answer(self, effect: core.Answer) -> None:
         exchange = self._exchanges.get(effect.request)
         if exchange is None:
@@ -613,10 +695,10 @@
 
     # --- engines ----------------------------------------------------------------------------------------
 
-    def _start_attempt(self, effect: core.StartAttempt) -> None:
+    def _start_attempt(self, effect: core.StartAttempt, running: Link | None = None) -> None:
         exchange = self._exchanges[effect.request]
         key = (effect.request, effect.number)
-        task = self._attempts[key] = self._spawn(self._attempt(effect, exchange), f"attempt {key}")
+        task = self._attempts[key] = self._spawn(self._attempt(effect, exchange, running), f"attempt {key}")
         task.add_done_callback(lambda _: self._attempts.pop(key, None))
 
     def _abandon_attempt(self, effect: core.AbandonAttempt) -> None:
@@ -627,13 +709,22 @@
         if key in self._attempts:
             self._attempts[key].cancel()
 
-    async def _attempt(self, effect: core.StartAttempt, exchange: Exchange) -> None:
+    async def _attempt(
+        self, effect: core.StartAttempt, exchange: Exchange, running: Link | None = None
+    ) -> None:
+        """One attempt, from its connection on, or from the middle of its stream."""
         name, number = effect.request, effect.number
         ending, detail = Ending.GATEWAY_FAULT, 0
         report: dict[str, float] = {}
         link: Link | None = None
+        cancelled = False
         by = self.runtime.clock.now() + effect.time_left
         try:
+            if running is not None:
+                link = self._links[name, number] = running
+                ending, detail = await self._relay(link, name, number, None, exchange)
+                self.runtime.pool.give_back(link)
+                return
             link = self._links[name, number] = await self.runtime.pool.acquire(effect.address)
             left = max(1, (by - self.runtime.clock.now()) // core.MS)
             headers = [*exchange.headers, (b"X-Time-Left-Ms", str(left).encode())]
@@ -659,17 +750,17 @@
                 self.runtime.feed(core.ClientLeft(name, ending))
                 exchange.client.close()
         except asyncio.CancelledError:
-            if link is not None:
-                link.close()
+            cancelled = True
             raise
         except Exception:
             self.runtime.count("attempt_faults")
             log.exception("attempt fault: %s to %s", name, effect.worker)
         finally:
             self._links.pop((name, number), None)
-        if ending is Ending.GATEWAY_FAULT and link is not None:
-            link.close()
-        self.runtime.feed(core.Ended(name, number, ending, detail, report))
+            if link is not None and (cancelled or ending is Ending.GATEWAY_FAULT):
+                link.close()
+            if not cancelled:
+                self.runtime.feed(core.Ended(name, number, ending, detail, report))
 
     async def _small_answer(self, link: Link, status: int, fields: dict[bytes, bytes]) -> tuple[Ending, int]:
         """A status that settles the attempt; its body matters only after a read."""
@@ -689,10 +780,11 @@
         return (Ending.SERVER_ERROR if status == 500 else Ending.STRANGE_STATUS), 0
 
     async def _relay(
-        self, link: Link, name: str, number: int, fields: dict[bytes, bytes], exchange: Exchange
+        self, link: Link, name: str, number: int, fields: dict[bytes, bytes] | None, exchange: Exchange
     ) -> tuple[Ending, int]:
-        """Pass an engine's events on as they come, to its last chunk."""
-        begun, tail, first = False, b"", b""
+        """Pass an engine's events on as they come, to its last chunk; without a head, from the middle on."""
+        begun, tail, first = fields is None, b"", b""
+        fields = fields or {b"transfer-encoding": b"chunked"}
         splitter = self._relay_calls.splitter(name, number) if self._relay_calls is not None else None
         framed = b"transfer-encoding" in fields or b"content-length" in fields
         while True:
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import array
 import asyncio
 import contextlib
 import fcntl
@@ -39,6 +40,7 @@
 CHUNK_LIMIT = 256 * 1024  # bytes of one chunk, whatever size it declares
 PART_PATIENCE = 1.0  # s spent waiting for the rest of a head or a chunk that has begun
 HEAD_LIMIT = 32 * 1024
+TAIL = 16  # bytes by which the end of a chunk is known
 CLIENT_BUFFER = 64 * 1024  # bytes that may wait for a slow reader of a stream
 SPARE_DESCRIPTORS = 48  # for the interpreter, the listener, discovery and log files
 DISTRUST = 30.0  # s in which no kept link to an address is used, after one was reset as it was used again
@@ -215,6 +217,17 @@
         self._path = Path(folder) / f"basaltspread-{plain(name)}-knowledge.json"
         self._path.unlink(missing_ok=True)  # of an earlier time; the other process writes it once we are seen
         self._lock = open_lock(Path(folder) / f"basaltspread-{plain(name)}.lock")
+        # Streams are handed to whoever bound this path last.
+        self._door = Path(folder) / f"basaltspread-{plain(name)}.sock"
+        self._door.unlink(missing_ok=True)
+        self._inbox = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+        self._inbox.setblocking(False)
+        self._own: os.stat_result | None = None
+        try:
+            self._inbox.bind(str(self._door))
+            self._own = self._door.stat()
+        except OSError as error:  # a path can be too long for it
+            log.warning("no streams can be handed on or taken over: %s", error)
 
     def alone(self) -> bool:
         # POSIX locks: a failed try for the whole lock keeps the share that is held.
@@ -226,6 +239,31 @@
             return False
         return True
 
+    def hand_on(self, about: dict[str, Any], descriptors: list[int]) -> bool:
+        """Give these connections to the process that follows; false if there is none, or no room now."""
+        try:
+            if self._own is None or os.path.samestat(self._own, self._door.stat()):
+                return False
+            parts = [json.dumps(about).encode()]
+            rights = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", descriptors))]
+            self._inbox.sendmsg(parts, rights, 0, str(self._door))
+        except OSError:
+            return False
+        return True
+
+    def take_over_streams(self, take: Callable[[Any, list[socket.socket]], None]) -> None:
+        asyncio.get_running_loop().add_reader(self._inbox, self._handed, take)
+
+    def _handed(self, take: Callable[[Any, list[socket.socket]], None]) -> None:
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                data, descriptors, _, _ = socket.recv_fds(self._inbox, READ_SIZE, 2)
+                sockets = [socket.socket(fileno=descriptor) for descriptor in descriptors]
+                try:
+                    take(load_json(data), sockets)
+                except Exception:  # one stream is lost, its connections are closed
+                    log.exception("take-over fault")
+
     def tell(self, knowledge: dict[str, Any]) -> None:
         replace_file(self._path, knowledge)
 
@@ -264,12 +302,12 @@
         super().feed_data(data)
 
 
-async def connect(host: str, port: int) -> tuple[Ear, asyncio.StreamWriter]:
+async def connect(**where: Any) -> tuple[Ear, asyncio.StreamWriter]:
     """asyncio.open_connection with that reader."""
     loop = asyncio.get_running_loop()
     reader = Ear(limit=READ_SIZE, loop=loop)
     protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
-    transport, _ = await loop.create_connection(lambda: protocol, host, port)
+    transport, _ = await loop.create_connection(lambda: protocol, **where)
     return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
 
 
@@ -313,6 +351,8 @@
         self._eof = self._closed = False
         self._taken = 0  # bytes read so far
         self._in_chunk = 0  # bytes of a chunk that has not ended
+        self._chunked = False
+        self._tail, self._chunk_tail = b"", b"?"  # the last bytes read, and of the last chunk
         self._part_waited = 0.0  # s waited for the rest of what has begun
         self.idle_since = 0.0
         self.reused = False
@@ -358,13 +398,17 @@
             elif isinstance(event, h11.InformationalResponse):
                 continue
             elif isinstance(event, h11.Data):
-                if event.chunk_start or self._in_chunk:  # a body of a declared length has no chunks
+                if self._chunked:  # h11 says where a chunk begins only if its data came with its size
+                    self._chunk_tail = ((self._chunk_tail if self._in_chunk else b"") + event.data)[-TAIL:]
                     self._in_chunk = 0 if event.chunk_end else self._in_chunk + len(event.data)
                 if self._in_chunk > chunk:
                     raise LinkError(Ending.MALFORMED)
                 return event
             elif isinstance(event, (h11.Response, h11.EndOfMessage)):
                 self._in_chunk = 0
+                self._chunked = isinstance(event, h11.Response) and any(
+                    name == b"transfer-encoding" for name, _ in event.headers
+                )
                 return event
             else:
                 raise LinkError(Ending.RESET)
@@ -384,6 +428,7 @@
         if part:
             self._part_waited += time.monotonic() - began
         self._taken += len(data)
+        self._tail = (self._tail + data)[-TAIL - 2 :]
         return data
 
     async def rest(self, limit: int = BODY_LIMIT, silence: float | None = None) -> bytes:
@@ -400,6 +445,36 @@
                 if size > limit:
                     raise LinkError(Ending.MALFORMED)
 
+    @classmethod
+    def running(
+        cls, address: str, reader: Ear, writer: asyncio.StreamWriter, free: Callable[[], None]
+    ) -> Link:
+        """A link whose answer another process has read up to the end of a chunk."""
+        link = cls(address, reader, writer, free)
+        for event in (h11.Request(method="GET", target="/", headers=[("Host", "-")]), h11.EndOfMessage()):
+            link._http.send(event)
+        link._http.receive_data(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        link._http.next_event()
+        link.written = link._chunked = True
+        return link
+
+    def between_chunks(self) -> bool:
+        """Whether all that was read ends with a whole chunk, so that another process can read on."""
+        if self._chunk_tail.endswith(b"\r\n"):  # it can't be told from the end of the chunk that holds it
+            return False
+        whole = self._tail.endswith(self._chunk_tail + b"\r\n") and not self._in_chunk
+        return whole and not self._http.trailing_data[0] and not self.dead()
+
+    def leave(self) -> int:
+        """Its descriptor, for a process that goes on with it."""
+        return int(self._writer.get_extra_info("socket").fileno())
+
+    def left(self) -> None:
+        """Another process has it: it is closed here without a word to the other side."""
+        self._closed = True
+        self._writer.transport.abort()
+        self._free()
+
     def done(self) -> bool:
         """Whether the exchange is over and the link can carry another; readies it for that."""
         both = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
@@ -462,7 +537,7 @@
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(self._connect_timeout):
-                reader, writer = await connect(host, int(port))
+                reader, writer = await connect(host=host, port=int(port))
         except TimeoutError as error:
             self._descriptors.free()
             raise LinkError(Ending.CONNECT_TIMED_OUT) from error
@@ -475,6 +550,12 @@
         self._counters["links_opened"] += 1
         return Link(address, reader, writer, self._descriptors.free)
 
+    async def adopt(self, address: str, running: socket.socket) -> Link:
+        """A link of another process, in the middle of an answer."""
+        reader, writer = await connect(sock=running)
+        self._descriptors.accepted()
+        return Link.running(address, reader, writer, self._descriptors.free)
+
     def give_back(self, link: Link) -> None:
         if self._trusted(link.address) and link.done():
             link.idle_since = time.monotonic()
@@ -656,6 +737,13 @@
             if knowledge is not None:
                 self.feed(core.Recalled(knowledge))
 
+    def hand_on(self, about: dict[str, Any], descriptors: list[int]) -> bool:
+        return self._overlap is not None and self._overlap.hand_on(about, descriptors)
+
+    def take_over_streams(self, take: Callable[[Any, list[socket.socket]], None]) -> None:
+        if self._overlap is not None:
+            self._overlap.take_over_streams(take)
+
     def _keep_bans(self, effect: core.KeepBans) -> None:
         if self.bans is not None:
             self.bans.keep(effect)
--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -839,7 +839,7 @@
 
     def _give_up(self, q: Request) -> None:
         """The final answer, at once: refused where that is truthful, else failed."""
-        safe = q.cls.effect is Effect.SAFE or q.ran is None
+        safe = q.cls.effect is Effect.SAFE or (q.ran is None and not q.a.is_resumed)
         if safe or (q.cls.effect is Effect.KEYED and q.cls.key_scope is KeyScope.ALL):
             wait = max(SECOND // 4, int(min(self._expected_wait(), 1e9)))
             limits = self.s.limits
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1154,3 +1154,18 @@
     assert taken < 0.5
     d.feed(api.PlaceAnswer("q1", 0, "w1", False))
     assert cold.credit > taken + 0.5
+
+
+@pytest.mark.parametrize(
+    ("effect", "resumed", "answer"),
+    [(Effect.UNSAFE, True, api.Fail), (Effect.UNSAFE, False, api.Refuse), (Effect.SAFE, True, api.Refuse)],
+)
+def test_the_rest_of_an_order_is_never_refused_as_if_it_had_not_run(
+    effect: Effect, resumed: bool, answer: type
+) -> None:
+    """Guards against a client that asks for the order anew: what it resumes has run."""
+    d = Drive(settings(effect), ())
+    d.feed(api.Arrival("q", "s", "", 0, 2000, 200, 0, 0, 5 * SECOND, 0, False, resumed))
+    while not d.answered:
+        d.feed(api.TimerFired(rules.WATCH_TIMER), after=25 * MS)
+    assert isinstance(d.answered["q"], answer)
