Let two processes share the budget for cold engines, and bound the bans

Seen: in an overlap both processes know what a warm engine does (knowledge handed on) and each would spend all of the gateway's budget for engines that have just started. The core is told how many processes run (Sharing), the module earns that part of it. The tests no longer share a TMPDIR with whatever ran before, and a ban past the bound says 409, not 404.

--- a/basaltspread/core.py
+++ b/basaltspread/core.py
@@ -312,6 +312,13 @@
     knowledge: Any
 
 
+@dataclass(frozen=True, slots=True)
+class Sharing:
+    """So many processes of this gateway run now, and keep its limits together."""
+
+    processes: int
+
+
 @dataclass(frozen=True, slots=True)
 class HandedOn:
     """The process that follows has this stream, and its client, from here on."""
@@ -337,7 +344,7 @@
 Input = (
     Taken | TurnedAway | ClientLeft | Begun | Written | FirstEvent | Ended | PlaceEnded | ReleaseEnded
     | Probed | ListTold | ToolCalled | ToolEnded | ReplyEnded | Woken | Serving | Operate | BansTold
-    | Recalled | HandedOn | Adopted | Terminate
+    | Recalled | Sharing | HandedOn | Adopted | Terminate
 )  # fmt: skip
 
 
@@ -489,6 +496,7 @@
     call: int
     done: bool
     why: str = ""
+    unknown: bool = False  # the engine that it names
 
 
 @dataclass(frozen=True, slots=True)
@@ -532,6 +540,8 @@
 
 
 class Module(Protocol):
+    part: float  # of the gateway's budget for engines that have just started
+
     def handle(self, now: int, events: list[api.Event]) -> list[api.Action]: ...
 
     def resting(self, now: int) -> set[str]: ...
@@ -1213,7 +1223,7 @@
         known = event.engine in state.listed or event.engine in state.disabled
         match event.order:
             case Order.DISABLE | Order.ENABLE if not known:
-                self.do(OperatorAnswer(event.call, False, "no such engine"))
+                self.do(OperatorAnswer(event.call, False, "no such engine", unknown=True))
                 return
             case Order.DISABLE if event.engine not in state.disabled:
                 if len(state.disabled) >= MOST_BANS:
@@ -1259,6 +1269,9 @@
             self.count("bans_told")
             self._treat_anew(changed)
 
+    def sharing(self, event: Sharing) -> None:
+        self.state.module.part = 1 / event.processes
+
     def recalled(self, event: Recalled) -> None:
         try:
             self.state.module.recall(self.now, event.knowledge)
@@ -1412,7 +1425,7 @@
         Begun: begun, Written: written, FirstEvent: first_event,
         Ended: ended, PlaceEnded: place_ended, ReleaseEnded: release_ended, Probed: probed,
         ListTold: list_told, ToolCalled: tool_called, ToolEnded: tool_ended, ReplyEnded: reply_ended,
-        Woken: woken, Operate: operate, BansTold: bans_told, Recalled: recalled,
+        Woken: woken, Operate: operate, BansTold: bans_told, Recalled: recalled, Sharing: sharing,
         HandedOn: handed_on, Adopted: adopted, Terminate: terminate,
     }  # fmt: skip
     ACTIONS: ClassVar[dict[type, Callable[[_Step, Any], None]]] = {
--- a/basaltspread/net/management.py
+++ b/basaltspread/net/management.py
@@ -145,7 +145,7 @@
         answer = self._answers.pop(call)
         log.info("operator: %s %s: %s", order.value, ascii(engine)[:140], answer.why or "done")
         if not answer.done:
-            raise BadRequest(404 if engine else 409, answer.why)
+            raise BadRequest(404 if answer.unknown else 409, answer.why)
         return {"done": True}
 
     def _metrics(self) -> dict[str, Any]:
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -646,6 +646,7 @@
             core.KeepBans: self._keep_bans,
             core.Exit: lambda e: self.over.set(),
         }
+        self.feed(core.Sharing(self._processes))
 
     def reconfigure(self, sockets: int, memory_mb: int) -> None:
         """The limits; what is over a lower one comes down as it ends."""
@@ -721,6 +722,7 @@
         processes = 1 if self._overlap is None or self._overlap.alone() else 2
         if processes != self._processes:
             self._processes = processes
+            self.feed(core.Sharing(processes))
             self.reconfigure(*self._limits)
             if processes > 1 and self._overlap is not None:
                 self._overlap.tell(self.state.module.knowledge())
--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -210,7 +210,7 @@
         self.asked: OrderedDict[str, Rate] = OrderedDict()  # how often each text is asked for
         self.asked_all = Rate(ENTRY_LIFE)
         self.stage_wait = {role: Rate(SEEN_MEMORY) for role in Role}  # us
-        self.timer_set = self.calm = False
+        self.part, self.timer_set, self.calm = 1.0, False, False  # part: of the budget for cold workers
         self.read_time, self.first_time = Usual(), Usual()
         self.near_time, self.far_time = 0.0, dict[int, float]()  # to a first token within, out of a cell
         self.token_time = 0.0  # us to read one token, at best
@@ -313,7 +313,7 @@
             return True
         rules, rate = self.s.rules, self.normal[w.role].at(self.now)
         rate *= w.weight if self.s.weights_mean_size else 1.0
-        rate *= COLD_SAFETY * rules.cold_multiple * rules.cold_start_share
+        rate *= COLD_SAFETY * rules.cold_multiple * rules.cold_start_share * self.part
         w.credit = min(max(1.0, rate * rules.cold_window), w.credit + rate * (self.now - w.credit_at))
         w.credit_at = self.now
         return w.credit >= min(1.0, work)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -191,6 +191,7 @@
 
     async def start(self) -> Gateway:
         environment = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
+        environment.pop("TMPDIR", None)  # what one gateway keeps there is no other's, nor of an earlier test
         if self._config is not None:
             with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
                 json.dump(self._config, file)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -19,7 +19,7 @@
     """A module that answers each kind of event with the actions written for it."""
 
     def __init__(self, **answers: Callable[[Any], list[api.Action]]) -> None:
-        self.answers, self.told = answers, list[api.Event]()
+        self.answers, self.told, self.part = answers, list[api.Event](), 1.0
 
     def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
         self.told += events
@@ -385,3 +385,19 @@
         odd: list[Any] = [None, [], {}, {"rates": 1}]
         for told in odd:
             self.assertEqual(self.feed(core.Recalled(told)), [])
+
+    def test_there_is_a_bound_on_engines_left_out(self) -> None:
+        self.begin()
+        self.feed(core.BansTold(frozenset(f"gone{i}" for i in range(core.MOST_BANS)), {}))
+        (answer,) = self.feed(core.Operate(1, Order.DISABLE, "r1"))
+        assert isinstance(answer, core.OperatorAnswer)
+        self.assertEqual((answer.done, answer.unknown), (False, False))
+        self.assertTrue(self.operate(Order.ENABLE, "gone1") and self.operate(Order.DISABLE, "r1"))
+        (answer,) = self.feed(core.Operate(1, Order.DISABLE, "nobody"))
+        self.assertEqual(answer, core.OperatorAnswer(1, False, "no such engine", unknown=True))
+
+    def test_two_processes_share_the_budget_for_cold_engines(self) -> None:
+        self.begin()
+        for processes, part in ((2, 0.5), (1, 1.0)):
+            self.feed(core.Sharing(processes))
+            self.assertEqual(self.module.part, part)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1169,3 +1169,18 @@
     while not d.answered:
         d.feed(api.TimerFired(rules.WATCH_TIMER), after=25 * MS)
     assert isinstance(d.answered["q"], answer)
+
+
+def test_a_part_of_the_budget_for_cold_workers_is_earned_at_that_part_of_the_rate() -> None:
+    """Guards a cold worker against two processes of one router, which both know what a warm one does."""
+    earned = []
+    for part in (1.0, 0.5):
+        d = Drive(settings(zones=("a",)), (entry("r1", 0), entry("w1", 1)))
+        d.warm()
+        d.listed(entry("w1", 1, started=d.now))
+        cold, d.router.part = d.router.fleet["w1"], part
+        cold.credit = 0.0
+        d.router.now = d.now + 200 * MS
+        d.router._cold_room(cold, 1.0)
+        earned.append(cold.credit)
+    assert earned[1] == pytest.approx(earned[0] / 2) and earned[0] > 0
