Rest a worker that fails every other request

At fault: `_took` cleared faults and strikes with each answer, so that a worker that fails half of what it gets never has two faults in a row for long. An answer now halves both; 1.7 faults tell. Ruled out: upgrades (0 requests at the door, figures true), bans (0 of 20 calls wrong).

--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -47,7 +47,7 @@
 LEAST_PATIENCE = SECOND // 2  # no time-out is shorter: scheduling noise is not a fault
 REST = 1 * SECOND  # first rest of a worker that failed; doubles each time
 LONGEST_REST = 8 * SECOND
-FAULTS_TELL = 2  # errors and broken connections in a row that tell of a worker, not of chance
+FAULTS_TELL = 1.7  # errors and broken connections, halved by each answer, that tell of a worker
 MOST_RESTING = 0.25  # share of a pool that must be left; with less, rests count for nothing
 FULL_REST = SECOND // 4  # a worker that said "full" is passed over for this long
 LEARN = 0.05  # weight of a new sample in a fleet-wide average
@@ -144,8 +144,8 @@
         self.report: dict[str, float] = {}
         self.others = 0.0  # requests there that are not this router's, as last reported
         self.sent: dict[str, int] = {}  # prompts that the last report can't hold yet: request -> tokens
-        self.told_at, self.heard_at, self.rest_until, self.strikes = now, now, 0, 0
-        self.full_until = self.newest_answered = self.faults = 0  # faults: failed attempts in a row
+        self.told_at, self.heard_at, self.rest_until, self.strikes, self.faults = now, now, 0, 0, 0.0
+        self.full_until = self.newest_answered = 0
         self.served: dict[int, int] = {}  # tenant -> when last one of its requests was taken here
         self.turned: dict[int, tuple[int, int]] = {}  # tenant turned away -> left out until, times so far
         self.lag, self.lag_at = 0.0, now  # what reads here lately waited, beyond the reading itself
@@ -368,7 +368,7 @@
         return [w for w in pool if w.name not in q.failed] or pool
 
     def _took(self, w: Worker, q: Request) -> None:
-        w.served[q.a.tenant], w.strikes, w.faults = self.now, 0, 0
+        w.served[q.a.tenant], w.strikes, w.faults = self.now, w.strikes // 2, w.faults / 2
         w.turned.pop(q.a.tenant, None)
 
     def _turned_away(self, w: Worker, q: Request, sent_at: int) -> None:
