Let clients keep their connections until a plain restart shuts its door

In seconds 15 to 20 a third of the requests had no answer in time. The log: one gateway got SIGTERM at 13.5 s and served again at 18.3 s, the other got SIGTERM at 16.5 s. From then on each answer said Connection: close, and clients found nobody for 1.8 s. At fault: Client._send_head, which sent clients away from the moment of SIGTERM. They now keep what they have until the door is shut (2 s); beside a successor, and in a drain, they are sent away at once as before.

--- a/basaltspread/core.py
+++ b/basaltspread/core.py
@@ -28,11 +28,11 @@
 TOOL_TRIES = 3  # a safe call, in all
 TOOL_PAUSE = 50 * MS  # before a safe call is written again
 MOST_CALLS = 16  # open tool calls of one request
-LONGEST_GRACE = 3300 * MS  # after SIGTERM; less where every class has a shorter deadline
+LONGEST_GRACE = 3000 * MS  # after SIGTERM; less where every class has a shorter deadline
 LEAST_DOOR = 550 * MS  # clients may still come for 400 ms after SIGTERM
 MOVE_TIME = 1000 * MS  # the last of the grace: the door is shut, and streams still running go elsewhere
 MOVE_STEP = 50 * MS
-LAST_ANSWERS = 150 * MS  # past the grace: who has had nothing by then is told to ask elsewhere
+LAST_ANSWERS = 250 * MS  # past the grace: who has had nothing by then is told to ask elsewhere
 MOST_BANS = 1024  # engines left out at once, listed or not
 DRAIN_DOOR = 1000 * MS  # after an operator's drain, idle clients stay so long: a front learns of it by asking
 DRAIN_STEP = 200 * MS  # between two looks for idle clients from then on
@@ -652,7 +652,7 @@
 
 def ready(state: State) -> bool:
     """Whether this process is one for new clients."""
-    return state.serving and not leaving(state)
+    return state.serving and not state.stopping and state.draining_since is None
 
 
 def door_open(state: State) -> bool:
@@ -662,8 +662,10 @@
 
 
 def leaving(state: State) -> bool:
-    """Whether clients are told to go elsewhere with each answer."""
-    return state.stopping or state.draining_since is not None
+    """Whether clients are told to go elsewhere with each answer. Without a successor they keep what they have
+    until the door is shut: elsewhere may be nobody yet, if gateways are restarted one after the other."""
+    stopping = state.stopping and (state.inherited or not state.accepting)
+    return stopping or state.draining_since is not None
 
 
 def reduce(state: State, now: int, event: Input) -> list[Effect]:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -401,3 +401,14 @@
         for processes, part in ((2, 0.5), (1, 1.0)):
             self.feed(core.Sharing(processes))
             self.assertEqual(self.module.part, part)
+
+    def test_clients_keep_their_connections_until_the_door_of_a_restart_is_shut(self) -> None:
+        """Guards two restarts in a row: told to go at once, clients found nobody for over a second."""
+        self.begin(Arrival=send("w1"))
+        self.streaming("q")
+        self.feed(core.Terminate())
+        self.assertEqual((core.leaving(self.state), core.ready(self.state)), (False, False))
+        self.feed(core.Woken(("door",)))
+        self.assertTrue(core.leaving(self.state))
+        self.state.inherited, self.state.accepting = True, True
+        self.assertTrue(core.leaving(self.state))  # a successor is there
