Hold signals at the very end, so that a second SIGTERM does not change the exit

The test sends SIGTERM twice. Cause: the event loop gives its signal handlers back when it closes, and a SIGTERM that comes after that kills the process with its work done. Signals are now blocked once all is done; the test tells the process once and waits, and a test of its own sends the late signal. Ruled out: the handed-on stream (it ended whole).

--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -75,6 +75,7 @@
     await front.stop()
     if eureka is not None:
         await eureka.stop()
+    runtime.hold_signals()
     runtime.print_counters()
 
 
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -43,6 +43,7 @@
 TAIL = 16  # bytes by which the end of a chunk is known
 CLIENT_BUFFER = 64 * 1024  # bytes that may wait for a slow reader of a stream
 SPARE_DESCRIPTORS = 48  # for the interpreter, the listener, discovery and log files
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 DISTRUST = 30.0  # s in which no kept link to an address is used, after one was reset as it was used again
 MOST_DISTRUSTED = 3  # addresses; with so many, no kept link to any address is used
 DUTY_DESCRIPTORS = 12  # of the spare ones, for releases
@@ -750,6 +751,12 @@
         if self.bans is not None:
             self.bans.keep(effect)
 
+    @staticmethod
+    def hold_signals() -> None:
+        """All is done: a signal that comes twice must not turn the end in order into a kill. The loop gives
+        its handlers back when it closes."""
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+
     def _terminate(self) -> None:
         log.info("stopping: finishing %d requests", len(self.state.requests))
         for call in self.on_terminate:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -248,6 +248,10 @@
     async def stop(self) -> dict[str, int]:
         """SIGTERM; its counters at exit, which must be in order."""
         self.process.send_signal(signal.SIGTERM)
+        return await self.ended()
+
+    async def ended(self) -> dict[str, int]:
+        """Its counters at exit, once it has been told to end."""
         counters = self._parsed(await self.until("counters "))
         async with asyncio.timeout(PATIENCE):
             assert await self.process.wait() == 0, self.lines
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -7,6 +7,8 @@
 import itertools
 import signal
 import socket
+import subprocess
+import sys
 import tempfile
 import time
 import unittest
@@ -19,6 +21,7 @@
 from tests.standins import (
     DONE,
     PATIENCE,
+    ROOT,
     Asked,
     FleetTest,
     Gateway,
@@ -198,7 +201,7 @@
         late = await self.client(new)
         self.assertEqual((await late.ask("q2"))[0], 200)
         self.assertEqual((await new.operate("GET", "/-/metrics"))[1]["replies"]["ask"]["success"], 1)
-        counters = await old.stop()  # with the stream still running
+        counters = await old.ended()  # with the stream still running
         self.assertEqual((counters["answers_served"], counters["streams_handed_on"]), (1, 1))
         await new.until("another process of this gateway has ended")
         go_on.set()
@@ -246,6 +249,22 @@
             client.let_go()  # it does not wait any more
 
 
+class SignalTest(unittest.TestCase):
+    def test_a_second_sigterm_at_the_very_end_changes_nothing(self) -> None:
+        """The closed loop has given the handlers back; the process died of the signal with its work done."""
+        code = (
+            "import asyncio, os, signal\n"
+            "from unittest import mock\n"
+            "from basaltspread.net.runtime import Runtime\n"
+            "async def main():\n"
+            "    Runtime.watch_signals(mock.MagicMock(), lambda: None)\n"
+            "    Runtime.hold_signals()\n"
+            "asyncio.run(main())\n"
+            "os.kill(os.getpid(), signal.SIGTERM)\n"
+        )
+        self.assertEqual(subprocess.run([sys.executable, "-c", code], cwd=ROOT).returncode, 0)
+
+
 class BanFileTest(unittest.TestCase):
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
