--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -11,24 +11,37 @@
 import os
 import sys
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from basaltspread import core
-from basaltspread.config import ConfigError, Gateway, load_platform, load_sidecar, needs_restart
-from basaltspread.net.eureka import Eureka
+from basaltspread.config import ConfigError, Gateway, Tools, load_platform, load_sidecar, needs_restart
 from basaltspread.net.management import Management
 from basaltspread.net.platform import Front
 from basaltspread.net.runtime import BanFile, Overlap, Runtime
-from basaltspread.net.toolcalls import Relay
 from basaltspread.rules import Router
 
+if TYPE_CHECKING:
+    from basaltspread.control.dispatch import Dispatcher
+
+TOOL_SHARE = 0.15  # of the descriptors, for tries at tool servers
 IDLE_SHARE = 0.6  # of the time after which engines close an idle connection: ours are closed by then
 log = logging.getLogger("basaltspread")
 Load = Callable[[bool], tuple[Gateway | None, list[ConfigError]]]
 
 
+def dispatcher(config: Gateway, tools: Tools) -> Dispatcher:
+    """Imported where it is used: the platform's gateway has no tools."""
+    from basaltspread.control.dispatch import Dispatcher
+
+    shares = {i: tenant.share for i, tenant in enumerate(config.settings.tenants)}
+    return Dispatcher(tools.table, shares, config.seed, max(4, int(config.sockets * TOOL_SHARE)))
+
+
 async def serve(config: Gateway, load: Load) -> None:
     inherited = config.door is not None
     state = core.State(config.settings, Router(config.settings, config.seed), inherited=inherited)
+    if config.tools is not None:
+        state.tools = dispatcher(config, config.tools)
     timeout = config.settings.limits.connect_timeout or 250_000
     idle = config.idle_close / 1e6 * IDLE_SHARE
     scratch = config.scratch
@@ -37,9 +50,17 @@
         bans=BanFile(scratch, config.name) if scratch is not None and config.management is not None else None,
         overlap=Overlap(scratch, config.name) if scratch is not None and inherited else None,
     )  # fmt: skip
-    relay = Relay(runtime, config.tools) if config.tools is not None else None
+    relay = None
+    if config.tools is not None:
+        from basaltspread.net.toolcalls import Relay
+
+        relay = Relay(runtime, config.tools)
     front = Front(runtime, config, relay)
-    eureka = Eureka(runtime, config, config.registry) if config.registry is not None else None
+    eureka = None
+    if config.registry is not None:
+        from basaltspread.net.eureka import Eureka
+
+        eureka = Eureka(runtime, config, config.registry)
     management = Management(runtime, config.management) if config.management is not None else None
 
     def reload() -> None:
@@ -75,6 +96,8 @@
     await front.stop()
     if eureka is not None:
         await eureka.stop()
+    if relay is not None:
+        await relay.stop()
     runtime.hold_signals()
     runtime.print_counters()
 
--- /dev/null
+++ b/basaltspread/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- a/basaltspread/config.py
+++ b/basaltspread/config.py
@@ -22,6 +22,7 @@
 
 from basaltspread import interface as api
 from basaltspread.adapter import settings_from
+from basaltspread.control.routes import MCP, PLAIN, Policy, RouteTable, Server, single
 
 EXIT_FAULTS, EXIT_USAGE = 1, 2
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z")
@@ -45,10 +46,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Tools:
-    """The application's tool server, and what its tools do."""
+    """The application's tool servers with the routes to them, and what its tools do."""
 
-    address: str
-    path: str
+    table: RouteTable
     listed: Mapping[str, Tool]
     default: Tool = field(default_factory=Tool)
 
@@ -136,9 +136,7 @@
     management = environment.get("RELAY_MANAGEMENT") or raw.get("management") or None
     if management is not None:
         split_address("management", management)
-    door = environment.get("RELAY_FD") or None
-    if door is not None and not (door.isascii() and door.isdigit() and len(door) < 6):
-        raise ConfigError("RELAY_FD", f"{door!r} is not a descriptor", "give a listening socket's number")
+    door = _door(environment)
     try:
         limits = raw.get("limits") or {}
         return Gateway(
@@ -151,7 +149,7 @@
             settings=settings,
             discovery=str(discovery),
             management=management,
-            door=int(door) if door is not None else None,
+            door=door,
             scratch=environment.get("TMPDIR") or None,
             known=raw.get("known") or {},
         )
@@ -160,6 +158,14 @@
         raise ConfigError("limits or seed", f"can't be read: {error!r}", remedy) from error
 
 
+def _door(environment: Mapping[str, str]) -> int | None:
+    """The clients' listening socket, where one is inherited."""
+    door = environment.get("RELAY_FD") or None
+    if door is not None and not (door.isascii() and door.isdigit() and len(door) < 6):
+        raise ConfigError("RELAY_FD", f"{door!r} is not a descriptor", "give a listening socket's number")
+    return int(door) if door is not None else None
+
+
 def needs_restart(old: Gateway, new: Gateway) -> list[str]:
     """What differs between two configurations and is only read at the start."""
     fixed = ("name", "listen", "management", "settings")
@@ -245,6 +251,87 @@
     return Tool(api.Effect(effect), int(deadline))
 
 
+def _read_server(reader: _Reader, name: str) -> Server:
+    key = f"tools.servers.{name}"
+    reader.known(key, {"address", "path", "weight", "zone", "protocol", "max_concurrent", "silence_ms"})
+    protocol = reader.table(key).get("protocol", PLAIN)
+    if protocol not in (PLAIN, MCP):
+        reader.fault(f"{key}.protocol", f"{protocol!r} is no protocol", 'write "plain" or "mcp"')
+    zone = reader.table(key).get("zone", "")
+    if not isinstance(zone, str):
+        reader.fault(f"{key}.zone", f"{zone!r} is not a text", "give one of settings.azs")
+    return Server(
+        name, reader.address(key, "address"), reader.path(key, "path", "/rpc"),
+        float(reader.number(key, "weight", 1, 0.01, 1000)), str(zone), str(protocol),
+        int(reader.number(key, "max_concurrent", 64, 1, 10_000)),
+        int(reader.number(key, "silence_ms", 0, 0, 600_000)) * 1000,
+    )  # fmt: skip
+
+
+def _read_policy(reader: _Reader) -> Policy:
+    key = "tools.limits"
+    reader.known(key, {
+        "adaptive", "queue", "retry_share", "retry_reserve", "hedge", "hedge_percentile", "list_ttl_s",
+    })  # fmt: skip
+    for name in ("adaptive", "hedge"):
+        if not isinstance(reader.table(key).get(name, True), bool):
+            reader.fault(f"{key}.{name}", "is neither true nor false", "write true or false")
+    return Policy(
+        bool(reader.table(key).get("adaptive", True)), int(reader.number(key, "queue", 1000, 1, 100_000)),
+        float(reader.number(key, "retry_share", 0.1, 0, 1)),
+        float(reader.number(key, "retry_reserve", 10, 0, 1000)), bool(reader.table(key).get("hedge", True)),
+        float(reader.number(key, "hedge_percentile", 0.95, 0.5, 0.999)),
+        float(reader.number(key, "list_ttl_s", 30, 0, 86_400)),
+    )  # fmt: skip
+
+
+def _read_routes(reader: _Reader, servers: Mapping[str, Server]) -> dict[str, tuple[str, ...]]:
+    """Without any, all servers take all tools."""
+    found: dict[str, tuple[str, ...]] = {}
+    for route, names in reader.table("tools.routes").items():
+        key = f'tools.routes."{route}"'
+        if "*" in route[:-1] or not route:
+            reader.fault(key, "is no route", "give a tool's name, or its beginning and a last *")
+        if not isinstance(names, list) or not names or not all(n in servers for n in map(str, names)):
+            remedy = f"list some of {', '.join(sorted(servers)) or 'the tables under tools.servers'}"
+            reader.fault(key, f"{names!r} does not name tool servers", remedy)
+            continue
+        found[route] = tuple(sorted(set(names)))
+    return found or ({"*": tuple(sorted(servers))} if servers else {})
+
+
+def _read_tools(reader: _Reader, zones: Sequence[str], zone: int) -> Tools:
+    """One server by its address, or several with routes; not both."""
+    reader.known("tools", {"address", "path", "listed", "servers", "routes", "limits"})
+    listed = {}
+    for tool in reader.table("tools.listed"):
+        listed[tool] = _read_tool(reader, f"tools.listed.{tool}") if "." not in tool else Tool()
+        if "." in tool:
+            reader.fault(f"tools.listed.{tool!r}", "has a dot in its name", "rename the tool without dots")
+    policy = _read_policy(reader)
+    named = reader.table("tools.servers")
+    if not named:
+        if "routes" in reader.table("tools"):
+            reader.fault("tools.routes", "there are no servers to name", "list them under tools.servers")
+        path = reader.path("tools", "path", "/rpc")
+        return Tools(single(reader.address("tools", "address"), path, policy), listed)
+    for name in ("address", "path"):
+        if name in reader.table("tools"):
+            reader.fault(f"tools.{name}", "stands beside tools.servers", "keep one of the two")
+    servers = {}
+    for name in named:
+        if NAME.match(name) and "." not in name:
+            servers[name] = _read_server(reader, name)
+            if servers[name].zone and servers[name].zone not in zones:
+                remedy = f"use one of {', '.join(zones)}"
+                reader.fault(f"tools.servers.{name}.zone", f"{servers[name].zone!r} is no zone", remedy)
+        else:
+            reader.fault(f"tools.servers.{name!r}", "is not a plain name", "use letters, digits, '_' and '-'")
+    routes = _read_routes(reader, servers)
+    own = zones[zone] if 0 <= zone < len(zones) else ""
+    return Tools(RouteTable(servers, routes, own, policy), listed)
+
+
 def read_sidecar(raw: Mapping[str, Any]) -> tuple[Gateway | None, list[ConfigError]]:
     """The gateway that an operator's file describes, or every fault that keeps it from being one."""
     reader = _Reader(raw)
@@ -253,7 +340,6 @@
     management = reader.address("", "management") if "management" in raw else None
     reader.known("limits", {"memory_mb", "sockets"})
     reader.known("registry", {"address", "path", "engines", "fetch_s", "renew_s"})
-    reader.known("tools", {"address", "path", "listed"})
     memory = reader.number("limits", "memory_mb", 192, 64, 65536)
     sockets = reader.number("limits", "sockets", 1024, 128, 1_000_000)
     registry = Registry(
@@ -261,33 +347,33 @@
         reader.name("registry", "engines"), reader.number("registry", "fetch_s", 5, 0.05, 300),
         reader.number("registry", "renew_s", 10, 0.05, 300),
     )  # fmt: skip
-    listed = {}
-    for tool in reader.table("tools.listed"):
-        listed[tool] = _read_tool(reader, f"tools.listed.{tool}") if "." not in tool else Tool()
-        if "." in tool:
-            reader.fault(f"tools.listed.{tool!r}", "has a dot in its name", "rename the tool without dots")
-    tools = Tools(reader.address("tools", "address"), reader.path("tools", "path", "/rpc"), listed)
     settings, idle = None, 0
     try:
         settings, idle = _settings(reader.table("settings"))
     except ConfigError as error:
         reader.faults.append(error)
+    tools = _read_tools(reader, *((settings.zones, settings.zone) if settings is not None else ((), 0)))
     if settings is not None:
         if not {k.role for k in settings.kinds} & {api.Role.WRITER, api.Role.MIXED}:
             reader.fault(
                 "settings.specifics.role_by_kind", "names no writer", 'give one kind the role "write"'
             )
-        unsafe = [t for t, tool in listed.items() if tool.effect is not api.Effect.SAFE]
+        unsafe = [t for t, tool in tools.listed.items() if tool.effect is not api.Effect.SAFE]
         if unsafe and all(c.effect is not api.Effect.UNSAFE for c in settings.classes):
             reader.fault(
                 "settings.classes", f"none is unsafe, so {unsafe[0]!r} can never be called",
                 'give the class that may call it effect = "unsafe"',
             )  # fmt: skip
+    door = None
+    try:
+        door = _door(os.environ)
+    except ConfigError as error:
+        reader.faults.append(error)
     if reader.faults or settings is None:
         return None, reader.faults
     gateway = Gateway(
         name=name, listen=listen, seed=0, memory_mb=int(memory), sockets=int(sockets), idle_close=idle,
-        settings=settings, management=management, scratch=os.environ.get("TMPDIR") or None,
+        settings=settings, management=management, door=door, scratch=os.environ.get("TMPDIR") or None,
         tools=tools, registry=registry,
     )  # fmt: skip
     return gateway, []
--- /dev/null
+++ b/basaltspread/conformance/__init__.py
@@ -0,0 +1,1 @@
+"""Conformance."""
--- /dev/null
+++ b/basaltspread/core/messages.py
@@ -0,0 +1,554 @@
+"""What passes between the reducer and its host: inputs and effects.
+
+It owns the vocabulary. It must never hold state or decide anything: a front and the reducer that agree on
+these types need to know nothing else of each other.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from basaltspread import interface as api
+from basaltspread.control.routes import RouteTable, Server
+from basaltspread.endings import Ending, ToolFault
+
+
+class Place(Enum):
+    """What a writer said when asked to hold a place."""
+
+    HELD = "held"
+    NOT_HELD = "not held"
+    UNKNOWN = "unknown"  # also when nothing was heard
+
+
+class Verdict(Enum):
+    """How a request ends for its client."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class Order(Enum):
+    """What an operator can ask for."""
+
+    DISABLE = "disable"
+    ENABLE = "enable"
+    DRAIN = "drain"
+    RESUME = "resume"
+    DRAIN_SERVER = "drain tool server"
+    RESUME_SERVER = "use tool server again"
+
+
+# --- inputs -------------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """A whole request has come in; `arrival.time_left` is what is left of the client's wait."""
+
+    arrival: api.Arrival
+
+
+@dataclass(frozen=True, slots=True)
+class TurnedAway:
+    """A request that the front had no room to take: it was refused there and then."""
+
+    request_class: int
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLeft:
+    request: str
+    ending: Ending = Ending.CLIENT_LEFT
+
+
+@dataclass(frozen=True, slots=True)
+class Begun:
+    """The first byte of an attempt is about to be written."""
+
+    request: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    """The last byte of an attempt has been written."""
+
+    request: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class FirstEvent:
+    request: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    request: str
+    number: int
+    ending: Ending
+    detail: int = 0  # prompt tokens found kept
+    report: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class PlaceEnded:
+    request: str
+    number: int  # the reading attempt that it belongs to
+    worker: str
+    place: Place
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseEnded:
+    request: str
+    worker: str
+    done: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    worker: str
+    ending: Ending
+    elapsed: int
+    report: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """One engine of the list, and where it is reached."""
+
+    entry: api.WorkerEntry
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class ListTold:
+    kind: api.ListKind
+    version: int
+    entries: tuple[Listed, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """One request in an engine's stream; `fault` says what the front already found wrong with it."""
+
+    call: str  # its id, as JSON text
+    tool: str = ""
+    effect: api.Effect = api.Effect.UNSAFE
+    time_left: int = 0
+    fault: ToolFault | None = None
+    local: bool = False  # the gateway answers it itself
+    answered: bool = False  # and has its answer at hand
+
+
+@dataclass(frozen=True, slots=True)
+class ToolCalled:
+    """A request's engine stream carries calls, in one event. They get one message in return, once each has
+    its reply: a batch is answered as a batch. `errors` counts what of it is answered without an id."""
+
+    request: str
+    number: int
+    bundle: int  # the front's own number for the event, never used twice
+    calls: tuple[Wanted, ...]
+    errors: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ToolCancelled:
+    """The engine does not want this call's reply any more."""
+
+    request: str
+    number: int
+    call: str
+
+
+@dataclass(frozen=True, slots=True)
+class ToolBegun:
+    """The first byte of a try is about to be written."""
+
+    request: str
+    call: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class ToolProgressed:
+    """A tool server told of progress; with `shown`, in words that the engine asked for."""
+
+    request: str
+    call: str
+    number: int
+    shown: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ToolEnded:
+    """One try of a call has ended; SERVED means that its reply is there. Number 0 is the gateway's own
+    answer."""
+
+    request: str
+    call: str
+    number: int
+    ending: Ending
+
+
+@dataclass(frozen=True, slots=True)
+class ProgressEnded:
+    """The engine has been told of progress, or could not be."""
+
+    request: str
+    call: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyEnded:
+    """The message that answers an event has been written to the engine (SERVED), or not."""
+
+    request: str
+    bundle: int
+    ending: Ending
+
+
+@dataclass(frozen=True, slots=True)
+class ServerTried:
+    """A tool server was asked whether it answers."""
+
+    server: str
+    ok: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ServerDrains:
+    """A tool server says so itself, or (`on` false) is used again."""
+
+    server: str
+    on: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RoutesTold:
+    """The tool servers and the routes to them, from now on."""
+
+    table: RouteTable
+
+
+@dataclass(frozen=True, slots=True)
+class Woken:
+    token: tuple[Any, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Serving:
+    """Clients can come: the front has opened its door."""
+
+
+@dataclass(frozen=True, slots=True)
+class Operate:
+    """An operator's call; each gets one OperatorAnswer."""
+
+    call: int
+    order: Order
+    engine: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class BansTold:
+    """What a file shared with this gateway's other process says: engines left out, and when others of them
+    came back."""
+
+    disabled: frozenset[str]
+    returned: Mapping[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Recalled:
+    """What the module of the process that this one takes over from has learnt."""
+
+    knowledge: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Sharing:
+    """So many processes of this gateway run now, and keep its limits together."""
+
+    processes: int
+
+
+@dataclass(frozen=True, slots=True)
+class HandedOn:
+    """The process that follows has this stream, and its client, from here on."""
+
+    request: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Adopted:
+    """A stream that the process before had begun to pass on; it is attempt 0 here."""
+
+    request: str
+    request_class: int
+    worker: str
+    resumed: bool = False
+    tenant: int = 0
+    calls: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Terminate:
+    pass
+
+
+Input = (
+    Taken | TurnedAway | ClientLeft | Begun | Written | FirstEvent | Ended | PlaceEnded | ReleaseEnded
+    | Probed | ListTold | ToolCalled | ToolCancelled | ToolBegun | ToolProgressed | ToolEnded | ProgressEnded
+    | ReplyEnded | ServerTried | ServerDrains | RoutesTold | Woken | Serving | Operate | BansTold
+    | Recalled | Sharing | HandedOn | Adopted | Terminate
+)  # fmt: skip
+
+
+# --- effects ------------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class StartAttempt:
+    request: str
+    number: int
+    worker: str
+    address: str
+    reading: bool
+    time_left: int
+
+
+@dataclass(frozen=True, slots=True)
+class AbandonAttempt:
+    request: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class PassOn:
+    """The client gets this attempt's stream from its first event on."""
+
+    request: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class HandOn:
+    """Hand the connections of this stream to the process that follows, if there is one and they can be
+    handed on at this moment; HandedOn says that it was done."""
+
+    request: str
+    number: int
+    request_class: int
+    worker: str
+    address: str
+    resumed: bool = False
+    tenant: int = 0
+    calls: tuple[str, ...] = ()  # ids of the tool calls that it has carried
+
+
+@dataclass(frozen=True, slots=True)
+class EndStream:
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class BreakClient:
+    """End the client's connection without the last chunk."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    request: str
+    verdict: Verdict
+    retry_after: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class AskPlace:
+    request: str
+    number: int
+    worker: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class DropPlace:
+    """Do not ask for this place any more if not a byte of the question has gone out."""
+
+    request: str
+    worker: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendRelease:
+    request: str
+    worker: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class StartProbe:
+    worker: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class FetchWholeList:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class CallTool:
+    """Write the call to this tool server, on a new connection if it may be written but once."""
+
+    request: str
+    call: str
+    number: int
+    server: Server
+    once: bool
+    time_left: int
+
+
+@dataclass(frozen=True, slots=True)
+class AbandonTool:
+    """Give a try up. With `tell`, its server is told that nobody waits for it any more."""
+
+    request: str
+    call: str
+    number: int
+    server: Server
+    tell: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TellCancelled:
+    """Tell a tool server that a call, which is heard out all the same, is not wanted any more."""
+
+    request: str
+    call: str
+    server: Server
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerLocally:
+    """Make the gateway's own reply to this call; ToolEnded with number 0 says how that ended."""
+
+    request: str
+    call: str
+    time_left: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReturnReply:
+    """Write the replies of one event, or the faults in their place, to the engine that holds the stream."""
+
+    request: str
+    bundle: int
+    worker: str
+    address: str
+    replies: tuple[tuple[str, ToolFault | None], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReturnProgress:
+    """Tell the engine what was last heard of this call's progress."""
+
+    request: str
+    call: str
+    worker: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class ForgetCall:
+    """Nothing more will be asked about this call."""
+
+    request: str
+    call: str
+
+
+@dataclass(frozen=True, slots=True)
+class ForgetBundle:
+    request: str
+    bundle: int
+
+
+@dataclass(frozen=True, slots=True)
+class TryServer:
+    """Ask this tool server whether it answers."""
+
+    server: Server
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    at: int
+    token: tuple[Any, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Count:
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Say:
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorAnswer:
+    call: int
+    done: bool
+    why: str = ""
+    unknown: bool = False  # the engine that it names
+
+
+@dataclass(frozen=True, slots=True)
+class KeepBans:
+    """Keep what is known of bans, of which this engine's has just changed."""
+
+    engine: str
+    disabled: frozenset[str]
+    returned: Mapping[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class CloseIdle:
+    """End the client connections on which nothing is under way."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopListening:
+    """Accept no more connections; the address itself may be served by another process."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopAccepting:
+    """The same, and end the connections on which nothing is under way."""
+
+
+@dataclass(frozen=True, slots=True)
+class Exit:
+    pass
+
+
+Effect = (
+    StartAttempt | AbandonAttempt | PassOn | HandOn | EndStream | BreakClient | Answer | AskPlace | DropPlace
+    | SendRelease | StartProbe | FetchWholeList | CallTool | AbandonTool | TellCancelled | AnswerLocally
+    | ReturnReply | ReturnProgress | ForgetCall | ForgetBundle | TryServer
+    | Wake | Count | Say | OperatorAnswer | KeepBans | CloseIdle | StopListening | StopAccepting
+    | Exit
+)  # fmt: skip
--- a/basaltspread/core.py
+++ b/basaltspread/core/reducer.py
@@ -9,13 +9,64 @@
 from __future__ import annotations
 
 import traceback
-from collections import Counter, deque
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field, replace
-from enum import Enum
-from typing import Any, ClassVar, Protocol
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from typing import Any, ClassVar
 
 from basaltspread import interface as api
+from basaltspread.core.messages import (
+    AbandonAttempt,
+    Adopted,
+    Answer,
+    AskPlace,
+    BansTold,
+    Begun,
+    BreakClient,
+    ClientLeft,
+    CloseIdle,
+    Count,
+    DropPlace,
+    Effect,
+    Ended,
+    EndStream,
+    Exit,
+    FetchWholeList,
+    FirstEvent,
+    HandedOn,
+    HandOn,
+    Input,
+    KeepBans,
+    Listed,
+    ListTold,
+    Operate,
+    OperatorAnswer,
+    Order,
+    PassOn,
+    Place,
+    PlaceEnded,
+    Probed,
+    Recalled,
+    ReleaseEnded,
+    Say,
+    SendRelease,
+    Serving,
+    Sharing,
+    StartAttempt,
+    StartProbe,
+    StopAccepting,
+    StopListening,
+    Taken,
+    Terminate,
+    TurnedAway,
+    Verdict,
+    Wake,
+    Woken,
+    Written,
+)
+from basaltspread.core.state import Attempt, Release, Request, State
+from basaltspread.core.toolcalls import ToolSteps
+from basaltspread.endings import OUTCOMES, QUIET, Ending
 from basaltspread.interface import Outcome, Role, WorkerState
 
 MS = 1000
@@ -24,10 +75,6 @@
 GIVE_UP_PAUSE = 10 * MS  # by then the engine has surely seen that an attempt was given up
 RELEASE_STEP = 100 * MS  # a release not acknowledged by then is sent to one more engine
 RELEASE_TRIES = 6
-REPLY_TRIES = 3  # a tool's reply that certainly never reached its engine is written again so often
-TOOL_TRIES = 3  # a safe call, in all
-TOOL_PAUSE = 50 * MS  # before a safe call is written again
-MOST_CALLS = 16  # open tool calls of one request
 LONGEST_GRACE = 3000 * MS  # after SIGTERM; less where every class has a shorter deadline
 LEAST_DOOR = 550 * MS  # clients may still come for 400 ms after SIGTERM
 MOVE_TIME = 1000 * MS  # the last of the grace: the door is shut, and streams still running go elsewhere
@@ -38,636 +85,6 @@
 DRAIN_STEP = 200 * MS  # between two looks for idle clients from then on
 
 
-class Ending(Enum):
-    """Every way in which a connection's use can end."""
-
-    SERVED = "stream to its last chunk"
-    READ = "prompt read"
-    SERVER_ERROR = "500"
-    STRANGE_STATUS = "a status the protocol does not name"
-    MALFORMED = "an answer that is not HTTP"
-    TURNED_AWAY = "turned away unprocessed"
-    STATE_GONE = "no state to fetch"
-    REFUSED = "connection refused"
-    CONNECT_TIMED_OUT = "connection did not come up"
-    NO_DESCRIPTOR = "out of descriptors"
-    BROKE_UNSENT = "broke before the last byte was written"
-    WITHDRAWN = "drained before the first byte"
-    RESET = "reset after the last byte"
-    CUT_SHORT = "ended before its last chunk"
-    STALLED = "the stream fell silent"
-    TIMED_OUT = "nothing came in time"
-    CANCELLED = "called back by the module"
-    HANDED_ON = "handed on to the process that follows, connections and all"
-    MOVED = "ended so that the client asks another gateway for the rest"
-    CLIENT_LEFT = "the client went away"
-    CLIENT_SLOW = "the client stopped reading"
-    NOT_SENT = "never sent: over, or out of attempts"
-    GATEWAY_FAULT = "an unexpected exception in the gateway"
-
-
-OUTCOMES: dict[Ending, Outcome] = {
-    Ending.SERVED: Outcome.SERVED,
-    Ending.READ: Outcome.READ,
-    Ending.SERVER_ERROR: Outcome.ERROR,
-    Ending.STRANGE_STATUS: Outcome.ERROR,
-    Ending.MALFORMED: Outcome.ERROR,
-    Ending.TURNED_AWAY: Outcome.FULL,
-    Ending.STATE_GONE: Outcome.FULL,
-    Ending.REFUSED: Outcome.CONNECT_FAILED,
-    Ending.CONNECT_TIMED_OUT: Outcome.CONNECT_FAILED,
-    Ending.NO_DESCRIPTOR: Outcome.CONNECT_FAILED,
-    Ending.BROKE_UNSENT: Outcome.CONNECT_FAILED,
-    Ending.WITHDRAWN: Outcome.CONNECT_FAILED,
-    Ending.RESET: Outcome.RESET,
-    Ending.CUT_SHORT: Outcome.RESET,
-    Ending.STALLED: Outcome.TIMEOUT,
-    Ending.TIMED_OUT: Outcome.TIMEOUT,
-    Ending.CANCELLED: Outcome.CANCELLED,
-    Ending.HANDED_ON: Outcome.CANCELLED,
-    Ending.MOVED: Outcome.CANCELLED,
-    Ending.CLIENT_LEFT: Outcome.CANCELLED,
-    Ending.CLIENT_SLOW: Outcome.CANCELLED,
-    Ending.NOT_SENT: Outcome.NOT_SENT,
-    Ending.GATEWAY_FAULT: Outcome.ERROR,
-}
-# The endings after which the other side has certainly not acted on what was sent.
-NEVER_RAN = frozenset(
-    e for e, o in OUTCOMES.items() if o in (Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.NOT_SENT)
-)
-
-
-# The endings of an ordinary day, which are counted but not logged.
-QUIET = frozenset((
-    Ending.SERVED, Ending.READ, Ending.TURNED_AWAY, Ending.CLIENT_LEFT, Ending.NOT_SENT, Ending.MOVED,
-    Ending.HANDED_ON,
-))  # fmt: skip
-
-
-class Place(Enum):
-    """What a writer said when asked to hold a place."""
-
-    HELD = "held"
-    NOT_HELD = "not held"
-    UNKNOWN = "unknown"  # also when nothing was heard
-
-
-class Verdict(Enum):
-    """How a request ends for its client."""
-
-    SERVED = "served"
-    REFUSED = "refused"
-    FAILED = "failed"
-
-
-class Order(Enum):
-    """What an operator can ask for."""
-
-    DISABLE = "disable"
-    ENABLE = "enable"
-    DRAIN = "drain"
-    RESUME = "resume"
-
-
-class ToolFault(Enum):
-    """Every way in which a tool call can fail, in the core's terms; a front words them on its wire."""
-
-    INVALID = "not a valid call"
-    UNKNOWN_METHOD = "no such method"
-    TOO_MANY = "too many open calls"
-    NOT_PERMITTED = "an unsafe tool is called only in a request of an unsafe class that is not resumed"
-    UNAVAILABLE = "the tool server could not be reached; the call was not made"
-    DEADLINE = "no reply in time"
-    SERVER_FAULT = "the tool server failed"
-    OUTCOME_UNKNOWN = "outcome unknown: the call may have been made"
-
-
-# What a tool call's connection says of the call, by the same outcomes as an engine's. An unsafe call that may
-# have run has no known outcome; all others get the fault named here.
-TOOL_FAULTS: dict[Outcome, ToolFault] = {
-    Outcome.CONNECT_FAILED: ToolFault.UNAVAILABLE,
-    Outcome.FULL: ToolFault.UNAVAILABLE,
-    Outcome.NOT_SENT: ToolFault.UNAVAILABLE,
-    Outcome.TIMEOUT: ToolFault.DEADLINE,
-    Outcome.RESET: ToolFault.SERVER_FAULT,
-    Outcome.ERROR: ToolFault.SERVER_FAULT,
-    Outcome.CANCELLED: ToolFault.SERVER_FAULT,
-}
-
-
-# --- inputs -------------------------------------------------------------------------------------------
-
-
-@dataclass(frozen=True, slots=True)
-class Taken:
-    """A whole request has come in; `arrival.time_left` is what is left of the client's wait."""
-
-    arrival: api.Arrival
-
-
-@dataclass(frozen=True, slots=True)
-class TurnedAway:
-    """A request that the front had no room to take: it was refused there and then."""
-
-    request_class: int
-
-
-@dataclass(frozen=True, slots=True)
-class ClientLeft:
-    request: str
-    ending: Ending = Ending.CLIENT_LEFT
-
-
-@dataclass(frozen=True, slots=True)
-class Begun:
-    """The first byte of an attempt is about to be written."""
-
-    request: str
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class Written:
-    """The last byte of an attempt has been written."""
-
-    request: str
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class FirstEvent:
-    request: str
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class Ended:
-    request: str
-    number: int
-    ending: Ending
-    detail: int = 0  # prompt tokens found kept
-    report: dict[str, float] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class PlaceEnded:
-    request: str
-    number: int  # the reading attempt that it belongs to
-    worker: str
-    place: Place
-
-
-@dataclass(frozen=True, slots=True)
-class ReleaseEnded:
-    request: str
-    worker: str
-    done: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Probed:
-    worker: str
-    ending: Ending
-    elapsed: int
-    report: dict[str, float] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class Listed:
-    """One engine of the list, and where it is reached."""
-
-    entry: api.WorkerEntry
-    address: str
-
-
-@dataclass(frozen=True, slots=True)
-class ListTold:
-    kind: api.ListKind
-    version: int
-    entries: tuple[Listed, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class ToolCalled:
-    """A request's engine stream carries a call; `fault` says what the front already found wrong with it."""
-
-    request: str
-    number: int
-    call: str
-    effect: api.Effect = api.Effect.UNSAFE
-    time_left: int = 0
-    fault: ToolFault | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class ToolEnded:
-    """One try of a call has ended; SERVED means that its reply is there."""
-
-    request: str
-    call: str
-    ending: Ending
-
-
-@dataclass(frozen=True, slots=True)
-class ReplyEnded:
-    """The reply has been written to the engine (SERVED), or not."""
-
-    request: str
-    call: str
-    ending: Ending
-
-
-@dataclass(frozen=True, slots=True)
-class Woken:
-    token: tuple[Any, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Serving:
-    """Clients can come: the front has opened its door."""
-
-
-@dataclass(frozen=True, slots=True)
-class Operate:
-    """An operator's call; each gets one OperatorAnswer."""
-
-    call: int
-    order: Order
-    engine: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class BansTold:
-    """What a file shared with this gateway's other process says: engines left out, and when others of them
-    came back."""
-
-    disabled: frozenset[str]
-    returned: Mapping[str, int]
-
-
-@dataclass(frozen=True, slots=True)
-class Recalled:
-    """What the module of the process that this one takes over from has learnt."""
-
-    knowledge: Any
-
-
-@dataclass(frozen=True, slots=True)
-class Sharing:
-    """So many processes of this gateway run now, and keep its limits together."""
-
-    processes: int
-
-
-@dataclass(frozen=True, slots=True)
-class HandedOn:
-    """The process that follows has this stream, and its client, from here on."""
-
-    request: str
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class Adopted:
-    """A stream that the process before had begun to pass on; it is attempt 0 here."""
-
-    request: str
-    request_class: int
-    worker: str
-
-
-@dataclass(frozen=True, slots=True)
-class Terminate:
-    pass
-
-
-Input = (
-    Taken | TurnedAway | ClientLeft | Begun | Written | FirstEvent | Ended | PlaceEnded | ReleaseEnded
-    | Probed | ListTold | ToolCalled | ToolEnded | ReplyEnded | Woken | Serving | Operate | BansTold
-    | Recalled | Sharing | HandedOn | Adopted | Terminate
-)  # fmt: skip
-
-
-# --- effects ------------------------------------------------------------------------------------------
-
-
-@dataclass(frozen=True, slots=True)
-class StartAttempt:
-    request: str
-    number: int
-    worker: str
-    address: str
-    reading: bool
-    time_left: int
-
-
-@dataclass(frozen=True, slots=True)
-class AbandonAttempt:
-    request: str
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class PassOn:
-    """The client gets this attempt's stream from its first event on."""
-
-    request: str
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class HandOn:
-    """Hand the connections of this stream to the process that follows, if there is one and they can be
-    handed on at this moment; HandedOn says that it was done."""
-
-    request: str
-    number: int
-    request_class: int
-    worker: str
-    address: str
-
-
-@dataclass(frozen=True, slots=True)
-class EndStream:
-    request: str
-
-
-@dataclass(frozen=True, slots=True)
-class BreakClient:
-    """End the client's connection without the last chunk."""
-
-    request: str
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    request: str
-    verdict: Verdict
-    retry_after: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class AskPlace:
-    request: str
-    number: int
-    worker: str
-    address: str
-
-
-@dataclass(frozen=True, slots=True)
-class DropPlace:
-    """Do not ask for this place any more if not a byte of the question has gone out."""
-
-    request: str
-    worker: str
-
-
-@dataclass(frozen=True, slots=True)
-class SendRelease:
-    request: str
-    worker: str
-    address: str
-
-
-@dataclass(frozen=True, slots=True)
-class StartProbe:
-    worker: str
-    address: str
-
-
-@dataclass(frozen=True, slots=True)
-class FetchWholeList:
-    pass
-
-
-@dataclass(frozen=True, slots=True)
-class CallTool:
-    """Write the call to the application's tool server, on a new connection if it may be written but once."""
-
-    request: str
-    call: str
-    once: bool
-    time_left: int
-
-
-@dataclass(frozen=True, slots=True)
-class AbandonTool:
-    request: str
-    call: str
-
-
-@dataclass(frozen=True, slots=True)
-class ReturnReply:
-    """Write the call's one reply, or the fault in its place, to the engine that holds the stream."""
-
-    request: str
-    call: str
-    worker: str
-    address: str
-    fault: ToolFault | None
-
-
-@dataclass(frozen=True, slots=True)
-class ForgetCall:
-    """Nothing more will be asked about this call."""
-
-    request: str
-    call: str
-
-
-@dataclass(frozen=True, slots=True)
-class Wake:
-    at: int
-    token: tuple[Any, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Count:
-    name: str
-
-
-@dataclass(frozen=True, slots=True)
-class Say:
-    text: str
-
-
-@dataclass(frozen=True, slots=True)
-class OperatorAnswer:
-    call: int
-    done: bool
-    why: str = ""
-    unknown: bool = False  # the engine that it names
-
-
-@dataclass(frozen=True, slots=True)
-class KeepBans:
-    """Keep what is known of bans, of which this engine's has just changed."""
-
-    engine: str
-    disabled: frozenset[str]
-    returned: Mapping[str, int]
-
-
-@dataclass(frozen=True, slots=True)
-class CloseIdle:
-    """End the client connections on which nothing is under way."""
-
-
-@dataclass(frozen=True, slots=True)
-class StopListening:
-    """Accept no more connections; the address itself may be served by another process."""
-
-
-@dataclass(frozen=True, slots=True)
-class StopAccepting:
-    """The same, and end the connections on which nothing is under way."""
-
-
-@dataclass(frozen=True, slots=True)
-class Exit:
-    pass
-
-
-Effect = (
-    StartAttempt | AbandonAttempt | PassOn | HandOn | EndStream | BreakClient | Answer | AskPlace | DropPlace
-    | SendRelease | StartProbe | FetchWholeList | CallTool | AbandonTool | ReturnReply | ForgetCall
-    | Wake | Count | Say | OperatorAnswer | KeepBans | CloseIdle | StopListening | StopAccepting
-    | Exit
-)  # fmt: skip
-
-
-# --- state --------------------------------------------------------------------------------------------
-
-
-class Module(Protocol):
-    part: float  # of the gateway's budget for engines that have just started
-
-    def handle(self, now: int, events: list[api.Event]) -> list[api.Action]: ...
-
-    def resting(self, now: int) -> set[str]: ...
-
-    def knowledge(self) -> dict[str, Any]: ...
-
-    def recall(self, now: int, told: dict[str, Any]) -> None: ...
-
-
-@dataclass(slots=True)
-class Attempt:
-    number: int
-    worker: str
-    reading: bool
-    sent_at: int
-    until: int = 0
-    begun: bool = False
-    written: bool = False
-    over: bool = False
-
-
-@dataclass(slots=True)
-class Request:
-    id: str
-    request_class: int
-    deadline: int
-    unsafe: bool = False
-    resumed: bool = False
-    gave_up_at: int = -GIVE_UP_PAUSE  # when an attempt was last closed from this side
-    attempts: list[Attempt] = field(default_factory=list)
-    stream: Attempt | None = None
-    ended: bool = False  # the client has had its final answer, or has gone
-    place: str | None = None  # a writer to be asked once the read's last byte is out
-    asking: set[str] = field(default_factory=set)  # writers whose answer is awaited
-    may_hold: bool = False  # a state or a place may be held for it at some engine
-
-    calls: set[str] = field(default_factory=set)  # ids of all tool calls that its streams have carried
-
-    def out(self) -> list[Attempt]:
-        return [a for a in self.attempts if not a.over]
-
-
-@dataclass(slots=True)
-class Release:
-    tried: list[str] = field(default_factory=list)
-    open: set[str] = field(default_factory=set)
-
-
-@dataclass(slots=True)
-class ToolCall:
-    attempt: int
-    worker: str
-    effect: api.Effect
-    deadline: int
-    tries: int = 0
-    open: bool = False  # a try is under way
-    fault: ToolFault | None = None
-    settled: bool = False  # its one reply is known: the tool server's, or a fault
-    returns: int = 0  # times that the reply was written to the engine
-    orphan: bool = False  # nobody waits for the reply any more
-
-
-@dataclass(slots=True)
-class State:
-    settings: api.Settings
-    module: Module
-    listed: dict[str, Listed] = field(default_factory=dict)  # as discovery tells it
-    version: int = 0
-    disabled: set[str] = field(default_factory=set)  # engines that operators left out, listed or not
-    returned: dict[str, int] = field(default_factory=dict)  # when one was let in again
-    workers: dict[str, Listed] = field(default_factory=dict)  # as it is treated: the list, less the bans
-    heard: dict[str, int] = field(default_factory=dict)  # when an engine last said anything
-    requests: dict[str, Request] = field(default_factory=dict)
-    releases: dict[str, Release] = field(default_factory=dict)
-    calls: dict[tuple[str, str], ToolCall] = field(default_factory=dict)  # open ones
-    replies: Counter[tuple[int, Verdict]] = field(default_factory=Counter)  # by class, since the start
-    dispatches: int = 0  # attempts written whole
-    inherited: bool = False  # the clients' socket is the platform's, and outlives this process
-    serving: bool = False
-    draining_since: int | None = None  # an operator sends the clients away
-    stopping: bool = False
-    stop_by: int = 0
-    accepting: bool = True
-    exited: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Figures:
-    """What operators are shown."""
-
-    replies: dict[str, dict[Verdict, int]]  # by class name; every class from the start
-    dispatches: int
-    concurrent: int  # requests taken and not ended
-    targets: int  # engines in the list
-    targets_disabled: int  # those of them that are avoided now
-
-
-def figures(state: State, now: int) -> Figures:
-    avoided = state.module.resting(now) | state.disabled
-    return Figures(
-        {c.name: {v: state.replies[i, v] for v in Verdict} for i, c in enumerate(state.settings.classes)},
-        state.dispatches,
-        sum(not q.ended for q in state.requests.values()),
-        len(state.workers),
-        len(avoided.intersection(state.workers)),
-    )
-
-
-def ready(state: State) -> bool:
-    """Whether this process is one for new clients."""
-    return state.serving and not state.stopping and state.draining_since is None
-
-
-def door_open(state: State) -> bool:
-    """Whether the clients' address is one for new clients. What came to an inherited socket and is not
-    accepted here goes to the process that follows."""
-    return state.serving and state.draining_since is None and (state.inherited or not state.stopping)
-
-
-def leaving(state: State) -> bool:
-    """Whether clients are told to go elsewhere with each answer. Without a successor they keep what they have
-    until the door is shut: elsewhere may be nobody yet, if gateways are restarted one after the other."""
-    stopping = state.stopping and (state.inherited or not state.accepting)
-    return stopping or state.draining_since is not None
-
-
 def reduce(state: State, now: int, event: Input) -> list[Effect]:
     """One step: the state after this input, and what is to be done about it."""
     step = _Step(state, now)
@@ -679,7 +96,7 @@
     return step.effects
 
 
-class _Step:
+class _Step(ToolSteps):
     """One call of the reducer: the state, the time, and the effects gathered so far."""
 
     def __init__(self, state: State, now: int) -> None:
@@ -716,7 +133,7 @@
             self.do(Answer(q.id, Verdict.FAILED) if q.stream is None else BreakClient(q.id))
         for attempt in q.out():
             self.do(AbandonAttempt(q.id, attempt.number))
-        self._orphan_calls(q)
+        self.orphan_calls(q)
         if q.may_hold or q.asking:
             self._release(q.id)
 
@@ -742,7 +159,7 @@
         q = self.state.requests.get(name)
         if q is None or not q.ended or q.out():
             return
-        self._orphan_calls(q)
+        self.orphan_calls(q)
         if q.may_hold:
             self._release(name)
         if not q.asking:
@@ -765,7 +182,7 @@
         )  # fmt: skip
         cls = self.state.settings.classes[a.request_class]
         unsafe = cls.effect is api.Effect.UNSAFE
-        q = Request(a.request, a.request_class, self.now + left, unsafe, a.is_resumed)
+        q = Request(a.request, a.request_class, self.now + left, unsafe, a.is_resumed, tenant=a.tenant)
         self.state.requests[q.id] = q
         self.touched[q.id] = None
         self.count("requests_taken")
@@ -1050,116 +467,6 @@
             self.state.heard.pop(event.worker, None)
             self._try_release(event.request)
 
-    # --- tool calls -----------------------------------------------------------------------------------
-
-    def tool_called(self, event: ToolCalled) -> None:
-        """One call of the stream that the client gets. Its fate is one reply, whatever happens; an unsafe one
-        is written at most once, and only where neither a client nor a gateway sends the request again."""
-        found = self._find(event.request, event.number)
-        if found is None or found[0].stream is not found[1]:
-            self.count("tool_calls_strayed")
-            return
-        q, attempt = found
-        self.count("tool_calls")
-        key = (q.id, event.call)
-        if event.call in q.calls:
-            # Answering would give this id a second reply; the first, or the one to come, is its only one.
-            self.count("tool_calls_repeated")
-            return
-        open_calls = sum(1 for name, _ in self.state.calls if name == q.id)
-        q.calls.add(event.call)
-        call = ToolCall(attempt.number, attempt.worker, event.effect, self.now + event.time_left)
-        self.state.calls[key] = call
-        unsafe = event.effect is not api.Effect.SAFE
-        fault = event.fault
-        if fault is None and open_calls >= MOST_CALLS:
-            fault = ToolFault.TOO_MANY
-        if fault is None and unsafe and (not q.unsafe or q.resumed):
-            # After a crash a safe request is sent again by its client, and a resumed one has had a stream
-            # that may have made this very call.
-            fault = ToolFault.NOT_PERMITTED
-        if fault is not None:
-            self._settle_call(key, call, fault)
-            return
-        self.do(Wake(call.deadline, ("call", q.id, event.call)))
-        self._try_call(key, call)
-
-    def _try_call(self, key: tuple[str, str], call: ToolCall) -> None:
-        call.tries += 1
-        call.open = True
-        self.count("tool_calls_written" if call.tries == 1 else "tool_calls_resent")
-        unsafe = call.effect is not api.Effect.SAFE
-        self.do(CallTool(*key, unsafe, call.deadline - self.now))
-
-    def tool_ended(self, event: ToolEnded) -> None:
-        key = (event.request, event.call)
-        call = self.state.calls.get(key)
-        if call is None or not call.open:
-            return
-        call.open = False
-        self.count(f"tools_{event.ending.name.lower()}")
-        if call.orphan:
-            if event.ending is Ending.SERVED:
-                self.count("tool_replies_dropped")
-            self._forget_call(key)
-        elif event.ending is Ending.SERVED:
-            self._settle_call(key, call, None)
-        elif call.effect is not api.Effect.SAFE:
-            never = event.ending in NEVER_RAN
-            fault = TOOL_FAULTS[OUTCOMES[event.ending]] if never else ToolFault.OUTCOME_UNKNOWN
-            self._settle_call(key, call, fault)
-        elif call.tries < TOOL_TRIES and self.now + TOOL_PAUSE < call.deadline:
-            self.do(Wake(self.now + TOOL_PAUSE, ("again", *key)))
-        else:
-            self._settle_call(key, call, TOOL_FAULTS[OUTCOMES[event.ending]])
-
-    def _settle_call(self, key: tuple[str, str], call: ToolCall, fault: ToolFault | None) -> None:
-        call.settled, call.fault = True, fault
-        self.count("tool_replies" if fault is None else f"tool_faults_{fault.name.lower()}")
-        self._return_reply(key, call)
-
-    def _return_reply(self, key: tuple[str, str], call: ToolCall) -> None:
-        """To the engine that holds the stream: it has this request already, so no drain forbids it."""
-        listed = self.state.workers.get(call.worker)
-        call.returns += 1
-        address = listed.address if listed is not None else ""
-        self.do(ReturnReply(*key, call.worker, address, call.fault))
-
-    def reply_ended(self, event: ReplyEnded) -> None:
-        key = (event.request, event.call)
-        call = self.state.calls.get(key)
-        if call is None:
-            return
-        if event.ending is Ending.SERVED or call.orphan:
-            self.count("tool_replies_returned" if event.ending is Ending.SERVED else "tool_replies_lost")
-            self._forget_call(key)
-        elif event.ending in NEVER_RAN and call.returns < REPLY_TRIES:
-            self._return_reply(key, call)
-        else:  # the engine would wait for ever: the stream ends as one that broke
-            self.count("tool_replies_lost")
-            self._forget_call(key)
-            found = self._find(event.request, call.attempt)
-            if found is not None:
-                self._close(*found, event.ending, abandon=True)
-
-    def _forget_call(self, key: tuple[str, str]) -> None:
-        del self.state.calls[key]
-        self.do(ForgetCall(*key))
-
-    def _orphan_calls(self, q: Request) -> None:
-        """The stream is over. A safe call is called off; an unsafe one is heard out, as its reply, however
-        late, tells the operator what was done."""
-        for key in [k for k in self.state.calls if k[0] == q.id]:
-            call = self.state.calls[key]
-            if call.orphan:
-                continue
-            call.orphan = True
-            if call.open and call.effect is not api.Effect.SAFE:
-                continue
-            if call.open or call.settled:
-                self.do(AbandonTool(*key))
-            self._forget_call(key)
-
     # --- the fleet ------------------------------------------------------------------------------------
 
     def list_told(self, event: ListTold) -> None:
@@ -1242,12 +549,18 @@
                 if state.draining_since is None:
                     state.draining_since = self.now
                     self.do(Wake(self.now + DRAIN_DOOR, ("drain", self.now)))
+            case Order.DRAIN_SERVER | Order.RESUME_SERVER:
+                if state.tools is None or event.engine not in state.tools.stations:
+                    self.do(OperatorAnswer(event.call, False, "no such tool server", unknown=True))
+                    return
+                on = event.order is Order.DRAIN_SERVER
+                self.decided(state.tools.drain(self.now, event.engine, on))
             case Order.RESUME if state.stopping:
                 self.do(OperatorAnswer(event.call, False, "this process has been told to stop"))
                 return
             case Order.RESUME:
                 state.draining_since = None
-        self.count(f"operator_{event.order.value}")
+        self.count(f"operator_{event.order.value.replace(' ', '_')}")
         self.do(OperatorAnswer(event.call, True))
 
     def _ban_changed(self, engine: str) -> None:
@@ -1276,6 +589,9 @@
 
     def recalled(self, event: Recalled) -> None:
         try:
+            tools = event.knowledge.pop("tools", None)
+            if tools is not None and self.state.tools is not None:
+                self.decided(self.state.tools.recall(self.now, tools))
             self.state.module.recall(self.now, event.knowledge)
             self.count("knowledge_recalled")
         except (AttributeError, KeyError, TypeError, ValueError) as error:
@@ -1308,12 +624,8 @@
                 duty = self.state.releases.get(name)
                 if duty is not None and duty.tried[-1:] == [worker]:
                     self._try_release(name)
-            case ("call", str(name), str(ident)):
-                self._call_is_late((name, ident))
-            case ("again", str(name), str(ident)):
-                call = self.state.calls.get((name, ident))
-                if call is not None and not call.settled and not call.open:
-                    self._try_call((name, ident), call)
+            case (str(name), *_) if name.startswith("tool_"):
+                self.tool_woken(event.token)
             case ("last",):
                 self._answer_the_rest()
             case ("hand",):
@@ -1328,21 +640,6 @@
                 self.state.accepting = False
                 self.do(StopAccepting())
 
-    def _call_is_late(self, key: tuple[str, str]) -> None:
-        call = self.state.calls.get(key)
-        if call is None:
-            return
-        if call.orphan:
-            self.count("tool_outcomes_unknown")
-            self.do(AbandonTool(*key))
-            self._forget_call(key)
-        elif not call.settled:
-            was_open, call.open = call.open, False
-            if was_open:
-                self.do(AbandonTool(*key))
-            unknown = call.effect is not api.Effect.SAFE and was_open
-            self._settle_call(key, call, ToolFault.OUTCOME_UNKNOWN if unknown else ToolFault.DEADLINE)
-
     def set_timer(self, action: api.SetTimer) -> None:
         self.do(Wake(self.now + action.delay, ("timer", action.timer)))
 
@@ -1385,8 +682,8 @@
 
     def _running(self) -> list[tuple[Request, Attempt]]:
         """The streams that may leave this process, oldest first; one with a tool call open stays."""
-        busy = {name for name, _ in self.state.calls}
-        running = [(q, q.stream) for q in self.state.requests.values() if not q.ended and q.id not in busy]
+        free = (q for q in self.state.requests.values() if not (q.ended or q.open or q.bundles))
+        running = [(q, q.stream) for q in free]
         return [(q, stream) for q, stream in running if stream is not None]
 
     def _hand_on_streams(self) -> None:
@@ -1394,7 +691,10 @@
         for q, stream in self._running():
             listed = self.state.workers.get(stream.worker)
             address = listed.address if listed is not None else ""
-            self.do(HandOn(q.id, stream.number, q.request_class, stream.worker, address))
+            self.do(HandOn(
+                q.id, stream.number, q.request_class, stream.worker, address,
+                q.resumed, q.tenant, tuple(q.calls),
+            ))  # fmt: skip
         if self.state.requests:
             self.do(Wake(self.now + MOVE_STEP, ("hand",)))
 
@@ -1405,7 +705,11 @@
 
     def adopted(self, event: Adopted) -> None:
         stream = Attempt(0, event.worker, False, self.now, begun=True, written=True)
-        q = Request(event.request, event.request_class, self.now, attempts=[stream], stream=stream)
+        unsafe = self.state.settings.classes[event.request_class].effect is api.Effect.UNSAFE
+        q = Request(
+            event.request, event.request_class, self.now, unsafe, event.resumed, attempts=[stream],
+            stream=stream, tenant=event.tenant, calls=dict.fromkeys(event.calls),
+        )  # fmt: skip
         self.state.requests[q.id] = q
         self.count("streams_adopted")
 
@@ -1426,8 +730,8 @@
         Taken: taken, TurnedAway: turned_away, ClientLeft: client_left, Serving: serving,
         Begun: begun, Written: written, FirstEvent: first_event,
         Ended: ended, PlaceEnded: place_ended, ReleaseEnded: release_ended, Probed: probed,
-        ListTold: list_told, ToolCalled: tool_called, ToolEnded: tool_ended, ReplyEnded: reply_ended,
-        Woken: woken, Operate: operate, BansTold: bans_told, Recalled: recalled, Sharing: sharing,
+        ListTold: list_told, **ToolSteps.TOOL_HANDLERS, Woken: woken, Operate: operate,
+        BansTold: bans_told, Recalled: recalled, Sharing: sharing,
         HandedOn: handed_on, Adopted: adopted, Terminate: terminate,
     }  # fmt: skip
     ACTIONS: ClassVar[dict[type, Callable[[_Step, Any], None]]] = {
--- /dev/null
+++ b/basaltspread/core/state.py
@@ -0,0 +1,173 @@
+"""What the gateway knows: its requests, their attempts and tool calls, the fleet, and its own place in life.
+
+It owns the shape of that knowledge and what can be read off it. It must never change it: that is the
+reducer's alone (reducer.py, toolcalls.py).
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Protocol
+
+from basaltspread import interface as api
+from basaltspread.core.messages import Listed, Verdict
+from basaltspread.endings import ToolFault
+
+if TYPE_CHECKING:
+    from basaltspread.control.dispatch import Dispatcher
+
+
+class Module(Protocol):
+    part: float  # of the gateway's budget for engines that have just started
+
+    def handle(self, now: int, events: list[api.Event]) -> list[api.Action]: ...
+
+    def resting(self, now: int) -> set[str]: ...
+
+    def knowledge(self) -> dict[str, Any]: ...
+
+    def recall(self, now: int, told: dict[str, Any]) -> None: ...
+
+
+@dataclass(slots=True)
+class Attempt:
+    number: int
+    worker: str
+    reading: bool
+    sent_at: int
+    until: int = 0
+    begun: bool = False
+    written: bool = False
+    over: bool = False
+
+
+@dataclass(slots=True)
+class Request:
+    id: str
+    request_class: int
+    deadline: int
+    unsafe: bool = False
+    resumed: bool = False
+    gave_up_at: int = -(10**9)  # when an attempt was last closed from this side
+    attempts: list[Attempt] = field(default_factory=list)
+    stream: Attempt | None = None
+    ended: bool = False  # the client has had its final answer, or has gone
+    place: str | None = None  # a writer to be asked once the read's last byte is out
+    asking: set[str] = field(default_factory=set)  # writers whose answer is awaited
+    may_hold: bool = False  # a state or a place may be held for it at some engine
+
+    tenant: int = 0
+    calls: dict[str, None] = field(default_factory=dict)  # ids of all tool calls of its streams
+    open: set[str] = field(default_factory=set)  # of them, those whose reply the engine waits for
+    bundles: set[int] = field(default_factory=set)  # events that have not been answered
+    errors: int = 0  # messages that could only be answered without an id
+
+    def out(self) -> list[Attempt]:
+        return [a for a in self.attempts if not a.over]
+
+
+@dataclass(slots=True)
+class Release:
+    tried: list[str] = field(default_factory=list)
+    open: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class ToolCall:
+    """A call, from its event to the last that is heard of it."""
+
+    attempt: int
+    worker: str
+    bundle: int
+    unsafe: bool
+    fault: ToolFault | None = None
+    settled: bool = False  # its one reply is known: the tool server's, or a fault
+    orphan: bool = False  # nobody waits for the reply any more
+    told: int = 0  # times that the engine was told of progress
+    told_at: int = 0
+    telling: bool = False
+
+
+@dataclass(slots=True)
+class Bundle:
+    """The calls of one event, which get one message in return."""
+
+    attempt: int
+    worker: str
+    calls: dict[str, None]  # whose replies it will hold, in the order of the event
+    waiting: set[str]
+    errors: int
+    returns: int = 0  # times that it was written to the engine
+
+
+@dataclass(slots=True)
+class State:
+    settings: api.Settings
+    module: Module
+    listed: dict[str, Listed] = field(default_factory=dict)  # as discovery tells it
+    version: int = 0
+    disabled: set[str] = field(default_factory=set)  # engines that operators left out, listed or not
+    returned: dict[str, int] = field(default_factory=dict)  # when one was let in again
+    workers: dict[str, Listed] = field(default_factory=dict)  # as it is treated: the list, less the bans
+    heard: dict[str, int] = field(default_factory=dict)  # when an engine last said anything
+    requests: dict[str, Request] = field(default_factory=dict)
+    releases: dict[str, Release] = field(default_factory=dict)
+    tools: Dispatcher | None = None  # only where a configuration has tool servers
+    calls: dict[tuple[str, str], ToolCall] = field(default_factory=dict)  # open ones
+    bundles: dict[tuple[str, int], Bundle] = field(default_factory=dict)  # unanswered ones
+    replies: Counter[tuple[int, Verdict]] = field(default_factory=Counter)  # by class, since the start
+    dispatches: int = 0  # attempts written whole
+    inherited: bool = False  # the clients' socket is the platform's, and outlives this process
+    serving: bool = False
+    draining_since: int | None = None  # an operator sends the clients away
+    stopping: bool = False
+    stop_by: int = 0
+    accepting: bool = True
+    exited: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """What operators are shown."""
+
+    replies: dict[str, dict[Verdict, int]]  # by class name; every class from the start
+    dispatches: int
+    concurrent: int  # requests taken and not ended
+    targets: int  # engines in the list
+    targets_disabled: int  # those of them that are avoided now
+
+
+def figures(state: State, now: int) -> Figures:
+    avoided = state.module.resting(now) | state.disabled
+    return Figures(
+        {c.name: {v: state.replies[i, v] for v in Verdict} for i, c in enumerate(state.settings.classes)},
+        state.dispatches,
+        sum(not q.ended for q in state.requests.values()),
+        len(state.workers),
+        len(avoided.intersection(state.workers)),
+    )
+
+
+def ready(state: State) -> bool:
+    """Whether this process is one for new clients."""
+    return state.serving and not state.stopping and state.draining_since is None
+
+
+def door_open(state: State) -> bool:
+    """Whether the clients' address is one for new clients. What came to an inherited socket and is not
+    accepted here goes to the process that follows."""
+    return state.serving and state.draining_since is None and (state.inherited or not state.stopping)
+
+
+def leaving(state: State) -> bool:
+    """Whether clients are told to go elsewhere with each answer. Without a successor they keep what they have
+    until the door is shut: elsewhere may be nobody yet, if gateways are restarted one after the other."""
+    stopping = state.stopping and (state.inherited or not state.accepting)
+    return stopping or state.draining_since is not None
+
+
+def knowledge(state: State) -> dict[str, Any]:
+    """What has been learnt here, for the process that takes over."""
+    learnt = state.module.knowledge()
+    return learnt if state.tools is None else {**learnt, "tools": state.tools.knowledge()}
--- a/basaltspread/net/management.py
+++ b/basaltspread/net/management.py
@@ -30,6 +30,8 @@
 QUEUE = 64  # connections that may wait to be accepted
 ACCEPTED_AT_ONCE = 4
 ENGINE_CALL = re.compile(rb"/-/engines/([^/]+)/(disable|enable)")
+SERVER_CALL = re.compile(rb"/-/tools/([^/]+)/(drain|resume)")
+SERVER_ORDERS = {b"drain": Order.DRAIN_SERVER, b"resume": Order.RESUME_SERVER}
 OUTCOME_NAMES = {Verdict.SERVED: "success", Verdict.REFUSED: "overload", Verdict.FAILED: "error"}
 
 
@@ -120,6 +122,7 @@
         calls: dict[bytes, tuple[bytes, Callable[[], dict[str, Any]]]] = {
             b"/-/ready": (b"GET", self._ready),
             b"/-/metrics": (b"GET", self._metrics),
+            b"/-/tools": (b"GET", self._tools),
             b"/-/drain": (b"PUT", lambda: self._operate(Order.DRAIN)),
             b"/-/resume": (b"PUT", lambda: self._operate(Order.RESUME)),
         }
@@ -127,6 +130,11 @@
         if found is not None:
             engine = unquote_to_bytes(found[1]).decode("utf-8", "replace")
             calls[path] = b"PUT", lambda: self._operate(Order(found[2].decode()), engine)
+        asked = SERVER_CALL.fullmatch(path)
+        if asked is not None:
+            server = unquote_to_bytes(asked[1]).decode("utf-8", "replace")
+            order = SERVER_ORDERS[asked[2]]
+            calls[path] = b"PUT", lambda: self._operate(order, server)
         if path not in calls:
             raise BadRequest(404, "no such call")
         wanted, call = calls[path]
@@ -148,6 +156,12 @@
             raise BadRequest(404 if answer.unknown else 409, answer.why)
         return {"done": True}
 
+    def _tools(self) -> dict[str, Any]:
+        tools = self._runtime.state.tools
+        if tools is None:
+            raise BadRequest(404, "this gateway has no tool servers")
+        return tools.figures()
+
     def _metrics(self) -> dict[str, Any]:
         found = core.figures(self._runtime.state, self._runtime.clock.now())
         counters = self._runtime.counters
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -41,8 +41,10 @@
     load_json,
     open_door,
 )
+from basaltspread.net.sse import END, TooLong
 
 if TYPE_CHECKING:
+    from basaltspread.net.sse import Splitter
     from basaltspread.net.toolcalls import Relay
 
 log = logging.getLogger("basaltspread")
@@ -70,7 +72,6 @@
 EVENT_LIMIT = 64 * 1024  # bytes of a stream's first event
 MOST_TOKENS = 10_000_000
 SAFE_ID = re.compile(r"[A-Za-z0-9._~-]{1,128}\Z")
-EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 CACHED = re.compile(rb'"cached_tokens"\s*:\s*(\d{1,9})')
 # Not passed on to an engine: of this hop alone, or set anew.
 HOP_HEADERS = frozenset((
@@ -453,6 +454,7 @@
         self._exchanges: dict[str, Exchange] = {}
         self._attempts: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._links: dict[tuple[str, int], Link] = {}  # of the attempts that are out
+        self._splitters: dict[tuple[str, int], Splitter] = {}  # of their streams, where tools may be called
         self._places: dict[tuple[str, str], tuple[asyncio.Task[None], list[bool]]] = {}
         self._clients: dict[Client, asyncio.Task[None]] = {}
         self._bodies = 0
@@ -616,14 +618,17 @@
         """All in one turn: nothing is read or written between the look and the handing on."""
         key = (effect.request, effect.number)
         exchange, link = self._exchanges.get(effect.request), self._links.get(key)
-        if exchange is None or link is None or self._relay_calls is not None:
+        if exchange is None or link is None:
             return
-        client = exchange.client
+        client, splitter = exchange.client, self._splitters.get(key)
+        if splitter is not None and not splitter.between:
+            return  # a part of an event is here: a tool call may be in it
         if exchange.passing != effect.number or not (link.between_chunks() and client.can_leave()):
             return
         about = {
             "request": effect.request, "class": effect.request_class,
-            "worker": effect.worker, "address": effect.address,
+            "worker": effect.worker, "address": effect.address, "resumed": effect.resumed,
+            "tenant": effect.tenant, "calls": effect.calls,
         }  # fmt: skip
         if self.runtime.hand_on(about, [client.leave(), link.leave()]):
             link.left()
@@ -638,11 +643,16 @@
         effect = core.StartAttempt(request, 0, str(about["worker"]), address, False, 0)
         if request in self._exchanges or request in self.runtime.state.requests:
             raise ValueError(f"{request} is under way here")
-        self._spawn(self._carry_on(effect, int(about["class"]), client, engine), f"taken over {request}")
+        calls = tuple(str(ident) for ident in about["calls"])
+        adopted = core.Adopted(
+            request, int(about["class"]), effect.worker, bool(about["resumed"]), int(about["tenant"]), calls
+        )
+        self._spawn(self._carry_on(effect, adopted, client, engine), f"taken over {request}")
 
     async def _carry_on(
-        self, effect: core.StartAttempt, request_class: int, connection: socket.socket, engine: socket.socket
-    ) -> None:
+        self, effect: core.StartAttempt, adopted: core.Adopted, connection: socket.socket,
+        engine: socket.socket,
+    ) -> None:  # fmt: skip
         for taken in (connection, engine):
             taken.setblocking(False)
         link = await self.runtime.pool.adopt(effect.address, engine)
@@ -650,7 +660,7 @@
         client = Client(self, reader, writer)
         exchange = self._exchanges[effect.request] = Exchange(client, client.carry_on(), b"")
         exchange.passing = effect.number
-        self.runtime.feed(core.Adopted(effect.request, request_class, effect.worker))
+        self.runtime.feed(adopted)
         self._start_attempt(effect, link)
 
         async def work() -> None:
@@ -700,6 +710,9 @@
         key = (effect.request, effect.number)
         task = self._attempts[key] = self._spawn(self._attempt(effect, exchange, running), f"attempt {key}")
         task.add_done_callback(lambda _: self._attempts.pop(key, None))
+        if self._relay_calls is not None:
+            self._splitters[key] = self._relay_calls.splitter(*key)
+            task.add_done_callback(lambda _: self._splitters.pop(key, None))
 
     def _abandon_attempt(self, effect: core.AbandonAttempt) -> None:
         """Its connection is closed at once: the task itself would be a turn of the loop later."""
@@ -785,7 +798,7 @@
         """Pass an engine's events on as they come, to its last chunk; without a head, from the middle on."""
         begun, tail, first = fields is None, b"", b""
         fields = fields or {b"transfer-encoding": b"chunked"}
-        splitter = self._relay_calls.splitter(name, number) if self._relay_calls is not None else None
+        splitter = self._splitters.get((name, number))
         framed = b"transfer-encoding" in fields or b"content-length" in fields
         while True:
             event = await link.event(STREAM_SILENCE)
@@ -793,8 +806,9 @@
             data = bytes(event.data) if isinstance(event, h11.Data) else b""
             if not begun:
                 # Until a whole event is there, what came may be anything; another engine can still answer.
+                looked = max(0, len(first) - 3)
                 first += data
-                if EVENT_END.search(first) is None:
+                if END.search(first, looked) is None:
                     if over or len(first) > EVENT_LIMIT:
                         raise LinkError(Ending.MALFORMED)
                     continue
@@ -812,10 +826,17 @@
                 return Ending.SERVED, int(found[1]) if found else 0
             tail = (tail + data)[-512:]
             if splitter is not None:
-                data = splitter.feed(data)
+                data = self._split(splitter, data)
             if data and exchange.passing == number:
                 await exchange.client.stream(data)
 
+    def _split(self, splitter: Splitter, data: bytes) -> bytes:
+        try:
+            return splitter.feed(data)
+        except TooLong as error:
+            self.runtime.count("tool_events_oversized")
+            raise LinkError(Ending.MALFORMED) from error
+
     def _ask_place(self, effect: core.AskPlace) -> None:
         key, begun, heard = (effect.request, effect.worker), [False], [Place.UNKNOWN]
 
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -21,7 +21,7 @@
 import tempfile
 import time
 from collections import Counter, deque
-from collections.abc import Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -597,16 +597,25 @@
     ) -> Reply:  # fmt: skip
         """One whole small exchange; raises LinkError. `begun` is set when its first byte goes out; `fresh`
         asks for a new connection, which can't be stale."""
+        async with self.using(address, wait, fresh, duty) as link:
+            if begun is not None:
+                begun[0] = True
+            await link.send(method, target, headers or [], body)
+            event = await link.event()
+            if not isinstance(event, h11.Response):
+                raise LinkError(Ending.MALFORMED)
+            return Reply(event.status_code, dict(event.headers), await link.rest(limit))
+
+    @contextlib.asynccontextmanager
+    async def using(
+        self, address: str, wait: float, fresh: bool = False, duty: bool = False
+    ) -> AsyncIterator[Link]:
+        """A link for one exchange of `wait` seconds at the most; raises LinkError. It is kept if the exchange
+        has come to its end by then, and closed if not."""
         link = await self.acquire(address, fresh, duty)
         try:
             async with asyncio.timeout(wait):
-                if begun is not None:
-                    begun[0] = True
-                await link.send(method, target, headers or [], body)
-                event = await link.event()
-                if not isinstance(event, h11.Response):
-                    raise LinkError(Ending.MALFORMED)
-                reply = Reply(event.status_code, dict(event.headers), await link.rest(limit))
+                yield link
         except TimeoutError as error:
             link.close()
             raise LinkError(Ending.TIMED_OUT if link.written else Ending.BROKE_UNSENT) from error
@@ -617,7 +626,6 @@
             link.close()
             raise
         self.give_back(link)
-        return reply
 
 
 class Runtime:
@@ -652,6 +660,7 @@
     def reconfigure(self, sockets: int, memory_mb: int) -> None:
         """The limits; what is over a lower one comes down as it ends."""
         self._limits = sockets, memory_mb
+        self.memory_mb = memory_mb // self._processes
         self.descriptors.set_limit(sockets // self._processes)
         while self.descriptors.used > self.descriptors.limit and self.pool.shed():
             pass
@@ -726,7 +735,7 @@
             self.feed(core.Sharing(processes))
             self.reconfigure(*self._limits)
             if processes > 1 and self._overlap is not None:
-                self._overlap.tell(self.state.module.knowledge())
+                self._overlap.tell(core.knowledge(self.state))
             log.info("another process of this gateway %s", "runs" if processes > 1 else "has ended")
 
     async def take_over(self) -> None:
