--- a/basaltspread/control/dispatch.py
+++ b/basaltspread/control/dispatch.py
@@ -411,6 +411,8 @@
 
     def _end_try(self, job: Job, attempt: Try, ending: Ending, now: int) -> None:
         fate = FATES.get(ending, Fate.FAILED)
+        if fate is Fate.NOT_OURS and attempt.begun:  # a front that says so is wrong: it may have been made
+            fate = Fate.FAILED
         self._learn(job, attempt, fate, ending, now)
         if fate is Fate.ANSWERED:
             self._settle(job, None, now)
@@ -424,7 +426,7 @@
                 self._decide(WakeAt(now + NO_ROOM_PAUSE, ("tool_again", *job.key)))
         else:
             job.fault = TOOL_FAULTS[OUTCOMES[ending]]
-            if job.once and fate is Fate.FAILED:
+            if job.once and fate is Fate.FAILED and job.begun:
                 self._settle(job, ToolFault.OUTCOME_UNKNOWN)
             elif job.once and job.begun:
                 self._settle(job, job.fault)  # not made, but written: never again
--- a/basaltspread/control/limits.py
+++ b/basaltspread/control/limits.py
@@ -18,7 +18,7 @@
 WAITS_LITTLE, WAITS_MUCH = 1.3, 2.0  # of the floor: answers below raise the limit, answers above lower it
 SMOOTH = 0.1  # weight of a new ratio
 CUT = 0.7  # of the limit that is left after an overload
-FLOOR_AGES = 1.01  # per answer, by which a floor rises until an answer confirms it
+FLOOR_AGES = 1.0005  # per answer, by which a floor rises until one confirms it: doubled after some 1,400
 LEAST_FLOOR = 2000.0  # us: below this, loopback and the event loop are what is measured
 TOOLS_KEPT = 256  # floors at once; past them, the oldest goes
 
