--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from basaltspread import core
+from basaltspread import core, logs
 from basaltspread.config import ConfigError, Gateway, Tools, load_platform, load_sidecar, needs_restart
 from basaltspread.net.management import Management
 from basaltspread.net.platform import Front
@@ -102,18 +102,14 @@
     runtime.print_counters()
 
 
-def main() -> int:
-    parser = argparse.ArgumentParser(prog="python -m basaltspread")
-    parser.add_argument(
-        "--sidecar", metavar="FILE", help="an operator's file, as basaltspread.config writes it"
-    )
-    options = parser.parse_args()
-    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr)
+def start(sidecar: str | None, form: str) -> int:
+    """Runs a gateway to its end: a sidecar by its file, or the platform's. Exit code 2 if it can't start."""
+    logs.set_up(form)
 
     def load(again: bool) -> tuple[Gateway | None, list[ConfigError]]:
         try:
-            if options.sidecar:
-                return load_sidecar(options.sidecar)
+            if sidecar:
+                return load_sidecar(sidecar)
             return load_platform(os.environ, again), []
         except ConfigError as error:
             return None, [error]
@@ -127,5 +123,15 @@
     return 0
 
 
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m basaltspread")
+    parser.add_argument(
+        "--sidecar", metavar="FILE", help="an operator's file, as basaltspread.config writes it"
+    )
+    parser.add_argument("--log", choices=("plain", "console", "json"), default="plain")
+    options = parser.parse_args()
+    return start(options.sidecar, options.log)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/basaltspread/core/__init__.py
+++ b/basaltspread/core/__init__.py
@@ -100,6 +100,7 @@
     knowledge,
     leaving,
     ready,
+    silent_since,
 )
 from basaltspread.endings import (
     NEVER_RAN,
@@ -212,4 +213,5 @@
     "leaving",
     "ready",
     "reduce",
+    "silent_since",
 ]
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -61,6 +61,7 @@
     calls: dict[str, None] = field(default_factory=dict)  # ids of all tool calls of its streams
     open: set[str] = field(default_factory=set)  # of them, those whose reply the engine waits for
     bundles: set[int] = field(default_factory=set)  # events that have not been answered
+    replied_at: int = 0  # when the engine last got a reply that it waited for
     errors: int = 0  # messages that could only be answered without an id
 
     def out(self) -> list[Attempt]:
@@ -149,6 +150,15 @@
     )
 
 
+def silent_since(state: State, request: str) -> int | None:
+    """From when on an engine's silence counts, at the earliest; None while it waits for a tool's reply. A
+    pause for a tool is no silence, and ends when the reply has been taken."""
+    q = state.requests.get(request)
+    if q is None:
+        return 0
+    return None if q.open or q.bundles else q.replied_at
+
+
 def ready(state: State) -> bool:
     """Whether this process is one for new clients."""
     return state.serving and not state.stopping and state.draining_since is None
--- a/basaltspread/core/toolcalls.py
+++ b/basaltspread/core/toolcalls.py
@@ -310,6 +310,7 @@
         q = self.state.requests.get(request)
         if q is not None:
             q.bundles.discard(number)
+            q.replied_at = self.now
 
     def _forget_call(self, key: tuple[str, str]) -> None:
         del self.state.calls[key]
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -801,7 +801,7 @@
         splitter = self._splitters.get((name, number))
         framed = b"transfer-encoding" in fields or b"content-length" in fields
         while True:
-            event = await link.event(STREAM_SILENCE)
+            event = await self._next(link, name)
             over = isinstance(event, h11.EndOfMessage)
             data = bytes(event.data) if isinstance(event, h11.Data) else b""
             if not begun:
@@ -830,6 +830,20 @@
             if data and exchange.passing == number:
                 await exchange.client.stream(data)
 
+    async def _next(self, link: Link, name: str) -> h11.Event:
+        """The next event of a stream that may pause for tools, but not fall silent."""
+        silence = STREAM_SILENCE
+        while True:
+            try:
+                return await link.event(silence)
+            except LinkError as error:
+                since = core.silent_since(self.runtime.state, name)
+                silence = STREAM_SILENCE
+                if since is not None:
+                    silence -= (self.runtime.clock.now() - since) / 1e6
+                if error.ending is not Ending.STALLED or silence <= 0:
+                    raise
+
     def _split(self, splitter: Splitter, data: bytes) -> bytes:
         try:
             return splitter.feed(data)
--- a/basaltspread/net/sse.py
+++ b/basaltspread/net/sse.py
@@ -116,17 +116,27 @@
     """Keeps some events of a stream back: `take` is shown each that may hold a JSON-RPC message, and says
     whether it keeps it. All others are passed on, byte for byte; in the usual case a whole piece at once."""
 
-    __slots__ = ("_events", "_take")
+    __slots__ = ("_events", "_half_end", "_take")
 
     def __init__(self, take: Callable[[bytes], bool]) -> None:
         self._take, self._events = take, Events()
+        self._half_end = False  # what was kept back last ended with CR: an LF that follows belongs to it
 
     def feed(self, data: bytes) -> bytes:
         """What of the stream may be passed on now. Raises TooLong."""
+        if self._half_end and data:
+            data, self._half_end = data.removeprefix(b"\n"), False
         whole = self._events.feed(data)
         if not whole or not may_hold_message(whole):
             return whole
-        return b"".join(raw for raw in each(whole) if not (may_hold_message(raw) and self._take(raw)))
+        passed = []
+        for raw in each(whole):
+            if may_hold_message(raw) and self._take(raw):
+                self._half_end = raw.endswith(b"\r")
+            else:
+                passed.append(raw)
+                self._half_end = False
+        return b"".join(passed)
 
     def rest(self) -> bytes:
         """What was left without an end of event when the stream ended; a reader of events drops it."""
