--- a/basaltspread/control/dispatch.py
+++ b/basaltspread/control/dispatch.py
@@ -140,7 +140,7 @@
         job, attempt = self._find(key, number)
         if job is not None and attempt is not None and not attempt.begun:
             job.begun = attempt.begun = True
-            attempt.heard = now
+            attempt.heard = attempt.started = now  # a connection's coming up says little of the server
             attempt.station.unbegun.pop((key, number), None)
             silence = attempt.station.spec.silence
             if silence:
--- a/basaltspread/control/limits.py
+++ b/basaltspread/control/limits.py
@@ -7,6 +7,10 @@
 it was waiting. Little waiting, while the limit binds, raises the limit; much lowers it. Tools differ in what
 they take, so that ratios are compared and not times. Before the first sign of waiting the limit doubles with
 each round of answers (slow start), from a small figure: a server that has just come up is cold.
+
+Some milliseconds of waiting are left out of account (`SLACK`): the gateway's own loop lags as much when it is
+busy, and a limit that took that for the server's lag would make calls wait for nothing. For the same reason
+latency alone never lowers the limit below where a cold server starts; only a server's own word does.
 """
 
 from __future__ import annotations
@@ -15,11 +19,11 @@
 
 COLD = 4.0  # calls at once for a server that is new, or comes back
 LEAST = 1.0
-WAITS_LITTLE, WAITS_MUCH = 1.3, 2.0  # of the floor: answers below raise the limit, answers above lower it
+WAITS_LITTLE, WAITS_MUCH = 1.3, 2.0  # times floor and slack: below, the limit rises; above, it falls
 SMOOTH = 0.1  # weight of a new ratio
 CUT = 0.7  # of the limit that is left after an overload
 FLOOR_AGES = 1.0005  # per answer, by which a floor rises until one confirms it: doubled after some 1,400
-LEAST_FLOOR = 2000.0  # us: below this, loopback and the event loop are what is measured
+SLACK = 20_000.0  # us of waiting that say nothing
 TOOLS_KEPT = 256  # floors at once; past them, the oldest goes
 
 
@@ -47,12 +51,14 @@
 
     def answered(self, tool: str, took: int, out: int, now: int) -> None:
         """An answer came after `took`, while `out` calls were out, this one among them."""
-        ratio = took / self._floor(tool, float(took)) if took > LEAST_FLOOR else 1.0
+        ratio = took / (self._floor(tool, float(took)) + SLACK)
         self.ratio += SMOOTH * (min(ratio, 10.0) - self.ratio)
+        binds = 2 * out >= self.limit  # else the limit is not what holds it back, and not what overloads it
         if self.ratio > WAITS_MUCH:
             self.starting = False
-            self._cut(now, took, 0.9)
-        elif self.ratio < WAITS_LITTLE and 2 * out >= self.limit:  # else the limit is not what holds it back
+            if binds and self.limit > COLD:
+                self._cut(now, took, 0.9)
+        elif self.ratio < WAITS_LITTLE and binds:
             self.limit += 1.0 if self.starting else 1.0 / self.limit
         elif self.ratio >= WAITS_LITTLE:
             self.starting = False
@@ -78,6 +84,6 @@
         floor = self.floors.pop(tool, took)
         if len(self.floors) >= TOOLS_KEPT:
             del self.floors[next(iter(self.floors))]
-        floor = max(LEAST_FLOOR, min(took, floor * FLOOR_AGES if took > floor else took))
+        floor = min(took, floor * FLOOR_AGES) if took > floor else took
         self.floors[tool] = floor
         return floor
--- a/basaltspread/net/jsonrpc.py
+++ b/basaltspread/net/jsonrpc.py
@@ -116,6 +116,9 @@
 )
 
 
+_ENCODER = json.JSONEncoder(ensure_ascii=False, separators=(",", ":"), allow_nan=False)
+
+
 def load(text: str) -> Any:
     """The value of a text, with flawed parts marked. Raises ValueError for what is no JSON at all."""
     if len(text) > SIZE_LIMIT:
@@ -152,7 +155,7 @@
 
 def encode(value: Any) -> bytes:
     """One text for one value: what was judged, and nothing else."""
-    return json.dumps(value, ensure_ascii=False, separators=(",", ":"), allow_nan=False).encode()
+    return _ENCODER.encode(value).encode()
 
 
 def ident_of(value: Any) -> Ident | None:
@@ -166,7 +169,7 @@
 
 
 def key_of(ident: Ident) -> str:
-    return json.dumps(ident)
+    return str(ident) if type(ident) is int else json.dumps(ident)
 
 
 def is_message(value: Any) -> bool:
--- a/basaltspread/net/sse.py
+++ b/basaltspread/net/sse.py
@@ -112,9 +112,27 @@
     return found
 
 
+def _suspects(whole: bytes) -> list[int]:
+    """Where something stands in a piece that may belong to a message."""
+    found = [match.start() for match in _ARRAY.finditer(whole)]
+    if b"jsonrpc" in whole or b"\\u00" in whole:
+        found += [match.start() for match in _NAME.finditer(whole)]
+    return sorted(found)
+
+
+def _begin(whole: bytes, at: int, least: int) -> int:
+    """Where the event that holds this position begins."""
+    begin = max(whole.rfind(pair, least, at) for pair in _ENDS)
+    if begin < 0:
+        return least
+    begin += 2
+    return begin + 1 if whole[begin - 1 : begin + 1] == b"\r\n" else begin
+
+
 class Splitter:
     """Keeps some events of a stream back: `take` is shown each that may hold a JSON-RPC message, and says
-    whether it keeps it. All others are passed on, byte for byte; in the usual case a whole piece at once."""
+    whether it keeps it. All others are passed on, byte for byte; in the usual case a whole piece at once, and
+    else what lies between two of those shown. Costs O(1) for each byte."""
 
     __slots__ = ("_events", "_half_end", "_take")
 
@@ -129,13 +147,21 @@
         whole = self._events.feed(data)
         if not whole or not may_hold_message(whole):
             return whole
-        passed = []
-        for raw in each(whole):
-            if may_hold_message(raw) and self._take(raw):
-                self._half_end = raw.endswith(b"\r")
+        passed, done = [], 0  # up to where the piece has been dealt with
+        for at in _suspects(whole):
+            if at < done:
+                continue
+            begin = _begin(whole, at, done)
+            ends = END.search(whole, at)
+            end = ends.end() if ends is not None else len(whole)
+            if self._take(whole[begin:end]):
+                passed.append(whole[done:begin])
+                done = end
+                self._half_end = end == len(whole) and whole.endswith(b"\r")
             else:
-                passed.append(raw)
-                self._half_end = False
+                passed.append(whole[done:end])
+                done = end
+        passed.append(whole[done:])
         return b"".join(passed)
 
     def rest(self) -> bytes:
--- a/basaltspread/net/toolcalls.py
+++ b/basaltspread/net/toolcalls.py
@@ -173,10 +173,10 @@
             return False
         if not jsonrpc.is_message(value):
             return False
-        self._take(request, number, jsonrpc.read(value))
+        self._take(request, number, jsonrpc.read(value), len(raw))
         return True
 
-    def _take(self, request: str, number: int, text: jsonrpc.Text) -> None:
+    def _take(self, request: str, number: int, text: jsonrpc.Text, size: int = 0) -> None:
         wanted: list[core.Wanted] = []
         errors: list[dict[str, Any]] = []
         cancelled: list[str] = []
@@ -184,7 +184,7 @@
         for message in text.messages:
             if isinstance(message, jsonrpc.Request):
                 key = (request, message.key)
-                call = Call(request, message)
+                call = Call(request, message, size=size)
                 wanted.append(self._want(call))
                 if key not in self._calls:  # else it is a repeat, and the first one's record stands
                     self._calls[key] = call
@@ -227,7 +227,6 @@
         elif fault is None:
             answer = {} if asked.method == "ping" else self._about(asked)
         if fault is None and answer is None:
-            call.size = len(jsonrpc.encode(asked.params)) if asked.params is not None else 0
             if self._held + call.size > self.runtime.memory_mb * 1024 * 1024 * MEMORY_SHARE:
                 self.runtime.count("tool_memory_full")
                 fault = ToolFault.TOO_MANY
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, one command each; none is part of the tests."""
