--- a/basaltspread/net/toolcalls.py
+++ b/basaltspread/net/toolcalls.py
@@ -192,7 +192,8 @@
                     fresh.append(key)
             elif isinstance(message, jsonrpc.Broken):
                 self.runtime.count("tool_messages_broken")
-                log.warning("tool message of %s: %s", request, message.why)
+                fields = {"request": request, "fault": message.fault.name.lower()}
+                log.warning("tool message of %s: %s", request, message.why, extra=fields)
                 errors.append(fault_message(None, message.fault, message.why))
             elif isinstance(message, jsonrpc.Notification):
                 cancelled += self._note(request, message)
@@ -340,11 +341,16 @@
                 if message.key != wire:
                     self.runtime.count("tool_replies_unknown_id")
                     log.warning(
-                        "tool call %s of %s: a reply with an unknown id; dropped", effect.call, effect.request
-                    )
+                        "tool call %s of %s: a reply with an unknown id; dropped",
+                        effect.call, effect.request,
+                        extra={"request": effect.request, "call": effect.call, "server": server.name},
+                    )  # fmt: skip
                 elif message.fault is not None:
                     self.runtime.count("tool_replies_broken")
-                    log.warning("tool call %s of %s: reply: %s", effect.call, effect.request, message.why)
+                    log.warning(
+                        "tool call %s of %s: reply: %s", effect.call, effect.request, message.why,
+                        extra={"request": effect.request, "call": effect.call, "server": server.name},
+                    )  # fmt: skip
                     return Ending.MALFORMED, answers
                 else:
                     if not call.reply:
@@ -457,7 +463,7 @@
 
     def _server_drains(self, server: Server) -> None:
         if server.name not in self._leaving:
-            log.info("tool server %s says that it drains", server.name)
+            log.info("tool server %s says that it drains", server.name, extra={"server": server.name})
             self._leaving[server.name] = self.runtime.spawn(self._await_return(server), f"{server.name} back")
             self.runtime.feed(core.ServerDrains(server.name, True))
 
@@ -505,7 +511,8 @@
             call = self._calls[effect.request, ident]
             body = call.reply
             if fault is not None and call.asked.fault is None:
-                log.info("tool call %s of %s: %s", ident, effect.request, fault.value)
+                fields = {"request": effect.request, "call": ident, "fault": fault.name.lower()}
+                log.info("tool call %s of %s: %s", ident, effect.request, fault.value, extra=fields)
             if fault is not None and not body:
                 body = jsonrpc.encode(fault_message(call.asked.ident, fault))
             parts.append(body)
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -3,7 +3,7 @@
 Peers (engines' streams, tool servers, registry, clients) run in this process, the gateway in one of its own.
 Calls are drawn ahead (Poisson, from a seed) and each counts from when it should have left its engine, so that
 a gateway or a machine that falls behind shows. Latency added is the time to the reply's arrival at the
-engine, less the tool server's own time. `--package DIR` measures an earlier checkout beside this one, in turn.
+engine, less the tool server's own time. `--package DIR` measures an earlier checkout beside this one.
 
 Parts: `added` (latency and CPU per call), `memory` (per open call), `stop` (tool servers reset all calls, or
 four in ten, for 2 s: sends over first tries, with and without the adaptive limit and the budget). All are
@@ -146,7 +146,7 @@
         self.streams[stream].chunk(event(message))
 
     async def offer(self, rate: float, seconds: float, at: dict[float, Any] | None = None) -> int:
-        """Calls at this rate, whatever becomes of them; `at` holds what is done at which time. Their count."""
+        """Calls at this rate, whatever becomes of them, and their count; `at`: what is done at which time."""
         rng, due, first = random.Random(SEED), 0.0, self.calls
         began = time.perf_counter()
         todo = sorted((at or {}).items(), key=lambda item: item[0])
