Add the partners' client: a core without I/O that keeps the law of resends, two fronts

Need: partners write their own clients; a careless one resends orders, hammers a gateway that refuses, and comes back with a thousand others in one second.

The reading of events moves to structures, and importing the package loads no router.

Seen: rule-based state test (200 runs of up to 50 steps) and each unsafe row of the table broken on purpose: noticed. In virtual time a thousand clients come back over more than 3 s, the fullest 100 ms under 2.5 times the even share, none starves; in a total outage under 1.1 sends a request.

--- a/basaltspread/conformance/mutants.py
+++ b/basaltspread/conformance/mutants.py
@@ -92,7 +92,7 @@
     ),
     _mutant(
         "knows-one-line-end", "server-sent events as published", "events/ends-cr-cr events/ends-crlf-crlf",
-        Edit(SSE, r'_ENDS = (b"\n\n", b"\n\r", b"\r\r")', r'_ENDS = (b"\n\n",)'),
+        Edit("structures/events.py", r'ENDS = (b"\n\n", b"\n\r", b"\r\r")', r'ENDS = (b"\n\n",)'),
     ),
     _mutant(
         "waits-for-the-streams-end", "replies are used as they come", "reply/stream-kept-open",
--- a/basaltspread/net/sse.py
+++ b/basaltspread/net/sse.py
@@ -1,11 +1,7 @@
-"""Server-sent events, as the HTML standard words them (section 9.2): where an event ends and what it says.
+"""Which events of an engine's stream may hold a JSON-RPC message, and the taking apart of both kinds.
 
-It owns the cutting of a byte stream into events, in time linear in its bytes however they come in pieces. It
-must never change a byte of what it passes on, and it knows nothing of what events mean.
-
-A line ends with CR LF, LF or CR, and an event with an empty line: so each event ends with one of the pairs
-LF LF, LF CR and CR CR, or such a pair and the LF of its CR LF. Where that last LF comes in a later piece, it
-is passed on as an empty line of the next event, which means nothing.
+It owns the look at bytes that are passed on, which has to be cheap: nearly all events are none of ours. It
+must never miss one that is, nor change a byte of those that are not.
 """
 
 from __future__ import annotations
@@ -13,11 +9,9 @@
 import re
 from collections.abc import Callable
 
-EVENT_LIMIT = 256 * 1024  # bytes of one event that are kept while its end is awaited
-END = re.compile(rb"\n\n|\n\r\n?|\r\r\n?")
-LINE_END = re.compile(rb"\r\n|\n|\r")
-BOM = b"\xef\xbb\xbf"
-_ENDS = (b"\n\n", b"\n\r", b"\r\r")
+from basaltspread.structures.events import END, ENDS, EVENT_LIMIT, Events, TooLong, data_of, each
+
+__all__ = ["END", "EVENT_LIMIT", "Events", "Splitter", "TooLong", "data_of", "each", "may_hold_message"]
 # The name of a JSON member, any letter of which may be an escape; and the first line of an array.
 _NAME = re.compile(
     b'"' + b"".join(rb"(?:%c|\\u00%02x|\\u00%02X)" % (c, c, c) for c in b"jsonrpc") + b'"',
@@ -26,21 +20,6 @@
 _ARRAY = re.compile(rb"data:[ \t]*\[(?!DONE\])|data(?::[ \t]*)?[\r\n]")
 
 
-class TooLong(Exception):
-    """An event did not end within EVENT_LIMIT."""
-
-
-def data_of(raw: bytes) -> str | None:
-    """The data of one event, as a reader of events sees it; None if it has none. What is no UTF-8 becomes
-    U+FFFD, as the standard has it."""
-    lines = []
-    for line in LINE_END.split(raw.removeprefix(BOM)):
-        name, _, value = line.partition(b":")
-        if name == b"data":
-            lines.append(value.removeprefix(b" "))
-    return b"\n".join(lines).decode("utf-8", "replace") if lines else None
-
-
 def may_hold_message(piece: bytes) -> bool:
     """Whether whole events may hold a JSON-RPC message. Never says no wrongly; costs one or two passes of the
     C library over the bytes where the answer is no."""
@@ -52,66 +31,6 @@
     return _ARRAY.search(piece) is not None
 
 
-class Events:
-    """Takes a stream apart: `feed` returns the bytes of the events that have ended, as one piece. Costs O(1)
-    for each byte; holds less than EVENT_LIMIT and one piece."""
-
-    __slots__ = ("_held", "_limit", "_open")
-
-    def __init__(self, limit: int = EVENT_LIMIT) -> None:
-        self._held = bytearray()
-        self._limit = limit
-        self._open = False  # whether the last byte held may begin the end of an event
-
-    def feed(self, data: bytes) -> bytes:
-        """Raises TooLong."""
-        held = self._held
-        if not held and data[-2:] == b"\n\n":  # the usual case: nothing has to be kept
-            return data
-        if not self._open and b"\n" not in data and b"\r" not in data:
-            held += data
-            if len(held) > self._limit:
-                raise TooLong
-            return b""
-        begin = max(0, len(held) - 1)
-        held += data
-        end = max(held.rfind(pair, begin) for pair in _ENDS)
-        if end < 0:
-            self._open = held.endswith((b"\n", b"\r"))
-            if len(held) > self._limit:
-                raise TooLong
-            return b""
-        end += 2
-        if held[end - 1 : end + 1] == b"\r\n":
-            end += 1
-        whole = bytes(held[:end])
-        del held[:end]
-        self._open = held.endswith((b"\n", b"\r"))
-        if len(held) > self._limit:
-            raise TooLong
-        return whole
-
-    def rest(self) -> bytes:
-        """What has not ended, given out."""
-        rest = bytes(self._held)
-        self._held.clear()
-        return rest
-
-    @property
-    def between(self) -> bool:
-        """Whether the stream stands between two events."""
-        return not self._held
-
-
-def each(whole: bytes) -> list[bytes]:
-    """The single events of a piece that ends with the end of an event."""
-    found, start = [], 0
-    for end in END.finditer(whole):
-        found.append(whole[start : end.end()])
-        start = end.end()
-    return found
-
-
 def _suspects(whole: bytes) -> list[int]:
     """Where something stands in a piece that may belong to a message."""
     found = [match.start() for match in _ARRAY.finditer(whole)]
@@ -122,7 +41,7 @@
 
 def _begin(whole: bytes, at: int, least: int) -> int:
     """Where the event that holds this position begins."""
-    begin = max(whole.rfind(pair, least, at) for pair in _ENDS)
+    begin = max(whole.rfind(pair, least, at) for pair in ENDS)
     if begin < 0:
         return least
     begin += 2
--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,562 @@
+"""The partners' library: its core by any order of inputs and by table, its fronts against stand-in gateways
+and against the real program."""
+
+from __future__ import annotations
+
+import ast
+import asyncio
+import json
+import random
+import unittest
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import Phase
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from basaltspread import client as library
+from basaltspread.client import core
+from basaltspread.client.core import LAW, Gateway, How, May, Policy
+from basaltspread.conformance.peers import Asked, Peer
+from tests.standins import Asked as EngineAsked
+from tests.standins import FleetTest, reading, writing
+
+MS, SECOND = 1000, 1_000_000
+MESSAGES = [{"role": "user", "content": "one pair, please"}]
+
+
+def test_the_library_imports_nothing_of_the_server() -> None:
+    allowed = ("basaltspread.client", "basaltspread.structures", "basaltspread.control.budget")
+    folder = Path(library.__file__).parent
+    for path in folder.glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            names = [a.name for a in node.names] if isinstance(node, ast.Import) else []
+            names += [str(node.module)] if isinstance(node, ast.ImportFrom) else []
+            for name in names:
+                assert not name.startswith("basaltspread") or name.startswith(allowed), (path.name, name)
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [("2", 2.0), ("0.25", 0.25), ("0", 0.0), ("999999999", core.ADVICE_LIMIT), ("-1", None), ("nan", None),
+     ("inf", None), ("soon", None), ("Wed, 21 Oct 2026 07:28:00 GMT", None), ("1e3", core.ADVICE_LIMIT)],
+)  # fmt: skip
+def test_advice(text: str, seconds: float | None) -> None:
+    assert core.advice(text) == seconds
+
+
+def test_every_ending_has_its_law() -> None:
+    assert set(LAW) == set(How)
+
+
+def test_subsets_spread_evenly_and_change_little() -> None:
+    gateways = [Gateway(f"g{i}:1") for i in range(300)]
+    chosen = [core.subset(gateways, 20, f"client{c}") for c in range(600)]
+    load = Counter(g.address for subset in chosen for g in subset)
+    assert len(load) == 300 and max(load.values()) < 2 * 40
+    fewer = [core.subset(gateways[1:], 20, f"client{c}") for c in range(600)]
+    assert sum(a != b for a, b in zip(chosen, fewer, strict=True)) == load["g0:1"]
+
+
+# --- the core in virtual time ---------------------------------------------------------------------------
+
+
+class World:
+    """Clients' cores, and a time that passes by events. `answer` says how a gateway ends a try, and after how
+    long."""
+
+    def __init__(self, answer: Any, seed: int = 1) -> None:
+        self.now, self.answer, self.lots = SECOND, answer, random.Random(seed)
+        self.keeps = False  # connections to a:1
+        self.todo: list[tuple[int, int, core.State, core.Input]] = []
+        self.count = 0
+        self.sends: list[tuple[int, str, core.Send]] = []
+        self.ends: dict[tuple[int, int], core.Finish | core.Done] = {}
+
+    def feed(self, state: core.State, event: core.Input) -> None:
+        for effect in core.reduce(state, self.now, event):
+            match effect:
+                case core.Send(request, number, gateway):
+                    self.sends.append((self.now, gateway, effect))
+                    self.later(state, 0, core.Written(request, number))
+                    how, after = self.answer(gateway, self.now)
+                    if how is None:
+                        self.later(state, after, core.FirstEvent(request, number))
+                        self.later(state, after + MS, core.Ended(request, number))
+                    elif how is How.REFUSED:
+                        self.later(state, after, core.Broke(request, number, how, 503, "0.5"))
+                    else:
+                        self.later(state, after, core.Broke(request, number, how))
+                case core.WakeAt(at, token):
+                    self.later(state, max(0, at - self.now), core.Woken(token))
+                case core.Finish(request) | core.Done(request):
+                    self.ends[id(state), request] = effect
+                    if self.keeps and isinstance(effect, core.Done):
+                        self.later(state, 0, core.Kept("a:1"))
+        assert core.invariants(state) == []
+
+    def later(self, state: core.State, after: int, event: core.Input) -> None:
+        self.count += 1
+        self.todo.append((self.now + after, self.count, state, event))
+
+    def run(self, until: int) -> None:
+        import heapq
+
+        heapq.heapify(self.todo)
+        while self.todo and self.todo[0][0] <= until:
+            self.now, _, state, event = heapq.heappop(self.todo)
+            before = len(self.todo)
+            self.feed(state, event)
+            if len(self.todo) != before:
+                heapq.heapify(self.todo)
+        self.now = until
+
+
+def test_a_thousand_clients_that_lose_their_connections_come_back_over_several_seconds() -> None:
+    back = 2 * SECOND
+    world = World(lambda gateway, now: (None, 5 * MS))
+    states = [core.State(Policy(), [Gateway("g:1")], seed) for seed in range(1000)]
+    for state in states:
+        world.feed(state, core.Kept("g:1"))
+    world.now = back
+    for number, state in enumerate(states):
+        world.feed(state, core.Lost("g:1", asked=False))
+        world.feed(state, core.Asked(number, False, 1.0, "", world.now + 8 * SECOND))
+    world.run(12 * SECOND)
+    times = [at for at, _, _ in world.sends]
+    assert len(times) == 1000 and all(isinstance(end, core.Done) for end in world.ends.values())
+    assert max(times) - min(times) > 3 * SECOND
+    bins = Counter((at - back) // (100 * MS) for at in times)
+    assert max(bins.values()) < 2.5 * 1000 / 40
+    assert len(world.ends) == 1000  # none starves
+
+
+def test_a_total_outage_and_its_end() -> None:
+    up = [False]
+    world = World(lambda gateway, now: (None, 5 * MS) if up[0] else (How.UNREACHABLE, MS))
+    state = core.State(Policy(), [Gateway("a:1"), Gateway("b:1")], 1)
+    for i in range(400):
+        world.feed(state, core.Asked(i, i % 3 == 0, 1.0, "", world.now + 3 * SECOND))
+        world.run(world.now + 25 * MS)
+    assert len(world.sends) / 400 < 1.1
+    up[0] = True
+    began = world.now
+    for i in range(400, 1400):
+        world.feed(state, core.Asked(i, False, 1.0, "", world.now + 3 * SECOND))
+        world.run(world.now + 25 * MS)
+    first = min(r for (_, r), end in world.ends.items() if isinstance(end, core.Done))
+    assert (first - 400) * 25 * MS < 11 * SECOND, "it comes back within its longest rest"
+    last = [world.ends.get((id(state), i)) for i in range(1200, 1380)]
+    assert all(isinstance(end, core.Done) for end in last), began
+
+
+def test_a_gateway_that_refuses_half_is_not_hammered() -> None:
+    lots = random.Random(3)
+    world = World(lambda gateway, now: (None, 20 * MS) if lots.random() < 0.5 else (How.REFUSED, 2 * MS))
+    state = core.State(Policy(), [Gateway("a:1")], 1)
+    for i in range(2000):
+        world.feed(state, core.Asked(i, False, 1.0, "", world.now + 4 * SECOND))
+        world.run(world.now + 10 * MS)
+    world.run(world.now + 8 * SECOND)
+    served = sum(isinstance(end, core.Done) for end in world.ends.values())
+    assert len(world.ends) == 2000
+    assert len(world.sends) <= 1.25 * 2000 and served >= 0.45 * 2000
+    held = [at for at, _, send in world.sends if send.repeat]
+    assert held and len(world.sends) - len(held) <= 2000
+
+
+def test_what_is_worth_least_is_held_back_first() -> None:
+    world = World(lambda gateway, now: (None, 20 * MS) if (now // MS) % 10 == 0 else (How.REFUSED, 2 * MS))
+    state = core.State(Policy(retry_share=0.0, retry_reserve=0.0), [Gateway("a:1")], 1)
+    held: Counter[float] = Counter()
+    for i in range(3000):
+        worth = 5.0 if i % 2 else 2.0
+        world.feed(state, core.Asked(i, worth > 2, worth, "", world.now + 4 * SECOND))
+        world.run(world.now + 7 * MS)
+        end = world.ends.get((id(state), i))
+        held[worth] += isinstance(end, core.Finish) and end.why.startswith("held back")
+    assert held[2.0] > 500 and held[5.0] < 0.75 * held[2.0]
+
+
+def test_sessions_keep_to_a_gateway_and_the_better_of_two_is_taken() -> None:
+    world = World(lambda gateway, now: (None, 5 * MS if gateway == "a:1" else 200 * MS))
+    state = core.State(Policy(), [Gateway("a:1"), Gateway("b:1")], 1)
+    for i in range(300):
+        world.feed(state, core.Asked(i, False, 1.0, f"s{i % 5}" if i > 100 else "", world.now + 4 * SECOND))
+        world.run(world.now + 300 * MS)
+    where = Counter(gateway for _, gateway, _ in world.sends[150:])
+    assert where["a:1"] > 140
+    near = core.State(Policy(zone="x"), [Gateway("a:1", "y"), Gateway("b:1", "x")], 1)
+    before = len(world.sends)
+    for i in range(20):
+        world.feed(near, core.Asked(i, False, 1.0, "", world.now + 4 * SECOND))
+    world.run(world.now + SECOND)
+    assert Counter(gateway for _, gateway, _ in world.sends[before:]) == {"b:1": 20}
+
+
+class ClientMachine(RuleBasedStateMachine):
+    """The core under any order of what gateways, connections, callers and time can bring. The law of resends:
+    after an unsafe request's last byte went out, nothing of it goes out again but for a refusal, or for the
+    rest of its answer, and marked so."""
+
+    policy = Policy(retry_reserve=5.0, retry_share=0.5)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now, self.numbers = SECOND, 0
+        self.state = core.State(self.policy, [Gateway("a:1"), Gateway("b:1"), Gateway("c:1")], 7)
+        self.out: dict[int, core.Send] = {}
+        self.unsafe: set[int] = set()
+        self.ran: set[int] = set()  # written, and not refused since
+        self.streamed: set[int] = set()
+        self.deadline: dict[int, int] = {}
+        self.sent: Counter[int] = Counter()
+        self.open: set[int] = set()
+        self.wakes: list[tuple[int, tuple[Any, ...]]] = []
+
+    def feed(self, event: core.Input) -> None:
+        for effect in core.reduce(self.state, self.now, event):
+            match effect:
+                case core.Send(request, _, _, rested, left, repeat):
+                    assert request in self.open and request not in self.out
+                    if request in self.unsafe:
+                        assert request not in self.ran or repeat == "again", "resent"
+                        assert rested <= self.policy.fresh
+                    assert (repeat == "") == (not self.sent[request])
+                    assert (repeat == "again") == (request in self.streamed)
+                    assert left >= core.LEAST_USEFUL
+                    assert self.now + left <= self.deadline[request] or repeat == "again"
+                    self.sent[request] += 1
+                    self.out[request] = effect
+                case core.Abandon(request, _):
+                    del self.out[request]
+                case core.Finish(request, end):
+                    assert request in self.open
+                    self.open.discard(request)
+                    if request in self.unsafe and request in self.ran and request not in self.streamed:
+                        assert end in (core.End.UNKNOWN, core.End.REJECTED), (end, "it may have run")
+                    if end is core.End.UNKNOWN:
+                        assert request in self.unsafe
+                case core.Done(request):
+                    self.open.discard(request)
+                case core.WakeAt(at, token):
+                    self.wakes.append((at, token))
+
+    @rule(unsafe=st.booleans(), left=st.sampled_from([20, 500, 8000]), session=st.sampled_from(["", "s"]))
+    def ask(self, unsafe: bool, left: int, session: str) -> None:
+        self.numbers += 1
+        self.open.add(self.numbers)
+        self.deadline[self.numbers] = self.now + left * MS
+        if unsafe:
+            self.unsafe.add(self.numbers)
+        worth = 5.0 if unsafe else 2.0
+        self.feed(core.Asked(self.numbers, unsafe, worth, session, self.deadline[self.numbers]))
+
+    @precondition(lambda self: self.out)
+    @rule(data=st.data())
+    def written(self, data: st.DataObject) -> None:
+        request = data.draw(st.sampled_from(sorted(self.out)))
+        self.ran.add(request)
+        self.feed(core.Written(request, self.out[request].number))
+
+    @precondition(lambda self: self.out)
+    @rule(
+        data=st.data(), how=st.sampled_from(list(How)),
+        told=st.sampled_from(["", "0.2", "-1", "x", "99999"]),
+    )  # fmt: skip
+    def breaks(self, data: st.DataObject, how: How, told: str) -> None:
+        request = data.draw(st.sampled_from(sorted(self.out)))
+        send = self.out.pop(request)
+        before = request in self.ran
+        if request not in self.streamed or send.repeat == "again":
+            if how is How.CUT and request not in self.streamed:
+                how = How.BROKE
+            if LAW[how] in (May.ANY, May.NONE):
+                self.ran.discard(request)
+            if not before and how in (How.BROKE, How.NOISE, How.SILENT, How.FAILED, How.CUT):
+                how = How.UNSENT
+        self.feed(core.Broke(request, send.number, how, 503 if how is How.REFUSED else 0, told))
+
+    @precondition(lambda self: self.out)
+    @rule(data=st.data())
+    def first_event(self, data: st.DataObject) -> None:
+        request = data.draw(st.sampled_from(sorted(self.out)))
+        self.ran.add(request)
+        self.streamed.add(request)
+        self.feed(core.Written(request, self.out[request].number))
+        self.feed(core.FirstEvent(request, self.out[request].number))
+
+    @precondition(lambda self: self.out)
+    @rule(data=st.data())
+    def ends(self, data: st.DataObject) -> None:
+        request = data.draw(st.sampled_from(sorted(self.out)))
+        self.feed(core.Ended(request, self.out.pop(request).number))
+
+    @precondition(lambda self: self.open)
+    @rule(data=st.data())
+    def cancels(self, data: st.DataObject) -> None:
+        request = data.draw(st.sampled_from(sorted(self.open)))
+        self.feed(core.Cancelled(request))
+        self.open.discard(request)
+        self.out.pop(request, None)
+
+    @rule(gateway=st.sampled_from(["a:1", "b:1", "d:1"]), kept=st.booleans(), asked=st.booleans())
+    def connection(self, gateway: str, kept: bool, asked: bool) -> None:
+        self.feed(core.Kept(gateway) if kept else core.Lost(gateway, asked))
+
+    @rule(names=st.sets(st.sampled_from(["a:1", "b:1", "c:1", "d:1"])))
+    def told(self, names: set[str]) -> None:
+        self.feed(core.GatewaysTold(tuple(Gateway(name) for name in sorted(names))))
+
+    @rule(time=st.sampled_from([1, 60, 400, 3000, 12000]))
+    def time_passes(self, time: int) -> None:
+        until = self.now + time * MS
+        while due := sorted((w for w in self.wakes if w[0] <= until), key=lambda w: w[0]):
+            self.wakes.remove(due[0])
+            self.now = max(self.now, due[0][0])
+            self.feed(core.Woken(due[0][1]))
+        self.now = until
+
+    @invariant()
+    def laws(self) -> None:
+        assert core.invariants(self.state) == []
+        assert set(self.state.requests) == self.open
+
+
+ClientMachine.TestCase.settings = hypothesis_settings(
+    max_examples=200, stateful_step_count=50, deadline=None, derandomize=True, phases=(Phase.generate,)
+)
+TestClientMachine = ClientMachine.TestCase
+
+
+@pytest.mark.parametrize("how", [How.BROKE, How.NOISE, How.SILENT, How.FAILED])
+def test_a_broken_law_is_noticed(how: How, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The state test above with this row of the table broken: it must fail."""
+    monkeypatch.setitem(LAW, how, May.ANY)
+    with pytest.raises(AssertionError):
+        machine = ClientMachine()
+        machine.ask(True, 8000, "")
+        (request,) = machine.out
+        machine.ran.add(request)
+        machine.feed(core.Written(request, 1))
+        del machine.out[request]
+        machine.feed(core.Broke(request, 1, how))
+        machine.time_passes(3000)
+
+
+# --- the fronts against stand-in gateways ---------------------------------------------------------------
+
+
+def piece(text: str) -> dict[str, Any]:
+    return {"choices": [{"index": 0, "delta": {"content": text}, "finish_reason": None}]}
+
+
+class FrontTest(unittest.IsolatedAsyncioTestCase):
+    async def gateway(self, handler: Any) -> Peer:
+        peer = await Peer().start()
+        peer.handlers["/v1/chat/completions"] = handler
+        self.addAsyncCleanup(peer.stop)
+        return peer
+
+    def client(self, *peers: Peer, **policy: Any) -> library.Client:
+        client = library.Client([p.address for p in peers], Policy(**policy), account="acme", seed=1)
+        self.addAsyncCleanup(client.close)
+        return client
+
+    async def ask(self, client: library.Client, unsafe: bool = False, timeout: float = 5.0) -> library.Answer:
+        cls = "order" if unsafe else "ask"
+        return await client.ask(MESSAGES, request_class=cls, unsafe=unsafe, timeout=timeout)
+
+    async def test_an_answer_and_its_headers(self) -> None:
+        async def serve(asked: Asked) -> None:
+            asked.begin()
+            for text in ("two ", "pairs"):
+                asked.event(piece(text))
+            asked.chunk(b"data: [DONE]\n\n")
+            asked.end()
+
+        peer = await self.gateway(serve)
+        client = self.client(peer)
+        for _ in range(2):
+            self.assertEqual(await (await self.ask(client)).text(), "two pairs")
+        first, second = peer.seen
+        self.assertEqual((first.first, second.first), (True, False))  # the connection is kept
+        self.assertNotEqual(first.headers["x-correlation-id"], second.headers["x-correlation-id"])
+        self.assertLessEqual(int(first.headers["x-time-left-ms"]), 5000)
+        self.assertEqual((first.headers["x-account"], "x-repeat" in first.headers), ("acme", False))
+
+    async def test_a_refusal_is_heeded_and_the_repeat_marked(self) -> None:
+        async def second_time(asked: Asked) -> None:
+            if len(peer.seen) == 1:
+                asked.reply(503, Retry_After="0.05")
+            else:
+                asked.begin()
+                asked.event(piece("x"))
+                asked.end()
+
+        peer = await self.gateway(second_time)
+        answer = await self.ask(self.client(peer), unsafe=True)
+        self.assertEqual(await answer.text(), "x")
+        self.assertEqual([a.headers.get("x-repeat") for a in peer.seen], [None, "1"])
+        began = [attempt.began for attempt in answer.attempts]
+        self.assertGreaterEqual(began[1] - began[0], 0.05)
+
+    async def test_what_may_have_run_is_unknown_and_not_sent_again(self) -> None:
+        async def reset(asked: Asked) -> None:
+            asked.reset()
+
+        async def noise(asked: Asked) -> None:
+            asked.raw(b"nonsense\r\n\r\n")
+
+        async def failed(asked: Asked) -> None:
+            asked.reply(502)
+
+        async def silent(asked: Asked) -> None:
+            await asked.closed()
+
+        for trouble in (reset, noise, failed, silent):
+            with self.subTest(trouble.__name__):
+                peer = await self.gateway(trouble)
+                with self.assertRaises(library.OutcomeUnknown) as caught:
+                    await self.ask(self.client(peer), unsafe=True, timeout=0.6)
+                self.assertEqual((len(peer.seen), caught.exception.tries), (1, 1))
+                self.assertEqual(caught.exception.ids, (peer.seen[0].headers["x-correlation-id"],))
+                peer = await self.gateway(trouble)
+                with self.assertRaises((library.Failed, library.DeadlinePassed)):
+                    await self.ask(self.client(peer), timeout=0.6)
+
+    async def test_a_request_found_wrong_is_not_sent_again(self) -> None:
+        async def wrong(asked: Asked) -> None:
+            asked.reply(400)
+
+        peer = await self.gateway(wrong)
+        with self.assertRaises(library.Rejected) as caught:
+            await self.ask(self.client(peer), unsafe=True)
+        self.assertEqual((caught.exception.status, len(peer.seen)), (400, 1))
+
+    async def test_a_broken_stream_is_resumed_and_joined(self) -> None:
+        words = [f"w{i} " for i in range(12)]
+
+        async def break_off(asked: Asked) -> None:
+            had = asked.message["messages"][-1]
+            at = len(had["content"].split()) if had["role"] == "assistant" else 0
+            asked.begin()
+            for word in words[at : at + 4]:
+                asked.event(piece(word))
+            if at + 4 < len(words):
+                asked.chunk(b"data: " + json.dumps(piece("half")).encode())  # an event that never ends
+                await asked.flush()
+                asked.close()
+            else:
+                asked.end()
+
+        peer = await self.gateway(break_off)
+        answer = await self.ask(self.client(peer, spread=10 * MS, rest=10 * MS), unsafe=True)
+        self.assertEqual(await answer.text(), "".join(words))
+        self.assertEqual([a.headers.get("x-repeat") for a in peer.seen], [None, "again", "again"])
+
+    async def test_another_gateway_is_asked_where_one_does_not_come_up(self) -> None:
+        async def serve(asked: Asked) -> None:
+            asked.begin()
+            asked.event(piece("x"))
+            asked.end()
+
+        gone, peer = await self.gateway(serve), await self.gateway(serve)
+        await gone.stop()
+        client = self.client(gone, peer)
+        for unsafe in (True, False, True, False):
+            self.assertEqual(await (await self.ask(client, unsafe)).text(), "x")
+        self.assertEqual(len(peer.seen), 4)
+
+    async def test_an_answer_byte_by_byte_and_a_cancel(self) -> None:
+        closed = asyncio.Event()
+
+        async def slowly(asked: Asked) -> None:
+            raw = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            event = b"data: " + json.dumps(piece("x")).encode() + b"\n\n"
+            for byte in raw + f"{len(event):x}\r\n".encode() + event + b"\r\n":
+                asked.raw(bytes([byte]))
+                await asked.flush()
+            await asked.closed()
+            closed.set()
+
+        answer = await self.ask(self.client(await self.gateway(slowly)))
+        self.assertEqual(await anext(aiter(answer)), "x")
+        answer.cancel()
+        async with asyncio.timeout(10):
+            await closed.wait()
+
+    async def test_the_blocking_front(self) -> None:
+        async def serve(asked: Asked) -> None:
+            if asked.headers["x-service-class"] == "order":
+                asked.reset()
+                return
+            asked.begin()
+            asked.event(piece("a "))
+            asked.event(piece("b"))
+            asked.end()
+
+        peer = await self.gateway(serve)
+
+        def work() -> list[Any]:
+            with library.BlockingClient([peer.address], account="acme") as client:
+                got: list[Any] = [list(client.ask(MESSAGES, request_class="ask", unsafe=False))]
+                try:
+                    client.ask(MESSAGES, request_class="order", unsafe=True, timeout=2.0)
+                except library.OutcomeUnknown as error:
+                    got.append(error.tries)
+                return got
+
+        self.assertEqual(await asyncio.to_thread(work), [["a ", "b"], 1])
+
+
+class RealGatewayTest(FleetTest):
+    """Against the real program, with engines that count."""
+
+    async def test_an_order_is_never_resent_whenever_the_gateway_dies(self) -> None:
+        for step in ("reading", "writing", "streaming"):
+            with self.subTest(step):
+                await self._killed_at(step)
+
+    async def _killed_at(self, step: str) -> None:
+        reached, orders = asyncio.Event(), []
+
+        async def read(asked: EngineAsked) -> None:
+            if asked.target.startswith("/v1/") and step == "reading":
+                reached.set()
+                await asked.closed()
+            else:
+                await reading()(asked)
+
+        async def answer(asked: EngineAsked) -> None:
+            orders.append(asked.rid)
+            if step == "streaming":
+                asked.begin()
+                asked.chunk(b"data: " + json.dumps(piece("x")).encode() + b"\n\n")
+            reached.set()
+            await asked.closed()
+
+        reader, writer = await self.standin(read), await self.standin(writing(answer))
+        gateway = await self.fleet(r1=reader, w1=writer)
+        client = library.Client([gateway.address], Policy(resume=False), account="acme", seed=1)
+        self.addAsyncCleanup(client.close)
+        asking = asyncio.ensure_future(
+            client.ask(MESSAGES, request_class="order", unsafe=True, timeout=10.0)
+        )
+        async with asyncio.timeout(20):
+            await reached.wait()
+            if step == "streaming":
+                answered = await asking
+                await gateway.kill()
+                with self.assertRaises(library.StreamBroken) as broken:
+                    await answered.text()
+                self.assertEqual(broken.exception.text, "x")
+            else:
+                await gateway.kill()
+                with self.assertRaises(library.OutcomeUnknown):
+                    await asking
+        self.assertLessEqual(len(orders), 1)
