Measure a thousand clients against the real program, and answer a stream without events

Need: reconnects and refusals were shown in virtual time alone.

Change: `benchmarks.client real`: the program is killed with a connection of each client at rest and started again at the same address. A test on sockets plays a gateway that refuses half beside a client that tries again at once. Found by the measurement: a stream that ended without one readable event left its caller with a cancelled call; it is an empty answer now. The package says its version in one place.

--- a/basaltspread/__init__.py
+++ b/basaltspread/__init__.py
@@ -6,6 +6,7 @@
     from basaltspread.rules import Router
 
 __all__ = ["Router"]
+__version__ = "0.2.0"
 
 
 def __getattr__(name: str) -> Any:
--- a/basaltspread/cli/__init__.py
+++ b/basaltspread/cli/__init__.py
@@ -11,6 +11,8 @@
 
 import click
 
+from basaltspread import __version__
+
 # Each command's module and name, loaded when it is asked for: `run` has no use for the conformance suite.
 COMMANDS = {
     "run": ("gateway", "run"),
@@ -34,6 +36,6 @@
 
 
 @click.group(cls=_Lazy, context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
-@click.version_option(package_name="basaltspread", message="%(version)s")
+@click.version_option(__version__, message="%(version)s")
 def main() -> None:
     """A gateway for language-model services with readers and writers, and a sidecar for tool calls."""
--- a/basaltspread/client/aio.py
+++ b/basaltspread/client/aio.py
@@ -285,7 +285,10 @@
                 delay = max(0.0, (at - _now()) / core.SECOND)
                 asyncio.get_running_loop().call_later(delay, self._wake, token)
             case core.Done(request):
-                self._end(self._pending.pop(request), None)
+                whole = self._pending.pop(request)
+                if not whole.first.done():  # a stream without one event that could be read: an empty answer
+                    whole.first.set_result(None)
+                self._end(whole, None)
             case core.Finish(request, end, why, retry_after, local, status):
                 found = self._pending.pop(request, None)
                 if found is not None:
--- a/basaltspread/conformance/world.py
+++ b/basaltspread/conformance/world.py
@@ -265,7 +265,7 @@
         return {n: int(v) for n, v in (pair.split("=") for pair in line.split("counters ")[1].split())}
 
 
-@dataclass(slots=True)
+@dataclass
 class World:
     """Peers, one operator's file, and the gateways started with it."""
 
--- a/basaltspread/net/mcp.py
+++ b/basaltspread/net/mcp.py
@@ -19,6 +19,7 @@
 
 import h11
 
+from basaltspread import __version__
 from basaltspread.control.routes import MCP, RouteTable, Server
 from basaltspread.endings import Ending
 from basaltspread.net import jsonrpc, sse
@@ -36,7 +37,7 @@
 STALE = 10.0  # times its age limit, for which an old list still serves where a server is silent
 SESSION_ID_LIMIT = 256
 REPLY_LIMIT = 1024 * 1024  # bytes of one answer, its notifications included
-Name = "basaltspread"
+NAME = "basaltspread"
 
 
 async def texts(link: Link, head: h11.Response) -> AsyncIterator[str]:
@@ -120,7 +121,7 @@
         ident = f"initialize-{next(self._numbers)}"
         params = {
             "protocolVersion": VERSIONS[0], "capabilities": {},
-            "clientInfo": {"name": Name, "version": "0.2.0"},
+            "clientInfo": {"name": NAME, "version": __version__},
         }  # fmt: skip
         found, fields = await ask(self._runtime, server, [], jsonrpc.request(ident, "initialize", params))
         about = found.get("result")
--- a/basaltspread/net/toolcalls.py
+++ b/basaltspread/net/toolcalls.py
@@ -18,12 +18,12 @@
 
 import h11
 
-from basaltspread import core
+from basaltspread import __version__, core
 from basaltspread.config import Tools
 from basaltspread.control.routes import MCP, Server
 from basaltspread.core import Ending, ToolFault
 from basaltspread.net import jsonrpc, sse
-from basaltspread.net.mcp import ACCEPT, JSON_TYPE, PING_WAIT, VERSIONS, Listing, Name, Sessions, ask, texts
+from basaltspread.net.mcp import ACCEPT, JSON_TYPE, NAME, PING_WAIT, VERSIONS, Listing, Sessions, ask, texts
 from basaltspread.net.runtime import Headers, LinkError, Runtime
 
 log = logging.getLogger("basaltspread")
@@ -245,7 +245,7 @@
         return {
             "protocolVersion": wants if wants in VERSIONS else VERSIONS[0],
             "capabilities": {"tools": {"listChanged": False}},
-            "serverInfo": {"name": Name, "version": "0.2.0"},
+            "serverInfo": {"name": NAME, "version": __version__},
         }
 
     def _note(self, request: str, message: jsonrpc.Notification) -> list[str]:
--- a/benchmarks/client.py
+++ b/benchmarks/client.py
@@ -12,9 +12,11 @@
 import asyncio
 import json
 import random
+import resource
+import socket
 import time
 import tracemalloc
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Sequence
 from typing import Any
 
@@ -27,6 +29,8 @@
 from basaltspread.client.core import Gateway, How, Policy
 from basaltspread.client.virtual import World
 from basaltspread.conformance.peers import Asked, Peer
+from basaltspread.conformance.world import ROOT, Engine, Needs
+from basaltspread.conformance.world import World as World_
 from benchmarks.table import keep, show
 
 MS, SECOND = 1000, 1_000_000
@@ -120,6 +124,69 @@
     return [row], [bins[i] for i in range(max(bins) + 1)]
 
 
+async def real(clients: int) -> list[dict[str, Any]]:
+    """The real program, killed with a connection of each client at rest and started again 1 s later at the
+    same address; each client asks once in the second after the kill."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, min(hard, 3 * clients + 200)), hard))
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{probe.getsockname()[1]}"
+
+    async def script(engine: Engine) -> None:
+        engine.send({"choices": [{"index": 0, "delta": {"content": "x"}, "finish_reason": None}]})
+        engine.end()
+
+    world = _Fixed(ROOT, [Needs()], address, 4 * clients)
+    world.scripts = defaultdict(lambda: script)
+    await world.start()
+    stage = [library.Client([address], seed=i) for i in range(clients)]
+
+    async def ask(client: library.Client, wait: float) -> float | None:
+        await asyncio.sleep(wait)
+        try:
+            await (await client.ask(MESSAGES, request_class="ask", unsafe=False, timeout=14.0)).text()
+        except library.ClientError:
+            return None
+        return time.perf_counter() - killed
+
+    try:
+        killed, lots = time.perf_counter(), random.Random(1)
+        for i in range(0, clients, 50):
+            await asyncio.gather(*(ask(client, 0.0) for client in stage[i : i + 50]))
+        await world.gateways[-1].kill()
+        killed = time.perf_counter()
+        asking = [asyncio.ensure_future(ask(client, lots.random())) for client in stage]
+        await asyncio.sleep(1.0)
+        await world.gateway()
+        up = time.perf_counter() - killed
+        times = [took for took in await asyncio.gather(*asking) if took is not None]
+        bins = Counter(int(took * 10) for took in times)
+        span = max(times) - min(times)
+        return [{
+            "clients": clients, "served": len(times), "gateway back after s": up,
+            "first to last s": span,
+            "fullest 100 ms over the even share": max(bins.values()) * span * 10 / len(times),
+            "sends a request": sum(c.state.counters["sends"] for c in stage) / clients - 1,
+        }]  # fmt: skip
+    finally:
+        for client in stage:
+            await client.close()
+        await world.stop()
+
+
+class _Fixed(World_):
+    """A world whose gateway listens at one address, with descriptors for many."""
+
+    def __init__(self, package: Any, slots: Any, address: str, sockets: int) -> None:
+        super().__init__(package, slots)
+        self._address, self._sockets = address, sockets
+
+    def _text(self) -> str:
+        text = super()._text().replace('listen = "127.0.0.1:0"', f'listen = "{self._address}"', 1)
+        return text.replace("sockets = 1024", f"sockets = {self._sockets}")
+
+
 # --- spread and memory ----------------------------------------------------------------------------------
 
 
@@ -241,9 +308,10 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(prog="python -m benchmarks.client", description=__doc__)
-    every = ["refusals", "reconnects", "spread", "memory", "overhead"]
+    every = ["refusals", "reconnects", "real", "spread", "memory", "overhead"]
     parser.add_argument("parts", nargs="*", default=every)
     parser.add_argument("--count", type=int, default=1000, help="requests for each front in `overhead`")
+    parser.add_argument("--clients", type=int, default=1000, help="clients in `real`")
     parser.add_argument("--json", metavar="FILE")
     options = parser.parse_args()
     found: dict[str, Any] = {}
@@ -254,6 +322,9 @@
         found["reconnects"], found["histogram of 100 ms"] = reconnects()
         show("a thousand clients lose their connections at once", found["reconnects"])
         print("new connections for each 100 ms, all seeds:", *found["histogram of 100 ms"])
+    if "real" in options.parts:
+        found["real"] = asyncio.run(real(options.clients))
+        show("the real program killed and started again", found["real"])
     if "spread" in options.parts:
         found["spread"] = spread()
         show("load over gateways, 300 clients", found["spread"])
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -391,6 +391,16 @@
         self.assertLessEqual(int(first.headers["x-time-left-ms"]), 5000)
         self.assertEqual((first.headers["x-account"], "x-repeat" in first.headers), ("acme", False))
 
+    async def test_an_answer_without_an_event_is_empty(self) -> None:
+        async def serve(asked: Asked) -> None:
+            asked.begin()
+            asked.chunk(b"data: no json\n\n: comment\n\n")
+            asked.end()
+
+        client = self.client(await self.gateway(serve))
+        self.assertEqual(await (await self.ask(client, unsafe=True)).text(), "")
+        self.assertEqual(client.state.counters["events_odd"], 1)
+
     async def test_a_refusal_is_heeded_and_the_repeat_marked(self) -> None:
         async def second_time(asked: Asked) -> None:
             if len(peer.seen) == 1:
@@ -431,6 +441,39 @@
                 with self.assertRaises((library.Failed, library.DeadlinePassed)):
                     await self.ask(self.client(peer), timeout=0.6)
 
+    async def test_half_refused_beside_a_client_that_tries_again_at_once(self) -> None:
+        lots = random.Random(5)
+
+        async def half(asked: Asked) -> None:
+            if lots.random() < 0.5:
+                asked.reply(503, Retry_After="0.001")
+            else:
+                asked.begin()
+                asked.event(piece("x"))
+                asked.end()
+
+        peer = await self.gateway(half)
+        client, served = self.client(peer, backoff=MS, longest_backoff=2 * MS), 0
+        for _ in range(150):
+            try:
+                served += await (await self.ask(client)).text() == "x"
+            except library.Refused as error:
+                self.assertGreaterEqual(error.tries, 1)
+        sends = len(peer.seen)
+        self.assertLessEqual(sends, 150 * 1.2 + 10 + 2)
+        self.assertGreaterEqual(served, 0.45 * sends)
+        del peer.seen[:]
+        host, _, port = peer.address.rpartition(":")
+        for _ in range(150):  # the naive one: up to three tries, at once, marked or not
+            for _ in range(3):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+                refused = b"503" in await reader.readline()
+                writer.close()
+                if not refused:
+                    break
+        self.assertGreater(len(peer.seen), 1.2 * sends)
+
     async def test_a_request_found_wrong_is_not_sent_again(self) -> None:
         async def wrong(asked: Asked) -> None:
             asked.reply(400)
