Keep a client's events apart from their end, and streams that are too much for one message

Change: the queue of an answer's events was bounded itself, so that an error had to push the oldest event out to get in, and the end of a cancelled answer was dropped when it was full, which left its reader waiting. The bound is a semaphore for events now; the end needs no room. A stream of a sidecar with thousands of tool calls was handed on in a message longer than its receiver reads (64 KiB): it would have come cut off and its connections been closed. It stays now, and moves as others do.

--- a/basaltspread/client/aio.py
+++ b/basaltspread/client/aio.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import time
 import uuid
@@ -123,7 +122,8 @@
     headers: dict[str, str]
     began: float
     first: asyncio.Future[None]
-    events: asyncio.Queue[dict[str, Any] | ClientError | None]
+    events: asyncio.Queue[dict[str, Any] | ClientError | None]  # None at the end; neither needs room
+    room: asyncio.Semaphore  # for events that wait for their reader
     attempts: list[Attempt] = field(default_factory=list)
     text: list[str] = field(default_factory=list)
     task: asyncio.Task[None] | None = None
@@ -151,6 +151,7 @@
                 return
             if isinstance(event, ClientError):
                 raise event
+            self._pending.room.release()
             yield event
 
     def __aiter__(self) -> AsyncIterator[str]:
@@ -223,8 +224,9 @@
         if prefix:
             headers["prefix"] = prefix
         pending = _Pending(
-            body, headers, time.monotonic(), loop.create_future(), asyncio.Queue(MOST_EVENTS)
-        )
+            body, headers, time.monotonic(), loop.create_future(), asyncio.Queue(),
+            asyncio.Semaphore(MOST_EVENTS),
+        )  # fmt: skip
         self._pending[ident] = pending
         self._sweep_later()
         self._feed(core.Asked(ident, unsafe, worth, session, now + int(timeout * core.SECOND)))
@@ -308,12 +310,7 @@
             else:
                 pending.first.set_exception(error)
             return
-        while pending.events.full():  # its reader is slow, and the end must not be lost
-            if not isinstance(error, ClientError):
-                break
-            pending.events.get_nowait()
-        with contextlib.suppress(asyncio.QueueFull):
-            pending.events.put_nowait(error)
+        pending.events.put_nowait(error)
 
     # --- one try ----------------------------------------------------------------------------------------
 
@@ -352,8 +349,6 @@
             raise
         finally:
             attempt.ended = time.monotonic() - pending.began
-        if isinstance(outcome, core.Ended):
-            await pending.events.put(None)
         self._feed(outcome)
 
     def _request(self, effect: core.Send, pending: _Pending, correlation: str) -> tuple[h11.Request, bytes]:
@@ -423,7 +418,8 @@
             pending.first.set_result(None)
         self._feed(core.FirstEvent(ident, number))
         pending.text.append(text_of(value))
-        await pending.events.put(value)
+        pending.events.put_nowait(value)
+        await pending.room.acquire()
 
     # --- connections ------------------------------------------------------------------------------------
 
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -246,6 +246,8 @@
             if self._own is None or os.path.samestat(self._own, self._door.stat()):
                 return False
             parts = [json.dumps(about).encode()]
+            if len(parts[0]) > READ_SIZE:  # it would arrive cut off, and its connections be lost
+                return False
             rights = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", descriptors))]
             self._inbox.sendmsg(parts, rights, 0, str(self._door))
         except OSError:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -391,6 +391,32 @@
         self.assertLessEqual(int(first.headers["x-time-left-ms"]), 5000)
         self.assertEqual((first.headers["x-account"], "x-repeat" in first.headers), ("acme", False))
 
+    async def test_a_slow_reader_loses_nothing_when_the_answer_breaks_off_or_is_cancelled(self) -> None:
+        async def many(asked: Asked) -> None:
+            asked.begin()
+            for i in range(500):
+                asked.event(piece(f"{i} "))
+            await asked.flush()
+            asked.close()
+
+        for cancel in (False, True):
+            client = self.client(await self.gateway(many), resume=False)
+            answer = await self.ask(client, unsafe=True)
+            async with asyncio.timeout(10):
+                while answer._pending.room.locked() is False:
+                    await asyncio.sleep(0)
+                if cancel:
+                    answer.cancel()
+                got = []
+                try:
+                    async for text in answer:
+                        got.append(text)
+                except library.StreamBroken as broken:
+                    self.assertEqual("".join(got), broken.text)
+                    self.assertEqual(len(got), 500)
+            self.assertEqual(got, [f"{i} " for i in range(len(got))])
+            self.assertGreaterEqual(len(got), 64)
+
     async def test_an_answer_without_an_event_is_empty(self) -> None:
         async def serve(asked: Asked) -> None:
             asked.begin()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+import tempfile
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
@@ -10,6 +12,7 @@
 from basaltspread import core
 from basaltspread import interface as api
 from basaltspread.core import Ending, Order, Place, Verdict
+from basaltspread.net.runtime import Overlap
 from tests.helpers import FLEET, MS, SECOND, settings
 
 ARRIVAL = api.Arrival("q", "s", "p", 100, 200, 50, 0, 0, SECOND, 0, False, False)
@@ -412,3 +415,13 @@
         self.assertTrue(core.leaving(self.state))
         self.state.inherited, self.state.accepting = True, True
         self.assertTrue(core.leaving(self.state))  # a successor is there
+
+
+class HandOnTest(unittest.TestCase):
+    def test_a_stream_that_is_too_much_for_one_message_stays(self) -> None:
+        """Cut off on its way it would be lost, connections and all."""
+        with tempfile.TemporaryDirectory() as folder, socket.socket() as connection:
+            old, new = Overlap(folder, "g"), Overlap(folder, "g")
+            for calls, handed in (([], True), (["x" * 128] * 4096, False)):
+                self.assertIs(old.hand_on({"calls": calls}, [connection.fileno()]), handed)
+            del new
