Send releases from zone to zone, and go on past six tries

At fault: _try_release in core/reducer.py. An engine whose last exchange failed is dropped from 'heard', and of those not heard the highest names come first: the same six for every request of every gateway, here all behind the cut; after six tries the word was given up. Ruled out: descriptors (107 of 1056 at most), the duty's own budget, the time of a try (100 ms, as set).

Change: each next try goes to the zone tried least, the own one first, there to the engine heard last that has not failed since, else to one drawn for that request; tries go on at a growing step for 20 times the rule's limit, or until a stopping process has to end. Tests: both fail without it.

--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Any, ClassVar
+from zlib import crc32
 
 from basaltspread import interface as api
 from basaltspread.core.messages import (
@@ -74,7 +75,9 @@
 DEADLINE_GUARD = 10 * MS  # past its deadline by this, a request that the module forgot is failed here
 GIVE_UP_PAUSE = 10 * MS  # by then the engine has surely seen that an attempt was given up
 RELEASE_STEP = 100 * MS  # a release not acknowledged by then is sent to one more engine
-RELEASE_TRIES = 6
+RELEASE_TRIES = 6  # so many as fast as they fail, and in that step; later ones ever more slowly
+LONGEST_RELEASE_STEP = 1000 * MS
+RELEASE_PATIENCE = 20  # times the limit of the rule: what is still unheard then is given up
 LONGEST_GRACE = 3000 * MS  # after SIGTERM; less where every class has a shorter deadline
 LEAST_DOOR = 550 * MS  # clients may still come for 400 ms after SIGTERM
 MOVE_TIME = 1000 * MS  # the last of the grace: the door is shut, and streams still running go elsewhere
@@ -291,7 +294,7 @@
         q.stream = attempt
         q.may_hold = bool(q.asking)  # all else that is held goes by itself, but for what is asked for now
         self.touched[q.id] = None
-        self.state.heard[attempt.worker] = self.now
+        self._noted(attempt.worker, True)
         self.count("streams_started")
         self.do(PassOn(q.id, attempt.number))
         for other in q.out():
@@ -332,10 +335,9 @@
         if ending not in QUIET:
             what = "read" if attempt.reading else "write"
             self.do(Say(f"attempt {q.id}/{attempt.number} {what} at {attempt.worker}: {ending.value}"))
-        if outcome in (Outcome.READ, Outcome.SERVED, Outcome.FULL, Outcome.ERROR):
-            self.state.heard[attempt.worker] = self.now
-        else:
-            self.state.heard.pop(attempt.worker, None)
+        if ending not in (Ending.NOT_SENT, Ending.NO_DESCRIPTOR):  # these say nothing of the engine
+            heard = outcome in (Outcome.READ, Outcome.SERVED, Outcome.FULL, Outcome.ERROR)
+            self._noted(attempt.worker, heard)
         if attempt.reading and (ending is Ending.READ or attempt.written):
             q.may_hold = True
         if attempt.reading:
@@ -427,45 +429,76 @@
         q = self.state.requests.get(name)
         if q is not None:
             q.may_hold = False
-        if name in self.state.releases:
-            self.state.releases[name].tried.clear()
-        else:
-            self.state.releases[name] = Release()
+        until = self.now + RELEASE_PATIENCE * self.state.settings.rules.release_within
+        duty = self.state.releases.setdefault(name, Release())
+        duty.until, duty.tries, duty.tried = until, 0, []
         self.count("releases")
         self._try_release(name)
 
     def _try_release(self, name: str) -> None:
-        """To the engine heard last first: it surely runs. Every engine passes the word on."""
+        """One more engine gets the word, and every engine passes it on. Guards against a word that no engine
+        ever heard: whoever is cut off from a part of the fleet reaches only the rest."""
         duty = self.state.releases[name]
-        fit = [w for w in self.state.workers.values() if w.entry.name not in duty.tried]
-        if not fit or len(duty.tried) >= RELEASE_TRIES:
-            if not duty.open:
-                self.count("releases_unheard")
-                self.do(Say(f"release of {name} reached no engine; tried {' '.join(duty.tried) or 'none'}"))
-                del self.state.releases[name]
+        if self._give_up_release(name, duty):
             return
-        best = max(
-            fit,
-            key=lambda w: (
-                w.entry.state is WorkerState.UP, self.state.heard.get(w.entry.name, 0), w.entry.name,
-            ),
-        )  # fmt: skip
-        duty.tried.append(best.entry.name)
-        duty.open.add(best.entry.name)
-        self.do(SendRelease(name, best.entry.name, best.address))
-        self.do(Wake(self.now + RELEASE_STEP, ("release", name, best.entry.name)))
+        step = RELEASE_STEP << max(0, min(duty.tries - RELEASE_TRIES, 8))
+        duty.tries += 1
+        self.do(Wake(self.now + min(step, LONGEST_RELEASE_STEP), ("release", name, duty.tries)))
+        workers = self.state.workers
+        duty.tried = [n for n in duty.tried if n in workers]
+        if len(duty.tried) == len(workers):
+            duty.tried = []  # all again
+        fit = [n for n in workers if n not in duty.tried and n not in duty.open]
+        if fit:
+            best = min(fit, key=lambda n: self._release_rank(name, duty, n))
+            duty.tried.append(best)
+            duty.open.add(best)
+            self.do(SendRelease(name, best, workers[best].address))
+
+    def _release_rank(self, name: str, duty: Release, worker: str) -> tuple[Any, ...]:
+        """Which engine gets the word first. What fails at once is mostly one zone, or the way to it: so each
+        next try goes to another. Within one the engine that was heard last, if it has not failed since, and
+        else a different one for each request: one picked by name alone would get them from all gateways."""
+        state, entry = self.state, self.state.workers[worker].entry
+        tried = sum(state.workers[n].entry.zone == entry.zone for n in duty.tried)
+        lot = crc32(f"{name} {worker}".encode())
+        heard, near = state.heard.get(worker, 0), entry.zone == state.settings.zone
+        return tried, entry.state is not WorkerState.UP, worker in state.unreached, not near, -heard, lot
+
+    def _give_up_release(self, name: str, duty: Release) -> bool:
+        """After long enough; a process that has to end does not wait past its own time for it."""
+        until = min(duty.until, self.state.stop_by) if self.state.stopping else duty.until
+        if duty.tries < RELEASE_TRIES or self.now < until:
+            return False
+        if not duty.open:
+            self.count("releases_unheard")
+            self.do(Say(f"release of {name} reached no engine in {duty.tries} tries"))
+            del self.state.releases[name]
+        return True
 
     def release_ended(self, event: ReleaseEnded) -> None:
+        self._noted(event.worker, event.done)
         duty = self.state.releases.get(event.request)
         if duty is None:
             return
         duty.open.discard(event.worker)
         if event.done:
-            self.state.heard[event.worker] = self.now
             del self.state.releases[event.request]
-        else:
-            self.state.heard.pop(event.worker, None)
+        elif duty.tries < RELEASE_TRIES:
             self._try_release(event.request)
+        else:  # the next is due by the clock
+            self._give_up_release(event.request, duty)
+
+    def _noted(self, worker: str, heard: bool) -> None:
+        """What one exchange says of an engine and of the way to it."""
+        state = self.state
+        if heard:
+            state.heard[worker] = self.now
+            state.unreached.discard(worker)
+        else:
+            state.heard.pop(worker, None)
+            if worker in state.listed:
+                state.unreached.add(worker)
 
     # --- the fleet ------------------------------------------------------------------------------------
 
@@ -481,6 +514,7 @@
                 state.listed[listed.entry.name] = listed
         state.version = max(state.version, event.version)
         state.heard = {name: at for name, at in state.heard.items() if name in state.listed}
+        state.unreached &= state.listed.keys()
         state.returned = {name: at for name, at in state.returned.items() if name in state.listed}
         self._fleet_changed(event.kind, event.version, event.entries)
 
@@ -620,9 +654,9 @@
                     self.count("deadline_backstops")
                     self.told.append(api.ClientGone(name))  # the module takes it as over
                     self._answer(q, Verdict.FAILED)
-            case ("release", str(name), str(worker)):
+            case ("release", str(name), int(number)):
                 duty = self.state.releases.get(name)
-                if duty is not None and duty.tried[-1:] == [worker]:
+                if duty is not None and duty.tries == number:
                     self._try_release(name)
             case (str(name), *_) if name.startswith("tool_"):
                 self.tool_woken(event.token)
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -70,8 +70,10 @@
 
 @dataclass(slots=True)
 class Release:
-    tried: list[str] = field(default_factory=list)
+    tried: list[str] = field(default_factory=list)  # engines, since all were tried last
     open: set[str] = field(default_factory=set)
+    tries: int = 0
+    until: int = 0
 
 
 @dataclass(slots=True)
@@ -112,6 +114,7 @@
     returned: dict[str, int] = field(default_factory=dict)  # when one was let in again
     workers: dict[str, Listed] = field(default_factory=dict)  # as it is treated: the list, less the bans
     heard: dict[str, int] = field(default_factory=dict)  # when an engine last said anything
+    unreached: set[str] = field(default_factory=set)  # engines whose last exchange brought no answer
     requests: dict[str, Request] = field(default_factory=dict)
     releases: dict[str, Release] = field(default_factory=dict)
     tools: Dispatcher | None = None  # only where a configuration has tool servers
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -148,11 +148,67 @@
         self.begin(Arrival=lambda e: [api.Release("q"), api.Refuse("q", 0)])
         (first, _) = self.feed(core.Taken(ARRIVAL))
         assert isinstance(first, core.SendRelease)
-        self.assertEqual(self.kinds(core.Woken(("release", "q", first.worker)), 100 * MS), ["SendRelease"])
+        self.assertEqual(self.kinds(core.Woken(("release", "q", 1)), 100 * MS), ["SendRelease"])
         self.assertEqual(self.kinds(core.ReleaseEnded("q", first.worker, False)), ["SendRelease"])
         self.assertEqual(self.kinds(core.ReleaseEnded("q", first.worker, True)), [])
         self.assertEqual(self.state.releases, {})
 
+    def released_to(self, event: core.Input, after: int = 0) -> list[str]:
+        return [e.worker for e in self.feed(event, after) if isinstance(e, core.SendRelease)]
+
+    def test_a_release_goes_from_zone_to_zone_and_is_not_given_up_early(self) -> None:
+        """Guards against what a gateway that was cut off did: six engines, the same for every request, all
+        behind the cut and none of its own zone, and then nothing more."""
+        far = [replace(FLEET[0], name=f"z{i}", zone=1, cell=2) for i in range(12)]
+        near = [replace(FLEET[0], name=f"a{i}") for i in range(3)]
+        self.begin(Arrival=lambda e: [api.Release(e.request), api.Refuse(e.request, 0)])
+        listed = tuple(core.Listed(e, f"{e.name}:1") for e in (*far, *near))
+        self.feed(core.ListTold(api.ListKind.FULL, 2, listed))
+        for entry in far:
+            self.state.heard[entry.name] = self.now - SECOND  # before the cut
+        limit, reached = self.state.settings.rules.release_within, []
+        for name in (f"q{i}" for i in range(20)):
+            began, tries = self.now, self.released_to(core.Taken(replace(ARRIVAL, request=name)))
+            while not any(worker.startswith("a") for worker in tries):
+                tries += self.released_to(core.Woken(("release", name, len(tries))), after=100 * MS)
+            reached.append(self.now - began)
+            self.feed(core.ReleaseEnded(name, tries[-1], True))
+        self.assertLessEqual(max(reached), limit // 2)
+        # Nobody at all can be reached, then one engine can.
+        (first,) = self.released_to(core.Taken(replace(ARRIVAL, request="last")))
+        self.feed(core.ReleaseEnded("last", first, False))
+        began = self.now
+        while self.now < began + 10 * limit:
+            number = self.state.releases["last"].tries
+            (wake,) = [w for w in self.wakes if w.token == ("release", "last", number)][-1:]
+            for worker in self.released_to(core.Woken(wake.token), after=max(0, wake.at - self.now)):
+                woken = self.wakes
+                self.feed(core.ReleaseEnded("last", worker, False))
+                self.wakes += woken
+        self.assertIn("last", self.state.releases)
+        self.assertGreater(len(self.state.releases["last"].tried), 0)
+        self.feed(core.ReleaseEnded("last", "a0", True))
+        self.assertEqual(self.state.releases, {})
+
+    def test_a_release_that_nobody_hears_ends_and_holds_no_process_up(self) -> None:
+        for stopping in (False, True):
+            self.begin(Arrival=lambda e: [api.Release("q"), api.Refuse("q", 0)])
+            if stopping:
+                self.feed(core.Terminate())
+            began, due = self.now, list[core.Wake]()
+            self.feed(core.Taken(ARRIVAL))
+            for _ in range(100):
+                due += [w for w in self.wakes if w.token[0] == "release"]
+                for worker in tuple(self.state.releases["q"].open) if self.state.releases else ():
+                    self.feed(core.ReleaseEnded("q", worker, False))
+                    due += [w for w in self.wakes if w.token[0] == "release"]
+                if not self.state.releases:
+                    break
+                wake = due.pop()
+                self.feed(core.Woken(wake.token), after=max(0, wake.at - self.now))
+            self.assertEqual(self.state.releases, {})
+            self.assertLess(self.now - began, (5 if stopping else 12) * SECOND)
+
     def test_a_place_that_may_be_held_after_the_stream_began_is_let_go(self) -> None:
         self.begin(
             Arrival=lambda e: [api.Send("q", "r1", 0), api.HoldPlace("q", "w1")], AttemptEnded=send("w2")
