--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,373 @@
+"""Many gateways, each the real reducer with the real module, among engines that die, drain, start cold and
+fall silent; in virtual time, deterministic from a seed.
+
+It owns the world and states the five rules from the engines' and clients' side (`breaches`). It must never
+look into a gateway to judge it: only what reached an engine or a client counts.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from basaltspread import core
+from basaltspread import interface as api
+from basaltspread.core import Ending, Place
+from basaltspread.rules import Router
+from tests.helpers import MS, SECOND, settings
+
+SLACK = 50 * MS  # on every time limit
+HELD_SLACK = 300 * MS  # and on what is held
+CONNECT = 250 * MS
+READ_TIME, FIRST_TIME, STREAM_TIME = 60 * MS, 40 * MS, 400 * MS
+
+
+@dataclass
+class Engine:
+    entry: api.WorkerEntry
+    alive: bool = True
+    silent: bool = False
+    sends: list[int] = field(default_factory=list)
+    fell: bool = False
+
+
+@dataclass
+class Gateway:
+    number: int
+    zone: int
+    state: core.State | None = None  # None: it is dead
+    life: int = 0
+    told: dict[str, int] = field(default_factory=dict)  # engine -> when it was told that it drains or is gone
+    known: dict[str, core.Listed] = field(default_factory=dict)
+
+
+@dataclass
+class Ask:
+    """One request, as its client and the engines see it."""
+
+    gateway: Gateway
+    life: int
+    unsafe: bool
+    deadline: int
+    answer: str = ""
+    streams: bool = False
+    out: set[int] = field(default_factory=set)
+    idle_since: int = 0
+    may_have_run: bool = False
+
+
+class World:
+    def __init__(
+        self, seed: int, gateways: int, readers: int, writers: int, rate: float, zones: int = 3
+    ) -> None:
+        self.rng, self.now, self.rate = random.Random(seed), 1000 * SECOND, rate
+        self.began, self.order = self.now, 0
+        self.events: list[tuple[int, int, Callable[[], None]]] = []
+        names = tuple("abcdef"[:zones])
+        base = settings(routers=gateways, zones=names, fields=(), weights_mean_size=True)
+        safe = replace(base.classes[0], deadline=6 * SECOND, aim=1200 * MS)
+        order = replace(safe, name="order", effect=api.Effect.UNSAFE, deadline=8 * SECOND)
+        rules = replace(base.rules, drain_grace=250 * MS, cold_start_share=0.26, warm_within=14 * SECOND)
+        self.settings = replace(base, classes=(safe, order), rules=rules)
+        self.engines: dict[str, Engine] = {}
+        for i in range(readers + writers):
+            # Names tell the zone, as many platforms' do: whoever goes by names alone stays in one zone.
+            self.add_engine(f"{names[i % zones]}{i}", kind=int(i >= readers), zone=i % zones, started=0)
+        self.capacity = [2.5 * rate / readers, 2.5 * rate / writers]  # requests a second, of a warm engine
+        self.held: dict[str, dict[str, int]] = defaultdict(dict)  # request -> engine -> since when
+        self.asks: dict[str, Ask] = {}
+        self.cut: set[int] = set()  # zones that only hear themselves
+        self.breaches: list[str] = []
+        self.gateways = [Gateway(i, i % zones) for i in range(gateways)]
+        for g in self.gateways:
+            g.known = {n: core.Listed(e.entry, n) for n, e in self.engines.items()}
+            self.start(g)
+
+    # --- time -------------------------------------------------------------------------------------------
+
+    def at(self, when: int, call: Callable[[], None]) -> None:
+        self.order += 1
+        heapq.heappush(self.events, (max(when, self.now), self.order, call))
+
+    def after(self, wait: int, call: Callable[[], None]) -> None:
+        self.at(self.now + wait, call)
+
+    def run(self, seconds: float) -> World:
+        end = self.began + int(seconds * SECOND)
+        self.at(self.now, lambda: self._arrive(end))
+        self.at(self.now, lambda: self._audit(end + 12 * SECOND))
+        while self.events and self.events[0][0] <= end + 12 * SECOND:
+            self.now, _, call = heapq.heappop(self.events)
+            call()
+        for name, q in self.asks.items():
+            if self._lives(q) and not q.answer and not q.streams:
+                self.breach("lost", name)
+        self._audit_cold()
+        return self
+
+    def breach(self, rule: str, about: str) -> None:
+        self.breaches.append(f"{rule}: {about} at {(self.now - self.began) / SECOND:.3f} s")
+
+    def share(self, answer: str) -> float:
+        return sum(q.answer == answer for q in self.asks.values()) / len(self.asks)
+
+    # --- gateways ---------------------------------------------------------------------------------------
+
+    def start(self, g: Gateway) -> None:
+        """From nothing but the last list that it had."""
+        own = replace(self.settings, router=g.number, zone=g.zone)
+        g.state, g.life = core.State(own, Router(own, self.rng.getrandbits(60))), g.life + 1
+        g.told = {n: self.now for n, w in g.known.items() if w.entry.state is not api.WorkerState.UP}
+        self.feed(g, core.ListTold(api.ListKind.CACHED, 1, tuple(g.known.values())))
+        self.feed(g, core.Serving())
+
+    def kill(self, g: Gateway, back_after: int) -> None:
+        g.state = None
+        self.after(back_after, lambda: self.start(g))
+
+    def feed(self, g: Gateway, event: core.Input) -> None:
+        queue = [event]
+        while queue and g.state is not None:
+            for effect in core.reduce(g.state, self.now, queue.pop(0)):
+                queue += self._carry(g, effect) or []
+
+    def later(self, g: Gateway, wait: int, event: core.Input) -> None:
+        life = g.life
+        self.after(wait, lambda: self.feed(g, event) if g.life == life else None)
+
+    def tell(self, engines: list[str], least: int, most: int) -> None:
+        """Each gateway hears of these at a time of its own."""
+        for g in self.gateways:
+            self.after(self.rng.randrange(least, most), lambda g=g: self._told(g, engines))  # type: ignore[misc]
+
+    def _told(self, g: Gateway, engines: list[str]) -> None:
+        entries = []
+        for name in engines:
+            engine = self.engines[name]
+            entry = engine.entry if engine.alive else replace(engine.entry, state=api.WorkerState.REMOVED)
+            g.known[name] = core.Listed(entry, name)
+            entries.append(g.known[name])
+            if entry.state is not api.WorkerState.UP:
+                g.told.setdefault(name, self.now)
+            else:
+                g.told.pop(name, None)
+        self.feed(g, core.ListTold(api.ListKind.DELTA, 2, tuple(entries)))
+
+    # --- engines ----------------------------------------------------------------------------------------
+
+    def add_engine(self, name: str, kind: int, zone: int, started: int) -> None:
+        entry = api.WorkerEntry(name, api.WorkerState.UP, zone, zone, kind, 1.0, started)
+        self.engines[name] = Engine(entry)
+
+    def replace_engine(self, name: str) -> list[str]:
+        """Its machine goes, and a cold one comes for it."""
+        old = self.engines[name].entry
+        self.die(name)
+        self.add_engine(name + "+", old.kind, old.zone, self.now)
+        return [name, name + "+"]
+
+    def die(self, name: str) -> None:
+        self.engines[name].alive = False
+        for places in self.held.values():
+            places.pop(name, None)
+
+    def drain(self, name: str) -> None:
+        engine = self.engines[name]
+        engine.entry = replace(engine.entry, state=api.WorkerState.DRAINING)
+
+    def reaches(self, g: Gateway, name: str) -> bool:
+        engine = self.engines[name]
+        apart = g.zone != engine.entry.zone and bool({g.zone, engine.entry.zone} & self.cut)
+        return not (engine.silent or apart)
+
+    # --- what gateways do -------------------------------------------------------------------------------
+
+    def _carry(self, g: Gateway, effect: Any) -> list[core.Input] | None:
+        match effect:
+            case core.Wake():
+                life = g.life
+                self.at(effect.at, lambda: self.feed(g, core.Woken(effect.token)) if g.life == life else None)
+            case core.StartAttempt():
+                self.asks[effect.request].out.add(effect.number)
+                self._connect(g, effect)
+            case core.AbandonAttempt():
+                self._closed(effect.request, effect.number)
+            case core.AskPlace():
+                self.after(1 * MS, lambda: self._place(g, effect))
+            case core.SendRelease():
+                self._release(g, effect)
+            case core.Answer():
+                self._answered(effect.request, effect.verdict.value)
+            case core.EndStream():
+                self._answered(effect.request, "served")
+            case core.BreakClient():
+                self._answered(effect.request, "broken")
+        return None
+
+    def _closed(self, request: str, number: int) -> None:
+        q = self.asks[request]
+        q.out.discard(number)
+        q.idle_since = self.now
+
+    def _end(self, g: Gateway, effect: core.StartAttempt, ending: Ending) -> None:
+        if g.state is not None and effect.number in self.asks[effect.request].out:
+            self._closed(effect.request, effect.number)
+            self.feed(g, core.Ended(effect.request, effect.number, ending))
+
+    def _end_later(self, g: Gateway, effect: core.StartAttempt, wait: int, ending: Ending) -> None:
+        life = g.life
+        self.after(wait, lambda: self._end(g, effect, ending) if g.life == life else None)
+
+    def _open(self, g: Gateway, effect: core.StartAttempt, life: int) -> bool:
+        return g.life == life and g.state is not None and effect.number in self.asks[effect.request].out
+
+    def _connect(self, g: Gateway, effect: core.StartAttempt) -> None:
+        life = g.life
+
+        def came_up() -> None:
+            if not self._open(g, effect, life):
+                return
+            engine = self.engines[effect.worker]
+            if not self.reaches(g, effect.worker):
+                self._end_later(g, effect, CONNECT, Ending.CONNECT_TIMED_OUT)
+            elif not engine.alive:
+                self._end(g, effect, Ending.REFUSED)
+            else:
+                self._sent(g, effect, engine, life)
+
+        self.after(1 * MS, came_up)
+
+    def _sent(self, g: Gateway, effect: core.StartAttempt, engine: Engine, life: int) -> None:
+        rid, q = effect.request, self.asks[effect.request]
+        told = g.told.get(effect.worker)
+        if told is not None and self.now > told + self.settings.rules.drain_grace + SLACK:
+            self.breach("drain", f"{rid} to {effect.worker}")
+        engine.sends.append(self.now)
+        if not effect.reading:
+            if q.unsafe and q.may_have_run:
+                self.breach("unsafe twice", rid)
+            q.may_have_run = True
+        self.feed(g, core.Begun(rid, effect.number))
+        self.feed(g, core.Written(rid, effect.number))
+        if effect.reading:
+            self.after(self._slow(engine, READ_TIME), lambda: self._read(g, effect, engine, life))
+        elif not self.held[rid]:
+            q.may_have_run = False
+            self._end_later(g, effect, 1 * MS, Ending.STATE_GONE)
+        else:
+            self.held[rid].clear()
+            self.after(self._slow(engine, FIRST_TIME), lambda: self._first(g, effect, engine, life))
+
+    def _slow(self, engine: Engine, time: int) -> int:
+        return int(time * self.rng.uniform(0.7, 1.6) / self._warmth(engine, self.now))
+
+    def _warmth(self, engine: Engine, when: int) -> float:
+        rules, started = self.settings.rules, engine.entry.started
+        if not started:
+            return 1.0
+        grown = min(1.0, (when - started) / rules.warm_within)
+        return rules.cold_start_share + (1 - rules.cold_start_share) * grown
+
+    def _read(self, g: Gateway, effect: core.StartAttempt, engine: Engine, life: int) -> None:
+        """The state stays, unless the engine knows that its reader has gone."""
+        if not engine.alive:
+            if self.reaches(g, effect.worker) and self._open(g, effect, life):
+                self._end(g, effect, Ending.RESET)
+            return
+        heard = self.reaches(g, effect.worker)
+        if heard and not self._open(g, effect, life):
+            return
+        self.held[effect.request][effect.worker] = self.now
+        if heard:
+            self._end(g, effect, Ending.READ)
+
+    def _first(self, g: Gateway, effect: core.StartAttempt, engine: Engine, life: int) -> None:
+        if not self._open(g, effect, life):
+            return
+        if not engine.alive:
+            self._end(g, effect, Ending.RESET)
+        elif self.reaches(g, effect.worker):
+            self.asks[effect.request].streams = True
+            self.held.pop(effect.request, None)
+            self.feed(g, core.FirstEvent(effect.request, effect.number))
+            self._end_later(g, effect, STREAM_TIME, Ending.SERVED)
+
+    def _place(self, g: Gateway, effect: core.AskPlace) -> None:
+        said = Place.UNKNOWN
+        if self.reaches(g, effect.worker) and self.engines[effect.worker].alive:
+            said = Place.HELD if self.rng.random() < 0.8 else Place.NOT_HELD
+            if said is Place.HELD and not self.asks[effect.request].streams:
+                self.held[effect.request][effect.worker] = self.now
+                self.asks[effect.request].idle_since = self.now
+        wait = 1 * MS if said is not Place.UNKNOWN else CONNECT
+        self.later(g, wait, core.PlaceEnded(effect.request, effect.number, effect.worker, said))
+
+    def _release(self, g: Gateway, effect: core.SendRelease) -> None:
+        there = self.reaches(g, effect.worker)
+        done = there and self.engines[effect.worker].alive
+        if done:
+            self.after(1 * MS, lambda: self.held[effect.request].clear())
+        self.later(g, 2 * MS if there else CONNECT, core.ReleaseEnded(effect.request, effect.worker, done))
+
+    # --- clients and the audit --------------------------------------------------------------------------
+
+    def _arrive(self, end: int) -> None:
+        if self.now >= end:
+            return
+        live = [g for g in self.gateways if g.state is not None]
+        if live:
+            g, n = self.rng.choice(live), len(self.asks)
+            name, unsafe = f"q{n}", self.rng.random() < 0.3
+            deadline = (8 if unsafe else 6) * SECOND
+            self.asks[name] = Ask(g, g.life, unsafe, self.now + deadline)
+            session, prefix = f"s{self.rng.randrange(400)}", f"p{self.rng.randrange(12)}"
+            tokens = self.rng.randrange(800, 4000)
+            self.feed(g, core.Taken(api.Arrival(
+                name, session, prefix, 700, tokens, 400, int(unsafe), 0, deadline, 0, False, False
+            )))  # fmt: skip
+        self.after(int(self.rng.expovariate(self.rate) * SECOND), lambda: self._arrive(end))
+
+    def _lives(self, q: Ask) -> bool:
+        return q.gateway.state is not None and q.gateway.life == q.life
+
+    def _answered(self, name: str, answer: str) -> None:
+        q = self.asks[name]
+        if q.answer:
+            self.breach("answered twice", name)
+        if not q.streams and self.now > q.deadline + self.settings.rules.answer_slack + SLACK:
+            self.breach("late", name)
+        if answer == "refused" and q.unsafe and q.may_have_run:
+            self.breach("refused what may have run", name)
+        q.answer = answer
+
+    def _audit(self, end: int) -> None:
+        limit = self.settings.rules.release_within + SLACK + HELD_SLACK
+        for name, places in list(self.held.items()):
+            q = self.asks[name]
+            if places and not q.out and self._lives(q):
+                since = max(q.idle_since, *places.values())
+                if self.now - since > limit:
+                    self.breach("pinned", name)
+                    places.clear()
+            elif not self._lives(q):
+                places.clear()
+        if self.now < end:
+            self.after(20 * MS, lambda: self._audit(end))
+
+    def _audit_cold(self) -> None:
+        """In each window, less than the multiple of what it could do then."""
+        rules = self.settings.rules
+        for name, engine in self.engines.items():
+            if not engine.entry.started:
+                continue
+            cold = [s for s in engine.sends if s < engine.entry.started + rules.warm_within]
+            for i, first in enumerate(cold):
+                sent = sum(s < first + rules.cold_window for s in cold[i:])
+                could = self.capacity[engine.entry.kind] * self._warmth(engine, first)
+                if sent > rules.cold_multiple * could * rules.cold_window / SECOND + 2:
+                    self.breach("pushed over", f"{name} sent {sent} a window, could do {could:.1f}")
+                    break
