Let no list that goes back undo a drain, and name it in log and counter

A reload that moves discovery asks the new address for the whole list, and took whatever it said: an engine told to drain, or gone, would have counted as up again if that picture was older. Fault: _Step.list_told in core/reducer.py.

Change: what was told to have left is kept for a minute with the version that said so. An entry of an older version with the same start still drains; a restart, newer news or a minute's time end that. Line 'the list went back ...', counter lists_gone_back. A test of eight cases fails without it.

--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -83,6 +83,7 @@
 MOVE_TIME = 1000 * MS  # the last of the grace: the door is shut, and streams still running go elsewhere
 MOVE_STEP = 50 * MS
 LAST_ANSWERS = 250 * MS  # past the grace: who has had nothing by then is told to ask elsewhere
+LEFT_KEPT = 60_000 * MS  # for which an older list can't bring back an engine that was told to have left
 MOST_BANS = 1024  # engines left out at once, listed or not
 DRAIN_DOOR = 1000 * MS  # after an operator's drain, idle clients stay so long: a front learns of it by asking
 DRAIN_STEP = 200 * MS  # between two looks for idle clients from then on
@@ -505,9 +506,10 @@
     def list_told(self, event: ListTold) -> None:
         self.count("lists_" + event.kind.value)
         state = self.state
+        entries = self._in_order(event)
         if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
             state.listed.clear()
-        for listed in event.entries:
+        for listed in entries:
             if listed.entry.state is WorkerState.REMOVED:
                 state.listed.pop(listed.entry.name, None)
             else:
@@ -516,7 +518,33 @@
         state.heard = {name: at for name, at in state.heard.items() if name in state.listed}
         state.unreached &= state.listed.keys()
         state.returned = {name: at for name, at in state.returned.items() if name in state.listed}
-        self._fleet_changed(event.kind, event.version, event.entries)
+        self._fleet_changed(event.kind, event.version, entries)
+
+    def _in_order(self, event: ListTold) -> tuple[Listed, ...]:
+        """The entries, less what is older than what was told before. Guards against a discovery that goes
+        back, as one may to which a reload moves: an engine told to drain or to go would count as up again."""
+        state, now = self.state, self.now
+        named = {w.entry.name for w in event.entries}
+        gone = {n: w for n, w in state.listed.items() if n not in named}
+        if event.kind is api.ListKind.DELTA:
+            gone = {}
+        out, back = list[Listed](), 0
+        for listed in event.entries:
+            entry = listed.entry
+            started, version, at = state.left.get(entry.name, (0, 0, -LEFT_KEPT))
+            if entry.state is not WorkerState.UP:
+                gone[entry.name] = state.listed.get(entry.name, listed)
+            elif event.version < version and entry.started == started and now < at + LEFT_KEPT:
+                listed, back = Listed(replace(entry, state=WorkerState.DRAINING), listed.address), back + 1
+            out.append(listed)
+        for name, known in gone.items():
+            if name not in state.left or event.version >= state.left[name][1]:
+                state.left[name] = (known.entry.started, event.version, now)
+        state.left = {n: told for n, told in state.left.items() if now < told[2] + LEFT_KEPT}
+        if back:
+            self.count("lists_gone_back")
+            self.do(Say(f"the list went back to version {event.version}; {back} engines still drain"))
+        return tuple(out)
 
     def _treated(self, listed: Listed) -> Listed:
         """An engine that is left out counts as draining, and one let in again as started just then: it may
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -110,6 +110,8 @@
     module: Module
     listed: dict[str, Listed] = field(default_factory=dict)  # as discovery tells it
     version: int = 0
+    # Engines told to drain or gone lately: when they had started, by which version, and when it was told.
+    left: dict[str, tuple[int, int, int]] = field(default_factory=dict)
     disabled: set[str] = field(default_factory=set)  # engines that operators left out, listed or not
     returned: dict[str, int] = field(default_factory=dict)  # when one was let in again
     workers: dict[str, Listed] = field(default_factory=dict)  # as it is treated: the list, less the bans
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -89,6 +89,24 @@
         self.assertEqual(self.feed(self.drained("r1")), [])  # begun before it was told
         self.assertEqual(self.feed(self.drained("w1")), [core.DropPlace("q", "w1")])
 
+    def test_a_list_that_goes_back_does_not_undo_a_drain(self) -> None:
+        """Guards against a reload that moves discovery: the new one may answer from an older picture, but
+        what was told before binds. A restart of the engine, newer news or a minute's time end that."""
+        for later, version, started, up in (
+            (0, 1, 0, False), (0, 3, 0, True), (0, 1, 5 * SECOND, True), (61 * SECOND, 1, 0, True),
+        ):  # fmt: skip
+            for gone in (False, True):
+                self.begin(Arrival=send("r1"))
+                if gone:
+                    others = tuple(core.Listed(e, f"{e.name}:1") for e in FLEET if e.name != "r1")
+                    self.feed(core.ListTold(api.ListKind.FULL, 2, others))
+                else:
+                    self.feed(self.drained("r1"))
+                entries = [replace(e, started=started) if e.name == "r1" else e for e in FLEET]
+                listed = tuple(core.Listed(e, f"{e.name}:1") for e in entries)
+                self.feed(core.ListTold(api.ListKind.FULL, version, listed), after=later)
+                self.assertEqual("StartAttempt" in self.kinds(core.Taken(ARRIVAL)), up)
+
     def test_an_unsafe_request_pauses_between_giving_up_and_sending_again(self) -> None:
         """The engines are reached by two connections: the new send could come first, and count as a copy."""
         self.begin(Arrival=send("r1"), TimerFired=lambda e: [api.Cancel("q", 0), api.Send("q", "r2", 0)])
