Ask discovery before clients come at a start, and give reads up before a last refusal

At fault: START_SPREAD in net/platform.py, meant for a discovery that all share; the protocol's agent is on the gateway's own machine and answers at once. Now the first call goes out at once and holds 1 ms, and the door opens with its answer, or after 250 ms without one.

At fault: _answer_the_rest in core/reducer.py refused first and gave the read up after; an attempt that is still out has proved nothing. Attempts are given up first now.

Each has a test that fails without the fix.

--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -737,6 +737,9 @@
             what = "the rest of a stream" if q.resumed else "a request"
             self.do(Say(f"{q.id}, {what}, is given up: this process has to end"))
             self.told.append(api.ClientGone(q.id))  # the module takes it as over
+            # Given up first: what is still out may run yet, and of an order that may run nothing is refused.
+            for attempt in q.out():
+                self._close(q, attempt, Ending.CANCELLED, abandon=True)
             may_have_run = ran or q.resumed  # of what is resumed, a part was answered
             self._answer(q, Verdict.FAILED if q.unsafe and may_have_run else Verdict.REFUSED)
         if self.state.requests:
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -53,7 +53,7 @@
 WATCH_SLACK = 2.0  # s past it after which discovery is taken as silent
 RETRY_PAUSE = 0.05  # s before the first new try; well within the 200 ms that a watch may pause
 LONGEST_PAUSE = 1.0  # s; many gateways share discovery, and it may be short of room for all of them
-START_SPREAD = 0.3  # s over which gateways that start at one moment, each with a list, first ask for news
+FIRST_LIST_WAIT = 0.25  # s that clients wait at a start for discovery's first word; it may say nothing
 CLIENT_SHARE = 0.6  # of the descriptors, for clients; a request has one here and at most two at engines
 FIRST_BYTE_PATIENCE = 2.0  # s from a connection's opening to its first byte; it may be closed without one
 FIRST_BYTES_UNDER_WAY = 0.25  # s after a connection's opening
@@ -461,6 +461,7 @@
         self._bad_second = self._bad_lines = 0
         self._server: asyncio.Server | None = None
         self._watching: asyncio.Task[None] | None = None
+        self._asked = asyncio.Event()  # discovery has answered once, or is known not to
         self.address = config.listen
         runtime.carry.update({
             core.StartAttempt: self._start_attempt, core.AbandonAttempt: self._abandon_attempt,
@@ -487,7 +488,11 @@
         self._discover(self._config.discovery, version)
 
     async def start(self) -> None:
-        """Let clients come."""
+        """Let clients come, once discovery has said what changed since the known list was written. Guards
+        against sends to an engine that drained meanwhile: to a gateway that starts, it counts as told."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_LIST_WAIT if self._watching is not None else 0):
+                await self._asked.wait()
         self._server = await open_door(
             "listen", self._config.listen, self._accept, QUEUE, ACCEPTED_AT_ONCE, self._config.door
         )
@@ -931,12 +936,12 @@
             self._watching = self._spawn(self._watch(discovery, version), "watch")
 
     async def _watch(self, discovery: str, version: int | None) -> None:
-        failures = 0
-        if version is not None:
-            await asyncio.sleep(START_SPREAD * random.random())
+        failures, hold = 0, 1  # the first answer is wanted at once, news or not
         while True:
             try:
-                version = await self._fetch(discovery, version)
+                version = await self._fetch(discovery, version, hold)
+                self._asked.set()
+                hold = HOLD_MS
                 if failures:
                     log.info("discovery answers again at version %d", version)
                 failures = 0
@@ -958,13 +963,13 @@
             self.runtime.count("discovery_failures")
             self.runtime.feed(core.ListTold(api.ListKind.FAILED, 0, ()))
 
-    async def _fetch(self, discovery: str, version: int | None) -> int:
-        """One call; a watch if a version is held."""
+    async def _fetch(self, discovery: str, version: int | None, hold: int = HOLD_MS) -> int:
+        """One call; a watch if a version is held, of so many ms."""
         target = "/registry/instances"
         wait = WATCH_SLACK
         if version is not None:
-            target += f"?from={version}&hold_ms={HOLD_MS}"
-            wait += HOLD_MS / 1000
+            target += f"?from={version}&hold_ms={hold}"
+            wait += hold / 1000
         reply = await self.runtime.pool.call(discovery, "GET", target, wait=wait)
         if reply.status != 200:
             raise ValueError(f"status {reply.status}")
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -316,7 +316,10 @@
             self.feed(core.Terminate())
             (at,) = [wake.at for wake in self.wakes if wake.token == ("last",)]
             effects = self.feed(core.Woken(("last",)), after=at - self.now)
-            self.assertIn(core.Answer("q", verdict), effects)
+            answer = core.Answer("q", verdict)
+            self.assertIn(answer, effects)
+            number = max(e.number for e in effects if isinstance(e, core.AbandonAttempt))
+            self.assertLess(effects.index(core.AbandonAttempt("q", number)), effects.index(answer))
             self.assertIn("SendRelease", [type(e).__name__ for e in effects])
             self.assertEqual(self.state.requests, {})
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -144,8 +144,36 @@
             self.assertRaises(asyncio.CancelledError),
         ):
             await front._watch("127.0.0.1:1", 41)
-        spread, *pauses = slept
-        self.assertEqual((spread, pauses), (0.15, [retry_pause(n, 0.5) for n in range(1, 12)]))
+        self.assertEqual(slept, [retry_pause(n, 0.5) for n in range(1, 13)])
+
+    async def test_a_gateway_that_starts_asks_at_once_and_lets_clients_come_after_the_answer(self) -> None:
+        """Guards against sends to an engine that drained since the known list was written."""
+        runtime, order, calls = mock.MagicMock(), list[str](), list[str]()
+
+        async def call(address: str, method: str, target: str, wait: float) -> Any:
+            calls.append(target)
+            if len(calls) > 1:
+                await asyncio.Event().wait()
+            await asyncio.sleep(0)
+            return mock.MagicMock(status=200, body=b'{"generation":7,"reset":false,"instances":[]}')
+
+        runtime.pool.call = call
+        runtime.spawn = lambda work, name: asyncio.get_running_loop().create_task(work)
+        front = Front(runtime, mock.MagicMock())
+
+        async def door(*_: Any) -> Any:
+            order.append(f"door after {len(calls)} calls")
+            return mock.MagicMock()
+
+        front._discover("127.0.0.1:1", 5)
+        with (
+            mock.patch("basaltspread.net.platform.open_door", door),
+            mock.patch("basaltspread.net.platform.address_of", lambda _: "here"),
+        ):
+            await front.start()
+        self.assertEqual(order, ["door after 2 calls"])
+        self.assertEqual([c.partition("?")[2] for c in calls], ["from=5&hold_ms=1", "from=7&hold_ms=5000"])
+        front._watching.cancel()  # type: ignore[union-attr]
 
 
 class GatewayTest(FleetTest):
