Open cold engines to a part of all sessions by lot, and leave late reads out

And each gateway held at most one request's credit for a cold engine, earned in about a minute at 0.02 requests a second (_cold_room): half of the fleet was new and shut.

Change, with more than four routers: a read that is out stays out (a new one past its aim is still not sent); a cold engine is open to a part of all sessions by lot: what it surely can do by the settings' start share and time to warm, over the rule's multiple, as shares are uneven.

--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -185,8 +185,7 @@
         self.streaming = self.done = False
         self.failed: list[str] = []  # workers that failed this request
         self.ran: Worker | None = None  # first worker at which it may have run, and when it was sent
-        self.ran_at = 0
-        self.idle_since = now
+        self.ran_at, self.idle_since = 0, now
 
 
 class Router:
@@ -199,7 +198,6 @@
         self.up: dict[Role, list[Worker]] = {role: [] for role in Role}
         self.requests: dict[str, Request] = {}
         self.table: OrderedDict[str, dict[str, tuple[int, int]]] = OrderedDict()  # key -> reader -> run, use
-        self.blocks = 0
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.Arrival: self._arrived, api.AttemptEnded: self._ended, api.FirstToken: self._first_token,
             api.PlaceAnswer: self._place_answer, api.ClientGone: self._client_gone,
@@ -212,13 +210,12 @@
         self.part, self.timer_set, self.calm = 1.0, False, False  # part: of the budget for cold workers
         self.read_time, self.first_time = Usual(), Usual()
         self.near_time, self.far_time = 0.0, dict[int, float]()  # to a first token within, out of a cell
-        self.token_time = 0.0  # us to read one token, at best
         self.class_work = [Usual() for _ in settings.classes]
         self.did = {role: Rate(RATE_MEMORIES[1]) for role in Role}  # work done, in class mean work
         self.normal = {role: Rate(ENTRY_LIFE) for role in Role}  # the most of it a warm peer did lately
-        self.dark: dict[int, tuple[int, int]] = {}  # zone -> left out until, failures in a row
+        self.blocks, self.dark = 0, dict[int, tuple[int, int]]()  # zone -> left out until, failures in a row
         self.unanswered: dict[str, None] = {}  # admitted, no first token yet
-        self.latency, self.first_at = 0.0, 0  # lately from arrival to first token
+        self.token_time, self.latency, self.first_at = 0.0, 0.0, 0  # us to read one at best, to a first one
         self.first_rates = [Rate(m) for m in RATE_MEMORIES]
         self.tenant_credit = [max(LEAST_BURST, SHARE_BURST * t.quota_per_s) for t in settings.tenants]
         self.tenant_at = [0] * len(settings.tenants)
@@ -306,17 +303,24 @@
     def _is_cold(self, w: Worker) -> bool:
         return w.started > 0 and self.now - w.started < self.s.rules.warm_within
 
-    def _cold_room(self, w: Worker, work: float) -> bool:
-        """Cold budget: this router's part of what a warm peer does, cut to what a cold one can. Credit starts
-        at a random part of one request: routers neither send in step nor all wait, and in sum keep it."""
+    def _cold_room(self, q: Request, w: Worker) -> bool:
+        """Cold budget. Many routers: a cold worker is open to a part of all sessions by lot, what it surely
+        can do over the multiple, as shares are uneven; one request's credit at each router would lie idle.
+        Few: this router's part of what a warm peer does, cut to what a cold one can; credit starts at a
+        random part of one, to keep the sum."""
+        rules = self.s.rules
         if not self._is_cold(w):
             return True
-        rules, rate = self.s.rules, self.normal[w.role].at(self.now)
+        if self.many:
+            least, age = rules.cold_start_share, max(0, self.now - w.started) / rules.warm_within
+            lot = _rank(_hash("cold" + (q.a.session or q.id)), w)  # a session stays where it may go
+            return lot < (least + (1 - least) * age) / rules.cold_multiple * self.part * HASH_MASK
+        rate = self.normal[w.role].at(self.now)
         rate *= w.weight if self.s.weights_mean_size else 1.0
         rate *= COLD_SAFETY * rules.cold_multiple * rules.cold_start_share * self.part
         w.credit = min(max(1.0, rate * rules.cold_window), w.credit + rate * (self.now - w.credit_at))
         w.credit_at = self.now
-        return w.credit >= min(1.0, work)
+        return w.credit >= min(1.0, self._work(q))
 
     def _pay(self, q: Request, w: Worker | None) -> None:
         """Take a cold worker's credit, with the place already; what was paid elsewhere goes back. Guards
@@ -363,7 +367,7 @@
         """Workers of these roles that may work now, those that failed this request last. Rests never
         empty a pool: then every listed worker counts, as far as its cold budget goes."""
         listed = [w for role in roles for w in self.up[role] if q.ran is None or self._scope_ok(q, w)]
-        open_now = [w for w in listed if w is q.paid or self._cold_room(w, self._work(q))]
+        open_now = [w for w in listed if w is q.paid or self._cold_room(q, w)]
         open_now = [w for w in open_now if w.full_until <= self.now]
         pool = [w for w in open_now if w.rest_until <= self.now]
         if len(pool) < MOST_RESTING * len(listed):
@@ -622,15 +626,12 @@
             q = self.requests[name]
             if q.out is None:
                 self._advance(q)
-            elif self._too_late(q):
-                self._cancel(q)
-                self._give_up(q)
             elif not q.out.cancelled:
                 self._check_silence(q, q.out)
 
     def _too_late(self, q: Request) -> bool:
-        """Many routers: not even read when its first token was due. Let go and answered at once: no reader's
-        queue grows past the aim then. Harms where late answers are worth much; few routers know queues."""
+        """Many routers: not even read when its first token was due, so it is not sent again. A read that is
+        out stays: called back it would be read all the same, for nobody, and its client would come again."""
         return self.many and q.reader is None and self.now - q.arrived > q.aim
 
     def _check_silence(self, q: Request, out: Attempt) -> None:
