Share what tests and conformance cases wrote twice, and drop dead parts of the fleet's world

Need: five cases held a call back with the same function, two waited for a connection's end with another, and the two state machines of client and tool calls let time pass by the same loop.

In tests/fleet.py an unused field, a queue that never held more than one input, and a second guard beside World.later are gone. No assertion changed.

--- a/basaltspread/conformance/cases_calls.py
+++ b/basaltspread/conformance/cases_calls.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from basaltspread.conformance.cases import case
-from basaltspread.conformance.cases_replies import answer
-from basaltspread.conformance.peers import Asked, event
+from basaltspread.conformance.cases_replies import answer, answer_after
+from basaltspread.conformance.peers import Asked, Handler, event
 from basaltspread.conformance.world import SHORT_MS, Engine, Needs, Stage, check, code, echo, equal
 
 ROUTES = "operators: tool servers, routes"
@@ -75,12 +75,8 @@
 async def spread(stage: Stage) -> None:
     go_on = asyncio.Event()
 
-    async def wait(asked: Asked) -> None:
-        await go_on.wait()
-        asked.json(answer(asked))
-
     for letter in "abc":
-        stage.on(wait, letter)
+        stage.on(answer_after(go_on), letter)
 
     async def script(engine: Engine) -> None:
         engine.send(*(stage.call(i) for i in range(12)))
@@ -185,11 +181,7 @@
 async def drain_running(stage: Stage) -> None:
     go_on = asyncio.Event()
 
-    async def wait(asked: Asked) -> None:
-        await go_on.wait()
-        asked.json(answer(asked))
-
-    stage.on(wait)
+    stage.on(answer_after(go_on))
 
     async def script(engine: Engine) -> None:
         engine.send(stage.call(1, "unsafe"))
@@ -397,6 +389,16 @@
 # --- cancels --------------------------------------------------------------------------------------------
 
 
+def tell_end(closed: asyncio.Event) -> Handler:
+    """Never answers, and says so when the gateway has closed the call's connection."""
+
+    async def note(asked: Asked) -> None:
+        await asked.closed()
+        closed.set()
+
+    return note
+
+
 def cancel(ident: Any) -> dict[str, Any]:
     return {"jsonrpc": "2.0", "method": "notifications/cancelled", "params": {"requestId": ident}}
 
@@ -405,11 +407,7 @@
 async def cancel_safe(stage: Stage) -> None:
     closed = asyncio.Event()
 
-    async def note(asked: Asked) -> None:
-        await asked.closed()
-        closed.set()
-
-    stage.on(note)
+    stage.on(tell_end(closed))
 
     async def script(engine: Engine) -> None:
         engine.send(stage.call(1))
@@ -496,11 +494,7 @@
 async def client_leaves(stage: Stage) -> None:
     closed = asyncio.Event()
 
-    async def note(asked: Asked) -> None:
-        await asked.closed()
-        closed.set()
-
-    stage.on(note)
+    stage.on(tell_end(closed))
 
     async def script(engine: Engine) -> None:
         engine.send(stage.call(1))
@@ -553,7 +547,7 @@
         self.sessions: set[str] = set()
         self.seen: list[Asked] = []
         self.tools: list[list[dict[str, Any]]] = [[]]
-        self.call = self.answer
+        self.call: Handler = self.answer
         stage.on(self.handle, letter)
 
     async def handle(self, asked: Asked) -> None:
@@ -690,12 +684,7 @@
 async def mcp_cancel_unsafe(stage: Stage) -> None:
     server = McpServer(stage)
     go_on = asyncio.Event()
-
-    async def wait(asked: Asked) -> None:
-        await go_on.wait()
-        asked.json(answer(asked))
-
-    server.call = wait
+    server.call = answer_after(go_on)
 
     async def script(engine: Engine) -> None:
         engine.send(stage.call(1, "unsafe"))
--- a/basaltspread/conformance/cases_recovery.py
+++ b/basaltspread/conformance/cases_recovery.py
@@ -11,7 +11,7 @@
 from collections.abc import Awaitable, Callable
 
 from basaltspread.conformance.cases import add, case
-from basaltspread.conformance.cases_replies import answer
+from basaltspread.conformance.cases_replies import answer, answer_after
 from basaltspread.conformance.peers import Asked
 from basaltspread.conformance.world import AFTER, BEFORE, Engine, Failed, Needs, Stage, check, code, equal
 
@@ -238,11 +238,7 @@
 async def stop_open(stage: Stage) -> None:
     go_on = asyncio.Event()
 
-    async def wait(asked: Asked) -> None:
-        await go_on.wait()
-        asked.json(answer(asked))
-
-    stage.on(wait)
+    stage.on(answer_after(go_on))
 
     async def script(engine: Engine) -> None:
         engine.send(stage.call(1, "unsafe"))
--- a/basaltspread/conformance/cases_replies.py
+++ b/basaltspread/conformance/cases_replies.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from basaltspread.conformance.cases import add, case
-from basaltspread.conformance.peers import Asked, event
+from basaltspread.conformance.peers import Asked, Handler, event
 from basaltspread.conformance.world import SHORT_MS, Engine, Needs, Stage, check, code, equal
 
 STREAMED = "MCP, Streamable HTTP: the reply is JSON or an event stream"
@@ -21,6 +21,16 @@
     return {name: value for name, value in message.items() if value is not ...}
 
 
+def answer_after(go_on: asyncio.Event) -> Handler:
+    """Answers each call once the case lets it."""
+
+    async def wait(asked: Asked) -> None:
+        await go_on.wait()
+        asked.json(answer(asked))
+
+    return wait
+
+
 # --- replies that count ---------------------------------------------------------------------------------
 
 
@@ -306,11 +316,7 @@
 async def late(stage: Stage) -> None:
     go_on = asyncio.Event()
 
-    async def hold(asked: Asked) -> None:
-        await go_on.wait()
-        asked.json(answer(asked))
-
-    stage.on(hold)
+    stage.on(answer_after(go_on))
 
     async def script(engine: Engine) -> None:
         engine.send(stage.call(1))
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -32,7 +32,6 @@
     alive: bool = True
     silent: bool = False
     sends: list[int] = field(default_factory=list)
-    fell: bool = False
 
 
 @dataclass
@@ -130,12 +129,12 @@
         self.after(back_after, lambda: self.start(g))
 
     def feed(self, g: Gateway, event: core.Input) -> None:
-        queue = [event]
-        while queue and g.state is not None:
-            for effect in core.reduce(g.state, self.now, queue.pop(0)):
-                queue += self._carry(g, effect) or []
+        if g.state is not None:
+            for effect in core.reduce(g.state, self.now, event):
+                self._carry(g, effect)
 
     def later(self, g: Gateway, wait: int, event: core.Input) -> None:
+        """Not for a later life of this gateway."""
         life = g.life
         self.after(wait, lambda: self.feed(g, event) if g.life == life else None)
 
@@ -186,11 +185,10 @@
 
     # --- what gateways do -------------------------------------------------------------------------------
 
-    def _carry(self, g: Gateway, effect: Any) -> list[core.Input] | None:
+    def _carry(self, g: Gateway, effect: Any) -> None:
         match effect:
             case core.Wake():
-                life = g.life
-                self.at(effect.at, lambda: self.feed(g, core.Woken(effect.token)) if g.life == life else None)
+                self.later(g, effect.at - self.now, core.Woken(effect.token))
             case core.StartAttempt():
                 self.asks[effect.request].out.add(effect.number)
                 self._connect(g, effect)
@@ -206,7 +204,6 @@
                 self._answered(effect.request, "served")
             case core.BreakClient():
                 self._answered(effect.request, "broken")
-        return None
 
     def _closed(self, request: str, number: int) -> None:
         q = self.asks[request]
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,6 +5,7 @@
 import random
 from collections import defaultdict
 from dataclasses import replace
+from typing import Any
 
 from basaltspread import interface as api
 from basaltspread.rules import Router
@@ -60,6 +61,24 @@
 )  # fmt: skip
 
 
+class Clocked:
+    """Of a state machine: its time, and what it was asked to wake up for, in order."""
+
+    now: int
+    wakes: list[tuple[int, tuple[Any, ...]]]
+
+    def woken(self, token: tuple[Any, ...]) -> None:
+        raise NotImplementedError
+
+    def let_pass(self, time: int) -> None:
+        until = self.now + time
+        while due := sorted((w for w in self.wakes if w[0] <= until), key=lambda w: w[0]):
+            self.wakes.remove(due[0])
+            self.now = max(self.now, due[0][0])
+            self.woken(due[0][1])
+        self.now = until
+
+
 class Drive:
     """Feeds one Router and checks, on every action, the rules a host can see."""
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -24,6 +24,7 @@
 from basaltspread.client.discovery import Source, from_eureka, from_text
 from basaltspread.client.virtual import World
 from basaltspread.conformance.peers import Asked, Peer
+from tests.helpers import Clocked
 from tests.standins import Asked as EngineAsked
 from tests.standins import FleetTest, reading, writing
 
@@ -150,7 +151,7 @@
     assert Counter(gateway for _, gateway, _ in world.sends[before:]) == {"b:1": 20}
 
 
-class ClientMachine(RuleBasedStateMachine):
+class ClientMachine(Clocked, RuleBasedStateMachine):
     """The core under any order of what gateways, connections, callers and time can bring. The law of resends:
     after an unsafe request's last byte went out, nothing of it goes out again but for a refusal, or for the
     rest of its answer, and marked so."""
@@ -266,12 +267,10 @@
 
     @rule(time=st.sampled_from([1, 60, 400, 3000, 12000]))
     def time_passes(self, time: int) -> None:
-        until = self.now + time * MS
-        while due := sorted((w for w in self.wakes if w[0] <= until), key=lambda w: w[0]):
-            self.wakes.remove(due[0])
-            self.now = max(self.now, due[0][0])
-            self.feed(core.Woken(due[0][1]))
-        self.now = until
+        self.let_pass(time * MS)
+
+    def woken(self, token: tuple[Any, ...]) -> None:
+        self.feed(core.Woken(token))
 
     @invariant()
     def laws(self) -> None:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -25,7 +25,7 @@
 from basaltspread.endings import Ending, ToolFault
 from basaltspread.structures.deadlines import Ranked
 from basaltspread.structures.sketch import RATIO, Sketch
-from tests.helpers import FLEET, settings
+from tests.helpers import FLEET, Clocked, settings
 from tests.test_core import Script
 
 MS, SECOND = 1000, 1_000_000
@@ -554,7 +554,7 @@
 # --- any order of inputs --------------------------------------------------------------------------------
 
 
-class ToolMachine(RuleBasedStateMachine):
+class ToolMachine(Clocked, RuleBasedStateMachine):
     """The reducer with its dispatcher, fed with any order of what a front, tool servers, operators and time
     can bring. The laws: one reply an id, an unsafe call begun once, nothing begun at a server that drains,
     and what the two modules call invariants."""
@@ -712,12 +712,10 @@
 
     @rule(time=st.sampled_from([1, 30, 120, 700, 3000]))
     def time_passes(self, time: int) -> None:
-        until = self.now + time * MS
-        while due := sorted((w for w in self.wakes if w[0] <= until), key=lambda w: w[0]):
-            self.wakes.remove(due[0])
-            self.now = max(self.now, due[0][0])
-            self.feed(core.Woken(due[0][1]))
-        self.now = until
+        self.let_pass(time * MS)
+
+    def woken(self, token: tuple[Any, ...]) -> None:
+        self.feed(core.Woken(token))
 
     @invariant()
     def laws(self) -> None:
