--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -524,10 +524,10 @@
         """The entries, less what is older than what was told before. Guards against a discovery that goes
         back, as one may to which a reload moves: an engine told to drain or to go would count as up again."""
         state, now = self.state, self.now
-        named = {w.entry.name for w in event.entries}
-        gone = {n: w for n, w in state.listed.items() if n not in named}
-        if event.kind is api.ListKind.DELTA:
-            gone = {}
+        gone: dict[str, Listed] = {}
+        if event.kind is not api.ListKind.DELTA:  # who is not in a whole list has gone
+            named = {w.entry.name for w in event.entries}
+            gone = {n: w for n, w in state.listed.items() if n not in named}
         out, back = list[Listed](), 0
         for listed in event.entries:
             entry = listed.entry
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -461,7 +461,7 @@
         self._bad_second = self._bad_lines = 0
         self._server: asyncio.Server | None = None
         self._watching: asyncio.Task[None] | None = None
-        self._asked = asyncio.Event()  # discovery has answered once, or is known not to
+        self._asked = asyncio.Event()  # set by discovery's first answer
         self.address = config.listen
         runtime.carry.update({
             core.StartAttempt: self._start_attempt, core.AbandonAttempt: self._abandon_attempt,
@@ -490,9 +490,9 @@
     async def start(self) -> None:
         """Let clients come, once discovery has said what changed since the known list was written. Guards
         against sends to an engine that drained meanwhile: to a gateway that starts, it counts as told."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(FIRST_LIST_WAIT if self._watching is not None else 0):
-                await self._asked.wait()
+        if self._watching is not None:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._asked.wait(), FIRST_LIST_WAIT)
         self._server = await open_door(
             "listen", self._config.listen, self._accept, QUEUE, ACCEPTED_AT_ONCE, self._config.door
         )
--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -631,7 +631,7 @@
 
     def _too_late(self, q: Request) -> bool:
         """Many routers: not even read when its first token was due, so it is not sent again. A read that is
-        out stays: called back it would be read all the same, for nobody, and its client would come again."""
+        out stays, and is served late: called back it would be read all the same, for nobody."""
         return self.many and q.reader is None and self.now - q.arrived > q.aim
 
     def _check_silence(self, q: Request, out: Attempt) -> None:
