--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -15,6 +15,7 @@
 
 from basaltspread import core, logs
 from basaltspread.config import ConfigError, Gateway, Tools, load_platform, load_sidecar, needs_restart
+from basaltspread.control import picture
 from basaltspread.net.management import Management
 from basaltspread.net.platform import Front
 from basaltspread.net.runtime import BanFile, Overlap, Runtime
@@ -37,6 +38,16 @@
     return Dispatcher(tools.table, shares, config.seed, max(4, int(config.sockets * TOOL_SHARE)))
 
 
+async def share(runtime: Runtime, config: Gateway) -> Callable[[], None]:
+    """Join the picture that many gateways keep together; gives what ends it. Imported where it is used."""
+    from basaltspread.net.peers import Peers
+
+    peers = Peers(runtime, config)
+    if config.peer_listen is not None and await peers.start(config.peer_listen):
+        runtime.state.picture = picture.Picture(config.settings)
+    return peers.stop
+
+
 async def serve(config: Gateway, load: Load) -> None:
     inherited = config.door is not None
     state = core.State(config.settings, Router(config.settings, config.seed), inherited=inherited)
@@ -81,6 +92,7 @@
         later = needs_restart(config, new)
         log.info("reloaded%s", f"; only a restart changes {', '.join(later)}" if later else "")
 
+    unshare = await share(runtime, config) if config.peers and picture.wanted(config.settings) else None
     runtime.watch_signals(reload)
     runtime.look_at_other()  # before a list can name an engine that was left out
     runtime.spawn(runtime.watch_other(), "other")
@@ -94,6 +106,8 @@
     runtime.spawn(runtime.sweep(), "sweep")
     await runtime.over.wait()
     await front.stop()
+    if unshare is not None:
+        unshare()
     if eureka is not None:
         await eureka.stop()
     if relay is not None:
--- a/basaltspread/adapter.py
+++ b/basaltspread/adapter.py
@@ -140,6 +140,7 @@
             retry_after=bool(limits.get("retry_after")),
             max_retry_after=figure(limits.get("max_retry_after")),
             connect_timeout=figure(limits.get("connect_timeout")),
+            peers=bool(limits.get("may_tell")),
         ),
         rules=api.RuleFigures(
             answer_slack=figure(rules.get("answer_slack")),
--- a/basaltspread/config.py
+++ b/basaltspread/config.py
@@ -87,6 +87,9 @@
     door: int | None = None  # a descriptor on which the clients' address listens already
     scratch: str | None = None  # a folder that this gateway's processes share, an old and a new version
     known: Mapping[str, Any] = field(default_factory=dict)
+    peer_listen: str | None = None  # where other gateways' datagrams come in
+    peers: tuple[str, ...] = ()  # an address of each gateway, by number
+    peers_all: str | None = None  # one for all of them
     tools: Tools | None = None
     registry: Registry | None = None
 
@@ -139,6 +142,9 @@
     management = environment.get("RELAY_MANAGEMENT") or raw.get("management") or None
     if management is not None:
         split_address("management", management)
+    for key in ("peer_listen", "peers_all"):
+        if raw.get(key):
+            split_address(key, raw[key])
     door = _door(environment)
     try:
         limits = raw.get("limits") or {}
@@ -155,6 +161,9 @@
             door=door,
             scratch=environment.get("TMPDIR") or None,
             known=raw.get("known") or {},
+            peer_listen=str(raw["peer_listen"]) if raw.get("peer_listen") else None,
+            peers=tuple(str(address) for address in raw.get("peers") or ()),
+            peers_all=str(raw["peers_all"]) if raw.get("peers_all") else None,
         )
     except (AttributeError, TypeError, ValueError) as error:
         remedy = "give whole numbers, and the seed in hex"
--- /dev/null
+++ b/basaltspread/control/picture.py
@@ -0,0 +1,161 @@
+"""The fleet's shared picture: which engines this gateway asks for their load and when, what it tells the
+other gateways of them, and what it takes from their word.
+
+A gateway among many sees each engine so rarely that what it learns alone comes too late: a report is old
+before it is used, and every gateway finds each dead or failing engine by itself, one spoilt request after the
+other. Here each engine is asked by a few gateways, and what one of them learns goes to all in one datagram.
+
+It owns the words on that wire and the turns. It does no I/O, reads no clock, and must never decide what an
+engine gets: that is the module's, which is told the same as if this gateway had asked.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import IntEnum
+from hashlib import blake2b
+from math import exp2, log2
+
+from basaltspread import interface as api
+from basaltspread.interface import Outcome, WorkerState
+from basaltspread.structures.hashing import hashed, rank
+
+ASKERS = 8  # gateways that ask one engine: some are left if most die, and an engine holds few connections
+LEAST_AGE = 500_000  # us; engines renew their reports about as often, so a younger one tells nothing new
+GONE_AGE = 4_000_000  # us in which one that refuses connections is not asked again
+FAULT_AGE = 1_000_000  # us in which the same fault is not told again, whoever told it
+ID_BYTES = 3  # of an engine's name in a message: every byte is paid for once for each gateway
+MOST_BYTES = 256  # of a datagram
+SCALE = 16  # steps for each doubling of a figure: about 4%
+
+
+class Word(IntEnum):
+    """What a message says of the engine that it names; the first byte."""
+
+    REPORT = 1
+    REFUSES = 2  # it refuses connections: no process is there
+    FAILED = 3  # it answered with an error
+    CROWDED = 4  # of discovery, not of an engine: it turns gateways away
+
+
+FAULTS = {Word.REFUSES: Outcome.CONNECT_FAILED, Word.FAILED: Outcome.ERROR}
+
+
+class BadWord(ValueError):
+    """A message that is none, or of another form."""
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What a peer says of one engine, by the short name."""
+
+    word: Word
+    engine: bytes
+    report: dict[str, float]
+
+
+def short(name: str) -> bytes:
+    return blake2b(name.encode(), digest_size=ID_BYTES).digest()
+
+
+def packed(figure: float) -> int:
+    """A figure of a report in one byte, fine near 0: shares of one and counts up to some thousands."""
+    return min(255, round(SCALE * log2(1 + SCALE * max(0.0, figure))))
+
+
+def unpacked(byte: int) -> float:
+    return (exp2(byte / SCALE) - 1) / SCALE
+
+
+def wanted(settings: api.Settings) -> bool:
+    """Whether to share: where one gateway of many sees too little, and the platform allows all of it."""
+    return settings.many and settings.limits.peers and settings.limits.probes and bool(settings.report_fields)
+
+
+class Picture:
+    """One gateway's part in it. An entry takes some 200 bytes, a turn looks at this gateway's own engines."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self._fields, self._router = settings.report_fields, settings.router
+        self._routers = settings.routers
+        self._mine: list[str] = []  # up, and this gateway is one of those that ask it
+        self._names: dict[bytes, str] = {}  # short -> name; two engines with one short name have none
+        self._known_at: dict[str, int] = {}  # when it was last told of, or is not to be asked before
+        self._fault_at: dict[tuple[str, Word], int] = {}
+
+    def listed(self, entries: Iterable[api.WorkerEntry]) -> None:
+        """The engines of the list as it is now."""
+        up = [e.name for e in entries if e.state is WorkerState.UP]
+        shorts = [short(name) for name in up]
+        self._names = {s: n for s, n in zip(shorts, up, strict=True) if shorts.count(s) == 1}
+        mine = [n for n in up if self._router in self.askers(n)]
+        # Each gateway in an order of its own: else all that ask an engine would turn to it at once.
+        self._mine = sorted(mine, key=lambda n: rank(self._router, hashed(n)))
+        known = set(up)
+        self._known_at = {n: at for n, at in self._known_at.items() if n in known}
+        self._fault_at = {key: at for key, at in self._fault_at.items() if key[0] in known}
+
+    def askers(self, name: str) -> set[int]:
+        """The gateways that ask this engine, as all of them see it. In a ring from a point of its own, each
+        step a fixed part of the ring: a few multiplications, whatever the number of gateways."""
+        start = hashed(name)
+        few = min(ASKERS, self._routers)
+        return {(start + i * self._routers // few) % self._routers for i in range(few)}
+
+    def due(self, now: int) -> str | None:
+        """The engine to ask now, if one is due: of its own the one that was not told of for longest. Asked
+        for once with each request taken, so that the asking costs in proportion to the traffic."""
+        oldest = min(self._mine, key=lambda n: self._known_at.get(n, 0) // LEAST_AGE, default=None)
+        if oldest is None or now - self._known_at.get(oldest, 0) < LEAST_AGE:
+            return None
+        self._known_at[oldest] = now  # asked: its answer is under way
+        return oldest
+
+    def report(self, now: int, name: str, report: dict[str, float]) -> bytes | None:
+        """The message to all others on a report that this gateway was given."""
+        self._known_at[name] = now
+        if not any(field in report for field in self._fields):
+            return None
+        figures = bytes(packed(report.get(field, 0.0)) for field in self._fields)
+        return bytes((Word.REPORT,)) + short(name) + figures
+
+    def fault(self, now: int, name: str, word: Word) -> bytes | None:
+        """The message on a fault that this gateway met; none where all were just told."""
+        if not self._fault(now, name, word):
+            return None
+        return bytes((word,)) + short(name)
+
+    def crowded(self) -> bytes:
+        """The message that discovery has no room for all."""
+        return bytes((Word.CROWDED,)) + bytes(ID_BYTES)
+
+    def _fault(self, now: int, name: str, word: Word) -> bool:
+        if now - self._fault_at.get((name, word), -FAULT_AGE) < FAULT_AGE:
+            return False
+        self._fault_at[name, word] = now
+        if word is Word.REFUSES:
+            self._known_at[name] = now + GONE_AGE - LEAST_AGE
+        return True
+
+    def read(self, message: bytes) -> Told:
+        """Raises BadWord."""
+        if not 1 + ID_BYTES <= len(message) <= MOST_BYTES or message[0] not in set(Word):
+            raise BadWord(f"{len(message)} bytes, beginning {message[:1]!r}")
+        word, figures = Word(message[0]), message[1 + ID_BYTES :]
+        if len(figures) != (len(self._fields) if word is Word.REPORT else 0):
+            raise BadWord(f"{len(figures)} figures with {word.name}")
+        report = {field: unpacked(b) for field, b in zip(self._fields, figures, strict=False)}
+        return Told(word, message[1 : 1 + ID_BYTES], report)
+
+    def take(self, now: int, told: Told) -> api.ProbeEnded | None:
+        """What a peer's word means to the module; nothing for an engine that is not on this list."""
+        name = self._names.get(told.engine)
+        if name is None:
+            return None
+        if told.word is Word.REPORT:
+            self._known_at[name] = max(now, self._known_at.get(name, 0))
+            return api.ProbeEnded(name, Outcome.SERVED, 0, told.report)
+        if not self._fault(now, name, told.word):
+            return None
+        return api.ProbeEnded(name, FAULTS[told.word], 0, detail=int(told.word is Word.REFUSES))
--- a/basaltspread/core/messages.py
+++ b/basaltspread/core/messages.py
@@ -120,6 +120,18 @@
     report: dict[str, float] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class PeerTold:
+    """A datagram of another gateway, of whatever form."""
+
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class DiscoveryFull:
+    """Discovery has turned this gateway away, for the first time in a while."""
+
+
 @dataclass(frozen=True, slots=True)
 class Listed:
     """One engine of the list, and where it is reached."""
@@ -308,9 +320,9 @@
 
 Input = (
     Taken | TurnedAway | ClientLeft | Begun | Written | FirstEvent | Ended | PlaceEnded | ReleaseEnded
-    | Probed | ListTold | ToolCalled | ToolCancelled | ToolBegun | ToolProgressed | ToolEnded | ProgressEnded
-    | ReplyEnded | ServerTried | ServerDrains | RoutesTold | Woken | Serving | Operate | BansTold
-    | Recalled | Sharing | HandedOn | Adopted | Terminate
+    | Probed | PeerTold | DiscoveryFull | ListTold | ToolCalled | ToolCancelled | ToolBegun | ToolProgressed
+    | ToolEnded | ProgressEnded | ReplyEnded | ServerTried | ServerDrains | RoutesTold | Woken | Serving
+    | Operate | BansTold | Recalled | Sharing | HandedOn | Adopted | Terminate
 )  # fmt: skip
 
 
@@ -404,6 +416,18 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class TellPeers:
+    """One datagram to every other gateway; it may be lost."""
+
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class StopHolding:
+    """Others are turned away by discovery: for a while, no call there is to wait for news."""
+
+
 @dataclass(frozen=True, slots=True)
 class FetchWholeList:
     pass
@@ -547,8 +571,8 @@
 
 Effect = (
     StartAttempt | AbandonAttempt | PassOn | HandOn | EndStream | BreakClient | Answer | AskPlace | DropPlace
-    | SendRelease | StartProbe | FetchWholeList | CallTool | AbandonTool | TellCancelled | AnswerLocally
-    | ReturnReply | ReturnProgress | ForgetCall | ForgetBundle | TryServer
+    | SendRelease | StartProbe | TellPeers | StopHolding | FetchWholeList | CallTool | AbandonTool
+    | TellCancelled | AnswerLocally | ReturnReply | ReturnProgress | ForgetCall | ForgetBundle | TryServer
     | Wake | Count | Say | OperatorAnswer | KeepBans | CloseIdle | StopListening | StopAccepting
     | Exit
 )  # fmt: skip
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -16,6 +16,7 @@
 from zlib import crc32
 
 from basaltspread import interface as api
+from basaltspread.control.picture import BadWord, Picture, Word
 from basaltspread.core.messages import (
     AbandonAttempt,
     Adopted,
@@ -27,6 +28,7 @@
     ClientLeft,
     CloseIdle,
     Count,
+    DiscoveryFull,
     DropPlace,
     Effect,
     Ended,
@@ -44,6 +46,7 @@
     OperatorAnswer,
     Order,
     PassOn,
+    PeerTold,
     Place,
     PlaceEnded,
     Probed,
@@ -56,8 +59,10 @@
     StartAttempt,
     StartProbe,
     StopAccepting,
+    StopHolding,
     StopListening,
     Taken,
+    TellPeers,
     Terminate,
     TurnedAway,
     Verdict,
@@ -87,6 +92,8 @@
 MOST_BANS = 1024  # engines left out at once, listed or not
 DRAIN_DOOR = 1000 * MS  # after an operator's drain, idle clients stay so long: a front learns of it by asking
 DRAIN_STEP = 200 * MS  # between two looks for idle clients from then on
+# What is told to the other gateways at once, as each would else spend a request on finding it.
+WORDS = {Ending.REFUSED: Word.REFUSES, Ending.SERVER_ERROR: Word.FAILED}
 
 
 def reduce(state: State, now: int, event: Input) -> list[Effect]:
@@ -192,6 +199,10 @@
         self.count("requests_taken")
         self.do(Wake(q.deadline + DEADLINE_GUARD, ("deadline", q.id)))
         self.told.append(a)
+        picture = self.state.picture
+        due = picture.due(self.now) if picture is not None else None
+        if due is not None:
+            self.probe(api.Probe(due))
 
     def client_left(self, event: ClientLeft) -> None:
         q = self.state.requests.get(event.request)
@@ -336,6 +347,8 @@
         if ending not in QUIET:
             what = "read" if attempt.reading else "write"
             self.do(Say(f"attempt {q.id}/{attempt.number} {what} at {attempt.worker}: {ending.value}"))
+        if ending in WORDS and self.state.picture is not None:
+            self._tell(self.state.picture.fault(self.now, attempt.worker, WORDS[ending]))
         if ending not in (Ending.NOT_SENT, Ending.NO_DESCRIPTOR):  # these say nothing of the engine
             heard = outcome in (Outcome.READ, Outcome.SERVED, Outcome.FULL, Outcome.ERROR)
             self._noted(attempt.worker, heard)
@@ -357,8 +370,8 @@
             else:
                 self.count("streams_moved" if ending is Ending.MOVED else "streams_broken")
                 self.do(BreakClient(q.id))
-        if ending is Ending.STATE_GONE:
-            detail = 1
+        if ending in (Ending.STATE_GONE, Ending.REFUSED):
+            detail = 1  # the engine itself has said so
         elapsed = self.now - attempt.sent_at
         self.told.append(
             api.AttemptEnded(
@@ -563,6 +576,8 @@
         stopped = before - {n for n, w in state.workers.items() if w.entry.state is WorkerState.UP}
         entries = tuple(self._treated(listed).entry for listed in changed)
         self.told.append(api.WorkerList(kind, version, entries))
+        if state.picture is not None:
+            state.picture.listed(w.entry for w in state.workers.values())
         if not stopped:
             return
         # What waits for a connection would go out whenever that comes up, long after the drain was told.
@@ -580,8 +595,44 @@
             self.do(StartProbe(action.worker, listed.address))
 
     def probed(self, event: Probed) -> None:
-        outcome = OUTCOMES[event.ending]
-        self.told.append(api.ProbeEnded(event.worker, outcome, event.elapsed, event.report))
+        outcome, refused = OUTCOMES[event.ending], event.ending is Ending.REFUSED
+        self.told.append(
+            api.ProbeEnded(event.worker, outcome, event.elapsed, event.report, int(refused))
+        )
+        picture: Picture | None = self.state.picture
+        if picture is not None and event.ending is Ending.SERVED:
+            self._tell(picture.report(self.now, event.worker, event.report))
+        elif picture is not None and refused:
+            self._tell(picture.fault(self.now, event.worker, Word.REFUSES))
+
+    def _tell(self, message: bytes | None) -> None:
+        if message is not None:
+            self.count("peers_told")
+            self.do(TellPeers(message))
+
+    def discovery_full(self, event: DiscoveryFull) -> None:
+        if self.state.picture is not None:
+            self._tell(self.state.picture.crowded())
+
+    def peer_told(self, event: PeerTold) -> None:
+        """Another gateway's word on an engine: the module hears it as if this one had asked."""
+        picture = self.state.picture
+        if picture is None:
+            return
+        try:
+            told = picture.read(event.payload)
+        except BadWord as error:
+            self.count("peers_unreadable")
+            self.do(Say(f"a peer's message can't be read: {error}"))
+            return
+        if told.word is Word.CROWDED:
+            self.count("peers_turned_away")
+            self.do(StopHolding())
+            return
+        heard = picture.take(self.now, told)
+        self.count("peers_heard" if heard is not None else "peers_of_no_use")
+        if heard is not None:
+            self.told.append(heard)
 
     def fetch_list(self, action: api.FetchList) -> None:
         self.do(FetchWholeList())
@@ -795,6 +846,7 @@
         Taken: taken, TurnedAway: turned_away, ClientLeft: client_left, Serving: serving,
         Begun: begun, Written: written, FirstEvent: first_event,
         Ended: ended, PlaceEnded: place_ended, ReleaseEnded: release_ended, Probed: probed,
+        PeerTold: peer_told, DiscoveryFull: discovery_full,
         ListTold: list_told, **ToolSteps.TOOL_HANDLERS, Woken: woken, Operate: operate,
         BansTold: bans_told, Recalled: recalled, Sharing: sharing,
         HandedOn: handed_on, Adopted: adopted, Terminate: terminate,
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from basaltspread.control.dispatch import Dispatcher
+    from basaltspread.control.picture import Picture
 
 
 class Module(Protocol):
@@ -119,6 +120,7 @@
     unreached: set[str] = field(default_factory=set)  # engines whose last exchange brought no answer
     requests: dict[str, Request] = field(default_factory=dict)
     releases: dict[str, Release] = field(default_factory=dict)
+    picture: Picture | None = None  # only where many gateways tell each other of the engines
     tools: Dispatcher | None = None  # only where a configuration has tool servers
     calls: dict[tuple[str, str], ToolCall] = field(default_factory=dict)  # open ones
     bundles: dict[tuple[str, int], Bundle] = field(default_factory=dict)  # unanswered ones
--- a/basaltspread/interface.py
+++ b/basaltspread/interface.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+FEW_ROUTERS = 4  # up to so many, a router's own counts and waits tell more than reports and pools do
+
 
 class Role(Enum):
     """What a kind of worker does: read prompts (prefill), write answers (decode), or both."""
@@ -101,6 +103,7 @@
     retry_after: bool
     max_retry_after: int
     connect_timeout: int
+    peers: bool = False  # routers may send each other messages
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +138,11 @@
     report_fields: tuple[str, ...]
     tick: int
 
+    @property
+    def many(self) -> bool:
+        """Whether one router's own counts and waits tell less than what the others see."""
+        return self.routers > FEW_ROUTERS
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
@@ -194,7 +202,9 @@
     outcome: Outcome
     elapsed: int
     request_ended: bool
-    detail: int  # read and served: prompt tokens found kept; full: 1 if no state was there
+    # Read and served: prompt tokens found kept. Full: 1 if no state was there. Could not connect: 1 if the
+    # worker itself refused, so that no process is there.
+    detail: int
     report: Mapping[str, float] = field(default_factory=dict)
 
 
@@ -210,10 +220,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeEnded:
+    """What a call for a worker's health and load told: this router's own, or one that another tells of."""
+
     worker: str
     outcome: Outcome
     elapsed: int
     report: Mapping[str, float] = field(default_factory=dict)
+    detail: int = 0  # could not connect: 1 if the worker itself refused
 
 
 @dataclass(frozen=True, slots=True)
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -26,6 +26,7 @@
 from basaltspread import interface as api
 from basaltspread.adapter import REPORT_NAMES
 from basaltspread.config import Gateway, split_address
+from basaltspread.control.asking import HOLD_MS, Asking
 from basaltspread.core import Ending, Place, Verdict
 from basaltspread.net.runtime import (
     BODY_LIMIT,
@@ -49,10 +50,7 @@
 
 log = logging.getLogger("basaltspread")
 COMPLETIONS = b"/v1/chat/completions"
-HOLD_MS = 5000  # of one discovery call
-WATCH_SLACK = 2.0  # s past it after which discovery is taken as silent
-RETRY_PAUSE = 0.05  # s before the first new try; well within the 200 ms that a watch may pause
-LONGEST_PAUSE = 1.0  # s; many gateways share discovery, and it may be short of room for all of them
+WATCH_SLACK = 2.0  # s past the time that a call to discovery may wait, after which it is taken as silent
 FIRST_LIST_WAIT = 0.25  # s that clients wait at a start for discovery's first word; it may say nothing
 CLIENT_SHARE = 0.6  # of the descriptors, for clients; a request has one here and at most two at engines
 FIRST_BYTE_PATIENCE = 2.0  # s from a connection's opening to its first byte; it may be closed without one
@@ -91,6 +89,10 @@
 }  # fmt: skip
 
 
+class NoRoom(ValueError):
+    """Discovery turned a call away."""
+
+
 class BadRequest(Exception):
     """A request that gets its own 4xx and never reaches the core."""
 
@@ -210,12 +212,6 @@
     return core.ListTold(kind, version, tuple(entries))
 
 
-def retry_pause(failures: int, lot: float) -> float:
-    """How long to leave discovery alone after so many failures in a row; `lot` in [0, 1) keeps gateways that
-    failed together from coming back together."""
-    return min(LONGEST_PAUSE, RETRY_PAUSE * 2.0 ** min(failures - 1, 16)) * (0.5 + 0.5 * lot)
-
-
 def room_rank(spoke: bool, since: float, now: float) -> tuple[bool, bool, float]:
     """Which idle connection makes room first: one that was opened and said nothing, then the one that rests
     longest; one just opened only after these, as its first bytes may be under way."""
@@ -461,6 +457,8 @@
         self._bad_second = self._bad_lines = 0
         self._server: asyncio.Server | None = None
         self._watching: asyncio.Task[None] | None = None
+        self._asking = Asking()
+        self._version: int | None = None  # of the newest list that discovery has told
         self._asked = asyncio.Event()  # set by discovery's first answer
         self.address = config.listen
         runtime.carry.update({
@@ -469,7 +467,7 @@
             core.BreakClient: self._break_client, core.Answer: self._answer,
             core.AskPlace: self._ask_place, core.DropPlace: self._drop_place,
             core.SendRelease: self._send_release, core.StartProbe: self._start_probe,
-            core.FetchWholeList: self._fetch_list,
+            core.FetchWholeList: self._fetch_list, core.StopHolding: lambda e: self._stop_holding(),
             core.CloseIdle: lambda e: self._close_idle(CLOSE_AFTER),
             core.StopListening: lambda e: self._stop_listening(),
             core.StopAccepting: lambda e: self._stop_accepting(),
@@ -928,29 +926,39 @@
         self._discover(new, None)
         log.info("discovery moves from %s to %s", old, new)
 
+    def _stop_holding(self) -> None:
+        """Another gateway was turned away by discovery: a call held here would keep it out."""
+        held = not self._asking.hold(self.runtime.clock.now()) < HOLD_MS
+        self._asking.crowded(self.runtime.clock.now())
+        if held and self._watching is not None:
+            self._discover(self._config.discovery, self._version)
+
     def _discover(self, discovery: str | None, version: int | None) -> None:
         if self._watching is not None:
             self._watching.cancel()
-        self._watching = None
+        self._watching, self._version = None, version
         if discovery is not None:
             self._watching = self._spawn(self._watch(discovery, version), "watch")
 
     async def _watch(self, discovery: str, version: int | None) -> None:
-        failures, hold = 0, 1  # the first answer is wanted at once, news or not
+        asking = self._asking
         while True:
+            now = self.runtime.clock.now()
             try:
-                version = await self._fetch(discovery, version, hold)
+                version = self._version = await self._fetch(discovery, version, asking.hold(now))
                 self._asked.set()
-                hold = HOLD_MS
-                if failures:
+                if asking.failures:
                     log.info("discovery answers again at version %d", version)
-                failures = 0
+                pause = asking.answered(self.runtime.clock.now(), random.random())
             except (LinkError, ValueError) as error:
                 self.runtime.count("discovery_failures")
-                if not failures:
+                if not asking.failures:
                     log.warning("discovery: %s", error)
-                failures += 1
-                await asyncio.sleep(retry_pause(failures, random.random()))
+                if isinstance(error, NoRoom) and asking.crowded(self.runtime.clock.now()):
+                    self.runtime.feed(core.DiscoveryFull())
+                pause = asking.failed(random.random())
+            if pause > 0:
+                await asyncio.sleep(pause)
 
     def _fetch_list(self, effect: core.FetchWholeList) -> None:
         if self._config.discovery is not None:
@@ -971,6 +979,8 @@
             target += f"?from={version}&hold_ms={hold}"
             wait += hold / 1000
         reply = await self.runtime.pool.call(discovery, "GET", target, wait=wait)
+        if reply.status == 503:
+            raise NoRoom("status 503")
         if reply.status != 200:
             raise ValueError(f"status {reply.status}")
         told = parse_list(load_json(reply.body), self._config.settings)
--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -10,12 +10,13 @@
 import random
 from collections import OrderedDict
 from collections.abc import Callable
-from hashlib import blake2b
 from math import dist, exp2, sqrt
 from typing import Any
 
 from basaltspread import interface as api
 from basaltspread.interface import Effect, KeyScope, Outcome, Role
+from basaltspread.structures.averages import Rate, Usual
+from basaltspread.structures.hashing import HASH_MASK, hashed, rank
 
 SECOND = 1_000_000
 # The design's ordinary path.
@@ -28,7 +29,6 @@
 HOME_SPREAD = 3.0  # homes of a text for each reader that its requests alone would keep busy
 HOME_PRIOR = 20  # requests before a text's share is believed
 LEAST_HOMES = 4  # homes of any text with many routers: one sees too few requests to tell a busy text
-FEW_ROUTERS = 4  # up to so many, a router's own counts and waits tell more than reports and pools do
 SPARE = 1.0  # requests that never make a difference between readers: counts are small whole numbers
 FULL_SLOTS = 8.0  # requests that a reader whose slots are all in use is taken to run at once
 EVIDENCE_MEMORY = 2 * SECOND  # half-life of what a report tells; what faded is the pool's average
@@ -39,6 +39,7 @@
 LAG_SLACK = 30_000.0  # us that a reader with a match may always be slower
 NEAR_MARGIN = 0.10  # share of a writer's memory that a nearer one may be fuller and still be preferred
 ROOM_MEMORY = 4 * SECOND  # half-life of a reported memory share: answers come and go in about that time
+REPORT_AGE = 1 * SECOND  # that a report has mostly reached before the next: as old as engines keep them
 EQUAL_ROOM = 0.05  # share of memory within which writers are drawn by lot: else all rush to the same one
 PLACE_TRIES = 2  # writers asked to hold a place, a request
 # Time-outs and health.
@@ -50,7 +51,6 @@
 FAULTS_TELL = 1.7  # errors and broken connections, halved by each answer, that tell of a worker
 MOST_RESTING = 0.25  # share of a pool that must be left; with less, rests count for nothing
 FULL_REST = SECOND // 4  # a worker that said "full" is passed over for this long
-LEARN = 0.05  # weight of a new sample in a fleet-wide average
 LEARN_LINK = 0.15  # the same for one cell's link
 ALL_CELLS = -1  # stands for them where link times are pooled
 TAUGHT = 10  # samples from which a learnt figure is used
@@ -65,7 +65,6 @@
 ADMIT_LESSER = 0.5  # the same for work past its tenant's share and for clients' repetitions
 ADMIT_SEEN = 0.5  # part of both where the wait is an average lately seen: half the requests wait longer
 MEDIAN_STEP = 1.2  # factor by which one first token moves the running median
-LEAST_EVIDENCE = SECOND // 4  # a new router's rates are taken over this time at least
 LATELY_FACTOR = 4.0  # times the latest first-token times that a wait is never thought to exceed
 USUAL_GAPS = 2.0  # mean gaps between first tokens that are no sign of a jam
 FREE_OPEN = 4  # requests without a first token up to which their number says nothing
@@ -77,59 +76,14 @@
 WAIT_EMPTY = SECOND // 4  # how long a request that holds nothing may wait for a reader
 WATCH_TIMER = 1
 MOST_TOLD = 5000  # texts and sessions that a process which takes over is told of
-HASH_MASK = (1 << 64) - 1
 Figures = dict[str, float]  # by worker name
 
 
-def _hash(text: str) -> int:
-    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
-
-
-def _rank(key: int, worker: Worker) -> int:
-    """Rendezvous hashing: all routers rank workers alike. A digest for each pair would cost too much."""
-    mixed = (key ^ worker.hash) * 0x9E3779B97F4A7C15 & HASH_MASK
-    return (mixed ^ mixed >> 29) * 0xBF58476D1CE4E5B9 & HASH_MASK
-
-
-class Usual:
-    """Running mean of a time and of the size it belongs to; predicts the time for another size."""
-
-    def __init__(self) -> None:
-        self.count, self.time, self.size = 0, 0.0, 0.0
-
-    def add(self, time: float, size: float) -> None:
-        self.count += 1
-        part = max(LEARN, 1 / self.count)
-        self.time += part * (time - self.time)
-        self.size += part * (size - self.size)
-
-    def of(self, size: float) -> float:
-        return self.time * (0.4 + 0.6 * size / self.size) if self.size > 0 else self.time
-
-
-class Rate:
-    """Events a microsecond, fading with a half-life."""
-
-    def __init__(self, half_life: int) -> None:
-        self.half_life, self.value, self.when, self.since = half_life, 0.0, 0, -1
-
-    def add(self, now: int, amount: float) -> None:
-        self.since = now if self.since < 0 else self.since
-        self.value, self.when = self.at(now) + amount * 0.693 / self.half_life, now
-
-    def at(self, now: int) -> float:
-        return self.value * exp2((self.when - now) / self.half_life)
-
-    def young(self, now: int) -> float:
-        """The same where counting began less than some half-lives ago: the time before it is no evidence."""
-        return self.at(now) / (1 - exp2(-max(now - self.since, LEAST_EVIDENCE) / self.half_life))
-
-
 class Worker:
     """What this router knows of one worker."""
 
     def __init__(self, entry: api.WorkerEntry, role: Role, memory: int) -> None:
-        self.name, self.hash, self.role, self.memory = entry.name, _hash(entry.name), role, memory
+        self.name, self.hash, self.role, self.memory = entry.name, hashed(entry.name), role, memory
         self.reads: dict[str, int] = {}  # own unfinished reads: request -> tokens to read
         self.writes: dict[str, int] = {}  # own unfinished answers: request -> prompt tokens
         self.update(entry)
@@ -145,15 +99,15 @@
         self.others = 0.0  # requests there that are not this router's, as last reported
         self.sent: dict[str, int] = {}  # prompts that the last report can't hold yet: request -> tokens
         self.told_at, self.heard_at, self.rest_until, self.strikes, self.faults = now, now, 0, 0, 0.0
-        self.full_until = self.newest_answered = 0
+        self.full_until = self.gone_until = self.newest_answered = 0
         self.served: dict[int, int] = {}  # tenant -> when last one of its requests was taken here
         self.turned: dict[int, tuple[int, int]] = {}  # tenant turned away -> left out until, times so far
         self.lag, self.lag_at = 0.0, now  # what reads here lately waited, beyond the reading itself
         self.void_before = now  # prefix entries older than this are not believed
         self.credit, self.credit_at = credit, now
 
-    def heard(self, now: int, report: dict[str, float], size: float) -> None:
-        self.heard_at, self.told_at = now, now if report else self.told_at
+    def told(self, now: int, report: dict[str, float], size: float) -> None:
+        self.told_at = now if report else self.told_at
         if report and report != self.report:
             self.report = report
             self.sent.clear()
@@ -201,9 +155,9 @@
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.Arrival: self._arrived, api.AttemptEnded: self._ended, api.FirstToken: self._first_token,
             api.PlaceAnswer: self._place_answer, api.ClientGone: self._client_gone,
-            api.WorkerList: self._listed, api.TimerFired: self._timer,
+            api.WorkerList: self._listed, api.TimerFired: self._timer, api.ProbeEnded: self._probed,
         }  # fmt: skip
-        self.many = settings.routers > FEW_ROUTERS
+        self.many = settings.many
         self.asked: OrderedDict[str, Rate] = OrderedDict()  # how often each text is asked for
         self.asked_all = Rate(ENTRY_LIFE)
         self.stage_wait = {role: Rate(SEEN_MEMORY) for role in Role}  # us
@@ -222,7 +176,7 @@
 
     def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
         self.now, self.out = now, []
-        for event in events:  # probe results and peer messages are never asked for, so they are not handled
+        for event in events:  # peers' messages are read elsewhere, and come as probes' results
             handler = self.handlers.get(type(event))
             if handler is not None:
                 handler(event)
@@ -233,7 +187,7 @@
 
     def resting(self, now: int) -> set[str]:
         """Workers left out for their failures, for the operators; as in _pool, never most of a role."""
-        pools = [(pool, {w.name for w in pool if w.rest_until > now}) for pool in self.up.values()]
+        pools = [(p, {w.name for w in p if max(w.rest_until, w.gone_until) > now}) for p in self.up.values()]
         return {n for pool, rest in pools if len(rest) <= (1 - MOST_RESTING) * len(pool) for n in rest}
 
     def _learnt(self) -> tuple[list[Rate], list[Usual]]:
@@ -313,10 +267,9 @@
             return True
         if self.many:
             least, age = rules.cold_start_share, max(0, self.now - w.started) / rules.warm_within
-            lot = _rank(_hash("cold" + (q.a.session or q.id)), w)  # a session stays where it may go
+            lot = rank(hashed("cold" + (q.a.session or q.id)), w.hash)  # a session stays where it may go
             return lot < (least + (1 - least) * age) / rules.cold_multiple * self.part * HASH_MASK
-        rate = self.normal[w.role].at(self.now)
-        rate *= w.weight if self.s.weights_mean_size else 1.0
+        rate = self.normal[w.role].at(self.now) * (w.weight if self.s.weights_mean_size else 1.0)
         rate *= COLD_SAFETY * rules.cold_multiple * rules.cold_start_share * self.part
         w.credit = min(max(1.0, rate * rules.cold_window), w.credit + rate * (self.now - w.credit_at))
         w.credit_at = self.now
@@ -352,6 +305,29 @@
         w.rest_until = self.now + min(LONGEST_REST, REST << min(w.strikes, 8))
         w.strikes += 1
 
+    def _probed(self, event: api.ProbeEnded) -> None:
+        """A worker's load, or a fault there, as it was asked or as another router tells."""
+        w = self.fleet.get(event.worker)
+        if w is None:
+            return
+        w.told(self.now, dict(event.report), self.read_time.size)
+        if "prompt_k_waiting" in event.report:
+            w.lag, w.lag_at = event.report["prompt_k_waiting"] * 1000 * self.token_time, self.now
+        if event.outcome is Outcome.CONNECT_FAILED and event.detail != 1:
+            self._strike(w, True)
+        self._failed(w, event.outcome, event.detail == 1, 1.0)
+
+    def _failed(self, w: Worker, outcome: Outcome, refused: bool, weight: float) -> None:
+        """What an error, a break or a refused connection says of the worker. One error is chance to a router
+        that sends there all the time; one of many would meet a sick worker anew each time it comes: its first
+        own error tells, or two of others'. Who refuses connections is gone until the list has a new start of
+        it. Harms where it was chance: one router misses one worker for LONGEST_REST."""
+        if self.many and outcome is Outcome.CONNECT_FAILED and refused:
+            w.gone_until = self.now + LONGEST_REST
+        w.faults += weight if outcome is Outcome.ERROR else outcome is Outcome.RESET
+        if self.many and outcome is Outcome.ERROR and w.faults >= FAULTS_TELL:
+            w.rest_until, w.strikes = max(w.rest_until, self.now + LONGEST_REST), w.strikes + 1
+
     def _seen_wait(self, role: Role, wait: float) -> None:
         """What one outcome tells of its whole pool: a router sees each worker rarely, the pool often."""
         seen = self.stage_wait[role]
@@ -367,13 +343,16 @@
         """Workers of these roles that may work now, those that failed this request last. Rests never
         empty a pool: then every listed worker counts, as far as its cold budget goes."""
         listed = [w for role in roles for w in self.up[role] if q.ran is None or self._scope_ok(q, w)]
-        open_now = [w for w in listed if w is q.paid or self._cold_room(q, w)]
-        open_now = [w for w in open_now if w.full_until <= self.now]
+        listed = [w for w in listed if w.gone_until <= self.now] or listed
+        free = [w for w in listed if w.full_until <= self.now]
+        open_now = [w for w in free if w is q.paid or self._cold_room(q, w)]
         pool = [w for w in open_now if w.rest_until <= self.now]
         if len(pool) < MOST_RESTING * len(listed):
             pool = open_now
         pool = [w for w in pool if self.dark.get(w.zone, (0, 0))[0] <= self.now] or pool
         pool = [w for w in pool if w.turned.get(q.a.tenant, (0, 0))[0] <= self.now] or pool
+        if self.many and q.cls.effect is Effect.UNSAFE:  # who failed lately is tried with others first
+            pool = [w for w in pool if w.faults < 1] or pool
         return [w for w in pool if w.name not in q.failed] or pool
 
     def _took(self, w: Worker, q: Request) -> None:
@@ -448,8 +427,8 @@
 
     def _home_readers(self, a: api.Arrival, pool: list[Worker]) -> list[Worker]:
         """Readers that all routers agree on for this text, whatever each has seen; few agree zone by zone."""
-        key = _hash(a.prefix or a.session or a.request)
-        ranked = sorted(pool, key=lambda w: (self._far(w), -_rank(key, w)))
+        key = hashed(a.prefix or a.session or a.request)
+        ranked = sorted(pool, key=lambda w: (self._far(w), -rank(key, w.hash)))
         return ranked[: self._homes(a.prefix, len(pool))]
 
     def _far(self, w: Worker) -> bool:
@@ -460,15 +439,16 @@
         self, q: Request, pool: list[Worker], homes: list[Worker], counts: Figures, waits: Figures
     ) -> Worker | None:
         """The first by tokens believed held that is under the cap and not slower than they save."""
-        a, key = q.a, _hash(q.a.session or q.a.request)
+        a, key = q.a, hashed(q.a.session or q.a.request)
         shared = min(a.prefix_tokens, a.prompt_tokens) if a.prefix else 0
         believed = {w.name: max(self._holds(a, w), shared if w in homes else 0) for w in pool}
         if a.session and self.many:  # its earlier prompts went through routers that chose as this one would
-            believed[max(homes, key=lambda w: _rank(key, w)).name] = a.prompt_tokens
+            believed[max(homes, key=lambda w: rank(key, w.hash)).name] = a.prompt_tokens
         busy = sum(counts.values()) / len(counts) + (NEAR_EQUAL if self.many else 0)
         patient = min(waits.values()) + self._pool_wait(Role.READER)
         matches = [w for w in pool if believed[w.name] or w in homes]
-        matches.sort(key=lambda w: (-believed[w.name], counts[w.name] > busy, w not in homes, -_rank(key, w)))
+        order = {w.name: (counts[w.name] > busy, w not in homes, -rank(key, w.hash)) for w in matches}
+        matches.sort(key=lambda w: (-believed[w.name], order[w.name]))
         for w in matches:
             if self._not_hot(w, pool, counts) and waits[w.name] <= patient + self._saves(q, believed[w.name]):
                 return w
@@ -477,11 +457,11 @@
     def _fewest_running(self, a: api.Arrival, pool: list[Worker], counts: Figures, waits: Figures) -> Worker:
         """Fewest running; near-equals by the text's rank: what spills gathers at the same next home."""
         most = min(counts.values()) + (NEAR_EQUAL if self.many else 0)
-        key = _hash(a.prefix or a.session or a.request)
+        key = hashed(a.prefix or a.session or a.request)
         equal = [w for w in pool if counts[w.name] <= most and self._not_hot(w, pool, counts)]
         calm = min(waits[w.name] for w in equal) + LAG_SLACK
         calmest = [w for w in equal if waits[w.name] <= calm]
-        return max(calmest, key=lambda w: (not self._far(w), _rank(key, w)))
+        return max(calmest, key=lambda w: (not self._far(w), rank(key, w.hash)))
 
     def _homes(self, prefix: str, readers: int) -> int:
         """Readers over which a text is spread: more for one that would fill its home. A session has one."""
@@ -543,22 +523,28 @@
             return None
         heard = [1 - w.report["memory_share"] for w in pool if "memory_share" in w.report]
         average = sum(heard) / len(heard) if heard else 1.0
-        rooms, key = {w.name: self._room(w, average) for w in pool}, _hash(q.id)
+        rooms, key = {w.name: self._room(w, average) for w in pool}, hashed(q.id)
         top = max(rooms.values())
         spread = NEAR_MARGIN * (1 if "memory_share" in self.s.report_fields else abs(min(rooms.values())))
-        link = self._link(near)
-        if link in self.far_time and self.near_time > 0:
+        if self._link(near) in self.far_time and self.near_time > 0:
             # Slow links: a nearer writer may be fuller by as much as answers leaving this cell begin later.
-            spread *= max(1.0, self.far_time[link] / self.near_time)
+            spread *= max(1.0, self.far_time[self._link(near)] / self.near_time)
         cell = [w for w in pool if near is not None and w.cell == near.cell]
         zone = [w for w in pool if near is not None and w.zone == near.zone]
         for group in (cell, zone, pool):
             best = max((rooms[w.name] for w in group), default=top - spread - 1)
             if best >= top - spread:
-                equal = [w for w in group if rooms[w.name] >= best - EQUAL_ROOM]
-                return max(equal, key=lambda w: _rank(key, w))
+                equal = [w for w in group if rooms[w.name] >= best - EQUAL_ROOM - self._unseen(pool)]
+                return max(equal, key=lambda w: rank(key, w.hash))
         return None
 
+    def _unseen(self, pool: list[Worker]) -> float:
+        """Share of its memory that all routers send a writer before its next report: so much may differ."""
+        if not self.many or not pool[0].memory:
+            return 0.0
+        sent = self.first_rates[1].young(self.now) * REPORT_AGE * self.s.routers * self.first_time.size
+        return sent / len(pool) / pool[0].memory
+
     def _link(self, w: Worker | None) -> int:
         """Whose link times are kept together: one cell's, or all cells' where a router rarely sees one."""
         return ALL_CELLS if self.many or w is None else w.cell
@@ -754,7 +740,8 @@
     def _ended(self, event: api.AttemptEnded) -> None:
         w = self.fleet.get(event.worker)
         if w is not None and event.outcome in (Outcome.READ, Outcome.SERVED, Outcome.FULL, Outcome.ERROR):
-            w.heard(self.now, dict(event.report), self.read_time.size)
+            w.heard_at = self.now
+            w.told(self.now, dict(event.report), self.read_time.size)
         q = self.requests.get(event.request)
         if q is None or q.out is None or q.out.number != event.attempt:
             return
@@ -792,8 +779,8 @@
             self.token_time = min(best, self.token_time * 1.002) if self.token_time else best
             lag = max(0.0, event.elapsed - need * self.token_time)
             self._seen_wait(w.role, lag)
-            if "prompt_k_waiting" in event.report:
-                lag = event.report["prompt_k_waiting"] * 1000 * self.token_time
+            waits = event.report.get("prompt_k_waiting")
+            lag = lag if waits is None else waits * 1000 * self.token_time
             old = 0.6 * exp2((w.lag_at - self.now) / LAG_MEMORY)  # rarely heard: the newest counts alone
             w.lag, w.lag_at = lag + old * (w.lag - lag), self.now
             self.read_time.add(event.elapsed, need)
@@ -814,8 +801,10 @@
             q.failed.append(w.name)
             failed = outcome is Outcome.CONNECT_FAILED
             silent = outcome is Outcome.TIMEOUT and w.heard_at < attempt.sent_at
+            if w is q.place and q.placed and not attempt.reading:
+                q.reader = q.place = None  # the state has moved there, and is lost with it
             # One fault is chance. One that only fails is sick, and the sooner it fails, the idler it looks.
-            w.faults += outcome in (Outcome.RESET, Outcome.ERROR)
+            self._failed(w, outcome, event.detail == 1, FAULTS_TELL if self.many else 1.0)
             if silent or failed or w.faults >= FAULTS_TELL:
                 self._strike(w, failed and event.elapsed >= self.s.limits.connect_timeout)
 
@@ -893,5 +882,5 @@
         if not self.many:
             return True
         wait, allowed = self._wait_at(w) + self._pool_wait(Role.WRITER), self._bearable(q) * ADMIT_SEEN
-        lot = _hash("lot" + (q.a.session or q.id)) / HASH_MASK
+        lot = hashed("lot" + (q.a.session or q.id)) / HASH_MASK
         return wait <= allowed or lot < (allowed / wait) ** 2
--- /dev/null
+++ b/basaltspread/structures/averages.py
@@ -0,0 +1,46 @@
+"""Averages over time that need a few numbers each: how often something happens, and how long it takes.
+
+It owns the arithmetic alone; times are in microseconds. It must never read a clock: the time is an argument.
+Each operation costs a constant few steps.
+"""
+
+from __future__ import annotations
+
+from math import exp2
+
+LEARN = 0.05  # weight of a new sample in a running mean
+LEAST_EVIDENCE = 250_000  # us; a new rate is taken over this time at least
+
+
+class Usual:
+    """Running mean of a time and of the size it belongs to; predicts the time for another size."""
+
+    def __init__(self) -> None:
+        self.count, self.time, self.size = 0, 0.0, 0.0
+
+    def add(self, time: float, size: float) -> None:
+        self.count += 1
+        part = max(LEARN, 1 / self.count)
+        self.time += part * (time - self.time)
+        self.size += part * (size - self.size)
+
+    def of(self, size: float) -> float:
+        return self.time * (0.4 + 0.6 * size / self.size) if self.size > 0 else self.time
+
+
+class Rate:
+    """Events a microsecond, fading with a half-life."""
+
+    def __init__(self, half_life: int) -> None:
+        self.half_life, self.value, self.when, self.since = half_life, 0.0, 0, -1
+
+    def add(self, now: int, amount: float) -> None:
+        self.since = now if self.since < 0 else self.since
+        self.value, self.when = self.at(now) + amount * 0.693 / self.half_life, now
+
+    def at(self, now: int) -> float:
+        return self.value * exp2((self.when - now) / self.half_life)
+
+    def young(self, now: int) -> float:
+        """The same where counting began less than some half-lives ago: the time before it is no evidence."""
+        return self.at(now) / (1 - exp2(-max(now - self.since, LEAST_EVIDENCE) / self.half_life))
--- /dev/null
+++ b/tests/test_picture.py
@@ -0,0 +1,320 @@
+"""The picture that many gateways keep together: its words, whose turn it is, and what comes of it."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections import Counter
+from dataclasses import replace
+from typing import Any
+from unittest import mock
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from basaltspread import core
+from basaltspread import interface as api
+from basaltspread.config import Gateway
+from basaltspread.control import asking, picture
+from basaltspread.control.asking import Asking
+from basaltspread.control.picture import BadWord, Picture, Word
+from basaltspread.core import Ending
+from basaltspread.interface import Outcome
+from basaltspread.net.peers import MOST_HEARD, Peers
+from basaltspread.rules import Router
+from tests.helpers import FLEET, MS, SECOND, Drive, entry, settings
+
+FIELDS = ("memory_share", "prompt_k_waiting")
+REPORT = {"memory_share": 0.62, "prompt_k_waiting": 14.5}
+ALLOWED = replace(settings().limits, probes=True, peers=True)
+
+
+def many(router: int = 0, routers: int = 40) -> api.Settings:
+    return settings(router=router, routers=routers, fields=FIELDS, limits=ALLOWED)
+
+
+def pictures(routers: int, engines: int) -> list[Picture]:
+    made = [Picture(many(i, routers)) for i in range(routers)]
+    for one in made:
+        one.listed([entry(f"e{i}", i % 2) for i in range(engines)])
+    return made
+
+
+@given(st.floats(0, 4000))
+def test_a_figure_survives_one_byte_within_a_few_hundredths(figure: float) -> None:
+    there = picture.unpacked(picture.packed(figure))
+    assert abs(there - figure) <= 0.005 + 0.03 * figure
+
+
+@given(st.binary(max_size=300))
+def test_whatever_comes_is_read_or_a_named_error(message: bytes) -> None:
+    one = Picture(many())
+    try:
+        told = one.read(message)
+    except BadWord:
+        return
+    assert 4 <= len(message) <= 256 and told.word in set(Word)
+
+
+def test_a_report_goes_to_all_who_list_the_engine_in_few_bytes() -> None:
+    """Each byte is paid for once for each gateway that gets it."""
+    one, other = pictures(40, 60)[:2]
+    message = one.report(SECOND, "e3", REPORT)
+    assert message is not None and len(message) == 6
+    heard = other.take(SECOND, other.read(message))
+    assert heard is not None
+    assert (heard.worker, heard.outcome) == ("e3", Outcome.SERVED)
+    assert heard.report == pytest.approx(REPORT, rel=0.03)
+    other.listed([entry("e4", 0)])
+    assert other.take(SECOND, other.read(message)) is None
+    assert one.report(SECOND, "e3", {"unknown": 1.0}) is None
+
+
+def test_two_engines_with_one_short_name_are_not_taken_for_each_other(monkeypatch: Any) -> None:
+    monkeypatch.setattr(picture, "short", lambda name: b"abc")
+    one, other = pictures(40, 2)[:2]
+    message = one.report(SECOND, "e0", REPORT)
+    assert message is not None and other.take(SECOND, other.read(message)) is None
+
+
+@pytest.mark.parametrize(("routers", "engines"), [(5, 60), (40, 60), (200, 100)])
+def test_every_engine_is_asked_by_a_few_gateways_and_none_by_all(routers: int, engines: int) -> None:
+    """Engines hold few connections, and each probe is priced over the whole fleet."""
+    one = Picture(many(0, routers))
+    of = [one.askers(f"e{i}") for i in range(engines)]
+    assert {len(askers) for askers in of} == {min(routers, picture.ASKERS)}
+    load = Counter(router for askers in of for router in askers)
+    assert max(load.values()) <= 3 * engines * picture.ASKERS / routers + 3
+
+
+@pytest.mark.parametrize(("routers", "engines", "rate"), [(40, 60, 80), (200, 100, 800)])
+def test_a_fleet_asks_no_more_than_its_traffic_and_knows_each_engine_soon(
+    routers: int, engines: int, rate: int
+) -> None:
+    made, asked, oldest = pictures(routers, engines), 0, dict.fromkeys((f"e{i}" for i in range(engines)), 0)
+    worst = 0
+    for i in range(6 * rate):
+        now = SECOND + i * SECOND // rate
+        due = made[i * 7919 % routers].due(now)
+        if due is not None:
+            asked += 1
+            worst = max(worst, now - oldest[due] if oldest[due] else 0)
+            oldest[due] = now
+            told = picture.Told(Word.REPORT, picture.short(due), REPORT)
+            for number, one in enumerate(made):
+                one.report(now, due, REPORT) if number == i * 7919 % routers else one.take(now, told)
+    assert asked <= 6 * rate
+    assert asked <= 6 * engines * SECOND / picture.LEAST_AGE + engines
+    assert min(oldest.values()) > 5 * SECOND, "each was asked in the last two seconds"
+
+
+def test_a_fault_is_told_once_by_the_fleet_and_not_by_everybody() -> None:
+    one, other = pictures(40, 60)[:2]
+    message = one.fault(SECOND, "e5", Word.REFUSES)
+    assert message is not None and len(message) == 4
+    heard = other.take(SECOND + MS, other.read(message))
+    assert heard is not None and (heard.outcome, heard.detail) == (Outcome.CONNECT_FAILED, 1)
+    assert other.fault(SECOND + 2 * MS, "e5", Word.REFUSES) is None  # all know
+    assert other.fault(SECOND + 2 * MS, "e5", Word.FAILED) is not None  # another matter
+    assert other.fault(3 * SECOND, "e5", Word.REFUSES) is not None
+
+
+def test_what_is_wanted() -> None:
+    assert picture.wanted(many())
+    for change in (
+        {"routers": 4}, {"report_fields": ()}, {"limits": replace(ALLOWED, peers=False)},
+        {"limits": replace(ALLOWED, probes=False)},
+    ):  # fmt: skip
+        assert not picture.wanted(replace(many(), **change))
+
+
+class Fleet:
+    """Gateways' reducers with the real module; what one tells, the others hear at once."""
+
+    def __init__(self, routers: int) -> None:
+        self.now, self.probes = 100 * SECOND, list[tuple[int, str]]()
+        self.states = [core.State(many(i, routers), Router(many(i, routers), i)) for i in range(routers)]
+        listed = tuple(core.Listed(e, f"{e.name}:1") for e in FLEET)
+        for number, state in enumerate(self.states):
+            state.picture = Picture(state.settings)
+            self.feed(number, core.ListTold(api.ListKind.CACHED, 1, listed))
+
+    def feed(self, number: int, event: core.Input) -> list[core.Effect]:
+        effects = core.reduce(self.states[number], self.now, event)
+        for effect in effects:
+            if isinstance(effect, core.StartProbe):
+                self.probes.append((number, effect.worker))
+            elif isinstance(effect, core.TellPeers):
+                for other in range(len(self.states)):
+                    if other != number:
+                        self.feed(other, core.PeerTold(effect.payload))
+        return effects
+
+    def take(self, number: int, name: str) -> str:
+        arrival = api.Arrival(name, name, "", 0, 2000, 200, 0, 0, 5 * SECOND, 0, False, False)
+        sent = [e for e in self.feed(number, core.Taken(arrival)) if isinstance(e, core.StartAttempt)]
+        return sent[0].worker if sent else ""
+
+
+def test_one_gateways_refused_connection_spares_all_the_others() -> None:
+    fleet = Fleet(40)
+    dead = fleet.take(0, "q0")
+    fleet.feed(0, core.Ended("q0", 0, Ending.REFUSED))
+    fleet.now += 3 * SECOND
+    assert dead not in {fleet.take(n, f"a{n}") for n in range(40)}
+    again = replace(next(e for e in FLEET if e.name == dead), started=fleet.now)
+    for n in range(40):
+        fleet.feed(n, core.ListTold(api.ListKind.DELTA, 2, (core.Listed(again, "x:1"),)))
+        assert fleet.states[n].module.fleet[dead].gone_until == 0  # type: ignore[attr-defined]
+
+
+def test_two_gateways_errors_at_an_engine_spare_the_others_and_one_is_chance() -> None:
+    fleet = Fleet(40)
+    sick = fleet.take(0, "q0")
+    fleet.feed(0, core.Ended("q0", 0, Ending.SERVER_ERROR))
+    resting = [s.module.resting(fleet.now) for s in fleet.states]
+    assert resting[0] == {sick} and not any(resting[1:])
+    fleet.now += 2 * SECOND
+    second = next(n for n in range(1, 40) if fleet.take(n, f"b{n}") == sick)
+    fleet.feed(second, core.Ended(f"b{second}", 0, Ending.SERVER_ERROR))
+    assert all(s.module.resting(fleet.now) == {sick} for s in fleet.states)
+
+
+def test_a_probe_is_told_to_all_and_one_that_finds_nobody_too() -> None:
+    fleet = Fleet(40)
+    for n in range(40):
+        fleet.take(n, f"q{n}")
+    assert {name for _, name in fleet.probes} == {e.name for e in FLEET}
+    asker, name = fleet.probes[0]
+    fleet.feed(asker, core.Probed(name, Ending.SERVED, 2 * MS, REPORT))
+    for state in fleet.states:
+        there = state.module.fleet[name].report  # type: ignore[attr-defined]
+        assert there == pytest.approx(REPORT, rel=0.03)
+    asker, name = next(p for p in fleet.probes if p[1] != name)
+    fleet.feed(asker, core.Probed(name, Ending.REFUSED, 1 * MS))
+    assert all(s.module.resting(fleet.now) == {name} for s in fleet.states)
+
+
+def test_a_message_that_cannot_be_read_is_counted_and_changes_nothing() -> None:
+    fleet = Fleet(5)
+    effects = fleet.feed(0, core.PeerTold(b"\x09nothing"))
+    assert [e.name for e in effects if isinstance(e, core.Count)] == ["peers_unreadable"]
+
+
+def test_unsafe_requests_leave_a_writer_out_that_failed_lately() -> None:
+    """An order that meets an error has failed for good; a request that may be sent again finds out."""
+    d = Drive(replace(many(), classes=(replace(settings(api.Effect.UNSAFE).classes[0]),)))
+    w = d.router.fleet["w1"]
+    d.feed(api.ProbeEnded("w1", Outcome.ERROR, 0))
+    assert (w.faults, w.rest_until) == (1.0, 0)
+    for i in range(40):
+        d.arrive(f"o{i}", f"s{i}", after=20 * MS)
+        d.end(f"o{i}", Outcome.READ)
+        assert d.sent_to(f"o{i}") != "w1"
+        d.first(f"o{i}")
+        d.end(f"o{i}", Outcome.SERVED)
+
+
+def test_writers_are_spread_over_as_far_as_a_picture_may_be_late() -> None:
+    """All gateways see the same picture: the roomiest writer in it would get what all of them send."""
+    d = Drive(many())
+    d.warm(60)
+    pool = d.router.up[api.Role.WRITER]
+    for share, w in zip((0.30, 0.36, 0.60), pool, strict=True):
+        d.feed(api.ProbeEnded(w.name, Outcome.SERVED, 0, {"memory_share": share}))
+    room = d.router._unseen(pool)
+    assert room == pytest.approx(9 * 40 * 2000 / 3 / 100_000, rel=0.1)  # 9 a second here
+    d.router.s = replace(d.router.s, routers=0)
+    assert d.router._unseen(pool) == 0.0
+
+
+# --- discovery ------------------------------------------------------------------------------------------
+
+
+def test_nobody_holds_a_call_while_others_are_turned_away() -> None:
+    one, now = Asking(), 100 * SECOND
+    assert one.hold(now) == asking.BRIEF_MS  # the first answer is wanted at once
+    assert one.answered(now, 0.5) == 0.0
+    assert one.hold(now) == asking.HOLD_MS
+    assert one.crowded(now) and not one.crowded(now + SECOND)
+    assert one.hold(now + 2 * SECOND) == asking.BRIEF_MS
+    assert 0.5 <= one.answered(now + 2 * SECOND, 0.5) <= 1.0
+    later = now + SECOND + asking.CROWDED
+    assert (one.hold(later), one.answered(later, 0.5)) == (asking.HOLD_MS, 0.0)
+
+
+@pytest.mark.parametrize(("told", "least"), [(True, 40), (False, 15)])
+def test_a_discovery_with_room_for_some_gets_to_all_of_them(told: bool, least: int) -> None:
+    """Virtual time: 40 gateways, a discovery that holds 15 calls and turns the others away. Without the word
+    of those turned away, the first 15 keep their places for good."""
+    gateways, holding, heard = [Asking() for _ in range(40)], dict[int, int](), set[int]()
+    due = {n: SECOND + n for n in range(40)}
+    while min(due.values()) < 12 * SECOND:
+        n = min(due, key=lambda k: (due[k], k))
+        now, one = due[n], gateways[n]
+        if holding.pop(n, None) is not None:
+            due[n] = now + int(1e6 * one.answered(now, n / 40))
+            heard |= {n} if now > 3 * SECOND else set()
+        elif len(holding) >= 15:
+            if one.crowded(now) and told:
+                for other, asker in enumerate(gateways):
+                    if other != n and asker.hold(now) == asking.HOLD_MS and other in holding:
+                        del holding[other]
+                        due[other] = now
+                    asker.crowded(now)
+            due[n] = now + int(1e6 * one.failed(n / 40))
+        else:
+            holding[n] = now
+            due[n] = now + one.hold(now) * MS
+    assert len(heard) == least
+
+
+class PeersTest(unittest.IsolatedAsyncioTestCase):
+    async def test_datagrams_reach_the_others_and_only_peers_are_heard(self) -> None:
+        async def begin(number: int, addresses: tuple[str, ...]) -> tuple[Peers, Any]:
+            runtime = mock.MagicMock(carry={})
+            runtime.clock.now.return_value = 5 * SECOND
+            config = Gateway("g", "127.0.0.1:0", 1, 64, 64, 0, many(number), peers=addresses)
+            peers = Peers(runtime, config)
+            assert await peers.start(addresses[number])
+            self.addCleanup(peers.stop)
+            return peers, runtime
+
+        addresses = tuple(f"127.0.0.1:{port}" for port in free_ports(3))
+        begun = [await begin(n, addresses) for n in range(3)]
+        heard = asyncio.Event()
+        begun[1][1].feed.side_effect = lambda _: heard.set()
+        begun[0][1].carry[core.TellPeers](core.TellPeers(b"\x01news"))
+        await asyncio.wait_for(heard.wait(), 5)
+        begun[1][1].feed.assert_called_once_with(core.PeerTold(b"\x01news"))
+        begun[0][1].feed.assert_not_called()
+        begun[2][0].datagram_received(b"\x01news", ("127.0.0.9", 1))
+        begun[2][1].count.assert_called_once_with("peers_strange")
+
+    async def test_a_flood_is_bounded_and_an_address_that_is_taken_leaves_the_gateway_without(self) -> None:
+        (port,) = free_ports(1)
+        address = f"127.0.0.1:{port}"
+        config = Gateway("g", "127.0.0.1:0", 1, 64, 64, 0, many(1), peers=("127.0.0.2:9", address))
+        runtime = mock.MagicMock(carry={})
+        runtime.clock.now.return_value = 5 * SECOND
+        first, second = Peers(runtime, config), Peers(mock.MagicMock(carry={}), config)
+        self.assertTrue(await first.start(address))
+        self.addCleanup(first.stop)
+        self.assertFalse(await second.start(address))
+        for _ in range(MOST_HEARD + 5):
+            first.datagram_received(b"\x01", ("127.0.0.2", 9))
+        self.assertEqual(runtime.feed.call_count, MOST_HEARD)
+        self.assertEqual(runtime.count.call_args_list, [mock.call("peers_dropped")] * 5)
+
+
+def free_ports(count: int) -> list[int]:
+    import socket
+
+    held = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
+    for one in held:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in held]
+    for one in held:
+        one.close()
+    return ports
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,6 +17,7 @@
 
 from basaltspread import interface as api
 from basaltspread.adapter import settings_from
+from basaltspread.control.asking import retry_pause
 from basaltspread.core import Ending
 from basaltspread.net.platform import (
     BadRequest,
@@ -25,7 +26,6 @@
     parse_facts,
     parse_list,
     parse_report,
-    retry_pause,
     room_rank,
 )
 from basaltspread.net.runtime import LinkError
@@ -158,6 +158,7 @@
             return mock.MagicMock(status=200, body=b'{"generation":7,"reset":false,"instances":[]}')
 
         runtime.pool.call = call
+        runtime.clock.now.return_value = 0
         runtime.spawn = lambda work, name: asyncio.get_running_loop().create_task(work)
         front = Front(runtime, mock.MagicMock())
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -15,6 +15,7 @@
 from basaltspread import rules
 from basaltspread.interface import Effect, KeyScope, Outcome
 from basaltspread.rules import Router
+from basaltspread.structures.averages import Rate
 from tests.helpers import FLEET, MS, SECOND, Drive, entry, random_day, settings
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -605,7 +606,7 @@
 
 
 def test_a_young_routers_rate_is_not_thought_low_for_the_time_before_it_began() -> None:
-    rate = rules.Rate(4 * SECOND)
+    rate = Rate(4 * SECOND)
     for i in range(1, 51):
         rate.add(100 * SECOND + i * 20 * MS, 1.0)
     now = 101 * SECOND
@@ -795,7 +796,7 @@
 def test_a_refused_place_is_news_of_a_full_writer() -> None:
     d = Drive()
     for w in d.router.up[api.Role.WRITER]:
-        w.heard(d.now, {"memory_share": 0.3}, 1000.0)
+        w.told(d.now, {"memory_share": 0.3}, 1000.0)
     held = next(a for a in d.arrive("a", "s", "p") if isinstance(a, api.HoldPlace)).worker
     d.feed(api.PlaceAnswer("a", 0, held, False))
     for i in range(5):
@@ -849,7 +850,7 @@
     places: dict[str, int] = {}
     for i, d in enumerate(drives):
         for k, w in enumerate(d.router.up[api.Role.WRITER]):
-            w.heard(d.now, {"memory_share": 0.30 + k / 1000}, 1000.0)
+            w.told(d.now, {"memory_share": 0.30 + k / 1000}, 1000.0)
         d.arrive(f"a{i}", f"s{i}", after=SECOND)
         reads[d.sent_to(f"a{i}")] = reads.get(d.sent_to(f"a{i}"), 0) + 1
         place = d.router.requests[f"a{i}"].place
@@ -967,7 +968,7 @@
 
     def tell(shares: dict[str, float]) -> None:
         for w in d.router.up[api.Role.WRITER]:
-            w.heard(d.now, {"memory_share": shares.get(w.name, 0.30), "tick": d.now}, 1000.0)
+            w.told(d.now, {"memory_share": shares.get(w.name, 0.30), "tick": d.now}, 1000.0)
 
     for i in range(60):
         d.now += SECOND
