Test the shared picture over 4, 40 and 200 gateways in virtual time, with its costs counted

Change: tests/fleet.py has datagrams, probes, failing engines and counted costs; tests of failing writers at 4, 40 and 200 gateways, and of a mass restart from an old list.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -9,13 +9,14 @@
 
 import heapq
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Any
 
 from basaltspread import core
 from basaltspread import interface as api
+from basaltspread.control import picture
 from basaltspread.core import Ending, Place
 from basaltspread.rules import Router
 from tests.helpers import MS, SECOND, settings
@@ -31,6 +32,7 @@
     entry: api.WorkerEntry
     alive: bool = True
     silent: bool = False
+    sick: bool = False  # answers every request with an error
     sends: list[int] = field(default_factory=list)
 
 
@@ -61,17 +63,20 @@
 
 class World:
     def __init__(
-        self, seed: int, gateways: int, readers: int, writers: int, rate: float, zones: int = 3
-    ) -> None:
+        self, seed: int, gateways: int, readers: int, writers: int, rate: float, zones: int = 3,
+        talk: bool = True,
+    ) -> None:  # fmt: skip
         self.rng, self.now, self.rate = random.Random(seed), 1000 * SECOND, rate
         self.began, self.order = self.now, 0
         self.events: list[tuple[int, int, Callable[[], None]]] = []
         names = tuple("abcdef"[:zones])
-        base = settings(routers=gateways, zones=names, fields=(), weights_mean_size=True)
+        base = settings(routers=gateways, zones=names, fields=("prompt_k_waiting",), weights_mean_size=True)
         safe = replace(base.classes[0], deadline=6 * SECOND, aim=1200 * MS)
         order = replace(safe, name="order", effect=api.Effect.UNSAFE, deadline=8 * SECOND)
         rules = replace(base.rules, drain_grace=250 * MS, cold_start_share=0.26, warm_within=14 * SECOND)
-        self.settings = replace(base, classes=(safe, order), rules=rules)
+        limits = replace(base.limits, probes=True, peers=talk)
+        self.settings = replace(base, classes=(safe, order), rules=rules, limits=limits)
+        self.costs: Counter[str] = Counter()  # over the whole fleet
         self.engines: dict[str, Engine] = {}
         for i in range(readers + writers):
             # Names tell the zone, as many platforms' do: whoever goes by names alone stays in one zone.
@@ -120,6 +125,7 @@
         """From nothing but the last list that it had."""
         own = replace(self.settings, router=g.number, zone=g.zone)
         g.state, g.life = core.State(own, Router(own, self.rng.getrandbits(60))), g.life + 1
+        g.state.picture = picture.Picture(own) if picture.wanted(own) else None
         g.told = {n: self.now for n, w in g.known.items() if w.entry.state is not api.WorkerState.UP}
         self.feed(g, core.ListTold(api.ListKind.CACHED, 1, tuple(g.known.values())))
         self.feed(g, core.Serving())
@@ -198,6 +204,13 @@
                 self.after(1 * MS, lambda: self._place(g, effect))
             case core.SendRelease():
                 self._release(g, effect)
+            case core.StartProbe():
+                self.after(1 * MS, lambda: self._probe(g, effect.worker))
+            case core.TellPeers():
+                self.costs["bytes told"] += len(effect.payload) * (len(self.gateways) - 1)
+                for other in self.gateways:
+                    if other is not g:
+                        self.later(other, self.rng.randrange(1, 39) * MS, core.PeerTold(effect.payload))
             case core.Answer():
                 self._answered(effect.request, effect.verdict.value)
             case core.EndStream():
@@ -232,25 +245,41 @@
             if not self.reaches(g, effect.worker):
                 self._end_later(g, effect, CONNECT, Ending.CONNECT_TIMED_OUT)
             elif not engine.alive:
+                self.costs["refused"] += 1
                 self._end(g, effect, Ending.REFUSED)
             else:
                 self._sent(g, effect, engine, life)
 
         self.after(1 * MS, came_up)
 
+    def _probe(self, g: Gateway, name: str) -> None:
+        engine = self.engines[name]
+        self.costs["probes"] += 1
+        if not self.reaches(g, name):
+            self.later(g, CONNECT, core.Probed(name, Ending.CONNECT_TIMED_OUT, CONNECT))
+        elif not engine.alive:
+            self.later(g, 1 * MS, core.Probed(name, Ending.REFUSED, 1 * MS))
+        else:
+            report = {"prompt_k_waiting": 0.0}
+            self.later(g, 2 * MS, core.Probed(name, Ending.SERVED, 2 * MS, report))
+
     def _sent(self, g: Gateway, effect: core.StartAttempt, engine: Engine, life: int) -> None:
         rid, q = effect.request, self.asks[effect.request]
         told = g.told.get(effect.worker)
         if told is not None and self.now > told + self.settings.rules.drain_grace + SLACK:
             self.breach("drain", f"{rid} to {effect.worker}")
         engine.sends.append(self.now)
+        self.costs["attempts"] += 1
         if not effect.reading:
             if q.unsafe and q.may_have_run:
                 self.breach("unsafe twice", rid)
             q.may_have_run = True
         self.feed(g, core.Begun(rid, effect.number))
         self.feed(g, core.Written(rid, effect.number))
-        if effect.reading:
+        if engine.sick:
+            self.costs["errors"] += 1
+            self._end_later(g, effect, 2 * MS, Ending.SERVER_ERROR)
+        elif effect.reading:
             self.after(self._slow(engine, READ_TIME), lambda: self._read(g, effect, engine, life))
         elif not self.held[rid]:
             q.may_have_run = False
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
+from basaltspread import core
+from basaltspread import interface as api
 from tests.fleet import World
 from tests.helpers import MS, SECOND
 
@@ -92,3 +96,61 @@
     world.run(6)
     assert world.breaches == []
     assert world.share("served") > 0.9
+
+
+def sick_day(seed: int, gateways: int, talk: bool = True) -> World:
+    """Two writers of 20 answer each request with an error from the second second on."""
+    world = World(seed, gateways, readers=20, writers=20, rate=min(100.0, 2.0 * gateways), talk=talk)
+
+    def fall_ill() -> None:
+        for engine in [e for e in world.engines.values() if e.entry.kind == 1][:2]:
+            engine.sick = True
+
+    world.after(2 * SECOND, fall_ill)
+    return world.run(10)
+
+
+@pytest.mark.parametrize(("gateways", "most"), [(4, 20), (40, 24), (200, 40)])
+def test_the_whole_fleet_spends_few_requests_on_finding_a_failing_engine(gateways: int, most: int) -> None:
+    world = sick_day(1, gateways)
+    assert world.breaches == []
+    assert world.costs["errors"] <= most
+    assert world.costs["attempts"] <= 2.4 * len(world.asks)
+
+
+def test_each_gateway_by_itself_spends_many_more() -> None:
+    """What the shared picture is for: the same day, with gateways that may not talk."""
+    alone, together = sick_day(1, 40, talk=False), sick_day(1, 40)
+    assert alone.breaches == together.breaches == []
+    assert alone.costs["errors"] >= 2.5 * together.costs["errors"]
+    assert together.costs["probes"] <= len(together.asks)
+    # At 0.003 a probe and 0.0025 for 256 bytes, a request each: under a hundredth of the worth.
+    assert 0.003 * together.costs["probes"] + 0.0025 * together.costs["bytes told"] / 256 < 0.01 * len(
+        together.asks
+    )
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_gateways_that_start_from_an_old_list_do_not_each_find_every_dead_engine(seed: int) -> None:
+    """A release: half of the engines are gone, and 28 of 40 gateways start with the list from before, while
+    discovery has no room for them."""
+    world = World(seed, gateways=40, readers=20, writers=20, rate=80.0)
+    old = [dict(g.known) for g in world.gateways]
+    names = list(world.engines)[::2]
+
+    def release() -> None:
+        for name in names:
+            world.die(name)
+        for g, known in zip(world.gateways[:28], old[:28], strict=True):
+            g.known = known
+            world.kill(g, world.rng.randrange(300 * MS, SECOND))
+        for g in world.gateways[28:]:
+            world.later(g, SECOND, core.ListTold(api.ListKind.DELTA, 2, tuple(
+                core.Listed(replace(world.engines[n].entry, state=api.WorkerState.REMOVED), n) for n in names
+            )))  # fmt: skip
+
+    world.after(2 * SECOND, release)
+    world.run(8)
+    assert world.breaches == []
+    assert world.share("served") > 0.85
+    assert world.costs["refused"] <= 8 * len(names)  # 28 each, if every gateway found every one by itself
