--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -454,7 +454,7 @@
         self._places: dict[tuple[str, str], tuple[asyncio.Task[None], list[bool]]] = {}
         self._clients: dict[Client, asyncio.Task[None]] = {}
         self._bodies = 0
-        self._bad_second = self._bad_lines = 0
+        self._bad_second = self._bad_lines = self._odd_report_second = 0
         self._server: asyncio.Server | None = None
         self._watching: asyncio.Task[None] | None = None
         self._asking = Asking()
@@ -482,6 +482,7 @@
                 version = told.version
                 self.runtime.feed(told)
             except ValueError as error:
+                self.runtime.count("known_unusable")
                 log.warning("known list unusable: %s", error)
         self._discover(self._config.discovery, version)
 
@@ -752,7 +753,7 @@
                 raise LinkError(Ending.MALFORMED)
             fields = dict(head.headers)
             if b"x-backend-load" in fields:
-                report = parse_report(fields[b"x-backend-load"].decode("latin-1"))
+                report = self._report(effect.worker, fields[b"x-backend-load"])
             if head.status_code == 200:
                 ending, detail = await self._relay(link, name, number, fields, exchange)
             else:
@@ -906,12 +907,24 @@
         try:
             reply = await self.runtime.pool.call(effect.address, "GET", "/stats", wait=CALL_WAIT)
             ending = Ending.SERVED if reply.status == 200 else Ending.SERVER_ERROR
-            report = parse_report(reply.body.decode("latin-1"))
+            if ending is Ending.SERVED:
+                report = self._report(effect.worker, reply.body)
         except LinkError as error:
             ending = error.ending
         finally:
             self.runtime.feed(core.Probed(effect.worker, ending, self.runtime.clock.now() - started, report))
 
+    def _report(self, worker: str, text: bytes) -> dict[str, float]:
+        """An engine's load; nothing where it can't be read, which is counted, and said once a second."""
+        report = parse_report(text.decode("latin-1"))
+        if text and not report:
+            self.runtime.count("reports_unreadable")
+            second = int(time.monotonic())
+            if second != self._odd_report_second:
+                self._odd_report_second = second
+                log.warning("load report of %s can't be read: %r", worker, text[:64])
+        return report
+
     # --- discovery --------------------------------------------------------------------------------------
 
     def reconfigure(self, config: Gateway) -> None:
@@ -954,8 +967,11 @@
                 self.runtime.count("discovery_failures")
                 if not asking.failures:
                     log.warning("discovery: %s", error)
-                if isinstance(error, NoRoom) and asking.crowded(self.runtime.clock.now()):
-                    self.runtime.feed(core.DiscoveryFull())
+                if isinstance(error, NoRoom):
+                    self.runtime.count("discovery_full")
+                    if asking.crowded(self.runtime.clock.now()):
+                        log.warning("discovery has no room: nobody is to hold a call there for a while")
+                        self.runtime.feed(core.DiscoveryFull())
                 pause = asking.failed(random.random())
             if pause > 0:
                 await asyncio.sleep(pause)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,6 +15,7 @@
 
 import h11
 
+from basaltspread import core
 from basaltspread import interface as api
 from basaltspread.adapter import settings_from
 from basaltspread.control.asking import retry_pause
@@ -146,6 +147,64 @@
             await front._watch("127.0.0.1:1", 41)
         self.assertEqual(slept, [retry_pause(n, 0.5) for n in range(1, 13)])
 
+    async def test_a_discovery_without_room_is_counted_and_said_to_the_others_once(self) -> None:
+        """Guards those who wait outside: whoever holds a call there never learns that it keeps others out."""
+        runtime, waits = mock.MagicMock(), list[str]()
+        runtime.clock.now.return_value = 100_000_000
+        replies = [200, 503, 503, 503, 200, 200]
+
+        async def call(address: str, method: str, target: str, wait: float) -> Any:
+            waits.append(target.rpartition("=")[2])
+            if not replies:
+                raise asyncio.CancelledError
+            status = replies.pop(0)
+            return mock.MagicMock(status=status, body=b'{"generation":7,"reset":false,"instances":[]}')
+
+        runtime.pool.call = call
+        front = Front(runtime, mock.MagicMock())
+        with (
+            mock.patch("basaltspread.net.platform.asyncio.sleep", mock.AsyncMock()),
+            self.assertRaises(asyncio.CancelledError),
+        ):
+            await front._watch("127.0.0.1:1", 5)
+        self.assertEqual(waits, ["1", "5000", "1", "1", "1", "1", "1"])
+        self.assertEqual(runtime.feed.call_args_list.count(mock.call(core.DiscoveryFull())), 1)
+        counted = [c.args[0] for c in runtime.count.call_args_list]
+        self.assertEqual((counted.count("discovery_full"), counted.count("discovery_failures")), (3, 3))
+
+    async def test_whoever_holds_a_call_lets_go_when_others_are_turned_away(self) -> None:
+        runtime, calls = mock.MagicMock(), list[str]()
+        runtime.clock.now.return_value = 100_000_000
+
+        async def call(address: str, method: str, target: str, wait: float) -> Any:
+            calls.append(target.partition("?")[2])
+            if target.endswith("5000"):
+                await asyncio.Event().wait()
+            return mock.MagicMock(status=200, body=b'{"generation":7,"reset":false,"instances":[]}')
+
+        runtime.pool.call = call
+        runtime.spawn = lambda work, name: asyncio.get_running_loop().create_task(work)
+        front = Front(runtime, mock.MagicMock())
+        front._discover("127.0.0.1:1", 5)
+        while len(calls) < 2:
+            await asyncio.sleep(0)
+        for _ in range(3):  # one word is enough, and more change nothing
+            front._stop_holding()
+        while len(calls) < 3:
+            await asyncio.sleep(0)
+        self.assertEqual(calls, ["from=5&hold_ms=1", "from=7&hold_ms=5000", "from=7&hold_ms=1"])
+        front._watching.cancel()  # type: ignore[union-attr]
+
+    async def test_a_report_that_cannot_be_read_is_counted_and_costs_nothing_else(self) -> None:
+        runtime = mock.MagicMock()
+        front = Front(runtime, mock.MagicMock())
+        told = {"memory_share": 0.5, "prompt_k_waiting": 2}
+        self.assertEqual(front._report("s-1", b"TEXT x0=0.5, x1=2"), told)
+        runtime.count.assert_not_called()
+        for odd in (b"TEXT x0=lots", b"{", b"\xff\xfe"):
+            self.assertEqual(front._report("s-1", odd), {})
+        self.assertEqual(runtime.count.call_args_list, [mock.call("reports_unreadable")] * 3)
+
     async def test_a_gateway_that_starts_asks_at_once_and_lets_clients_come_after_the_answer(self) -> None:
         """Guards against sends to an engine that drained since the known list was written."""
         runtime, order, calls = mock.MagicMock(), list[str](), list[str]()
