--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -457,7 +457,7 @@
         self._bad_second = self._bad_lines = self._odd_report_second = 0
         self._server: asyncio.Server | None = None
         self._watching: asyncio.Task[None] | None = None
-        self._asking = Asking()
+        self._asking = Asking(config.settings.routers, config.settings.many)
         self._version: int | None = None  # of the newest list that discovery has told
         self._asked = asyncio.Event()  # set by discovery's first answer
         self.address = config.listen
@@ -941,8 +941,9 @@
 
     def _stop_holding(self) -> None:
         """Another gateway was turned away by discovery: a call held here would keep it out."""
-        held = not self._asking.hold(self.runtime.clock.now()) < HOLD_MS
-        self._asking.crowded(self.runtime.clock.now())
+        now = self.runtime.clock.now()
+        held = not self._asking.brief(now)
+        self._asking.crowded(now)
         if held and self._watching is not None:
             self._discover(self._config.discovery, self._version)
 
--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -16,6 +16,7 @@
 from basaltspread import interface as api
 from basaltspread.interface import Effect, KeyScope, Outcome, Role
 from basaltspread.structures.averages import Rate, Usual
+from basaltspread.structures.bucket import Bucket
 from basaltspread.structures.hashing import HASH_MASK, hashed, rank
 
 SECOND = 1_000_000
@@ -48,6 +49,7 @@
 LEAST_PATIENCE = SECOND // 2  # no time-out is shorter: scheduling noise is not a fault
 REST = 1 * SECOND  # first rest of a worker that failed; doubles each time
 LONGEST_REST = 8 * SECOND
+LIST_LATE = 3 * SECOND  # in which the list mostly tells of a start
 FAULTS_TELL = 1.7  # errors and broken connections, halved by each answer, that tell of a worker
 MOST_RESTING = 0.25  # share of a pool that must be left; with less, rests count for nothing
 FULL_REST = SECOND // 4  # a worker that said "full" is passed over for this long
@@ -63,7 +65,7 @@
 # Admission.
 ADMIT = 0.8  # expected wait for a first token, over the aim, up to which a request is taken
 ADMIT_LESSER = 0.5  # the same for work past its tenant's share and for clients' repetitions
-ADMIT_SEEN = 0.5  # part of both where the wait is an average lately seen: half the requests wait longer
+ADMIT_SEEN = 0.5  # part of both for a wait that is an average, not just told: half the requests wait longer
 MEDIAN_STEP = 1.2  # factor by which one first token moves the running median
 LATELY_FACTOR = 4.0  # times the latest first-token times that a wait is never thought to exceed
 USUAL_GAPS = 2.0  # mean gaps between first tokens that are no sign of a jam
@@ -129,15 +131,12 @@
         self.deadline = now + a.time_left
         self.aim = max(1, cls.aim + cls.aim_per_1000 * a.prompt_tokens // 1000)
         self.out: Attempt | None = None  # never two at once: second copies are not used
-        self.sent = 0
+        self.sent, self.placed = 0, False  # placed: the writer asked said that it holds the place
         self.reader: Worker | None = None  # where the read state waits
         self.place: Worker | None = None  # writer asked to hold a place, and not known to have refused
-        self.placed = False  # it said that it holds the place
         self.paid: Worker | None = None  # cold worker whose credit this place has taken
-        self.asked: list[str] = []
-        self.holds = False  # a state or a place may be held somewhere
-        self.streaming = self.done = False
-        self.failed: list[str] = []  # workers that failed this request
+        self.asked, self.failed = list[str](), list[str]()  # writers asked for a place; who failed it
+        self.holds = self.streaming = self.done = False  # holds: a state or a place may be held somewhere
         self.ran: Worker | None = None  # first worker at which it may have run, and when it was sent
         self.ran_at, self.idle_since = 0, now
 
@@ -168,18 +167,16 @@
         self.did = {role: Rate(RATE_MEMORIES[1]) for role in Role}  # work done, in class mean work
         self.normal = {role: Rate(ENTRY_LIFE) for role in Role}  # the most of it a warm peer did lately
         self.blocks, self.dark = 0, dict[int, tuple[int, int]]()  # zone -> left out until, failures in a row
-        self.unanswered: dict[str, None] = {}  # admitted, no first token yet
+        self.unanswered = dict[str, None]()  # admitted, no first token yet
         self.token_time, self.latency, self.first_at = 0.0, 0.0, 0  # us to read one at best, to a first one
         self.first_rates = [Rate(m) for m in RATE_MEMORIES]
-        self.tenant_credit = [max(LEAST_BURST, SHARE_BURST * t.quota_per_s) for t in settings.tenants]
-        self.tenant_at = [0] * len(settings.tenants)
+        parts = [t.quota_per_s / max(1, settings.routers) for t in settings.tenants]
+        self.quotas = [Bucket(p / SECOND, max(LEAST_BURST, SHARE_BURST * p)) for p in parts]
 
     def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
         self.now, self.out = now, []
         for event in events:  # peers' messages are read elsewhere, and come as probes' results
-            handler = self.handlers.get(type(event))
-            if handler is not None:
-                handler(event)
+            self.handlers.get(type(event), lambda _: None)(event)
         if not self.timer_set and self.unanswered:
             self.timer_set = True
             self.out.append(api.SetTimer(max(WATCH_STEP, self.s.tick), WATCH_TIMER))
@@ -242,6 +239,7 @@
                 worker.role, worker.memory = role, memory
                 if new:
                     worker.restarted(self.now, self.random.random())
+                    self.dark.pop(worker.zone, None)  # machines there start again
             if event.kind is not api.ListKind.DELTA:
                 for worker in self.fleet.values():
                     if worker.name not in named:
@@ -310,11 +308,15 @@
         w = self.fleet.get(event.worker)
         if w is None:
             return
+        w.report = {} if event.report else w.report  # told anew, even where the figures are as before
         w.told(self.now, dict(event.report), self.read_time.size)
         if "prompt_k_waiting" in event.report:
             w.lag, w.lag_at = event.report["prompt_k_waiting"] * 1000 * self.token_time, self.now
         if event.outcome is Outcome.CONNECT_FAILED and event.detail != 1:
             self._strike(w, True)
+        elif event.elapsed > 0:  # answered here: another's word says nothing of the way
+            until, times = self.dark.get(w.zone, (0, 0))  # it may be cold, and the list be about to say so
+            self.dark[w.zone] = min(until, self.now + LIST_LATE), times
         self._failed(w, event.outcome, event.detail == 1, 1.0)
 
     def _failed(self, w: Worker, outcome: Outcome, refused: bool, weight: float) -> None:
@@ -336,8 +338,8 @@
     def _work(self, q: Request) -> float:
         """Mean work of the request's class, with 1 for the mean over all classes."""
         seen = [c.time for c in self.class_work if c.count]
-        own = self.class_work[q.a.request_class]
-        return own.time * len(seen) / sum(seen) if own.time > 0 else 1.0
+        own = self.class_work[q.a.request_class].time
+        return own * len(seen) / sum(seen) if own > 0 else 1.0
 
     def _pool(self, q: Request, roles: tuple[Role, ...]) -> list[Worker]:
         """Workers of these roles that may work now, those that failed this request last. Rests never
@@ -361,9 +363,9 @@
         self.dark.pop(w.zone, None)
 
     def _turned_away(self, w: Worker, q: Request, sent_at: int) -> None:
-        """A full worker is left alone for a moment. One that took other tenants' requests just before was
-        not full: it turns this tenant away, and only this tenant goes elsewhere, each time for longer. Harms
-        if a queue that others just filled is taken for such a one: the tenant misses a worker for REST."""
+        """A full worker is left alone for a moment. One that just took other tenants' requests turns this
+        tenant away, and only this one goes elsewhere, each time for longer. Harms where others just filled a
+        queue: the tenant misses a worker for REST."""
         if not any(at > sent_at - SECOND for tenant, at in w.served.items() if tenant != q.a.tenant):
             w.full_until = self.now + FULL_REST
             return
@@ -432,8 +434,7 @@
         return ranked[: self._homes(a.prefix, len(pool))]
 
     def _far(self, w: Worker) -> bool:
-        """In another zone than this router. In a jam all workers count alike: a zone's own are not enough."""
-        return self.calm and w.zone != self.s.zone
+        return self.calm and w.zone != self.s.zone  # in a jam a zone's own are not enough
 
     def _match_or_home(
         self, q: Request, pool: list[Worker], homes: list[Worker], counts: Figures, waits: Figures
@@ -488,8 +489,15 @@
         return max(lately, sum(w.reads.values()) * self.token_time)
 
     def _pool_wait(self, role: Role) -> float:
+        """What a pool lets wait: the mean of what was told of its readers lately, else as this router saw."""
+        lags = [w.lag for w in self.up[Role.READER] if self._lately(w)] if role is Role.READER else []
+        if self.many and len(lags) > MOST_RESTING * len(self.up[role]):
+            return sum(lags) / len(lags)
         return self.stage_wait[role].at(self.now) if self.many else 0.0
 
+    def _lately(self, w: Worker) -> bool:
+        return bool(w.report) and self.now - w.lag_at < 2 * REPORT_AGE
+
     def _saves(self, q: Request, tokens: int) -> float:
         """How much longer than elsewhere a request may wait for its text."""
         saved = tokens * self.token_time + LAG_SLACK
@@ -546,8 +554,7 @@
         return sent / len(pool) / pool[0].memory
 
     def _link(self, w: Worker | None) -> int:
-        """Whose link times are kept together: one cell's, or all cells' where a router rarely sees one."""
-        return ALL_CELLS if self.many or w is None else w.cell
+        return ALL_CELLS if self.many or w is None else w.cell  # one of many routers rarely sees one
 
     def _hold_place(self, q: Request) -> None:
         """Hold a place ahead at the roomiest near writer; one further try if the first refuses."""
@@ -591,18 +598,17 @@
     def _another_pays(self, q: Request) -> bool:
         """Whether another attempt is allowed and not hopeless; hopeless ones only add work to a jam."""
         least = self.first_time.of(q.a.prompt_tokens) / 2
-        if q.reader is None:
-            least += self.read_time.of(self.read_time.size) / 2
+        least += self.read_time.of(self.read_time.size) / 2 if q.reader is None else 0
         in_time = q.deadline - self.now > least and not self._too_late(q)
         return in_time and q.sent < self.s.limits.max_attempts
 
     def _keep_waiting(self, q: Request) -> bool:
         """Wait a little for a worker; far within the release limit while something is held."""
         limit = self.s.rules.release_within * WAIT_HOLDING if q.holds else WAIT_EMPTY
-        if self.now - q.idle_since > limit or q.deadline - self.now < 3 * WATCH_STEP:
-            return False
-        self.unanswered[q.id] = None
-        return True
+        waits = self.now - q.idle_since <= limit and q.deadline - self.now >= 3 * WATCH_STEP
+        if waits:
+            self.unanswered[q.id] = None
+        return waits
 
     def _timer(self, event: api.TimerFired) -> None:
         if event.timer != WATCH_TIMER:
@@ -631,6 +637,8 @@
         pending = sum(w.reads.values()) if out.reading and not stuck else out.need
         slow = usual.of(pending) + self.stage_wait[w.role].at(self.now)  # a jammed pool is not silent
         patience = max(LEAST_PATIENCE, PATIENCE * slow) if usual.count >= TAUGHT else FIRST_PATIENCE
+        if out.reading and silent and self.dark.get(w.zone, (0, 0))[0] > self.now:
+            patience = int(self.s.rules.release_within * WAIT_HOLDING)  # its place waits for a lost read
         if self.now - out.sent_at < patience:
             return
         if silent:
@@ -642,9 +650,8 @@
     def _is_stuck(self, w: Worker, out: Attempt) -> bool:
         """A reader that answers in turn brings one answer after the other: it is stuck if none at all has
         come for many times what its longest read usually takes, however much waits there."""
-        longest = self.read_time.of(max(w.reads.values(), default=out.need))
-        slow = longest + self.stage_wait[w.role].at(self.now)
-        quiet = self.now - max(out.sent_at, w.heard_at)
+        most, quiet = max(w.reads.values(), default=out.need), self.now - max(out.sent_at, w.heard_at)
+        slow = self.read_time.of(most) + self.stage_wait[w.role].at(self.now)
         return self.read_time.count >= TAUGHT and quiet >= max(LEAST_PATIENCE, PATIENCE * slow)
 
     def _cancel(self, q: Request) -> None:
@@ -831,8 +838,8 @@
         safe = q.cls.effect is Effect.SAFE or (q.ran is None and not q.a.is_resumed)
         if safe or (q.cls.effect is Effect.KEYED and q.cls.key_scope is KeyScope.ALL):
             wait = max(SECOND // 4, int(min(self._expected_wait(), 1e9)))
-            limits = self.s.limits
-            self.out.append(api.Refuse(q.id, min(limits.max_retry_after, wait) if limits.retry_after else 0))
+            wait = min(self.s.limits.max_retry_after, wait) if self.s.limits.retry_after else 0
+            self.out.append(api.Refuse(q.id, wait))
         else:
             self.out.append(api.Fail(q.id))
         q.done = True
@@ -849,25 +856,18 @@
         if len(self.unanswered) < FREE_OPEN:  # too few to tell: what the pools lately let wait
             return sum(self._pool_wait(role) for role in Role)
         silence = self.now - self.first_at - USUAL_GAPS / max(rate, 1e-9)  # few requests, few first tokens
-        lately = max(self.latency, silence)
-        return min(len(self.unanswered) / max(rate, 1e-9), LATELY_FACTOR * lately)
+        return min(len(self.unanswered) / max(rate, 1e-9), LATELY_FACTOR * max(self.latency, silence))
 
     def _over_share(self, a: api.Arrival) -> bool:
         """Whether the tenant is past this router's part of its quota: a bucket that fills at 1/n of it."""
         if a.tenant >= len(self.s.tenants) or self.s.tenants[a.tenant].quota_per_s <= 0:
             return False
-        quota = self.s.tenants[a.tenant].quota_per_s / max(1, self.s.routers)
-        passed = (self.now - self.tenant_at[a.tenant]) / SECOND if self.tenant_at[a.tenant] else 0.0
-        credit = min(max(LEAST_BURST, quota * SHARE_BURST), self.tenant_credit[a.tenant] + quota * passed)
-        self.tenant_at[a.tenant] = self.now
-        self.tenant_credit[a.tenant] = credit if credit < 1 else credit - 1
-        return credit < 1
+        return not self.quotas[a.tenant].take(self.now)
 
     def _bearable(self, q: Request) -> float:
         """Expected wait up to which a request is taken. Over-share work and repetitions go first, and the
         tightest aim counts: a queue as long as patient classes allow would starve the others."""
-        lesser = q.over_share or q.a.is_retry
-        return min(c.aim for c in self.s.classes) * (ADMIT_LESSER if lesser else ADMIT)
+        return min(c.aim for c in self.s.classes) * (ADMIT_LESSER if q.over_share or q.a.is_retry else ADMIT)
 
     def _admit(self, q: Request) -> bool:
         """Refuse early what would come too late; never the rest of a stream, most of which is paid for."""
@@ -876,11 +876,12 @@
         return self._expected_wait() <= self._bearable(q)
 
     def _promising(self, q: Request, w: Worker) -> bool:
-        """Many routers: whether to send a read there, by what that reader and the writers now let wait: no
-        jam outlives its cause. What is over is thinned by a lot that all routers draw alike from the session:
-        some are served turn by turn and find their text kept. Harms long sessions: the same ones wait."""
+        """Many routers: whether to send a read there, by what that reader and the writers now let wait. What
+        is over is thinned by a lot that all routers draw alike from the session: some are served turn by turn
+        and find their text kept. Harms long sessions: the same ones wait."""
         if not self.many:
             return True
-        wait, allowed = self._wait_at(w) + self._pool_wait(Role.WRITER), self._bearable(q) * ADMIT_SEEN
+        wait, allowed = self._wait_at(w), self._bearable(q) * ADMIT_SEEN
+        wait = wait * (ADMIT_SEEN if self._lately(w) else 1) + self._pool_wait(Role.WRITER)
         lot = hashed("lot" + (q.a.session or q.id)) / HASH_MASK
         return wait <= allowed or lot < (allowed / wait) ** 2
