--- a/basaltspread/control/picture.py
+++ b/basaltspread/control/picture.py
@@ -36,7 +36,6 @@
     REPORT = 1
     REFUSES = 2  # it refuses connections: no process is there
     FAILED = 3  # it answered with an error
-    CROWDED = 4  # of discovery, not of an engine: it turns gateways away
 
 
 FAULTS = {Word.REFUSES: Outcome.CONNECT_FAILED, Word.FAILED: Outcome.ERROR}
@@ -126,10 +125,6 @@
             return None
         return bytes((word,)) + short(name)
 
-    def crowded(self) -> bytes:
-        """The message that discovery has no room for all."""
-        return bytes((Word.CROWDED,)) + bytes(ID_BYTES)
-
     def _fault(self, now: int, name: str, word: Word) -> bool:
         if now - self._fault_at.get((name, word), -FAULT_AGE) < FAULT_AGE:
             return False
--- a/basaltspread/core/messages.py
+++ b/basaltspread/core/messages.py
@@ -127,11 +127,6 @@
     payload: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class DiscoveryFull:
-    """Discovery has turned this gateway away, for the first time in a while."""
-
-
 @dataclass(frozen=True, slots=True)
 class Listed:
     """One engine of the list, and where it is reached."""
@@ -320,7 +315,7 @@
 
 Input = (
     Taken | TurnedAway | ClientLeft | Begun | Written | FirstEvent | Ended | PlaceEnded | ReleaseEnded
-    | Probed | PeerTold | DiscoveryFull | ListTold | ToolCalled | ToolCancelled | ToolBegun | ToolProgressed
+    | Probed | PeerTold | ListTold | ToolCalled | ToolCancelled | ToolBegun | ToolProgressed
     | ToolEnded | ProgressEnded | ReplyEnded | ServerTried | ServerDrains | RoutesTold | Woken | Serving
     | Operate | BansTold | Recalled | Sharing | HandedOn | Adopted | Terminate
 )  # fmt: skip
@@ -423,11 +418,6 @@
     payload: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class StopHolding:
-    """Others are turned away by discovery: for a while, no call there is to wait for news."""
-
-
 @dataclass(frozen=True, slots=True)
 class FetchWholeList:
     pass
@@ -571,7 +561,7 @@
 
 Effect = (
     StartAttempt | AbandonAttempt | PassOn | HandOn | EndStream | BreakClient | Answer | AskPlace | DropPlace
-    | SendRelease | StartProbe | TellPeers | StopHolding | FetchWholeList | CallTool | AbandonTool
+    | SendRelease | StartProbe | TellPeers | FetchWholeList | CallTool | AbandonTool
     | TellCancelled | AnswerLocally | ReturnReply | ReturnProgress | ForgetCall | ForgetBundle | TryServer
     | Wake | Count | Say | OperatorAnswer | KeepBans | CloseIdle | StopListening | StopAccepting
     | Exit
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -28,7 +28,6 @@
     ClientLeft,
     CloseIdle,
     Count,
-    DiscoveryFull,
     DropPlace,
     Effect,
     Ended,
@@ -59,7 +58,6 @@
     StartAttempt,
     StartProbe,
     StopAccepting,
-    StopHolding,
     StopListening,
     Taken,
     TellPeers,
@@ -610,10 +608,6 @@
             self.count("peers_told")
             self.do(TellPeers(message))
 
-    def discovery_full(self, event: DiscoveryFull) -> None:
-        if self.state.picture is not None:
-            self._tell(self.state.picture.crowded())
-
     def peer_told(self, event: PeerTold) -> None:
         """Another gateway's word on an engine: the module hears it as if this one had asked."""
         picture = self.state.picture
@@ -625,10 +619,6 @@
             self.count("peers_unreadable")
             self.do(Say(f"a peer's message can't be read: {error}"))
             return
-        if told.word is Word.CROWDED:
-            self.count("peers_turned_away")
-            self.do(StopHolding())
-            return
         heard = picture.take(self.now, told)
         self.count("peers_heard" if heard is not None else "peers_of_no_use")
         if heard is not None:
@@ -846,7 +836,7 @@
         Taken: taken, TurnedAway: turned_away, ClientLeft: client_left, Serving: serving,
         Begun: begun, Written: written, FirstEvent: first_event,
         Ended: ended, PlaceEnded: place_ended, ReleaseEnded: release_ended, Probed: probed,
-        PeerTold: peer_told, DiscoveryFull: discovery_full,
+        PeerTold: peer_told,
         ListTold: list_told, **ToolSteps.TOOL_HANDLERS, Woken: woken, Operate: operate,
         BansTold: bans_told, Recalled: recalled, Sharing: sharing,
         HandedOn: handed_on, Adopted: adopted, Terminate: terminate,
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -26,7 +26,7 @@
 from basaltspread import interface as api
 from basaltspread.adapter import REPORT_NAMES
 from basaltspread.config import Gateway, split_address
-from basaltspread.control.asking import HOLD_MS, Asking
+from basaltspread.control.asking import BRIEF_MS, HOLD_MS, retry_pause
 from basaltspread.core import Ending, Place, Verdict
 from basaltspread.net.runtime import (
     BODY_LIMIT,
@@ -50,7 +50,7 @@
 
 log = logging.getLogger("basaltspread")
 COMPLETIONS = b"/v1/chat/completions"
-WATCH_SLACK = 2.0  # s past the time that a call to discovery may wait, after which it is taken as silent
+WATCH_SLACK = 2.5  # s past the time that a call may wait for news; it may wait 2 s for its turn before that
 FIRST_LIST_WAIT = 0.25  # s that clients wait at a start for discovery's first word; it may say nothing
 CLIENT_SHARE = 0.6  # of the descriptors, for clients; a request has one here and at most two at engines
 FIRST_BYTE_PATIENCE = 2.0  # s from a connection's opening to its first byte; it may be closed without one
@@ -457,8 +457,6 @@
         self._bad_second = self._bad_lines = self._odd_report_second = 0
         self._server: asyncio.Server | None = None
         self._watching: asyncio.Task[None] | None = None
-        self._asking = Asking(config.settings.routers, config.settings.many)
-        self._version: int | None = None  # of the newest list that discovery has told
         self._asked = asyncio.Event()  # set by discovery's first answer
         self.address = config.listen
         runtime.carry.update({
@@ -467,7 +465,7 @@
             core.BreakClient: self._break_client, core.Answer: self._answer,
             core.AskPlace: self._ask_place, core.DropPlace: self._drop_place,
             core.SendRelease: self._send_release, core.StartProbe: self._start_probe,
-            core.FetchWholeList: self._fetch_list, core.StopHolding: lambda e: self._stop_holding(),
+            core.FetchWholeList: self._fetch_list,
             core.CloseIdle: lambda e: self._close_idle(CLOSE_AFTER),
             core.StopListening: lambda e: self._stop_listening(),
             core.StopAccepting: lambda e: self._stop_accepting(),
@@ -939,43 +937,32 @@
         self._discover(new, None)
         log.info("discovery moves from %s to %s", old, new)
 
-    def _stop_holding(self) -> None:
-        """Another gateway was turned away by discovery: a call held here would keep it out."""
-        now = self.runtime.clock.now()
-        held = not self._asking.brief(now)
-        self._asking.crowded(now)
-        if held and self._watching is not None:
-            self._discover(self._config.discovery, self._version)
-
     def _discover(self, discovery: str | None, version: int | None) -> None:
         if self._watching is not None:
             self._watching.cancel()
-        self._watching, self._version = None, version
+        self._watching = None
         if discovery is not None:
             self._watching = self._spawn(self._watch(discovery, version), "watch")
 
     async def _watch(self, discovery: str, version: int | None) -> None:
-        asking = self._asking
+        failures, hold = 0, BRIEF_MS
         while True:
-            now = self.runtime.clock.now()
             try:
-                version = self._version = await self._fetch(discovery, version, asking.hold(now))
+                version = await self._fetch(discovery, version, hold)
                 self._asked.set()
-                if asking.failures:
+                hold = HOLD_MS
+                if failures:
                     log.info("discovery answers again at version %d", version)
-                pause = asking.answered(self.runtime.clock.now(), random.random())
+                failures = 0
             except (LinkError, ValueError) as error:
                 self.runtime.count("discovery_failures")
-                if not asking.failures:
-                    log.warning("discovery: %s", error)
                 if isinstance(error, NoRoom):
                     self.runtime.count("discovery_full")
-                    if asking.crowded(self.runtime.clock.now()):
-                        log.warning("discovery has no room: nobody is to hold a call there for a while")
-                        self.runtime.feed(core.DiscoveryFull())
-                pause = asking.failed(random.random())
-            if pause > 0:
-                await asyncio.sleep(pause)
+                if not failures:
+                    log.warning("discovery: %s", error)
+                failures += 1
+                gateways = self._config.settings.routers
+                await asyncio.sleep(retry_pause(failures, random.random(), gateways))
 
     def _fetch_list(self, effect: core.FetchWholeList) -> None:
         if self._config.discovery is not None:
