Join the fleet's datagrams once an old version lets go, and count only answers as answers

Need, from reading the change once more: a second process of a gateway found the address taken and stayed out of the picture for good; an address that is none would have ended the start; a probe that timed out counted as an answer of its zone, and cut the rest of a zone that is down. Change: share() tries again each second and leaves the gateway without where addresses are odd; only a probe's answer shortens a zone's rest. Tests for each.

--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -25,6 +25,7 @@
     from basaltspread.control.dispatch import Dispatcher
 
 TOOL_SHARE = 0.15  # of the descriptors, for tries at tool servers
+SHARE_STEP = 1.0  # s between two tries for the address at which other gateways are heard
 IDLE_SHARE = 0.6  # of the time after which engines close an idle connection: ours are closed by then
 log = logging.getLogger("basaltspread")
 Load = Callable[[bool], tuple[Gateway | None, list[ConfigError]]]
@@ -38,14 +39,21 @@
     return Dispatcher(tools.table, shares, config.seed, max(4, int(config.sockets * TOOL_SHARE)))
 
 
-async def share(runtime: Runtime, config: Gateway) -> Callable[[], None]:
-    """Join the picture that many gateways keep together; gives what ends it. Imported where it is used."""
+async def share(runtime: Runtime, config: Gateway) -> None:
+    """Join the picture that many gateways keep together, once the address for it is free: an old version of
+    this gateway may hold it. Imported where it is used."""
     from basaltspread.net.peers import Peers
 
-    peers = Peers(runtime, config)
-    if config.peer_listen is not None and await peers.start(config.peer_listen):
-        runtime.state.picture = picture.Picture(config.settings)
-    return peers.stop
+    try:
+        peers = Peers(runtime, config)
+    except ConfigError as error:
+        runtime.count("peers_unbound")
+        log.warning("other gateways can't be heard: %s", error)
+        return
+    while not await peers.start():
+        await asyncio.sleep(SHARE_STEP)
+    runtime.state.picture = joined = picture.Picture(config.settings)
+    joined.listed(w.entry for w in runtime.state.workers.values())
 
 
 async def serve(config: Gateway, load: Load) -> None:
@@ -92,7 +100,8 @@
         later = needs_restart(config, new)
         log.info("reloaded%s", f"; only a restart changes {', '.join(later)}" if later else "")
 
-    unshare = await share(runtime, config) if config.peers and picture.wanted(config.settings) else None
+    if config.peer_listen is not None and picture.wanted(config.settings):
+        runtime.spawn(share(runtime, config), "share")
     runtime.watch_signals(reload)
     runtime.look_at_other()  # before a list can name an engine that was left out
     runtime.spawn(runtime.watch_other(), "other")
@@ -106,8 +115,6 @@
     runtime.spawn(runtime.sweep(), "sweep")
     await runtime.over.wait()
     await front.stop()
-    if unshare is not None:
-        unshare()
     if eureka is not None:
         await eureka.stop()
     if relay is not None:
--- a/basaltspread/config.py
+++ b/basaltspread/config.py
@@ -142,9 +142,6 @@
     management = environment.get("RELAY_MANAGEMENT") or raw.get("management") or None
     if management is not None:
         split_address("management", management)
-    for key in ("peer_listen", "peers_all"):
-        if raw.get(key):
-            split_address(key, raw[key])
     door = _door(environment)
     try:
         limits = raw.get("limits") or {}
--- a/basaltspread/control/picture.py
+++ b/basaltspread/control/picture.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import IntEnum
@@ -87,7 +88,8 @@
         """The engines of the list as it is now."""
         up = [e.name for e in entries if e.state is WorkerState.UP]
         shorts = [short(name) for name in up]
-        self._names = {s: n for s, n in zip(shorts, up, strict=True) if shorts.count(s) == 1}
+        times = Counter(shorts)
+        self._names = {s: n for s, n in zip(shorts, up, strict=True) if times[s] == 1}
         mine = [n for n in up if self._router in self.askers(n)]
         # Each gateway in an order of its own: else all that ask an engine would turn to it at once.
         self._mine = sorted(mine, key=lambda n: rank(self._router, hashed(n)))
--- a/basaltspread/net/peers.py
+++ b/basaltspread/net/peers.py
@@ -24,25 +24,28 @@
 
     def __init__(self, runtime: Runtime, config: Gateway) -> None:
         self._runtime = runtime
+        self._listen = split_address("peer_listen", config.peer_listen)
         own = config.peers[config.settings.router] if config.settings.router < len(config.peers) else ""
         self._peers = {split_address("peers", address) for address in config.peers if address != own}
         everyone = [config.peers_all] if config.peers_all else [a for a in config.peers if a != own]
         self._everyone = [split_address("peers_all", address) for address in everyone]
         self._transport: asyncio.DatagramTransport | None = None
-        self._second = self._heard = 0
+        self._second = self._heard = self._refused = 0
 
-    async def start(self, listen: str) -> bool:
-        """Whether the fleet can be heard; the gateway serves without it as well."""
+    async def start(self) -> bool:
+        """Whether the fleet can be heard now; the gateway serves without it as well."""
+        door = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        door.setblocking(False)
         try:
-            host, port = split_address("peer_listen", listen)
-            door = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            door.setblocking(False)
-            door.bind((host, port))
+            door.bind(self._listen)
             loop = asyncio.get_running_loop()
             self._transport, _ = await loop.create_datagram_endpoint(lambda: self, sock=door)
         except OSError as error:
+            door.close()
             self._runtime.count("peers_unbound")
-            log.warning("other gateways can't be heard at %s: %s", listen, error)
+            if not self._refused:
+                log.warning("other gateways can't be heard at %s:%d: %s", *self._listen, error)
+            self._refused += 1
             return False
         self._runtime.carry[core.TellPeers] = self._tell
         return True
--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -314,7 +314,7 @@
             w.lag, w.lag_at = event.report["prompt_k_waiting"] * 1000 * self.token_time, self.now
         if event.outcome is Outcome.CONNECT_FAILED and event.detail != 1:
             self._strike(w, True)
-        elif event.elapsed > 0:  # answered here: another's word says nothing of the way
+        elif event.outcome is Outcome.SERVED and event.elapsed > 0:  # here; another's says nothing of the way
             until, times = self.dark.get(w.zone, (0, 0))  # it may be cold, and the list be about to say so
             self.dark[w.zone] = min(until, self.now + LIST_LATE), times
         self._failed(w, event.outcome, event.detail == 1, 1.0)
--- a/tests/test_picture.py
+++ b/tests/test_picture.py
@@ -18,6 +18,7 @@
 
 from basaltspread import core, rules
 from basaltspread import interface as api
+from basaltspread.__main__ import share
 from basaltspread.config import Gateway
 from basaltspread.control import asking, picture
 from basaltspread.control.picture import BadWord, Picture, Word
@@ -223,8 +224,8 @@
     d = Drive(many())
     d.warm(60)
     pool = d.router.up[api.Role.WRITER]
-    for share, w in zip((0.30, 0.36, 0.60), pool, strict=True):
-        d.feed(api.ProbeEnded(w.name, Outcome.SERVED, 0, {"memory_share": share}))
+    for held, w in zip((0.30, 0.36, 0.60), pool, strict=True):
+        d.feed(api.ProbeEnded(w.name, Outcome.SERVED, 0, {"memory_share": held}))
     room = d.router._unseen(pool)
     assert room == pytest.approx(9 * 40 * 2000 / 3 / 100_000, rel=0.1)  # 9 a second here
     d.router.s = replace(d.router.s, routers=0)
@@ -242,6 +243,8 @@
     assert before == d.now + rules.LONGEST_REST
     d.feed(api.ProbeEnded("w3", Outcome.SERVED, 0, {"memory_share": 0.1}))
     assert dark[1][0] == before, "another gateway was answered, which says nothing of the way from here"
+    d.feed(api.ProbeEnded("w3", Outcome.TIMEOUT, SECOND))
+    assert dark[1][0] == before, "nothing came"
     for _ in range(3):
         d.feed(api.ProbeEnded("w3", Outcome.SERVED, 3 * MS, {"memory_share": 0.1}))
         assert dark[1][0] == d.now + rules.LIST_LATE, "it may be cold: the list says so by then"
@@ -334,9 +337,10 @@
         async def begin(number: int, addresses: tuple[str, ...]) -> tuple[Peers, Any]:
             runtime = mock.MagicMock(carry={})
             runtime.clock.now.return_value = 5 * SECOND
-            config = Gateway("g", "127.0.0.1:0", 1, 64, 64, 0, many(number), peers=addresses)
+            own = addresses[number]
+            config = Gateway("g", "127.0.0.1:0", 1, 64, 64, 0, many(number), peers=addresses, peer_listen=own)
             peers = Peers(runtime, config)
-            assert await peers.start(addresses[number])
+            assert await peers.start()
             self.addCleanup(peers.stop)
             return peers, runtime
 
@@ -354,19 +358,52 @@
     async def test_a_flood_is_bounded_and_an_address_that_is_taken_leaves_the_gateway_without(self) -> None:
         (port,) = free_ports(1)
         address = f"127.0.0.1:{port}"
-        config = Gateway("g", "127.0.0.1:0", 1, 64, 64, 0, many(1), peers=("127.0.0.2:9", address))
+        peers = "127.0.0.2:9", address
+        config = Gateway("g", "127.0.0.1:0", 1, 64, 64, 0, many(1), peers=peers, peer_listen=address)
         runtime = mock.MagicMock(carry={})
         runtime.clock.now.return_value = 5 * SECOND
         first, second = Peers(runtime, config), Peers(mock.MagicMock(carry={}), config)
-        self.assertTrue(await first.start(address))
+        self.assertTrue(await first.start())
         self.addCleanup(first.stop)
-        self.assertFalse(await second.start(address))
+        self.assertFalse(await second.start())
         for _ in range(MOST_HEARD + 5):
             first.datagram_received(b"\x01", ("127.0.0.2", 9))
         self.assertEqual(runtime.feed.call_count, MOST_HEARD)
         self.assertEqual(runtime.count.call_args_list, [mock.call("peers_dropped")] * 5)
 
 
+class ShareTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_gateway_joins_once_its_old_version_lets_go_of_the_address(self) -> None:
+        (port,) = free_ports(1)
+        address = f"127.0.0.1:{port}"
+        config = Gateway("g", "127.0.0.1:0", 1, 64, 64, 0, many(0), peers=(address,), peer_listen=address)
+        old, runtime = Peers(mock.MagicMock(carry={}), config), mock.MagicMock(carry={})
+        self.assertTrue(await old.start())
+        runtime.state = core.State(many(), Router(many(), 1))
+        tries = list[float]()
+
+        async def sleep(seconds: float) -> None:
+            tries.append(seconds)
+            if len(tries) == 2:
+                old.stop()
+            await REAL_SLEEP(0)
+
+        with mock.patch("basaltspread.__main__.asyncio.sleep", sleep):
+            await asyncio.wait_for(share(runtime, config), 10)
+        self.assertIsNotNone(runtime.state.picture)
+        self.assertGreaterEqual(len(tries), 2)
+
+    async def test_addresses_that_are_none_leave_the_gateway_without_and_running(self) -> None:
+        runtime = mock.MagicMock(carry={})
+        for peers, own in ((("127.0.0.1:1", "x:y"), "127.0.0.1:1"), ((), "odd")):
+            config = Gateway("g", "127.0.0.1:0", 1, 64, 64, 0, many(0), peers=peers, peer_listen=own)
+            await share(runtime, config)
+        self.assertEqual(runtime.count.call_args_list, [mock.call("peers_unbound")] * 2)
+
+
+REAL_SLEEP = asyncio.sleep
+
+
 def free_ports(count: int) -> list[int]:
     import socket
 
