Share the picture only where a word to all costs no more than the probe behind it

A word of 6 bytes goes to all others: 0.0023 of a request at 40 gateways, 0.0117 at 200, for a probe of 0.003 (prices.peer, prices.probe of the settings). Change: Settings carry both prices, and picture.wanted compares them; at 40 gateways nothing changes. The first pause before a full discovery is 1 s at most, as at 40.

--- a/basaltspread/adapter.py
+++ b/basaltspread/adapter.py
@@ -159,6 +159,8 @@
         weights_mean_size=conf.get("weights") in ("nominal", "rough"),
         report_fields=tuple(REPORT_NAMES.get(str(f), str(f)) for f in telemetry.get("fields") or []),
         tick=figure(conf.get("round")),
+        probe_price=float((conf.get("prices") or {}).get("probe") or 0),
+        peer_price=float((conf.get("prices") or {}).get("peer") or 0),
     )
 
 
--- a/basaltspread/control/asking.py
+++ b/basaltspread/control/asking.py
@@ -21,6 +21,6 @@
 
 def retry_pause(failures: int, lot: float, gateways: int = 1) -> float:
     """After so many failures in a row; `lot` in [0, 1) keeps gateways that failed together apart."""
-    first = max(RETRY_PAUSE, SHARE * gateways)
+    first = max(RETRY_PAUSE, min(LONGEST_PAUSE, SHARE * gateways))
     longest = max(LONGEST_PAUSE, min(LONGEST_OF_MANY, LONGEST_FACTOR * SHARE * gateways))
     return min(longest, first * 2.0 ** min(failures - 1, 16)) * (0.5 + 0.5 * lot)
--- a/basaltspread/control/picture.py
+++ b/basaltspread/control/picture.py
@@ -69,8 +69,11 @@
 
 
 def wanted(settings: api.Settings) -> bool:
-    """Whether to share: where one gateway of many sees too little, and the platform allows all of it."""
-    return settings.many and settings.limits.peers and settings.limits.probes and bool(settings.report_fields)
+    """Whether to share: where one gateway of many sees too little, the platform allows all of it, and telling
+    all what a probe brought costs no more than the probe did. It grows with the number of gateways."""
+    allowed = settings.limits.peers and settings.limits.probes and bool(settings.report_fields)
+    word = (1 + ID_BYTES + len(settings.report_fields)) * (settings.routers - 1) / MOST_BYTES
+    return settings.many and allowed and word * settings.peer_price <= settings.probe_price
 
 
 class Picture:
--- a/basaltspread/interface.py
+++ b/basaltspread/interface.py
@@ -137,6 +137,8 @@
     weights_mean_size: bool  # worker weights compare sizes (else they say nothing stable)
     report_fields: tuple[str, ...]
     tick: int
+    probe_price: float = 0.0  # of one for each request
+    peer_price: float = 0.0  # of 256 bytes delivered for each request
 
     @property
     def many(self) -> bool:
