Compute a pool's wait once a decision, and call the pause that stood in the budget already

Need, from reading the change once more: a pool's wait, a mean over all readers since this work, was computed anew for each reader of each decision, and what all routers send between two reports anew for each writer; the pauses at discovery wrote control/budget.py's `pause` a second time; a figure in a test was computed and never asserted. Change: both are computed once, `pause` is called, the dead figure and an annotation go. No decision changes, no assertion does.

--- a/basaltspread/control/asking.py
+++ b/basaltspread/control/asking.py
@@ -10,6 +10,9 @@
 
 from __future__ import annotations
 
+from basaltspread.control.budget import pause
+
+MICRO = 1_000_000
 HOLD_MS = 5000  # of one call; the next follows at once, so that the watch goes on
 BRIEF_MS = 1  # of the first, whose answer is wanted at once, news or not
 RETRY_PAUSE = 0.05  # s before the first new try of one gateway; well within the 200 ms that a watch may pause
@@ -23,4 +26,4 @@
     """After so many failures in a row; `lot` in [0, 1) keeps gateways that failed together apart."""
     first = max(RETRY_PAUSE, min(LONGEST_PAUSE, SHARE * gateways))
     longest = max(LONGEST_PAUSE, min(LONGEST_OF_MANY, LONGEST_FACTOR * SHARE * gateways))
-    return min(longest, first * 2.0 ** min(failures - 1, 16)) * (0.5 + 0.5 * lot)
+    return pause(failures, int(first * MICRO), int(longest * MICRO), lot) / MICRO
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -16,7 +16,7 @@
 from zlib import crc32
 
 from basaltspread import interface as api
-from basaltspread.control.picture import BadWord, Picture, Word
+from basaltspread.control.picture import BadWord, Word
 from basaltspread.core.messages import (
     AbandonAttempt,
     Adopted,
@@ -597,7 +597,7 @@
         self.told.append(
             api.ProbeEnded(event.worker, outcome, event.elapsed, event.report, int(refused))
         )
-        picture: Picture | None = self.state.picture
+        picture = self.state.picture
         if picture is not None and event.ending is Ending.SERVED:
             self._tell(picture.report(self.now, event.worker, event.report))
         elif picture is not None and refused:
--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -403,11 +403,11 @@
     def _choose_reader(self, q: Request, pool: list[Worker]) -> Worker:
         """The design's order: gap test, then capped match or home, else fewest running."""
         self.calm = not self.many and self._expected_wait() <= NEAR_CALM * min(c.aim for c in self.s.classes)
-        counts, waits = self._counts(pool), {w.name: self._wait_at(w) for w in pool}
+        counts, wait = self._counts(pool), self._pool_wait(Role.READER)
+        waits = {w.name: self._wait_at(w, wait) for w in pool}
         homes = self._home_readers(q.a, pool)
-        gap = GAP / max(1, self.s.routers)
-        if self.many:
-            gap = GAP + LOAD_FACTOR * sum(counts.values()) / len(counts)
+        mean = sum(counts.values()) / len(counts)
+        gap = GAP + LOAD_FACTOR * mean if self.many else GAP / max(1, self.s.routers)
         even = max(counts.values()) - min(counts.values()) <= gap
         w = self._match_or_home(q, pool, homes, counts, waits) if even else None
         return w or self._fewest_running(q.a, pool, counts, waits)
@@ -480,10 +480,9 @@
             homes *= 2  # in powers, so that routers that count a little differently mostly agree
         return min(homes, readers)
 
-    def _wait_at(self, w: Worker) -> float:
+    def _wait_at(self, w: Worker, pool: float) -> float:
         """How long a read sent there now would wait: as lately seen, fading to what its pool lets wait (else
         a jam would look like many idle readers, and texts would leave their homes), or for own reads."""
-        pool = self._pool_wait(w.role)
         memory = max(LAG_MEMORY, w.lag) if self.many else LAG_MEMORY  # one rarely heard lasts as it is deep
         lately = pool + (w.lag - pool) * exp2((w.lag_at - self.now) / memory)
         return max(lately, sum(w.reads.values()) * self.token_time)
@@ -532,7 +531,7 @@
         heard = [1 - w.report["memory_share"] for w in pool if "memory_share" in w.report]
         average = sum(heard) / len(heard) if heard else 1.0
         rooms, key = {w.name: self._room(w, average) for w in pool}, hashed(q.id)
-        top = max(rooms.values())
+        top, alike = max(rooms.values()), EQUAL_ROOM + self._unseen(pool)
         spread = NEAR_MARGIN * (1 if "memory_share" in self.s.report_fields else abs(min(rooms.values())))
         if self._link(near) in self.far_time and self.near_time > 0:
             # Slow links: a nearer writer may be fuller by as much as answers leaving this cell begin later.
@@ -542,7 +541,7 @@
         for group in (cell, zone, pool):
             best = max((rooms[w.name] for w in group), default=top - spread - 1)
             if best >= top - spread:
-                equal = [w for w in group if rooms[w.name] >= best - EQUAL_ROOM - self._unseen(pool)]
+                equal = [w for w in group if rooms[w.name] >= best - alike]
                 return max(equal, key=lambda w: rank(key, w.hash))
         return None
 
@@ -881,7 +880,8 @@
         and find their text kept. Harms long sessions: the same ones wait."""
         if not self.many:
             return True
-        wait, allowed = self._wait_at(w), self._bearable(q) * ADMIT_SEEN
+        wait = self._wait_at(w, self._pool_wait(Role.READER))
+        allowed = self._bearable(q) * ADMIT_SEEN
         wait = wait * (ADMIT_SEEN if self._lately(w) else 1) + self._pool_wait(Role.WRITER)
         lot = hashed("lot" + (q.a.session or q.id)) / HASH_MASK
         return wait <= allowed or lot < (allowed / wait) ** 2
--- a/tests/test_picture.py
+++ b/tests/test_picture.py
@@ -5,6 +5,7 @@
 import asyncio
 import heapq
 import random
+import socket
 import unittest
 from collections import Counter
 from collections.abc import Callable
@@ -96,13 +97,11 @@
     routers: int, engines: int, rate: int
 ) -> None:
     made, asked, oldest = pictures(routers, engines), 0, dict.fromkeys((f"e{i}" for i in range(engines)), 0)
-    worst = 0
     for i in range(6 * rate):
         now = SECOND + i * SECOND // rate
         due = made[i * 7919 % routers].due(now)
         if due is not None:
             asked += 1
-            worst = max(worst, now - oldest[due] if oldest[due] else 0)
             oldest[due] = now
             told = picture.Told(Word.REPORT, picture.short(due), REPORT)
             for number, one in enumerate(made):
@@ -210,7 +209,7 @@
 
 def test_unsafe_requests_leave_a_writer_out_that_failed_lately() -> None:
     """An order that meets an error has failed for good; a request that may be sent again finds out."""
-    d = Drive(replace(many(), classes=(replace(settings(api.Effect.UNSAFE).classes[0]),)))
+    d = Drive(replace(many(), classes=settings(api.Effect.UNSAFE).classes))
     w = d.router.fleet["w1"]
     d.feed(api.ProbeEnded("w1", Outcome.ERROR, 0))
     assert (w.faults, w.rest_until) == (1.0, 0)
@@ -408,8 +407,6 @@
 
 
 def free_ports(count: int) -> list[int]:
-    import socket
-
     held = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
     for one in held:
         one.bind(("127.0.0.1", 0))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -901,8 +901,8 @@
     deep, short = d.router.fleet["r1"], d.router.fleet["r2"]
     deep.lag, deep.lag_at, short.lag, short.lag_at = 8.0 * SECOND, d.now, 0.5 * SECOND, d.now
     d.feed(after=4 * SECOND)
-    assert d.router._wait_at(deep) > 4 * SECOND
-    assert d.router._wait_at(short) < SECOND // 10
+    assert d.router._wait_at(deep, d.router._pool_wait(api.Role.READER)) > 4 * SECOND
+    assert d.router._wait_at(short, d.router._pool_wait(api.Role.READER)) < SECOND // 10
 
 
 def test_a_read_that_ended_unserved_teaches_its_wait() -> None:
@@ -913,7 +913,8 @@
     reader = d.router.fleet[d.sent_to("a")]
     reader.heard_at = d.now + SECOND  # it answers others: not silent, so not struck either
     d.end("a", Outcome.TIMEOUT, after=4 * SECOND)
-    assert reader.rest_until == 0 and d.router._wait_at(reader) > 3 * SECOND
+    pool = d.router._pool_wait(api.Role.READER)
+    assert reader.rest_until == 0 and d.router._wait_at(reader, pool) > 3 * SECOND
 
 
 def test_a_prompt_unread_past_its_aim_is_left_to_be_read_but_not_sent_again() -> None:
