Tell an engine of progress again where the word certainly never reached it

Cause: on a busy machine no connection to the engine came up within 250 ms, and the word of progress was dropped; 'progress/plain-server: messages: 1, wanted 2' in the last whole check, which ran eight tests at once. Change: a word that certainly did not arrive (endings.NEVER_RAN) is written again, three times in all; the reply still waits for it. A case turns two words away and wants the third to arrive; it fails with one try.

--- a/basaltspread/conformance/cases_calls.py
+++ b/basaltspread/conformance/cases_calls.py
@@ -856,6 +856,39 @@
     equal([m.get("method") for m in served.posts], ["notifications/progress", None], "the order")
 
 
+@case("progress/never-taken-is-told-again", PROGRESS)
+async def progress_again(stage: Stage) -> None:
+    told, turned = asyncio.Event(), [2]
+
+    async def slowly(asked: Asked) -> None:
+        asked.begin()
+        asked.event(_progress(asked, 0.5))
+        await told.wait()
+        asked.event(answer(asked))
+        asked.end()
+
+    stage.on(slowly)
+
+    async def script(engine: Engine) -> None:
+        async def take(asked: Asked) -> None:
+            if turned[0]:
+                turned[0] -= 1
+                asked.reply(503, X_Unprocessed="1")
+                return
+            asked.reply(202)
+            engine.note(asked)
+
+        engine.take = take
+        engine.send(_with_token(stage, 7))
+        equal((await engine.reply())["params"], {"progressToken": 7, "progress": 0.5}, "the third try")
+        told.set()
+        equal((await engine.reply())["id"], 1, "then the reply")
+        engine.end()
+
+    served = await stage.play(script)
+    equal(len(served.posts), 2, "messages that were taken")
+
+
 @case("progress/is-bounded", PROGRESS)
 async def progress_bounded(stage: Stage) -> None:
     async def flood(asked: Asked) -> None:
--- a/basaltspread/net/toolcalls.py
+++ b/basaltspread/net/toolcalls.py
@@ -22,12 +22,14 @@
 from basaltspread.config import Tools
 from basaltspread.control.routes import MCP, Server
 from basaltspread.core import Ending, ToolFault
+from basaltspread.endings import NEVER_RAN
 from basaltspread.net import jsonrpc, sse
 from basaltspread.net.mcp import ACCEPT, JSON_TYPE, NAME, PING_WAIT, VERSIONS, Listing, Sessions, ask, texts
 from basaltspread.net.runtime import Headers, LinkError, Runtime
 
 log = logging.getLogger("basaltspread")
 REPLY_WAIT = 2.0  # s for an engine to take a reply
+PROGRESS_TRIES = 3  # of a word of progress that an engine has certainly not had
 NOTE_WAIT = 1.0  # s for a tool server to take a notification
 MOST_NOTES = 32  # notifications to tool servers under way at once; more are dropped
 MOST_ASKED = 16  # requests of a tool server, in one reply, that are answered
@@ -551,8 +553,13 @@
 
     async def _tell_progress(self, effect: core.ReturnProgress, call: Call) -> None:
         body = jsonrpc.encode(jsonrpc.notification("notifications/progress", call.note))
+        ending = Ending.NOT_SENT
         try:
-            if await self._post(effect.address, effect.request, body) is not Ending.SERVED:
+            for _ in range(PROGRESS_TRIES):  # a busy machine brings no connection up in time, once
+                ending = await self._post(effect.address, effect.request, body)
+                if ending not in NEVER_RAN:
+                    break
+            if ending is not Ending.SERVED:
                 self.runtime.count("tool_progress_lost")
         finally:
             call.telling = None
