Wake the loop only for ticks that hold something, and bound a stream's silence by one alarm

Change: the wheel sleeps until its next tick that holds something; a link has one alarm that each piece puts off; a stream waits for its client only where something is left to write; clients are walked only once their budget is reached.

--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -311,11 +311,12 @@
             self.answer_last(error.status, error.why)  # what stands behind it is not read as a request
         except h11.LocalProtocolError:  # the answer was under way when something else went wrong
             return False
-        try:
-            async with asyncio.timeout(CLIENT_PATIENCE):
-                await self._writer.drain()
-        except TimeoutError:
-            return False
+        if self._writer.transport.get_write_buffer_size():
+            try:
+                async with asyncio.timeout(CLIENT_PATIENCE):
+                    await self._writer.drain()
+            except TimeoutError:
+                return False
         if self._last or self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
@@ -407,6 +408,8 @@
         if self._writer.transport.is_closing():
             raise LinkError(Ending.CLIENT_LEFT)
         self._writer.write(self._http.send(h11.Data(data=data)) or b"")
+        if not self._writer.transport.get_write_buffer_size():
+            return  # all of it is out
         try:
             async with asyncio.timeout(CLIENT_PATIENCE):
                 await self._writer.drain()
@@ -525,7 +528,9 @@
         # Engines need descriptors too, or each request taken would fail: an idle client goes, else this
         # one is refused in words, as an accepted connection may carry a request already.
         most = self.runtime.descriptors.limit * CLIENT_SHARE
-        held = [c for c in self._clients if not c.leaving()]
+        held = list[Client]()
+        if len(self._clients) >= most:
+            held = [c for c in self._clients if not c.leaving()]
         if len(held) >= most:
             now = time.monotonic()
             idle = min(
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -11,6 +11,7 @@
 import asyncio
 import contextlib
 import fcntl
+import heapq
 import json
 import logging
 import os
@@ -34,7 +35,6 @@
 
 log = logging.getLogger("basaltspread")
 TICK = 0.005  # s, of the timer wheel
-WHEEL_SLOTS = 512
 READ_SIZE = 65536
 BODY_LIMIT = 256 * 1024
 CHUNK_LIMIT = 256 * 1024  # bytes of one chunk, whatever size it declares
@@ -75,42 +75,44 @@
 
 
 class Wheel:
-    """Coarse timers: a ring of slots, each a tick wide, turned by one loop timer while anything waits."""
+    """Coarse timers: what is due within a tick fires together, and the loop wakes only for ticks that hold
+    something. A timer in a tick that holds others costs an append, a first one a push on a heap of ticks."""
 
     def __init__(self, fire: Callable[[tuple[Any, ...]], None], now: Callable[[], int]) -> None:
         self._fire, self._now = fire, now
-        self._slots: list[list[tuple[int, tuple[Any, ...]]]] = [[] for _ in range(WHEEL_SLOTS)]
-        self._waiting = 0
-        self._turning = False
+        self._slots: dict[int, list[tuple[Any, ...]]] = {}
+        self._ticks: list[int] = []  # those of the slots, a heap
+        self._alarm: asyncio.TimerHandle | None = None  # for the first of them
         self._tick_us = int(TICK * 1_000_000)
-        self._at = 0  # the last tick that was worked off
 
     def set(self, at: int, token: tuple[Any, ...]) -> None:
-        if not self._waiting:
-            self._at = self._now() // self._tick_us
-        tick = max(-(-at // self._tick_us), self._at + 1)
-        self._slots[tick % WHEEL_SLOTS].append((tick, token))
-        self._waiting += 1
-        if not self._turning:
-            self._turning = True
-            asyncio.get_running_loop().call_later(TICK, self._turn)
+        now = self._now()
+        tick = max(-(-at // self._tick_us), now // self._tick_us + 1)
+        slot = self._slots.get(tick)
+        if slot is not None:
+            slot.append(token)
+            return
+        self._slots[tick] = [token]
+        heapq.heappush(self._ticks, tick)
+        if self._ticks[0] == tick:
+            self._wake(now)
+
+    def _wake(self, now: int) -> None:
+        if self._alarm is not None:
+            self._alarm.cancel()
+        pause = max(0, self._ticks[0] * self._tick_us - now) / 1_000_000
+        self._alarm = asyncio.get_running_loop().call_later(pause, self._turn)
 
     def _turn(self) -> None:
-        self._turning = False
-        now = self._now() // self._tick_us
+        self._alarm = None
         due: list[tuple[Any, ...]] = []
-        for tick in range(self._at + 1, min(now, self._at + WHEEL_SLOTS) + 1):
-            slot = self._slots[tick % WHEEL_SLOTS]
-            if slot:
-                due += [token for at, token in slot if at <= now]
-                slot[:] = [entry for entry in slot if entry[0] > now]
-        self._at = now
-        self._waiting -= len(due)
+        now = self._now()
+        while self._ticks and self._ticks[0] * self._tick_us <= now:
+            due += self._slots.pop(heapq.heappop(self._ticks))
         for token in due:
             self._fire(token)
-        if self._waiting and not self._turning:
-            self._turning = True
-            asyncio.get_running_loop().call_later(TICK, self._turn)
+        if self._ticks and self._alarm is None:
+            self._wake(self._now())
 
 
 class LinkError(Exception):
@@ -296,13 +298,71 @@
 
 
 class Ear(asyncio.StreamReader):
-    """Counts what comes in, so that bytes that nobody asked for are noticed."""
+    """Counts what comes in, so that bytes that nobody asked for are noticed, and bounds the waits for it by
+    one alarm: that is put off, not set anew, by each piece that comes. A stream of many pieces would else
+    spend more on the loop's timers than on passing its pieces on."""
 
     heard = 0
+    _bell: asyncio.Future[None] | None = None  # rings as something comes, ends or is late
+    _alarm: asyncio.TimerHandle | None = None
+    _by = 0.0
 
     def feed_data(self, data: Any) -> None:
         self.heard += len(data)
         super().feed_data(data)
+        self._ring()
+
+    def feed_eof(self) -> None:
+        super().feed_eof()
+        self._ring()
+
+    def set_exception(self, exc: Exception) -> None:
+        super().set_exception(exc)
+        self._ring()
+
+    def _ring(self) -> None:
+        if self._bell is not None and not self._bell.done():
+            self._bell.set_result(None)
+
+    def _late(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._alarm = None
+        if self._bell is None or self._bell.done():
+            return
+        if loop.time() < self._by:
+            self._alarm = loop.call_at(self._by, self._late, loop)
+        else:
+            self._ring()
+
+    async def piece(self, taken: int, patience: float | None) -> bytes:
+        """What comes next, within so many seconds; `taken` bytes have been read before. Raises TimeoutError,
+        or as the connection broke; nothing at its end."""
+        if self._nothing(taken):
+            loop = asyncio.get_running_loop()
+            bell = self._bell = loop.create_future()
+            if patience is not None:
+                self._by = loop.time() + patience
+                if self._alarm is not None and self._alarm.when() > self._by:
+                    self.rest()
+                if self._alarm is None:
+                    self._alarm = loop.call_at(self._by, self._late, loop)
+            else:
+                self.rest()
+            try:
+                await bell
+            finally:
+                self._bell = None
+            if self._nothing(taken):
+                raise TimeoutError
+        return await self.read(READ_SIZE)
+
+    def _nothing(self, taken: int) -> bool:
+        return self.heard == taken and not self.at_eof() and self.exception() is None
+
+    def rest(self) -> None:
+        """Nothing is waited for: no alarm stays behind."""
+        if self._alarm is not None:
+            self._alarm.cancel()
+            self._alarm = None
 
 
 async def connect(**where: Any) -> tuple[Ear, asyncio.StreamWriter]:
@@ -422,8 +482,8 @@
             self._part_waited = 0.0
         began = time.monotonic()
         try:
-            async with asyncio.timeout(PART_PATIENCE - self._part_waited if part else silence):
-                data = await self._reader.read(READ_SIZE)
+            patience = PART_PATIENCE - self._part_waited if part else silence
+            data = await self._reader.piece(self._taken, patience)
         except TimeoutError as error:
             raise LinkError(Ending.MALFORMED if part else Ending.STALLED) from error
         except OSError as error:
@@ -498,6 +558,7 @@
             with contextlib.suppress(OSError):
                 self._writer.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
             self._writer.transport.abort()
+            self._reader.rest()
             self._free()
 
 
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -6,8 +6,8 @@
 engine, less the tool server's own time. `--package DIR` measures an earlier checkout beside this one.
 
 Parts: `added` (latency and CPU per call), `memory` (per open call), `stop` (tool servers reset all calls, or
-four in ten, for 2 s: sends over first tries, with and without the adaptive limit and the budget). All are
-bounded in count and time.
+four in ten, for 2 s: sends over first tries, with and without the adaptive limit and the budget), `streams`
+(CPU of whole requests without a tool call, a connection each). All are bounded in count and time.
 """
 
 from __future__ import annotations
@@ -34,6 +34,7 @@
 SERVICE = 0.005  # s that a tool server takes
 STREAMS = 40
 SEED = 11
+PIECES, PIECE_STEP = 12, 0.06  # of a plain stream, and s between two
 
 
 def config(registry: str, tools: str, limits: str = "", servers: int = 1, classes: str = "") -> str:
@@ -139,6 +140,36 @@
             while f"q{i}" not in self.streams:
                 await asyncio.sleep(0.001)
 
+    async def _plain(self, asked: Asked) -> None:
+        asked.begin()
+        for i in range(PIECES):
+            asked.chunk(b'data: {"choices":[{"index":0,"delta":{"content":"word %d "}}]}\n\n' % i)
+            await asyncio.sleep(PIECE_STEP)
+        asked.end()
+
+    async def plain(self, rate: float, seconds: float) -> tuple[int, list[float]]:
+        """Whole requests at this rate, whatever becomes of them: how many, and what the served ones took."""
+        self.engines.handlers["/v1/chat/completions"] = self._plain
+        rng, took = random.Random(SEED), list[float]()
+
+        async def one(number: int, due: float) -> None:
+            client = await Client(self.gateway.address).open(f"p{number}", "ask", X_Time_Left_Ms="12000")
+            status, whole = await client.rest()
+            client.close()
+            if (status, whole) == (200, True):
+                took.append(time.perf_counter() - due)
+
+        tasks = []
+        due = time.perf_counter()
+        end = due + seconds
+        while due < end:
+            due += rng.expovariate(rate)
+            await asyncio.sleep(due - time.perf_counter())
+            self._numbers += 1
+            tasks.append(asyncio.create_task(one(self._numbers, due)))
+        await asyncio.gather(*tasks)
+        return len(tasks), took
+
     def call(self, stream: str, ident: int, due: float) -> None:
         params = {"name": "look", "arguments": {"sku": "4711"}}
         message = {"jsonrpc": "2.0", "id": ident, "method": "tools/call", "params": params}
@@ -210,6 +241,21 @@
         await bench.stop()
 
 
+async def streams(package: Path, rate: float, seconds: float) -> dict[str, Any]:
+    bench = await Bench(package, lambda registry, tools: config(registry, tools)).start()
+    try:
+        await bench.plain(rate, 2.0)
+        before = bench.cpu()
+        count, took = await bench.plain(rate, seconds)
+        spent = bench.cpu() - before
+        return {
+            "requests": count, "served": len(took), **_percentiles(took, PIECES * PIECE_STEP),
+            "CPU us a request": spent / count * 1e6, "MB": bench.memory(),
+        }  # fmt: skip
+    finally:
+        await bench.stop()
+
+
 async def memory(package: Path, calls: int) -> dict[str, Any]:
     """Calls that wait or are out while the tool server says nothing; 16 a stream."""
     streams = -(-calls // 16)
@@ -290,6 +336,13 @@
                 row = await added(package, options.rate, options.seconds)
                 found["added"].append({"build": name, "round": round_ + 1, **row})
         show(f"latency added by the relay at {options.rate:g} calls a second, open loop", found["added"])
+    if "streams" in options.parts:
+        found["streams"] = [
+            {"build": name, "round": i + 1, **await streams(package, options.stream_rate, options.seconds)}
+            for i in range(options.rounds)
+            for name, package in packages.items()
+        ]
+        show(f"plain streams at {options.stream_rate:g} requests a second, open loop", found["streams"])
     if "memory" in options.parts:
         found["memory"] = [await memory(ROOT, count) for count in (500, 2_000, 5_000)]
         show("memory of open calls (192 MB and 1,024 descriptors configured)", found["memory"])
@@ -305,8 +358,9 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(prog="python -m benchmarks.relay", description=__doc__)
-    parser.add_argument("parts", nargs="*", default=["added", "memory", "stop"])
+    parser.add_argument("parts", nargs="*", default=["added", "memory", "stop", "streams"])
     parser.add_argument("--rate", type=float, default=120.0, help="calls a second")
+    parser.add_argument("--stream-rate", type=float, default=30.0, help="plain requests a second")
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--rounds", type=int, default=1)
     parser.add_argument("--package", help="the folder of an earlier checkout, measured in turn")
