Find the idle client that makes room in constant time

Change: open, silent and resting connections are kept in the order in which they go; the rule is the one before. Measured: the walk is gone; the order is a table in the tests. Tests also hold the wheel to one timer for what is due and a stream of 100 pieces to one alarm.

--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -212,10 +212,41 @@
     return core.ListTold(kind, version, tuple(entries))
 
 
-def room_rank(spoke: bool, since: float, now: float) -> tuple[bool, bool, float]:
-    """Which idle connection makes room first: one that was opened and said nothing, then the one that rests
-    longest; one just opened only after these, as its first bytes may be under way."""
-    return (not spoke and now - since < FIRST_BYTES_UNDER_WAY, spoke, since)
+class Seats:
+    """The clients' connections that are open, and which idle one makes room first: one that was opened and
+    said nothing, then the one that rests longest; one just opened only after these, as its first bytes may be
+    under way. Every step costs the same however many there are."""
+
+    def __init__(self) -> None:
+        self._open: dict[Client, None] = {}
+        self._silent: dict[Client, float] = {}  # since when; the longest first, as in the next
+        self._resting: dict[Client, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def opened(self, client: Client, now: float) -> None:
+        self._open[client] = None
+        self._silent[client] = now
+
+    def rests(self, client: Client, now: float) -> None:
+        self.busy(client)
+        if client in self._open:
+            self._resting[client] = now
+
+    def busy(self, client: Client) -> None:
+        self._silent.pop(client, None)
+        self._resting.pop(client, None)
+
+    def left(self, client: Client) -> None:
+        self.busy(client)
+        self._open.pop(client, None)
+
+    def idlest(self, now: float) -> Client | None:
+        """The one to make room, if one is idle."""
+        opened = next(iter(self._silent.values()), now)
+        silent, resting = next(iter(self._silent), None), next(iter(self._resting), None)
+        return silent if now - opened >= FIRST_BYTES_UNDER_WAY or resting is None else resting
 
 
 # --- clients --------------------------------------------------------------------------------------------
@@ -255,6 +286,7 @@
         try:
             while await self._one():
                 self.idle, self.rests_since = True, time.monotonic()
+                self._front.seats.rests(self, self.rests_since)
                 if core.leaving(self._front.runtime.state):
                     break  # a head that went out before could not say so
         except (OSError, LinkError):
@@ -264,6 +296,7 @@
 
     def close(self) -> None:
         """What was written still goes out; a stream not ended stays without its last chunk."""
+        self._front.seats.left(self)
         if not self._writer.transport.is_closing():
             self._writer.close()
 
@@ -297,6 +330,7 @@
 
     def abort(self) -> None:
         """Closes without waiting for what was written to go out."""
+        self._front.seats.left(self)
         self._writer.transport.abort()
 
     async def _one(self) -> bool:
@@ -344,10 +378,13 @@
                         return None
                 if self.idle:
                     by = (time.monotonic() if self.spoke else self._opened) + REQUEST_PATIENCE
+                if self.idle:
+                    self._front.seats.busy(self)
                 self.idle, self.spoke = False, True
                 self._http.receive_data(data)
             elif isinstance(event, h11.Request):
                 request, self.idle, self.spoke = event, False, True
+                self._front.seats.busy(self)
                 check_head(list(request.headers))
             elif isinstance(event, h11.Data):
                 body += event.data
@@ -456,6 +493,7 @@
         self._splitters: dict[tuple[str, int], Splitter] = {}  # of their streams, where tools may be called
         self._places: dict[tuple[str, str], tuple[asyncio.Task[None], list[bool]]] = {}
         self._clients: dict[Client, asyncio.Task[None]] = {}
+        self.seats = Seats()
         self._bodies = 0
         self._bad_second = self._bad_lines = self._odd_report_second = 0
         self._server: asyncio.Server | None = None
@@ -528,21 +566,14 @@
         # Engines need descriptors too, or each request taken would fail: an idle client goes, else this
         # one is refused in words, as an accepted connection may carry a request already.
         most = self.runtime.descriptors.limit * CLIENT_SHARE
-        held = list[Client]()
-        if len(self._clients) >= most:
-            held = [c for c in self._clients if not c.leaving()]
-        if len(held) >= most:
-            now = time.monotonic()
-            idle = min(
-                (c for c in held if c.idle), key=lambda c: room_rank(c.spoke, c.rests_since, now),
-                default=None,
-            )  # fmt: skip
+        if len(self.seats) >= most:
+            idle = self.seats.idlest(time.monotonic())
             if idle is not None:
                 idle.abort()
             else:
                 self.runtime.count("clients_over_budget")
                 client.refused = True
-                if len(held) >= most + MOST_REFUSED:
+                if len(self.seats) >= most + MOST_REFUSED:
                     client.abort()
         self.runtime.count("clients_accepted")
         await self._keep(client, writer, client.serve())
@@ -555,6 +586,10 @@
         task = asyncio.current_task()
         assert task is not None
         self._clients[client] = task
+        if not client.leaving():
+            self.seats.opened(client, client.rests_since)
+            if not client.idle:  # taken over in the middle of an answer
+                self.seats.busy(client)
         try:
             await work
             async with asyncio.timeout(CLIENT_PATIENCE):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,7 +10,7 @@
 import unittest
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 from unittest import mock
 
 import h11
@@ -21,12 +21,13 @@
 from basaltspread.core import Ending
 from basaltspread.net.platform import (
     BadRequest,
+    Client,
     Front,
+    Seats,
     arrival_from,
     parse_facts,
     parse_list,
     parse_report,
-    room_rank,
 )
 from basaltspread.net.runtime import LinkError
 from tests.standins import (
@@ -97,10 +98,21 @@
             self.assertEqual(found, (least, most), failures)
 
     def test_which_idle_connection_makes_room(self) -> None:
-        now, silent, resting = 100.0, (False, 99.0), (True, 50.0)
-        rested_less, fresh, fresher = (True, 60.0), (False, 99.9), (False, 99.95)
-        order = [silent, resting, rested_less, fresh, fresher]
-        self.assertEqual(sorted(reversed(order), key=lambda c: room_rank(c[0], c[1], now)), order)
+        seats, now = Seats(), 100.0
+        silent, early, late, busy, fresh = (cast(Client, name) for name in ("s", "e", "l", "b", "f"))
+        for client, opened in ((early, 10.0), (late, 20.0), (busy, 30.0), (silent, 99.0), (fresh, 99.9)):
+            seats.opened(client, opened)
+        seats.rests(early, 50.0)
+        seats.rests(late, 60.0)
+        seats.busy(busy)
+        order = []
+        while (first := seats.idlest(now)) is not None:
+            order.append(first)
+            seats.left(first)
+        self.assertEqual((order, len(seats)), ([silent, early, late, fresh], 1))
+        seats.left(busy)
+        seats.rests(busy, now)  # its answer ended as it was closed
+        self.assertIsNone(seats.idlest(now))
 
     def test_lists(self) -> None:
         told = parse_list({"generation": 4, "reset": True, "instances": [INSTANCE]}, PARSED)
--- /dev/null
+++ b/tests/test_runtime.py
@@ -0,0 +1,104 @@
+"""The runtime's own clockwork: how often it troubles the loop, and what ends a wait."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from unittest import mock
+
+import pytest
+
+from basaltspread.net.runtime import Ear, Wheel
+
+
+class Loop:
+    """Stands for the event loop: a time that is set by hand, and the timers that were asked for."""
+
+    def __init__(self) -> None:
+        self.now = 1_000_000  # us
+        self.timers: list[tuple[float, Any]] = []
+
+    def call_later(self, pause: float, call: Any) -> mock.Mock:
+        self.timers.append((self.now + pause * 1_000_000, call))
+        return mock.Mock()
+
+    def wake(self) -> None:
+        """At the last timer that was asked for, as earlier ones have been called off."""
+        at, call = self.timers[-1]
+        self.now = max(self.now, round(at))
+        call()
+
+
+def test_the_wheel_wakes_only_for_what_is_due() -> None:
+    loop, fired = Loop(), list[tuple[Any, ...]]()
+    wheel = Wheel(lambda token: fired.append((loop.now, *token)), lambda: loop.now)
+    with mock.patch("asyncio.get_running_loop", return_value=loop):
+        wheel.set(loop.now + 60_000_000, ("far",))
+        wheel.set(loop.now + 1_000, ("near",))
+        wheel.set(loop.now + 3_000, ("of the same tick",))
+        wheel.set(loop.now - 5_000, ("past",))
+        assert len(loop.timers) == 2  # the far one, then the near one; the others are in its tick
+        loop.wake()
+        assert fired == [(1_005_000, "near"), (1_005_000, "of the same tick"), (1_005_000, "past")]
+        loop.wake()
+        assert fired[3:] == [(61_000_000, "far")]
+        assert len(loop.timers) == 3  # 60 s have passed, and a ring of ticks would have turned 12,000 times
+
+
+def test_a_timer_set_by_one_that_fires_is_kept() -> None:
+    loop, fired = Loop(), list[str]()
+    wheel = Wheel(lambda token: again(*token), lambda: loop.now)
+
+    def again(left: int) -> None:
+        fired.append(f"{loop.now // 1000}")
+        if left:
+            wheel.set(loop.now + 20_000, (left - 1,))
+
+    with mock.patch("asyncio.get_running_loop", return_value=loop):
+        wheel.set(loop.now + 20_000, (2,))
+        for _ in range(3):
+            loop.wake()
+    assert fired == ["1020", "1040", "1060"]
+
+
+def test_a_stream_of_many_pieces_sets_one_alarm() -> None:
+    async def run() -> int:
+        loop, ear, taken = asyncio.get_running_loop(), Ear(), 0
+        with mock.patch.object(loop, "call_at", wraps=loop.call_at) as alarms:
+            for _ in range(100):
+                loop.call_soon(ear.feed_data, b"piece")
+                taken += len(await ear.piece(taken, 5.0))
+            ear.rest()
+            return taken if alarms.call_count == 1 else -alarms.call_count
+
+    assert asyncio.run(run()) == 500
+
+
+def test_a_silence_ends_a_wait_and_what_is_there_does_not_wait() -> None:
+    async def run() -> None:
+        ear = Ear()
+        with pytest.raises(TimeoutError):
+            await ear.piece(0, 0.0)
+        ear.feed_data(b"late")
+        assert await ear.piece(0, 0.0) == b"late"
+        with pytest.raises(TimeoutError):  # a later alarm that is set already doesn't put an earlier end off
+            waiting = asyncio.ensure_future(ear.piece(4, 600.0))
+            await asyncio.sleep(0)
+            waiting.cancel()
+            await asyncio.wait({waiting})
+            await ear.piece(4, 0.0)
+        asyncio.get_running_loop().call_soon(ear.feed_eof)
+        assert await ear.piece(4, None) == b""
+
+    asyncio.run(run())
+
+
+def test_a_break_ends_a_wait() -> None:
+    async def run() -> None:
+        ear = Ear()
+        asyncio.get_running_loop().call_soon(ear.set_exception, ConnectionResetError())
+        with pytest.raises(ConnectionResetError):
+            await ear.piece(0, 600.0)
+        ear.rest()
+
+    asyncio.run(run())
