--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -155,4 +155,7 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    status = main()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(status)  # all is told and closed: taking the heap apart would take time from a successor
--- a/basaltspread/config.py
+++ b/basaltspread/config.py
@@ -14,15 +14,15 @@
 import os
 import re
 import sys
-import tomllib
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import field
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from basaltspread import interface as api
 from basaltspread.adapter import settings_from
 from basaltspread.control.routes import MCP, PLAIN, Policy, RouteTable, Server, single
+from basaltspread.records import record
 
 if TYPE_CHECKING:
     from basaltspread.client import core as client
@@ -41,13 +41,13 @@
         self.key, self.fault, self.remedy = key, fault, remedy
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Tool:
     effect: api.Effect = api.Effect.UNSAFE
     deadline_ms: int = DEFAULT_DEADLINE_MS
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Tools:
     """The application's tool servers with the routes to them, and what its tools do."""
 
@@ -60,7 +60,7 @@
         return self.listed.get(name, self.default)
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Registry:
     """Eureka, and the application there whose instances are the engines."""
 
@@ -71,7 +71,7 @@
     renew_s: float
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Gateway:
     """What one gateway is told: by the platform, or in an operator's file."""
 
@@ -388,12 +388,19 @@
     return gateway, []
 
 
+def _toml(text: str) -> dict[str, Any]:
+    """Raises ValueError. Imported where it is used: the platform's file is JSON."""
+    import tomllib
+
+    return tomllib.loads(text)
+
+
 def _load(path: str) -> tuple[dict[str, Any], list[ConfigError]]:
     try:
-        return tomllib.loads(Path(path).read_text("utf-8")), []
+        return _toml(Path(path).read_text("utf-8")), []
     except OSError as error:
         return {}, [ConfigError(path, f"can't be read: {error.strerror}", "name a readable file")]
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except ValueError as error:  # no TOML, or no text
         return {}, [ConfigError(path, f"is not TOML: {error}", "correct it there")]
 
 
@@ -405,7 +412,7 @@
 # --- a partner's file -----------------------------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ClientSettings:
     """What a partner's file says of its client."""
 
@@ -574,7 +581,7 @@
         per_1000=[40000.0] * len(classes), token_aim=[60000.0] * len(classes),
         classes="".join(CLASS_TEMPLATE.format(name=json.dumps(n), effect=e) for n, e in classes),
     )  # fmt: skip
-    _, faults = read_sidecar(tomllib.loads(text))
+    _, faults = read_sidecar(_toml(text))
     if faults:
         raise faults[0]
     return text
--- a/basaltspread/control/decisions.py
+++ b/basaltspread/control/decisions.py
@@ -5,16 +5,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Any
 
 from basaltspread.control.routes import Server
 from basaltspread.endings import ToolFault
+from basaltspread.records import record
 
 Key = tuple[str, str]  # request, call
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Start:
     """Write this call to this server now; on a connection of its own if it may be written but once."""
 
@@ -25,7 +25,7 @@
     time_left: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Stop:
     """Give this try up; with `tell`, its server is told that nobody waits for it any more."""
 
@@ -35,7 +35,7 @@
     tell: bool
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Settle:
     """The job is over: its reply is there, or this fault takes its place."""
 
@@ -43,25 +43,25 @@
     fault: ToolFault | None
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class WakeAt:
     at: int
     token: tuple[Any, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Trial:
     """Ask this server whether it answers."""
 
     server: Server
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Note:
     counter: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Tell:
     text: str
 
--- a/basaltspread/control/picture.py
+++ b/basaltspread/control/picture.py
@@ -13,13 +13,13 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass
 from enum import IntEnum
 from hashlib import blake2b
 from math import exp2, log2
 
 from basaltspread import interface as api
 from basaltspread.interface import Outcome, WorkerState
+from basaltspread.records import record
 from basaltspread.structures.hashing import hashed, rank
 
 ASKERS = 8  # gateways that ask one engine: some are left if most die, and an engine holds few connections
@@ -46,7 +46,7 @@
     """A message that is none, or of another form."""
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Told:
     """What a peer says of one engine, by the short name."""
 
--- a/basaltspread/control/routes.py
+++ b/basaltspread/control/routes.py
@@ -11,12 +11,14 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import field
+
+from basaltspread.records import record
 
 PLAIN, MCP = "plain", "mcp"
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Server:
     """One tool server, as configured."""
 
@@ -30,7 +32,7 @@
     silence: int = 0  # us without a byte of the reply, after which a try is given up; 0: only the deadline
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Policy:
     """What holds for all servers of a gateway together."""
 
@@ -43,7 +45,7 @@
     list_ttl: float = 30.0  # s for which the merged list of tools is kept
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class RouteTable:
     """Servers by name, and for each route the servers that take its calls. A look-up costs one dictionary
     access for the whole name and one for each different length of beginnings."""
@@ -77,7 +79,7 @@
     return RouteTable({server.name: server}, {"*": (server.name,)}, policy=policy or Policy())
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Candidate:
     """A server with room, as the choice sees it."""
 
--- a/basaltspread/core/messages.py
+++ b/basaltspread/core/messages.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import field
 from enum import Enum
 from typing import Any
 
 from basaltspread import interface as api
 from basaltspread.control.routes import RouteTable, Server
 from basaltspread.endings import Ending, ToolFault
+from basaltspread.records import record
 
 
 class Place(Enum):
@@ -46,27 +47,27 @@
 # --- inputs -------------------------------------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Taken:
     """A whole request has come in; `arrival.time_left` is what is left of the client's wait."""
 
     arrival: api.Arrival
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class TurnedAway:
     """A request that the front had no room to take: it was refused there and then."""
 
     request_class: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ClientLeft:
     request: str
     ending: Ending = Ending.CLIENT_LEFT
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Begun:
     """The first byte of an attempt is about to be written."""
 
@@ -74,7 +75,7 @@
     number: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Written:
     """The last byte of an attempt has been written."""
 
@@ -82,13 +83,13 @@
     number: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class FirstEvent:
     request: str
     number: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Ended:
     request: str
     number: int
@@ -97,7 +98,7 @@
     report: dict[str, float] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class PlaceEnded:
     request: str
     number: int  # the reading attempt that it belongs to
@@ -105,14 +106,14 @@
     place: Place
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ReleaseEnded:
     request: str
     worker: str
     done: bool
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Probed:
     worker: str
     ending: Ending
@@ -120,14 +121,14 @@
     report: dict[str, float] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class PeerTold:
     """A datagram of another gateway, of whatever form."""
 
     payload: bytes
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Listed:
     """One engine of the list, and where it is reached."""
 
@@ -135,14 +136,14 @@
     address: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ListTold:
     kind: api.ListKind
     version: int
     entries: tuple[Listed, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Wanted:
     """One request in an engine's stream; `fault` says what the front already found wrong with it."""
 
@@ -155,7 +156,7 @@
     answered: bool = False  # and has its answer at hand
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ToolCalled:
     """A request's engine stream carries calls, in one event. They get one message in return, once each has
     its reply: a batch is answered as a batch. `errors` counts what of it is answered without an id."""
@@ -167,7 +168,7 @@
     errors: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ToolCancelled:
     """The engine does not want this call's reply any more."""
 
@@ -176,7 +177,7 @@
     call: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ToolBegun:
     """The first byte of a try is about to be written."""
 
@@ -185,7 +186,7 @@
     number: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ToolProgressed:
     """A tool server told of progress; with `shown`, in words that the engine asked for."""
 
@@ -195,7 +196,7 @@
     shown: bool
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ToolEnded:
     """One try of a call has ended; SERVED means that its reply is there. Number 0 is the gateway's own
     answer."""
@@ -206,7 +207,7 @@
     ending: Ending
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ProgressEnded:
     """The engine has been told of progress, or could not be."""
 
@@ -214,7 +215,7 @@
     call: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ReplyEnded:
     """The message that answers an event has been written to the engine (SERVED), or not."""
 
@@ -223,7 +224,7 @@
     ending: Ending
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ServerTried:
     """A tool server was asked whether it answers."""
 
@@ -231,7 +232,7 @@
     ok: bool
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ServerDrains:
     """A tool server says so itself, or (`on` false) is used again."""
 
@@ -239,24 +240,24 @@
     on: bool
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class RoutesTold:
     """The tool servers and the routes to them, from now on."""
 
     table: RouteTable
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Woken:
     token: tuple[Any, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Serving:
     """Clients can come: the front has opened its door."""
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Operate:
     """An operator's call; each gets one OperatorAnswer."""
 
@@ -265,7 +266,7 @@
     engine: str = ""
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class BansTold:
     """What a file shared with this gateway's other process says: engines left out, and when others of them
     came back."""
@@ -274,21 +275,21 @@
     returned: Mapping[str, int]
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Recalled:
     """What the module of the process that this one takes over from has learnt."""
 
     knowledge: Any
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Sharing:
     """So many processes of this gateway run now, and keep its limits together."""
 
     processes: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class HandedOn:
     """The process that follows has this stream, and its client, from here on."""
 
@@ -296,7 +297,7 @@
     number: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Adopted:
     """A stream that the process before had begun to pass on; it is attempt 0 here."""
 
@@ -308,7 +309,7 @@
     calls: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Terminate:
     pass
 
@@ -324,7 +325,7 @@
 # --- effects ------------------------------------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class StartAttempt:
     request: str
     number: int
@@ -334,13 +335,13 @@
     time_left: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class AbandonAttempt:
     request: str
     number: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class PassOn:
     """The client gets this attempt's stream from its first event on."""
 
@@ -348,7 +349,7 @@
     number: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class HandOn:
     """Hand the connections of this stream to the process that follows, if there is one and they can be
     handed on at this moment; HandedOn says that it was done."""
@@ -363,26 +364,26 @@
     calls: tuple[str, ...] = ()  # ids of the tool calls that it has carried
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class EndStream:
     request: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class BreakClient:
     """End the client's connection without the last chunk."""
 
     request: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Answer:
     request: str
     verdict: Verdict
     retry_after: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class AskPlace:
     request: str
     number: int
@@ -390,7 +391,7 @@
     address: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class DropPlace:
     """Do not ask for this place any more if not a byte of the question has gone out."""
 
@@ -398,32 +399,32 @@
     worker: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class SendRelease:
     request: str
     worker: str
     address: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class StartProbe:
     worker: str
     address: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class TellPeers:
     """One datagram to every other gateway; it may be lost."""
 
     payload: bytes
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class FetchWholeList:
     pass
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class CallTool:
     """Write the call to this tool server, on a new connection if it may be written but once."""
 
@@ -435,7 +436,7 @@
     time_left: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class AbandonTool:
     """Give a try up. With `tell`, its server is told that nobody waits for it any more."""
 
@@ -446,7 +447,7 @@
     tell: bool
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class TellCancelled:
     """Tell a tool server that a call, which is heard out all the same, is not wanted any more."""
 
@@ -455,7 +456,7 @@
     server: Server
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class AnswerLocally:
     """Make the gateway's own reply to this call; ToolEnded with number 0 says how that ended."""
 
@@ -464,7 +465,7 @@
     time_left: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ReturnReply:
     """Write the replies of one event, or the faults in their place, to the engine that holds the stream."""
 
@@ -475,7 +476,7 @@
     replies: tuple[tuple[str, ToolFault | None], ...]
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ReturnProgress:
     """Tell the engine what was last heard of this call's progress."""
 
@@ -485,7 +486,7 @@
     address: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ForgetCall:
     """Nothing more will be asked about this call."""
 
@@ -493,36 +494,36 @@
     call: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ForgetBundle:
     request: str
     bundle: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class TryServer:
     """Ask this tool server whether it answers."""
 
     server: Server
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Wake:
     at: int
     token: tuple[Any, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Count:
     name: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Say:
     text: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class OperatorAnswer:
     call: int
     done: bool
@@ -530,7 +531,7 @@
     unknown: bool = False  # the engine that it names
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class KeepBans:
     """Keep what is known of bans, of which this engine's has just changed."""
 
@@ -539,22 +540,22 @@
     returned: Mapping[str, int]
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class CloseIdle:
     """End the client connections on which nothing is under way."""
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class StopListening:
     """Accept no more connections; the address itself may be served by another process."""
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class StopAccepting:
     """The same, and end the connections on which nothing is under way."""
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Exit:
     pass
 
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -13,6 +13,7 @@
 from basaltspread import interface as api
 from basaltspread.core.messages import Listed, Verdict
 from basaltspread.endings import ToolFault
+from basaltspread.records import record
 
 if TYPE_CHECKING:
     from basaltspread.control.dispatch import Dispatcher
@@ -31,7 +32,7 @@
     def recall(self, now: int, told: dict[str, Any]) -> None: ...
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class Attempt:
     number: int
     worker: str
@@ -43,7 +44,7 @@
     over: bool = False
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class Request:
     id: str
     request_class: int
@@ -69,7 +70,7 @@
         return [a for a in self.attempts if not a.over]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class Release:
     tried: list[str] = field(default_factory=list)  # engines, since all were tried last
     open: set[str] = field(default_factory=set)
@@ -77,7 +78,7 @@
     until: int = 0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class ToolCall:
     """A call, from its event to the last that is heard of it."""
 
@@ -93,7 +94,7 @@
     telling: bool = False
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class Bundle:
     """The calls of one event, which get one message in return."""
 
@@ -105,7 +106,7 @@
     returns: int = 0  # times that it was written to the engine
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class State:
     settings: api.Settings
     module: Module
@@ -135,7 +136,7 @@
     exited: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Figures:
     """What operators are shown."""
 
--- a/basaltspread/interface.py
+++ b/basaltspread/interface.py
@@ -6,9 +6,11 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import field
 from enum import Enum
 
+from basaltspread.records import record
+
 FEW_ROUTERS = 4  # up to so many, a router's own counts and waits tell more than reports and pools do
 
 
@@ -65,7 +67,7 @@
     NOT_SENT = "not_sent"
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class RequestClass:
     name: str
     effect: Effect
@@ -80,21 +82,21 @@
     streaming: bool
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Tenant:
     name: str
     quota_per_s: float  # requests a second within its share, all routers together; 0: no figure
     share: float
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class WorkerKind:
     name: str
     role: Role
     memory_tokens: int  # 0: not told
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Limits:
     max_attempts: int
     cancel: bool
@@ -106,7 +108,7 @@
     peers: bool = False  # routers may send each other messages
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class RuleFigures:
     answer_slack: int
     drain_grace: int
@@ -118,7 +120,7 @@
     list_age: int  # where the list must be asked for: told-or-not is judged after this
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Settings:
     router: int
     routers: int
@@ -146,7 +148,7 @@
         return self.routers > FEW_ROUTERS
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class WorkerEntry:
     name: str
     state: WorkerState
@@ -157,14 +159,14 @@
     started: int  # clock time of its latest start; 0: long past
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class WorkerList:
     kind: ListKind
     version: int
     entries: tuple[WorkerEntry, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Arrival:
     request: str
     session: str
@@ -180,7 +182,7 @@
     is_resumed: bool
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class FirstToken:
     request: str
     attempt: int
@@ -188,7 +190,7 @@
     elapsed: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class PlaceAnswer:
     request: str
     attempt: int
@@ -196,7 +198,7 @@
     held: bool
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class AttemptEnded:
     request: str
     attempt: int
@@ -210,17 +212,17 @@
     report: Mapping[str, float] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ClientGone:
     request: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class TimerFired:
     timer: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class ProbeEnded:
     """What a call for a worker's health and load told: this router's own, or one that another tells of."""
 
@@ -231,7 +233,7 @@
     detail: int = 0  # could not connect: 1 if the worker itself refused
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class PeerMessage:
     sender: int
     payload: bytes
@@ -243,68 +245,68 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Send:
     request: str
     worker: str
     timeout: int  # 0: until the client gives up
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class HoldPlace:
     request: str
     worker: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Release:
     request: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Cancel:
     request: str
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Refuse:
     request: str
     retry_after: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Fail:
     request: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Move:
     request: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class SetTimer:
     delay: int
     timer: int
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Probe:
     worker: str
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class WatchList:
     on: bool
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class FetchList:
     pass
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Log:
     text: str
 
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -19,11 +19,9 @@
 import signal
 import socket
 import sys
-import tempfile
 import time
 from collections import Counter, deque
 from collections.abc import AsyncIterator, Callable, Coroutine
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -32,6 +30,7 @@
 from basaltspread import core
 from basaltspread.config import split_address
 from basaltspread.core import Ending
+from basaltspread.records import record
 
 log = logging.getLogger("basaltspread")
 TICK = 0.005  # s, of the timer wheel
@@ -149,7 +148,7 @@
         self.used -= 1
 
 
-@dataclass(frozen=True, slots=True)
+@record
 class Reply:
     """A whole small answer."""
 
@@ -287,6 +286,8 @@
 
 def replace_file(path: Path, content: Any) -> None:
     """Written whole, then renamed: a reader finds the old or the new."""
+    import tempfile  # with all that it imports, for the few gateways that write files
+
     with tempfile.NamedTemporaryFile("w", dir=path.parent, delete=False) as file:
         json.dump(content, file)
     os.replace(file.name, path)
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -7,7 +7,8 @@
 
 Parts: `added` (latency and CPU per call), `memory` (per open call), `stop` (tool servers reset all calls, or
 four in ten, for 2 s: sends over first tries, with and without the adaptive limit and the budget), `streams`
-(CPU of whole requests without a tool call, a connection each). All are bounded in count and time.
+(CPU of whole requests without a tool call, a connection each), `process` (CPU of a gateway's start, of its
+order to end, and of the interpreter's end). All are bounded in count and time.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 import os
 import random
 import resource
+import signal
 import tempfile
 import time
 from collections import Counter
@@ -200,6 +202,10 @@
         fields = Path(f"/proc/{self.gateway.process.pid}/stat").read_text().rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / TICKS
 
+    def spent(self) -> float:
+        """The same to the nanosecond, of its one thread."""
+        return int(Path(f"/proc/{self.gateway.process.pid}/schedstat").read_text().split()[0]) / 1e9
+
     def memory(self) -> float:
         """MB that the gateway holds."""
         pages = int(Path(f"/proc/{self.gateway.process.pid}/statm").read_text().split()[1])
@@ -256,6 +262,29 @@
         await bench.stop()
 
 
+async def process(package: Path, requests: int) -> dict[str, Any]:
+    """One gateway's first and last moments, by its own accounts; with so many requests between them."""
+    bench = await Bench(package, lambda registry, tools: config(registry, tools)).start()
+    try:
+        begun = bench.spent()
+        _, took = await bench.plain(requests / 4, 4.0)
+        told = bench.spent()
+        ended = resource.getrusage(resource.RUSAGE_CHILDREN)
+        since = len(bench.gateway.lines)
+        bench.gateway.process.send_signal(signal.SIGTERM)
+        await bench.gateway.until("counters ", since)
+        counted = bench.spent()
+        await bench.gateway.process.wait()
+        after = resource.getrusage(resource.RUSAGE_CHILDREN)
+        whole = after.ru_utime + after.ru_stime - ended.ru_utime - ended.ru_stime
+        return {
+            "served": len(took), "start ms": begun * 1e3, "in order to end ms": (counted - told) * 1e3,
+            "interpreter's end ms": (whole - counted) * 1e3,
+        }  # fmt: skip
+    finally:
+        await bench.stop()
+
+
 async def memory(package: Path, calls: int) -> dict[str, Any]:
     """Calls that wait or are out while the tool server says nothing; 16 a stream."""
     streams = -(-calls // 16)
@@ -343,6 +372,13 @@
             for name, package in packages.items()
         ]
         show(f"plain streams at {options.stream_rate:g} requests a second, open loop", found["streams"])
+    if "process" in options.parts:
+        found["process"] = [
+            {"build": name, "round": i + 1, **await process(package, 200)}
+            for i in range(options.rounds)
+            for name, package in packages.items()
+        ]
+        show("processor time of one gateway's start and end", found["process"])
     if "memory" in options.parts:
         found["memory"] = [await memory(ROOT, count) for count in (500, 2_000, 5_000)]
         show("memory of open calls (192 MB and 1,024 descriptors configured)", found["memory"])
@@ -358,7 +394,7 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(prog="python -m benchmarks.relay", description=__doc__)
-    parser.add_argument("parts", nargs="*", default=["added", "memory", "stop", "streams"])
+    parser.add_argument("parts", nargs="*", default=["added", "memory", "stop", "streams", "process"])
     parser.add_argument("--rate", type=float, default=120.0, help="calls a second")
     parser.add_argument("--stream-rate", type=float, default=30.0, help="plain requests a second")
     parser.add_argument("--seconds", type=float, default=15.0)
