Keep each zone's part of a text's homes in that zone, with many gateways too

Checked: clients reach gateways of their own zone, so a session's next prompt comes back to that zone; in a jam a home is left by its reader's wait, which the picture tells, and not by the zone. Lines at fault: Router._far and _home_readers, which knew zones for four routers at most. Change: with many routers readers of the own zone come first, and a zone keeps its part of the homes (4 among 3 zones: 2 in each, so that a text is read for the first time about as often as before).

--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -244,9 +244,9 @@
                 for worker in self.fleet.values():
                     if worker.name not in named:
                         worker.state = api.WorkerState.REMOVED
-        gone = [w for w in self.fleet.values() if w.state is api.WorkerState.REMOVED]
-        for worker in [w for w in gone if not w.reads and not w.writes]:
-            del self.fleet[worker.name]
+        for w in list(self.fleet.values()):
+            if w.state is api.WorkerState.REMOVED and not w.reads and not w.writes:
+                del self.fleet[w.name]
         up = [w for w in self.fleet.values() if w.state is api.WorkerState.UP]
         self.up = {role: [w for w in up if w.role is role] for role in Role}
         if self.s.list_must_be_asked and event.kind in (api.ListKind.CACHED, api.ListKind.FAILED):
@@ -402,7 +402,7 @@
 
     def _choose_reader(self, q: Request, pool: list[Worker]) -> Worker:
         """The design's order: gap test, then capped match or home, else fewest running."""
-        self.calm = not self.many and self._expected_wait() <= NEAR_CALM * min(c.aim for c in self.s.classes)
+        self.calm = self.many or self._expected_wait() <= NEAR_CALM * min(c.aim for c in self.s.classes)
         counts, wait = self._counts(pool), self._pool_wait(Role.READER)
         waits = {w.name: self._wait_at(w, wait) for w in pool}
         homes = self._home_readers(q.a, pool)
@@ -428,13 +428,14 @@
         return max(self._match("p" + a.prefix, w, shared), self._match("s" + a.session, w, a.prompt_tokens))
 
     def _home_readers(self, a: api.Arrival, pool: list[Worker]) -> list[Worker]:
-        """Readers that all routers agree on for this text, whatever each has seen; few agree zone by zone."""
+        """Readers that all routers of a zone agree on for this text; of many, the zone's part of them."""
         key = hashed(a.prefix or a.session or a.request)
         ranked = sorted(pool, key=lambda w: (self._far(w), -rank(key, w.hash)))
-        return ranked[: self._homes(a.prefix, len(pool))]
+        homes, near = self._homes(a.prefix, len(pool)), [w for w in pool if not self._far(w)]
+        return ranked[: (self.many and -(-homes * len(near) // len(pool))) or homes]
 
     def _far(self, w: Worker) -> bool:
-        return self.calm and w.zone != self.s.zone  # in a jam a zone's own are not enough
+        return self.calm and w.zone != self.s.zone  # of few: in a jam a zone's own are not enough
 
     def _match_or_home(
         self, q: Request, pool: list[Worker], homes: list[Worker], counts: Figures, waits: Figures
@@ -445,7 +446,7 @@
         believed = {w.name: max(self._holds(a, w), shared if w in homes else 0) for w in pool}
         if a.session and self.many:  # its earlier prompts went through routers that chose as this one would
             believed[max(homes, key=lambda w: rank(key, w.hash)).name] = a.prompt_tokens
-        busy = sum(counts.values()) / len(counts) + (NEAR_EQUAL if self.many else 0)
+        busy = sum(counts.values()) / len(counts) + NEAR_EQUAL * self.many
         patient = min(waits.values()) + self._pool_wait(Role.READER)
         matches = [w for w in pool if believed[w.name] or w in homes]
         order = {w.name: (counts[w.name] > busy, w not in homes, -rank(key, w.hash)) for w in matches}
@@ -589,10 +590,9 @@
         barred = q.ran is not None and q.cls.effect is Effect.UNSAFE
         if barred or not self._another_pays(q):
             self._give_up(q)
-            return
-        sent = self._send_write(q, q.reader) if q.reader is not None else self._send_read(q)
-        if not sent and not self._keep_waiting(q):
-            self._give_up(q)
+        elif not (self._send_write(q, q.reader) if q.reader is not None else self._send_read(q)):
+            if not self._keep_waiting(q):
+                self._give_up(q)
 
     def _another_pays(self, q: Request) -> bool:
         """Whether another attempt is allowed and not hopeless; hopeless ones only add work to a jam."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -816,6 +816,7 @@
     return drives
 
 
+ZONED = tuple(entry(f"{role}{i}", kind, i, i % 3) for kind, role in enumerate("rw") for i in range(9))
 WIDE = tuple(entry(f"r{i}", 0, i % 3) for i in range(8)) + tuple(entry(f"w{i}", 1, i % 3) for i in range(8))
 
 
@@ -859,6 +860,32 @@
     assert max(reads.values()) <= 25 and max(places.values()) <= 30
 
 
+def test_a_zones_routers_keep_a_text_at_its_part_of_the_homes_in_that_zone() -> None:
+    homes: dict[int, set[str]] = {0: set(), 1: set(), 2: set()}
+    for number in range(60):
+        d = Drive(settings(routers=60, router=number, zone=number % 3, zones=("a", "b", "c")), fleet=ZONED)
+        for i in range(4):
+            d.arrive(f"q{i}", f"s{number}-{i}", "shared-text", after=SECOND)
+            homes[number % 3].add(d.sent_to(f"q{i}"))
+            d.serve(f"q{i}")
+    near = {z: {e.name for e in ZONED if e.kind == 0 and e.zone == z} for z in homes}
+    assert all(homes[z] <= near[z] for z in homes)  # each crossing is paid for, in the read and in the answer
+    most = -(-rules.LEAST_HOMES // 3)  # all zones together keep as many as without zones
+    assert all(1 <= len(found) <= most for found in homes.values())
+
+
+def test_many_routers_leave_the_zone_where_its_readers_let_wait_longer() -> None:
+    d = Drive(settings(routers=60, router=3, zones=("a", "b", "c")), fleet=ZONED)
+    for i in range(12):  # so that the time to read is known
+        d.arrive(f"q{i}", f"s{i}", f"t{i}", after=SECOND)
+        d.serve(f"q{i}")
+    d.now += SECOND
+    for w in d.router.up[api.Role.READER]:
+        w.lag, w.lag_at = (2.0 * SECOND if w.zone == 0 else 0.0), d.now
+    d.arrive("late", "s", "text")
+    assert d.router.fleet[d.sent_to("late")].zone != 0
+
+
 def test_sessions_that_come_back_through_other_routers_find_their_reader() -> None:
     drives = many_routers(100, WIDE)
     for d in drives[:20]:
