Take waiting tokens for no number of requests before a first read has told their size

Checked and ruled out: the cap and the waits (3 and 18 of 194 choices at 12 to 16 s), discovery, the sessions' homes. Lines at fault: Worker.told divided by max(1, size of a read), which is 0 until this router has read something. Change: tokens count as requests once the size of a read is known.

--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -114,7 +114,7 @@
             self.report = report
             self.sent.clear()
             busy = report.get("queue", 0.0) + FULL_SLOTS * report.get("utilisation", 0.0)
-            waiting = report.get("prompt_k_waiting", 0.0) * 1000 / max(1.0, size)
+            waiting = report.get("prompt_k_waiting", 0.0) * 1000 / size if size else 0.0  # size: of a read
             running = max(report.get("inflight", busy), waiting)
             self.others = max(0.0, running - len(self.reads) - len(self.writes))
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -886,6 +886,19 @@
     assert d.router.fleet[d.sent_to("late")].zone != 0
 
 
+def test_a_router_that_has_read_nothing_yet_takes_waiting_tokens_for_no_number_of_requests() -> None:
+    """Guards against a restart of most routers at once: each took 9,400 waiting tokens for as many requests,
+    and all sent to the one reader with the fewest."""
+    drives, chosen = many_routers(100, WIDE), set()
+    for i, d in enumerate(drives):
+        for k, w in enumerate(d.router.up[api.Role.READER]):
+            told = {"prompt_k_waiting": 0.05 * k if k else 9.4}
+            d.feed(api.ProbeEnded(w.name, api.Outcome.SERVED, 0, told))
+        d.arrive(f"a{i}", f"s{i}", f"text-{i % 20}", after=MS)
+        chosen.add(d.sent_to(f"a{i}"))
+    assert len(chosen) >= 6
+
+
 def test_sessions_that_come_back_through_other_routers_find_their_reader() -> None:
     drives = many_routers(100, WIDE)
     for d in drives[:20]:
