Draw whole requests for cold engines in each window, beside the lot by session

The lot gives a cold engine 0.14 of its part at first and 0.4 before it is warm, where the settings let it have 2.5 times what it can do. Ruled out: credit that grows at each gateway, as few have it: 40 to 200 gateways with a request's credit each can spend it in one second; a larger lot: each cold engine is open to so much of ALL sessions, and in a jam all of them come. Change: in each of the rule's windows a gateway may hold whole requests for a cold engine, drawn so that those of all gateways add up to 0.6 of the budget, by what each sees a warm peer do; windows are staggered over the gateways.

--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -61,6 +61,7 @@
 SEEN_MEMORY = 4 * SECOND  # half-life of that without news: then a request is let through to see
 # Cold workers.
 COLD_SAFETY = 1.2  # share of the rule's budget that all routers together use
+COLD_DRAWN = 0.6  # the same of many, by draws that add up to it on the mean; lots take the rest
 RATE_MEMORIES = (SECOND, 4 * SECOND)  # half-lives of measured rates: quick, and steady
 # Admission.
 ADMIT = 0.8  # expected wait for a first token, over the aim, up to which a request is taken
@@ -256,19 +257,22 @@
         return w.started > 0 and self.now - w.started < self.s.rules.warm_within
 
     def _cold_room(self, q: Request, w: Worker) -> bool:
-        """Cold budget. Many routers: a cold worker is open to a part of all sessions by lot, what it surely
-        can do over the multiple, as shares are uneven; one request's credit at each router would lie idle.
-        Few: this router's part of what a warm peer does, cut to what a cold one can; credit starts at a
-        random part of one, to keep the sum."""
-        rules = self.s.rules
+        """Cold budget: this router's part of it, by what a warm peer does. Few: credit that grows, begun at a
+        random part of one. Many: a part of all sessions by lot, and requests drawn anew in each window."""
+        rules, least = self.s.rules, self.s.rules.cold_start_share
         if not self._is_cold(w):
             return True
+        rate = self.normal[w.role].at(self.now) * (w.weight if self.s.weights_mean_size else 1.0)
+        rate *= rules.cold_multiple * self.part
         if self.many:
-            least, age = rules.cold_start_share, max(0, self.now - w.started) / rules.warm_within
+            turn = (self.now + rules.cold_window * self.s.router // self.s.routers) // rules.cold_window
+            share = least + (1 - least) * max(0, self.now - w.started) / rules.warm_within
+            if w.credit_at != turn:
+                drawn = COLD_DRAWN * rate * share * rules.cold_window
+                w.credit, w.credit_at = float(int(drawn + self.random.random())), turn
             lot = rank(hashed("cold" + (q.a.session or q.id)), w.hash)  # a session stays where it may go
-            return lot < (least + (1 - least) * age) / rules.cold_multiple * self.part * HASH_MASK
-        rate = self.normal[w.role].at(self.now) * (w.weight if self.s.weights_mean_size else 1.0)
-        rate *= COLD_SAFETY * rules.cold_multiple * rules.cold_start_share * self.part
+            return w.credit >= 1 or lot < share / rules.cold_multiple * self.part * HASH_MASK
+        rate *= COLD_SAFETY * least
         w.credit = min(max(1.0, rate * rules.cold_window), w.credit + rate * (self.now - w.credit_at))
         w.credit_at = self.now
         return w.credit >= min(1.0, self._work(q))
@@ -320,10 +324,9 @@
         self._failed(w, event.outcome, event.detail == 1, 1.0)
 
     def _failed(self, w: Worker, outcome: Outcome, refused: bool, weight: float) -> None:
-        """What an error, a break or a refused connection says of the worker. One error is chance to a router
-        that sends there all the time; one of many would meet a sick worker anew each time it comes: its first
-        own error tells, or two of others'. Who refuses connections is gone until the list has a new start of
-        it. Harms where it was chance: one router misses one worker for LONGEST_REST."""
+        """What an error, a break or a refused connection says of the worker. One of many routers would meet a
+        sick one anew each time it comes: its first own error tells, or two of others'. Who refuses is gone
+        until the list has a new start of it. Harms where it was chance: a worker missed for LONGEST_REST."""
         if self.many and outcome is Outcome.CONNECT_FAILED and refused:
             w.gone_until = self.now + LONGEST_REST
         w.faults += weight if outcome is Outcome.ERROR else outcome is Outcome.RESET
@@ -331,7 +334,6 @@
             w.rest_until, w.strikes = max(w.rest_until, self.now + LONGEST_REST), w.strikes + 1
 
     def _seen_wait(self, role: Role, wait: float) -> None:
-        """What one outcome tells of its whole pool: a router sees each worker rarely, the pool often."""
         seen = self.stage_wait[role]
         seen.value, seen.when = seen.at(self.now) * (1 - LEARN_POOL) + LEARN_POOL * wait, self.now
 
@@ -363,9 +365,8 @@
         self.dark.pop(w.zone, None)
 
     def _turned_away(self, w: Worker, q: Request, sent_at: int) -> None:
-        """A full worker is left alone for a moment. One that just took other tenants' requests turns this
-        tenant away, and only this one goes elsewhere, each time for longer. Harms where others just filled a
-        queue: the tenant misses a worker for REST."""
+        """A full worker is left alone for a moment; one that just took other tenants' requests by this tenant
+        alone, each time for longer. Harms where others just filled a queue: it misses a worker for REST."""
         if not any(at > sent_at - SECOND for tenant, at in w.served.items() if tenant != q.a.tenant):
             w.full_until = self.now + FULL_REST
             return
@@ -621,8 +622,7 @@
                 self._check_silence(q, q.out)
 
     def _too_late(self, q: Request) -> bool:
-        """Many routers: not even read when its first token was due, so it is not sent again. A read that is
-        out stays, and is served late: called back it would be read all the same, for nobody."""
+        """Many routers: not even read when its first token was due. A read that is out is served late."""
         return self.many and q.reader is None and self.now - q.arrived > q.aim
 
     def _check_silence(self, q: Request, out: Attempt) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -845,6 +845,33 @@
     assert len(sent) >= 0.25 * budget * 12
 
 
+def test_many_routers_draw_whole_requests_for_a_cold_reader_that_add_up_to_its_budget() -> None:
+    """Guards against cold readers that stand idle beside jammed ones: by lot each gets a tenth of its part."""
+    drives = many_routers(100, WIDE)
+    for second in range(20):
+        for i, d in enumerate(drives):
+            d.arrive(f"q{second}", f"s{i}-{second}", after=SECOND - 60 * MS)
+            d.serve(f"q{second}")
+    for d in drives:
+        d.listed(entry("cold", 0, 1, started=d.now))
+    drawn = []
+    for second in range(4):
+        held = 0.0
+        for i, d in enumerate(drives):
+            d.arrive(f"c{second}", f"t{i}-{second}", after=SECOND)
+            cold, q = d.router.fleet["cold"], d.router.requests[f"c{second}"]
+            d.router._cold_room(q, cold)
+            held += max(0.0, cold.credit)
+            if cold.credit >= 1:
+                d.router._pay(q, cold)
+                assert cold.credit < 1  # used, until the next window
+        drawn.append(held)
+    normal, least = 100 / 8, drives[0].s.rules.cold_start_share
+    surely = 2.5 * least * normal  # in a window, at its start
+    assert all(0 < held <= surely + 3 * surely**0.5 + 3 for held in drawn)
+    assert sum(drawn) / len(drawn) >= least * normal  # as much as it can do, not just a part of that
+
+
 def test_a_hundred_routers_with_the_same_old_reports_do_not_herd() -> None:
     drives = many_routers(100, WIDE)
     reads: dict[str, int] = {}
