Give a text one home in each zone, and more only by its share

Reads found their text kept at 0.96 before the release, 0.26 to 0.28 at 16 to 24 s, 0.54 at the end; what a read had to read grew from 900 tokens to 2,700, three times the work. Lines at fault: LEAST_HOMES, four homes of any text with many routers, made against a hot text that no router knows yet; since then readers' waits are told to all, and what a home can't take spills by them. Change: one home in the zone, more in powers of two by the text's share there, as few routers have it.

--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -29,7 +29,6 @@
 NEAR_EQUAL = GAP / 2  # requests within which old reports tell no reader from another
 HOME_SPREAD = 3.0  # homes of a text for each reader that its requests alone would keep busy
 HOME_PRIOR = 20  # requests before a text's share is believed
-LEAST_HOMES = 4  # homes of any text with many routers: one sees too few requests to tell a busy text
 SPARE = 1.0  # requests that never make a difference between readers: counts are small whole numbers
 FULL_SLOTS = 8.0  # requests that a reader whose slots are all in use is taken to run at once
 EVIDENCE_MEMORY = 2 * SECOND  # half-life of what a report tells; what faded is the pool's average
@@ -429,11 +428,11 @@
         return max(self._match("p" + a.prefix, w, shared), self._match("s" + a.session, w, a.prompt_tokens))
 
     def _home_readers(self, a: api.Arrival, pool: list[Worker]) -> list[Worker]:
-        """Readers that all routers of a zone agree on for this text; of many, the zone's part of them."""
+        """Readers that all routers of a zone agree on for this text, by what it needs of that zone's."""
         key = hashed(a.prefix or a.session or a.request)
         ranked = sorted(pool, key=lambda w: (self._far(w), -rank(key, w.hash)))
-        homes, near = self._homes(a.prefix, len(pool)), [w for w in pool if not self._far(w)]
-        return ranked[: (self.many and -(-homes * len(near) // len(pool))) or homes]
+        near = [w for w in pool if self.many and not self._far(w)] or pool
+        return ranked[: self._homes(a.prefix, len(near))]
 
     def _far(self, w: Worker) -> bool:
         return self.calm and w.zone != self.s.zone  # of few: in a jam a zone's own are not enough
@@ -477,7 +476,7 @@
             self.asked.popitem(last=False)
         one = 0.693 / ENTRY_LIFE
         share = (self.asked[prefix].value - one) / (self.asked_all.value + HOME_PRIOR * one)
-        homes, wanted = LEAST_HOMES if self.many else 1, HOME_SPREAD * share * readers
+        homes, wanted = 1, HOME_SPREAD * share * readers
         while homes < wanted:
             homes *= 2  # in powers, so that routers that count a little differently mostly agree
         return min(homes, readers)
