Log unreadable messages of peers once a second, and count them all

Change: the line comes once a second at most; the counter holds them all. The test fails with a line each.

--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -87,6 +87,7 @@
 MOVE_STEP = 50 * MS
 LAST_ANSWERS = 250 * MS  # past the grace: who has had nothing by then is told to ask elsewhere
 LEFT_KEPT = 60_000 * MS  # for which an older list can't bring back an engine that was told to have left
+ODD_WORDS_STEP = 1000 * MS  # between two log lines about peers' messages that can't be read; all are counted
 MOST_BANS = 1024  # engines left out at once, listed or not
 DRAIN_DOOR = 1000 * MS  # after an operator's drain, idle clients stay so long: a front learns of it by asking
 DRAIN_STEP = 200 * MS  # between two looks for idle clients from then on
@@ -617,7 +618,10 @@
             told = picture.read(event.payload)
         except BadWord as error:
             self.count("peers_unreadable")
-            self.do(Say(f"a peer's message can't be read: {error}"))
+            said = self.state.odd_words_said_at
+            if said is None or self.now >= said + ODD_WORDS_STEP:  # a flood of them is not one of lines
+                self.state.odd_words_said_at = self.now
+                self.do(Say(f"a peer's message can't be read: {error}"))
             return
         heard = picture.take(self.now, told)
         self.count("peers_heard" if heard is not None else "peers_of_no_use")
--- a/tests/test_picture.py
+++ b/tests/test_picture.py
@@ -203,8 +203,14 @@
 
 def test_a_message_that_cannot_be_read_is_counted_and_changes_nothing() -> None:
     fleet = Fleet(5)
-    effects = fleet.feed(0, core.PeerTold(b"\x09nothing"))
-    assert [e.name for e in effects if isinstance(e, core.Count)] == ["peers_unreadable"]
+    counted, lines = list[str](), list[str]()
+    for later in (0, 0, 999 * MS, 1 * MS):  # two thousand may come in a second
+        fleet.now += later
+        for effect in fleet.feed(0, core.PeerTold(b"\x09nothing")):
+            counted += [effect.name] if isinstance(effect, core.Count) else []
+            lines += [effect.text] if isinstance(effect, core.Say) else []
+    assert counted == ["peers_unreadable"] * 4
+    assert [line.split(":")[0] for line in lines] == ["a peer's message can't be read"] * 2
 
 
 def test_unsafe_requests_leave_a_writer_out_that_failed_lately() -> None:
