Tell all gateways of a long prompt at a reader, and stay away while it is read

A reader's report tells of what waits there, not of the prompt that it is at: 30,000 tokens take it three seconds, in which it looks idle to all gateways but one. Change: a gateway tells all of a prompt over four times the usual that it sends to a reader, in 5 bytes; the module adds its reading to what that reader lets wait, whatever reports say meanwhile.

--- a/basaltspread/control/picture.py
+++ b/basaltspread/control/picture.py
@@ -20,6 +20,7 @@
 from basaltspread import interface as api
 from basaltspread.interface import Outcome, WorkerState
 from basaltspread.records import record
+from basaltspread.structures.averages import Usual
 from basaltspread.structures.hashing import hashed, rank
 
 ASKERS = 8  # gateways that ask one engine: some are left if most die, and an engine holds few connections
@@ -28,6 +29,8 @@
 FAULT_AGE = 1_000_000  # us in which the same fault is not told again, whoever told it
 ID_BYTES = 3  # of an engine's name in a message: every byte is paid for once for each gateway
 MOST_BYTES = 256  # of a datagram
+LONG = 4  # times the usual prompt from which one is long
+KNOWN_PROMPTS = 10  # before which none is called long
 SCALE = 16  # steps for each doubling of a figure: about 4%
 
 
@@ -37,6 +40,7 @@
     REPORT = 1
     REFUSES = 2  # it refuses connections: no process is there
     FAILED = 3  # it answered with an error
+    READING = 4  # a long prompt goes there: what waits behind it stands in no report
 
 
 FAULTS = {Word.REFUSES: Outcome.CONNECT_FAILED, Word.FAILED: Outcome.ERROR}
@@ -86,6 +90,7 @@
         self._names: dict[bytes, str] = {}  # short -> name; two engines with one short name have none
         self._known_at: dict[str, int] = {}  # when it was last told of, or is not to be asked before
         self._fault_at: dict[tuple[str, Word], int] = {}
+        self._prompts = Usual()
 
     def listed(self, entries: Iterable[api.WorkerEntry]) -> None:
         """The engines of the list as it is now."""
@@ -124,6 +129,14 @@
         figures = bytes(packed(report.get(field, 0.0)) for field in self._fields)
         return bytes((Word.REPORT,)) + short(name) + figures
 
+    def reading(self, name: str, tokens: int) -> bytes | None:
+        """The message on a prompt that this gateway sends to a reader, if it is long: reports tell of what
+        waits there and not of what is read, so that the reader looks idle for seconds to all others."""
+        usual = self._prompts
+        long = usual.count >= KNOWN_PROMPTS and tokens >= LONG * usual.size
+        usual.add(0.0, tokens)
+        return bytes((Word.READING,)) + short(name) + bytes((packed(tokens / 1000),)) if long else None
+
     def fault(self, now: int, name: str, word: Word) -> bytes | None:
         """The message on a fault that this gateway met; none where all were just told."""
         if not self._fault(now, name, word):
@@ -143,9 +156,10 @@
         if not 1 + ID_BYTES <= len(message) <= MOST_BYTES or message[0] not in set(Word):
             raise BadWord(f"{len(message)} bytes, beginning {message[:1]!r}")
         word, figures = Word(message[0]), message[1 + ID_BYTES :]
-        if len(figures) != (len(self._fields) if word is Word.REPORT else 0):
+        fields = {Word.REPORT: self._fields, Word.READING: (api.READING,)}.get(word, ())
+        if len(figures) != len(fields):
             raise BadWord(f"{len(figures)} figures with {word.name}")
-        report = {field: unpacked(b) for field, b in zip(self._fields, figures, strict=False)}
+        report = {field: unpacked(b) for field, b in zip(fields, figures, strict=True)}
         return Told(word, message[1 : 1 + ID_BYTES], report)
 
     def take(self, now: int, told: Told) -> api.ProbeEnded | None:
@@ -155,6 +169,7 @@
             return None
         if told.word is Word.REPORT:
             self._known_at[name] = max(now, self._known_at.get(name, 0))
+        if told.report:
             return api.ProbeEnded(name, Outcome.SERVED, 0, told.report)
         if not self._fault(now, name, told.word):
             return None
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -193,6 +193,7 @@
         cls = self.state.settings.classes[a.request_class]
         unsafe = cls.effect is api.Effect.UNSAFE
         q = Request(a.request, a.request_class, self.now + left, unsafe, a.is_resumed, tenant=a.tenant)
+        q.prompt = a.prompt_tokens
         self.state.requests[q.id] = q
         self.touched[q.id] = None
         self.count("requests_taken")
@@ -267,6 +268,8 @@
     def _start(self, q: Request, attempt: Attempt, listed: Listed) -> None:
         self.count("sends_read" if attempt.reading else "sends_write")
         left = attempt.until - self.now
+        if attempt.reading and self.state.picture is not None:
+            self._tell(self.state.picture.reading(attempt.worker, q.prompt))
         self.do(StartAttempt(q.id, attempt.number, attempt.worker, listed.address, attempt.reading, left))
 
     def _role(self, listed: Listed | None) -> Role:
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -60,6 +60,7 @@
     may_hold: bool = False  # a state or a place may be held for it at some engine
 
     tenant: int = 0
+    prompt: int = 0  # tokens
     calls: dict[str, None] = field(default_factory=dict)  # ids of all tool calls of its streams
     open: set[str] = field(default_factory=set)  # of them, those whose reply the engine waits for
     bundles: set[int] = field(default_factory=set)  # events that have not been answered
--- a/basaltspread/interface.py
+++ b/basaltspread/interface.py
@@ -11,6 +11,7 @@
 
 from basaltspread.records import record
 
+READING = "prompt_k_reading"  # in a report: thousands of tokens of one long prompt that is being read there
 FEW_ROUTERS = 4  # up to so many, a router's own counts and waits tell more than reports and pools do
 
 
--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -28,6 +28,7 @@
 LOAD_FACTOR = 2.0  # deviations over the mean that a reader with a match may be busy
 NEAR_EQUAL = GAP / 2  # requests within which old reports tell no reader from another
 HOME_SPREAD = 3.0  # homes of a text for each reader that its requests alone would keep busy
+LEAST_HOMES = 4  # of any text with many routers that are not told of waits: none sees its home fill
 HOME_PRIOR = 20  # requests before a text's share is believed
 SPARE = 1.0  # requests that never make a difference between readers: counts are small whole numbers
 FULL_SLOTS = 8.0  # requests that a reader whose slots are all in use is taken to run at once
@@ -101,7 +102,7 @@
         self.others = 0.0  # requests there that are not this router's, as last reported
         self.sent: dict[str, int] = {}  # prompts that the last report can't hold yet: request -> tokens
         self.told_at, self.heard_at, self.rest_until, self.strikes, self.faults = now, now, 0, 0, 0.0
-        self.full_until = self.gone_until = self.newest_answered = 0
+        self.full_until = self.gone_until = self.newest_answered = self.busy_until = 0
         self.served: dict[int, int] = {}  # tenant -> when last one of its requests was taken here
         self.turned: dict[int, tuple[int, int]] = {}  # tenant turned away -> left out until, times so far
         self.lag, self.lag_at = 0.0, now  # what reads here lately waited, beyond the reading itself
@@ -277,8 +278,7 @@
         return w.credit >= min(1.0, self._work(q))
 
     def _pay(self, q: Request, w: Worker | None) -> None:
-        """Take a cold worker's credit, with the place already; what was paid elsewhere goes back. Guards
-        against a read done in vain: its state moves to the place, and nobody else can have it then."""
+        """A cold worker's credit goes with the place already, as the state moves there."""
         if q.paid is not w:
             if q.paid is not None:
                 q.paid.credit += self._work(q)
@@ -296,8 +296,7 @@
             normal.value, normal.when = rate, self.now
 
     def _strike(self, w: Worker, unreached: bool = False) -> None:
-        """Rest a worker that failed or fell silent, whatever the cause; harms where it was chance. Where no
-        connection came up its zone too, until one there answers: else many routers meet a cut at each."""
+        """Rest who failed or fell silent; where no connection came up its zone too, until one answers."""
         if unreached and self.many:
             times = self.dark.get(w.zone, (0, 0))[1]
             self.dark[w.zone] = (self.now + min(LONGEST_REST, REST << min(times, 8)), times + 1)
@@ -311,6 +310,9 @@
         w = self.fleet.get(event.worker)
         if w is None:
             return
+        if (long := event.report.get(api.READING)) is not None:  # another router's long prompt is read there
+            w.busy_until = max(w.busy_until, self.now) + int(long * 1000 * self.token_time)
+            return
         w.report = {} if event.report else w.report  # told anew, even where the figures are as before
         w.told(self.now, dict(event.report), self.read_time.size)
         if "prompt_k_waiting" in event.report:
@@ -402,7 +404,8 @@
 
     def _choose_reader(self, q: Request, pool: list[Worker]) -> Worker:
         """The design's order: gap test, then capped match or home, else fewest running."""
-        self.calm = self.many or self._expected_wait() <= NEAR_CALM * min(c.aim for c in self.s.classes)
+        quiet = self._expected_wait() <= NEAR_CALM * min(c.aim for c in self.s.classes)
+        self.calm = bool(self._lags()) if self.many else quiet  # a full zone shows in its readers' waits
         counts, wait = self._counts(pool), self._pool_wait(Role.READER)
         waits = {w.name: self._wait_at(w, wait) for w in pool}
         homes = self._home_readers(q.a, pool)
@@ -435,7 +438,7 @@
         return ranked[: self._homes(a.prefix, len(near))]
 
     def _far(self, w: Worker) -> bool:
-        return self.calm and w.zone != self.s.zone  # of few: in a jam a zone's own are not enough
+        return self.calm and w.zone != self.s.zone  # in a jam a zone's own are not enough
 
     def _match_or_home(
         self, q: Request, pool: list[Worker], homes: list[Worker], counts: Figures, waits: Figures
@@ -477,22 +480,25 @@
             self.asked.popitem(last=False)
         one = 0.693 / ENTRY_LIFE
         share = (self.asked[prefix].value - one) / (self.asked_all.value + HOME_PRIOR * one)
-        homes, wanted = 1, HOME_SPREAD * share * readers
+        homes, wanted = LEAST_HOMES if self.many and not self.calm else 1, HOME_SPREAD * share * readers
         while homes < wanted:
             homes *= 2  # in powers, so that routers that count a little differently mostly agree
         return min(homes, readers)
 
     def _wait_at(self, w: Worker, pool: float) -> float:
-        """How long a read sent there now would wait: as lately seen, fading to what its pool lets wait (else
-        a jam would look like many idle readers, and texts would leave their homes), or for own reads."""
+        """How long a read sent there now would wait: as lately seen, fading to its pool's, or for own."""
         memory = max(LAG_MEMORY, w.lag) if self.many else LAG_MEMORY  # one rarely heard lasts as it is deep
         lately = pool + (w.lag - pool) * exp2((w.lag_at - self.now) / memory)
-        return max(lately, sum(w.reads.values()) * self.token_time)
+        return max(lately, sum(w.reads.values()) * self.token_time, w.busy_until - self.now)
+
+    def _lags(self) -> list[float]:
+        """Many routers: what readers let wait that were told of lately; none where these are too few."""
+        lags = [w.lag for w in self.up[Role.READER] if self.many and self._lately(w)]
+        return lags if len(lags) > MOST_RESTING * len(self.up[Role.READER]) else []
 
     def _pool_wait(self, role: Role) -> float:
         """What a pool lets wait: the mean of what was told of its readers lately, else as this router saw."""
-        lags = [w.lag for w in self.up[Role.READER] if self._lately(w)] if role is Role.READER else []
-        if self.many and len(lags) > MOST_RESTING * len(self.up[role]):
+        if role is Role.READER and (lags := self._lags()):
             return sum(lags) / len(lags)
         return self.stage_wait[role].at(self.now) if self.many else 0.0
 
@@ -646,8 +652,7 @@
             self._cancel(q)
 
     def _is_stuck(self, w: Worker, out: Attempt) -> bool:
-        """A reader that answers in turn brings one answer after the other: it is stuck if none at all has
-        come for many times what its longest read usually takes, however much waits there."""
+        """Readers answer in turn: stuck is one that brought nothing for many times its longest read."""
         most, quiet = max(w.reads.values(), default=out.need), self.now - max(out.sent_at, w.heard_at)
         slow = self.read_time.of(most) + self.stage_wait[w.role].at(self.now)
         return self.read_time.count >= TAUGHT and quiet >= max(LEAST_PATIENCE, PATIENCE * slow)
@@ -814,8 +819,7 @@
                 self._strike(w, failed and event.elapsed >= self.s.limits.connect_timeout)
 
     def _unread(self, attempt: Attempt, waited: float) -> None:
-        """Many routers: a read called back, timed out or turned away had waited this long at least. Guards
-        against judging a jam by the few reads that survive it. Harms for seconds where a message was lost."""
+        """Many routers: what ended unread had waited this long. A jam is not judged by its survivors."""
         if self.many and attempt.reading:
             w = attempt.worker
             w.lag, w.lag_at = max(w.lag, waited), self.now
@@ -863,8 +867,7 @@
         return not self.quotas[a.tenant].take(self.now)
 
     def _bearable(self, q: Request) -> float:
-        """Expected wait up to which a request is taken. Over-share work and repetitions go first, and the
-        tightest aim counts: a queue as long as patient classes allow would starve the others."""
+        """Expected wait up to which a request is taken, by the tightest aim: longer ones starve others."""
         return min(c.aim for c in self.s.classes) * (ADMIT_LESSER if q.over_share or q.a.is_retry else ADMIT)
 
     def _admit(self, q: Request) -> bool:
@@ -874,9 +877,8 @@
         return self._expected_wait() <= self._bearable(q)
 
     def _promising(self, q: Request, w: Worker) -> bool:
-        """Many routers: whether to send a read there, by what that reader and the writers now let wait. What
-        is over is thinned by a lot that all routers draw alike from the session: some are served turn by turn
-        and find their text kept. Harms long sessions: the same ones wait."""
+        """Many routers: whether to send a read there, by what it and the writers let wait. What is over is
+        thinned by a lot that all draw alike from the session: some find their text kept. Harms the others."""
         if not self.many:
             return True
         wait = self._wait_at(w, self._pool_wait(Role.READER))
