Rest the engines of a zone that starts again until the list names them

The list names most of a zone's new starts at once and the last ones a second later; the first ended the zone's rest for all of it, and the last was taken for a warm and idle one. Lines at fault: Router._listed, where any new start in a dark zone opened all of it. Change: the others there rest for LIST_LATE, in which the list mostly tells, or until they are named.

--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -240,7 +240,9 @@
                 worker.role, worker.memory = role, memory
                 if new:
                     worker.restarted(self.now, self.random.random())
-                    self.dark.pop(worker.zone, None)  # machines there start again
+                    if self.dark.pop(worker.zone, None):  # machines start again there, and some not named yet
+                        for w in [w for w in self.fleet.values() if w.zone == worker.zone]:
+                            w.rest_until = self.now + LIST_LATE if w is not worker else 0
             if event.kind is not api.ListKind.DELTA:
                 for worker in self.fleet.values():
                     if worker.name not in named:
@@ -616,9 +618,7 @@
         return waits
 
     def _timer(self, event: api.TimerFired) -> None:
-        if event.timer != WATCH_TIMER:
-            return
-        self.timer_set = False
+        self.timer_set = False  # there is no other
         for name in list(self.unanswered):
             q = self.requests[name]
             if q.out is None:
