Take out the rest of a zone that starts again: it rested warm engines in a release

One engine that vanishes in a release makes its zone dark, and the next new start there then rested every engine of the zone, and cut longer rests of sick ones short. An engine whose new start is told a second after the others' can be pushed over, as before; what would tell it from the rest is that nobody was told of it for as long as the zone was dark.

--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -240,9 +240,7 @@
                 worker.role, worker.memory = role, memory
                 if new:
                     worker.restarted(self.now, self.random.random())
-                    if self.dark.pop(worker.zone, None):  # machines start again there, and some not named yet
-                        for w in [w for w in self.fleet.values() if w.zone == worker.zone]:
-                            w.rest_until = self.now + LIST_LATE if w is not worker else 0
+                    self.dark.pop(worker.zone, None)  # machines there start again
             if event.kind is not api.ListKind.DELTA:
                 for worker in self.fleet.values():
                     if worker.name not in named:
