Give a text a second home only where its requests alone would keep a reader busy

Ruled out: clients that change zones (none), the cap and the gap test (75 in 100 choices went home). Lines at fault: _homes spread a text three times as wide as its share asks for; a spread that guards against a home that fills unseen, and that chance decides at sixty requests. Change: where readers' waits are told, a second home only for what alone keeps a reader busy; the rest spills by waits.

--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -27,7 +27,7 @@
 GAP = 16  # requests between the busiest and the idlest reader, fleet-wide, that ends prefix matching
 LOAD_FACTOR = 2.0  # deviations over the mean that a reader with a match may be busy
 NEAR_EQUAL = GAP / 2  # requests within which old reports tell no reader from another
-HOME_SPREAD = 3.0  # homes of a text for each reader that its requests alone would keep busy
+HOME_SPREAD = 3.0  # homes of a text for each reader that its requests alone would keep busy; one with words
 LEAST_HOMES = 4  # of any text with many routers that are not told of waits: none sees its home fill
 HOME_PRIOR = 20  # requests before a text's share is believed
 SPARE = 1.0  # requests that never make a difference between readers: counts are small whole numbers
@@ -480,7 +480,8 @@
             self.asked.popitem(last=False)
         one = 0.693 / ENTRY_LIFE
         share = (self.asked[prefix].value - one) / (self.asked_all.value + HOME_PRIOR * one)
-        homes, wanted = LEAST_HOMES if self.many and not self.calm else 1, HOME_SPREAD * share * readers
+        homes, wanted = LEAST_HOMES if self.many and not self.calm else 1, share * readers
+        wanted *= 1 if self.many and self.calm else HOME_SPREAD
         while homes < wanted:
             homes *= 2  # in powers, so that routers that count a little differently mostly agree
         return min(homes, readers)
