Bound what peers' words on long prompts can add to a reader's wait

Need: each word adds its reading to what a reader lets wait; a peer that says it again and again, or of millions of tokens, could keep a reader idle for minutes. Every other word is bounded by the rests. The wait for few gateways is no longer worked out where many decide by what they are told.

--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -311,7 +311,8 @@
         if w is None:
             return
         if (long := event.report.get(api.READING)) is not None:  # another router's long prompt is read there
-            w.busy_until = max(w.busy_until, self.now) + int(long * 1000 * self.token_time)
+            until = max(w.busy_until, self.now) + int(long * 1000 * self.token_time)
+            w.busy_until = min(until, self.now + LONGEST_REST)  # whatever a peer says
             return
         w.report = {} if event.report else w.report  # told anew, even where the figures are as before
         w.told(self.now, dict(event.report), self.read_time.size)
@@ -404,8 +405,8 @@
 
     def _choose_reader(self, q: Request, pool: list[Worker]) -> Worker:
         """The design's order: gap test, then capped match or home, else fewest running."""
-        quiet = self._expected_wait() <= NEAR_CALM * min(c.aim for c in self.s.classes)
-        self.calm = bool(self._lags()) if self.many else quiet  # a full zone shows in its readers' waits
+        tight = NEAR_CALM * min(c.aim for c in self.s.classes)  # of many, a full zone shows in readers' waits
+        self.calm = bool(self._lags()) if self.many else self._expected_wait() <= tight
         counts, wait = self._counts(pool), self._pool_wait(Role.READER)
         waits = {w.name: self._wait_at(w, wait) for w in pool}
         homes = self._home_readers(q.a, pool)
--- a/tests/test_picture.py
+++ b/tests/test_picture.py
@@ -224,6 +224,9 @@
     assert wait() == pytest.approx(30_000 * 50, rel=0.05), "a report says that nothing waits there"
     fleet.now += 2 * SECOND
     assert wait() == 0.0, "it is read"
+    for _ in range(9):  # whatever a peer says
+        fleet.feed(8, core.PeerTold(bytes((Word.READING,)) + picture.short(reader) + b"\xff"))
+    assert wait() == rules.LONGEST_REST
 
 
 def test_words_on_long_prompts_have_one_figure() -> None:
