--- a/basaltspread/conformance/cases_calls.py
+++ b/basaltspread/conformance/cases_calls.py
@@ -780,9 +780,8 @@
     check(sent != "mine", "tokens are unique in a session")
 
 
-@case("progress/plain-server", PROGRESS)
-async def progress_plain(stage: Stage) -> None:
-    told = asyncio.Event()
+def _half_way(told: asyncio.Event) -> Handler:
+    """A tool server that answers once its word of progress has been told."""
 
     async def slowly(asked: Asked) -> None:
         asked.begin()
@@ -791,7 +790,14 @@
         asked.event(answer(asked))
         asked.end()
 
-    stage.on(slowly)
+    return slowly
+
+
+@case("progress/plain-server", PROGRESS)
+async def progress_plain(stage: Stage) -> None:
+    told = asyncio.Event()
+
+    stage.on(_half_way(told))
 
     async def script(engine: Engine) -> None:
         engine.send(_with_token(stage, 7))
@@ -860,14 +866,7 @@
 async def progress_again(stage: Stage) -> None:
     told, turned = asyncio.Event(), [2]
 
-    async def slowly(asked: Asked) -> None:
-        asked.begin()
-        asked.event(_progress(asked, 0.5))
-        await told.wait()
-        asked.event(answer(asked))
-        asked.end()
-
-    stage.on(slowly)
+    stage.on(_half_way(told))
 
     async def script(engine: Engine) -> None:
         async def take(asked: Asked) -> None:
