--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -820,6 +820,14 @@
 WIDE = tuple(entry(f"r{i}", 0, i % 3) for i in range(8)) + tuple(entry(f"w{i}", 1, i % 3) for i in range(8))
 
 
+def see_traffic(drives: list[Drive]) -> None:
+    """A request a second at each, for 20 s."""
+    for second in range(20):
+        for i, d in enumerate(drives):
+            d.arrive(f"q{second}", f"s{i}-{second}", after=SECOND - 60 * MS)
+            d.serve(f"q{second}")
+
+
 def told_of_idle_readers(d: Drive) -> None:
     """As peers' words tell it, or own probes."""
     for w in d.router.up[api.Role.READER]:
@@ -830,10 +838,7 @@
     # Each sees a request a second. Credit that starts empty would leave the newcomer idle for its whole
     # warm-up or have all routers fire in step.
     drives = many_routers(100, WIDE)
-    for second in range(20):
-        for i, d in enumerate(drives):
-            d.arrive(f"q{second}", f"s{i}-{second}", after=SECOND - 60 * MS)
-            d.serve(f"q{second}")
+    see_traffic(drives)
     start = drives[0].now
     for d in drives:
         d.listed(entry("cold", 0, 1, started=start))
@@ -854,10 +859,7 @@
 def test_many_routers_draw_whole_requests_for_a_cold_reader_that_add_up_to_its_budget() -> None:
     """Guards against cold readers that stand idle beside jammed ones: the lot is a tenth of their part."""
     drives = many_routers(100, WIDE)
-    for second in range(20):
-        for i, d in enumerate(drives):
-            d.arrive(f"q{second}", f"s{i}-{second}", after=SECOND - 60 * MS)
-            d.serve(f"q{second}")
+    see_traffic(drives)
     for d in drives:
         d.listed(entry("cold", 0, 1, started=d.now))
     drawn = []
@@ -1104,10 +1106,7 @@
     """Guards against a herd: all hold the same picture for a second, and the one idle reader in it got
     62 reads within two seconds."""
     drives = many_routers(100, WIDE)
-    for second in range(20):
-        for i, d in enumerate(drives):
-            d.arrive(f"q{second}", f"s{i}-{second}", after=SECOND - 60 * MS)
-            d.serve(f"q{second}")
+    see_traffic(drives)
     chosen: dict[str, int] = {}
     for i, d in enumerate(drives):
         readers = d.router.up[api.Role.READER]
