Wait for a slow client in one place, and note a request's prompt as it is made

The bounded wait for what was written stood twice, the look at an idle connection twice in a row, and the prompt was set after its request was made.

--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -192,8 +192,10 @@
         )  # fmt: skip
         cls = self.state.settings.classes[a.request_class]
         unsafe = cls.effect is api.Effect.UNSAFE
-        q = Request(a.request, a.request_class, self.now + left, unsafe, a.is_resumed, tenant=a.tenant)
-        q.prompt = a.prompt_tokens
+        q = Request(
+            a.request, a.request_class, self.now + left, unsafe, a.is_resumed,
+            tenant=a.tenant, prompt=a.prompt_tokens,
+        )  # fmt: skip
         self.state.requests[q.id] = q
         self.touched[q.id] = None
         self.count("requests_taken")
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -345,12 +345,10 @@
             self.answer_last(error.status, error.why)  # what stands behind it is not read as a request
         except h11.LocalProtocolError:  # the answer was under way when something else went wrong
             return False
-        if self._writer.transport.get_write_buffer_size():
-            try:
-                async with asyncio.timeout(CLIENT_PATIENCE):
-                    await self._writer.drain()
-            except TimeoutError:
-                return False
+        try:
+            await self._drained()
+        except TimeoutError:
+            return False
         if self._last or self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
@@ -378,7 +376,6 @@
                         return None
                 if self.idle:
                     by = (time.monotonic() if self.spoke else self._opened) + REQUEST_PATIENCE
-                if self.idle:
                     self._front.seats.busy(self)
                 self.idle, self.spoke = False, True
                 self._http.receive_data(data)
@@ -445,16 +442,19 @@
         if self._writer.transport.is_closing():
             raise LinkError(Ending.CLIENT_LEFT)
         self._writer.write(self._http.send(h11.Data(data=data)) or b"")
-        if not self._writer.transport.get_write_buffer_size():
-            return  # all of it is out
         try:
-            async with asyncio.timeout(CLIENT_PATIENCE):
-                await self._writer.drain()
+            await self._drained()
         except TimeoutError as error:
             raise LinkError(Ending.CLIENT_SLOW) from error
         except OSError as error:
             raise LinkError(Ending.CLIENT_LEFT) from error
 
+    async def _drained(self) -> None:
+        """Until the client reads on, where it has not taken all that was written. Raises as drain does."""
+        if self._writer.transport.get_write_buffer_size():
+            async with asyncio.timeout(CLIENT_PATIENCE):
+                await self._writer.drain()
+
     def end_stream(self) -> None:
         self._writer.write(self._http.send(h11.EndOfMessage()) or b"")
 
