Take a pool's wait as the median of the last few seen, not as a moving mean

A trace of every read and refusal shows why: 'unprom ... wait=680 rw=680', while half of the reads waited 40 ms; a quarter waited over 350 ms, behind one long prompt at their own reader.

The pool's wait is the median of the last nine waits of 8 s now.

The test fails with the mean: the request after the straggler is refused.

--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -15,7 +15,7 @@
 
 from basaltspread import interface as api
 from basaltspread.interface import Effect, KeyScope, Outcome, Role
-from basaltspread.structures.averages import Rate, Usual
+from basaltspread.structures.averages import Rate, RecentMedian, Usual
 from basaltspread.structures.bucket import Bucket
 from basaltspread.structures.hashing import HASH_MASK, hashed, rank
 
@@ -56,9 +56,9 @@
 LEARN_LINK = 0.15  # the same for one cell's link
 ALL_CELLS = -1  # stands for them where link times are pooled
 TAUGHT = 10  # samples from which a learnt figure is used
-LEARN_POOL = 0.3  # the same for what was lately waited, over a whole pool
+SEEN_WAITS = 9  # waits, over a whole pool, whose median counts: one router of many has hardly more at a time
 UNREAD_PART = 0.5  # of an unread end's wait, for its pool: in plain overload many end so, others do not wait
-SEEN_MEMORY = 4 * SECOND  # half-life of that without news: then a request is let through to see
+SEEN_MEMORY = 8 * SECOND  # for which one counts: without news a request is let through to see
 # Cold workers.
 COLD_SAFETY = 1.2  # share of the rule's budget that all routers together use
 COLD_DRAWN = 0.6  # the same of many, by draws that add up to it on the mean; lots take the rest
@@ -160,7 +160,7 @@
         self.many = settings.many
         self.asked: OrderedDict[str, Rate] = OrderedDict()  # how often each text is asked for
         self.asked_all = Rate(ENTRY_LIFE)
-        self.stage_wait = {role: Rate(SEEN_MEMORY) for role in Role}  # us
+        self.stage_wait = {role: RecentMedian(SEEN_WAITS, SEEN_MEMORY) for role in Role}  # us
         self.part, self.timer_set, self.calm = 1.0, False, False  # part: of the budget for cold workers
         self.read_time, self.first_time = Usual(), Usual()
         self.near_time, self.far_time = 0.0, dict[int, float]()  # to a first token within, out of a cell
@@ -189,7 +189,7 @@
         return {n for pool, rest in pools if len(rest) <= (1 - MOST_RESTING) * len(pool) for n in rest}
 
     def _learnt(self) -> tuple[list[Rate], list[Usual]]:
-        rates = [*self.did.values(), *self.normal.values(), *self.stage_wait.values(), *self.first_rates]
+        rates = [*self.did.values(), *self.normal.values(), *self.first_rates]
         return rates, [self.read_time, self.first_time, *self.class_work]
 
     def knowledge(self) -> dict[str, Any]:
@@ -335,10 +335,6 @@
         if self.many and outcome is Outcome.ERROR and w.faults >= FAULTS_TELL:
             w.rest_until, w.strikes = max(w.rest_until, self.now + LONGEST_REST), w.strikes + 1
 
-    def _seen_wait(self, role: Role, wait: float) -> None:
-        seen = self.stage_wait[role]
-        seen.value, seen.when = seen.at(self.now) * (1 - LEARN_POOL) + LEARN_POOL * wait, self.now
-
     def _work(self, q: Request) -> float:
         """Mean work of the request's class, with 1 for the mean over all classes."""
         seen = [c.time for c in self.class_work if c.count]
@@ -639,7 +635,7 @@
         if not silent and w.newest_answered <= out.sent_at:
             return
         pending = sum(w.reads.values()) if out.reading and not stuck else out.need
-        slow = usual.of(pending) + self.stage_wait[w.role].at(self.now)  # a jammed pool is not silent
+        slow = usual.of(pending)
         patience = max(LEAST_PATIENCE, PATIENCE * slow) if usual.count >= TAUGHT else FIRST_PATIENCE
         if out.reading and silent and self.dark.get(w.zone, (0, 0))[0] > self.now:
             patience = int(self.s.rules.release_within * WAIT_HOLDING)  # its place waits for a lost read
@@ -654,7 +650,7 @@
     def _is_stuck(self, w: Worker, out: Attempt) -> bool:
         """Readers answer in turn: stuck is one that brought nothing for many times its longest read."""
         most, quiet = max(w.reads.values(), default=out.need), self.now - max(out.sent_at, w.heard_at)
-        slow = self.read_time.of(most) + self.stage_wait[w.role].at(self.now)
+        slow = self.read_time.of(most)
         return self.read_time.count >= TAUGHT and quiet >= max(LEAST_PATIENCE, PATIENCE * slow)
 
     def _cancel(self, q: Request) -> None:
@@ -715,7 +711,7 @@
             self._pay(q, None)
             if q.place is not None and self.s.report_fields:  # fresher than any report: no room there
                 q.place.report, q.place.told_at = {**q.place.report, "memory_share": 1.0}, self.now
-            self._seen_wait(Role.WRITER, q.aim / 2)  # who was refused would have waited
+            self.stage_wait[Role.WRITER].add(self.now, q.aim / 2)  # who was refused would have waited
             q.place = None
             if not q.done:
                 self._hold_place(q)
@@ -733,7 +729,7 @@
         self.unanswered.pop(q.id, None)
         self._did(w, self._work(q))
         if not q.done:
-            self._seen_wait(w.role, event.elapsed)
+            self.stage_wait[w.role].add(self.now, event.elapsed)
             self.first_time.add(event.elapsed, q.a.prompt_tokens)
             per_token = event.elapsed / max(BLOCK, q.a.prompt_tokens)
             if q.reader is not None and q.reader.cell == w.cell:
@@ -788,7 +784,7 @@
             best = event.elapsed / need
             self.token_time = min(best, self.token_time * 1.002) if self.token_time else best
             lag = max(0.0, event.elapsed - need * self.token_time)
-            self._seen_wait(w.role, lag)
+            self.stage_wait[w.role].add(self.now, lag)
             waits = event.report.get("prompt_k_waiting")
             lag = lag if waits is None else waits * 1000 * self.token_time
             old = 0.6 * exp2((w.lag_at - self.now) / LAG_MEMORY)  # rarely heard: the newest counts alone
@@ -823,7 +819,7 @@
         if self.many and attempt.reading:
             w = attempt.worker
             w.lag, w.lag_at = max(w.lag, waited), self.now
-            self._seen_wait(w.role, UNREAD_PART * waited)
+            self.stage_wait[w.role].add(self.now, UNREAD_PART * waited)
 
     def _client_gone(self, event: api.ClientGone) -> None:
         q = self.requests.get(event.request)
--- a/basaltspread/structures/averages.py
+++ b/basaltspread/structures/averages.py
@@ -1,11 +1,12 @@
 """Averages over time that need a few numbers each: how often something happens, and how long it takes.
 
 It owns the arithmetic alone; times are in microseconds. It must never read a clock: the time is an argument.
-Each operation costs a constant few steps.
+Each operation costs a constant few steps, a median the sorting of a few samples.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from math import exp2
 
 LEARN = 0.05  # weight of a new sample in a running mean
@@ -44,3 +45,18 @@
     def young(self, now: int) -> float:
         """The same where counting began less than some half-lives ago: the time before it is no evidence."""
         return self.at(now) / (1 - exp2(-max(now - self.since, LEAST_EVIDENCE) / self.half_life))
+
+
+class RecentMedian:
+    """Median of the last few samples, each for a while. Among so few a mean is that of its one straggler.
+    What was not sampled yet counts as one 0: a single sample is no median."""
+
+    def __init__(self, most: int, life: int) -> None:
+        self.life, self._samples = life, deque[tuple[int, float]](maxlen=most)
+
+    def add(self, now: int, sample: float) -> None:
+        self._samples.append((now, sample))
+
+    def at(self, now: int) -> float:
+        young = sorted([0.0, *(sample for at, sample in self._samples if now - at < self.life)])
+        return young[(len(young) - 1) // 2]
--- a/tests/test_picture.py
+++ b/tests/test_picture.py
@@ -325,7 +325,8 @@
     d = Drive(many())
     d.warm(40)
     readers = [w.name for w in d.router.up[api.Role.READER]]
-    d.router._seen_wait(api.Role.READER, 3 * SECOND)
+    for _ in range(rules.SEEN_WAITS):
+        d.router.stage_wait[api.Role.READER].add(d.now, 3 * SECOND)
     assert d.router._pool_wait(api.Role.READER) > 500 * MS
     waits = dict.fromkeys(readers, 0.0)
     waits[readers[0]] = 60.0  # thousands of tokens: many seconds
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -15,7 +15,7 @@
 from basaltspread import rules
 from basaltspread.interface import Effect, KeyScope, Outcome
 from basaltspread.rules import Router
-from basaltspread.structures.averages import Rate
+from basaltspread.structures.averages import Rate, RecentMedian
 from tests.helpers import FLEET, MS, SECOND, Drive, entry, random_day, settings
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -539,7 +539,7 @@
     d.end("slow", Outcome.SERVED, after=1 * MS)
     others = (name for name in ("r1", "r2", "r3") if name != slow)
     for name in others:  # the others' reads come in time: the pool does not wait
-        d.router._seen_wait(api.Role.READER, 0.0)
+        d.router.stage_wait[api.Role.READER].add(d.now, 0.0)
         d.router.fleet[name].lag = 0.0
     for i in range(10):
         d.arrive(f"b{i}", "s", "p", after=20 * MS)
@@ -957,7 +957,7 @@
     d.arrive("a", "s", "p")
     home = d.router.fleet[d.sent_to("a")]
     for _ in range(8):
-        d.router._seen_wait(api.Role.READER, 1.5 * SECOND)
+        d.router.stage_wait[api.Role.READER].add(d.now, 1.5 * SECOND)
     home.lag, home.lag_at = 1.6 * SECOND, d.now
     d.arrive("b", "s", "p", after=1 * MS)
     assert "b" in d.answered or d.sent_to("b") == home.name
@@ -966,11 +966,51 @@
 def jammed(d: Drive, wait: int) -> None:
     """Both pools lately let requests wait; nothing is known of single readers but that."""
     for _ in range(20):
-        d.router._seen_wait(api.Role.READER, wait)
+        d.router.stage_wait[api.Role.READER].add(d.now, wait)
     for w in d.router.up[api.Role.READER]:
         w.lag, w.lag_at = wait, d.now
 
 
+def test_one_straggler_is_no_jam_of_its_pool() -> None:
+    # One request a second and router: a mean was that of the last straggler, behind one long prompt, and the
+    # router refused for seconds what idle readers could have read. Half of the waits over is a jam.
+    d, straggler = many_routers(100, WIDE)[3], ""
+    for i in range(6):
+        d.arrive(f"a{i}", f"s{i}", f"p{i}", after=600 * MS)
+        sent = d.sent_to(f"a{i}")
+        straggler = sent if i == 4 else straggler
+        d.end(f"a{i}", Outcome.READ, after=3 * SECOND if i == 4 else 40 * MS)
+        d.first(f"a{i}")
+        d.end(f"a{i}", Outcome.SERVED)
+    for i in range(6):
+        d.arrive(f"b{i}", f"t{i}", f"q{i}", after=100 * MS)
+        assert f"b{i}" not in d.answered and d.sent_to(f"b{i}") != straggler
+        d.serve(f"b{i}")
+    for _ in range(rules.SEEN_WAITS):
+        d.router.stage_wait[api.Role.READER].add(d.now, 3 * SECOND)
+    refused = 0
+    for i in range(20):
+        d.arrive(f"c{i}", f"u{i}", f"v{i}", after=20 * MS)
+        refused += f"c{i}" in d.answered
+    assert refused > 10
+
+
+def test_a_median_needs_half_of_its_samples_and_forgets() -> None:
+    waits = RecentMedian(9, 8 * SECOND)
+    assert waits.at(0) == 0.0
+    waits.add(0, 5.0)
+    assert waits.at(0) == 0.0, "one sample is no median"
+    for sample in (5.0, 1.0, 1.0, 5.0):
+        waits.add(SECOND, sample)
+    assert waits.at(SECOND) == 1.0
+    waits.add(2 * SECOND, 5.0)
+    assert waits.at(2 * SECOND) == 5.0
+    assert waits.at(9 * SECOND) == 0.0, "only the last is left"
+    for _ in range(9):
+        waits.add(9 * SECOND, 2.0)
+    assert waits.at(9 * SECOND) == 2.0
+
+
 def test_a_deep_queue_is_remembered_as_long_as_it_is_deep() -> None:
     # Faded within 3 s, a queue of 8 s drew each router's next request before the last one was back.
     d = many_routers(100, WIDE)[3]
