Tell gateways of any fleet size of long reads, and give a rare text one home

Among 188 gateways nothing was told (picture.wanted); the word on long prompts went out with them only in smaller fleets. And reads found their text anew at a second to fourth home: 1,490 texts, 2.9 reads each, 1.5 readers each; from the tenth second on, when engines have forgotten what they began with, four in ten reads were of a text that another held.

Faults and long reads, which are rare, are told wherever many gateways may talk; probes for all go by the price as before. What is long is the module's to say (LongRead): over 0.4 of the tightest aim, by what is to be read beyond the text that its home should hold, in time and not in tokens (a gateway that has read nothing yet knows no speed), and again while it is out past that, as 53,000 tokens take 4.5 s where their number says 2.5. LEAST_HOMES goes: a text has homes by its share.

--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -100,7 +100,7 @@
         later = needs_restart(config, new)
         log.info("reloaded%s", f"; only a restart changes {', '.join(later)}" if later else "")
 
-    if config.peer_listen is not None and picture.wanted(config.settings):
+    if config.peer_listen is not None and picture.talks(config.settings):
         runtime.spawn(share(runtime, config), "share")
     runtime.watch_signals(reload)
     runtime.look_at_other()  # before a list can name an engine that was left out
--- a/basaltspread/adapter.py
+++ b/basaltspread/adapter.py
@@ -232,8 +232,10 @@
         raise BadLine("a peer message is not base64") from error
 
 
-def _order(router: int, action: api.Action) -> list[Any]:
+def _order(router: int, action: api.Action) -> list[Any] | None:
     match action:
+        case api.LongRead():  # what routers tell each other of the fleet is no part of this wire
+            return None
         case api.Send(request, worker, timeout):
             return ["dispatch", router, request, timeout, worker]
         case api.HoldPlace(request, worker):
@@ -336,7 +338,8 @@
         if router is None or not events:
             return
         actions = self._guard(number, orders, lambda: router.handle(now, events))
-        orders.extend(_order(number, action) for action in actions or ())
+        worded = (_order(number, action) for action in actions or ())
+        orders.extend(order for order in worded if order is not None)
 
 
 def main(source: IO[str] = sys.stdin, sink: IO[str] = sys.stdout) -> int:
--- a/basaltspread/control/picture.py
+++ b/basaltspread/control/picture.py
@@ -20,7 +20,6 @@
 from basaltspread import interface as api
 from basaltspread.interface import Outcome, WorkerState
 from basaltspread.records import record
-from basaltspread.structures.averages import Usual
 from basaltspread.structures.hashing import hashed, rank
 
 ASKERS = 8  # gateways that ask one engine: some are left if most die, and an engine holds few connections
@@ -29,8 +28,6 @@
 FAULT_AGE = 1_000_000  # us in which the same fault is not told again, whoever told it
 ID_BYTES = 3  # of an engine's name in a message: every byte is paid for once for each gateway
 MOST_BYTES = 256  # of a datagram
-LONG = 4  # times the usual prompt from which one is long
-KNOWN_PROMPTS = 10  # before which none is called long
 SCALE = 16  # steps for each doubling of a figure: about 4%
 
 
@@ -40,7 +37,7 @@
     REPORT = 1
     REFUSES = 2  # it refuses connections: no process is there
     FAILED = 3  # it answered with an error
-    READING = 4  # a long prompt goes there: what waits behind it stands in no report
+    READING = 5  # one long read keeps it busy: what waits behind that stands in no report
 
 
 FAULTS = {Word.REFUSES: Outcome.CONNECT_FAILED, Word.FAILED: Outcome.ERROR}
@@ -72,12 +69,17 @@
     return (exp2(byte / SCALE) - 1) / SCALE
 
 
-def wanted(settings: api.Settings) -> bool:
-    """Whether to share: where one gateway of many sees too little, the platform allows all of it, and telling
-    all what a probe brought costs no more than the probe did. It grows with the number of gateways."""
-    allowed = settings.limits.peers and settings.limits.probes and bool(settings.report_fields)
+def talks(settings: api.Settings) -> bool:
+    """Whether to tell faults and long reads, which are rare: where one gateway of many sees too little."""
+    return settings.many and settings.limits.peers
+
+
+def asks(settings: api.Settings) -> bool:
+    """Whether to probe for all as well: where the platform allows it, and telling all what a probe brought
+    costs no more than the probe did. It grows with the number of gateways."""
+    allowed = settings.limits.probes and bool(settings.report_fields)
     word = (1 + ID_BYTES + len(settings.report_fields)) * (settings.routers - 1) / MOST_BYTES
-    return settings.many and allowed and word * settings.peer_price <= settings.probe_price
+    return talks(settings) and allowed and word * settings.peer_price <= settings.probe_price
 
 
 class Picture:
@@ -85,12 +87,11 @@
 
     def __init__(self, settings: api.Settings) -> None:
         self._fields, self._router = settings.report_fields, settings.router
-        self._routers = settings.routers
+        self._routers, self._asks = settings.routers, asks(settings)
         self._mine: list[str] = []  # up, and this gateway is one of those that ask it
         self._names: dict[bytes, str] = {}  # short -> name; two engines with one short name have none
         self._known_at: dict[str, int] = {}  # when it was last told of, or is not to be asked before
         self._fault_at: dict[tuple[str, Word], int] = {}
-        self._prompts = Usual()
 
     def listed(self, entries: Iterable[api.WorkerEntry]) -> None:
         """The engines of the list as it is now."""
@@ -98,7 +99,7 @@
         shorts = [short(name) for name in up]
         times = Counter(shorts)
         self._names = {s: n for s, n in zip(shorts, up, strict=True) if times[s] == 1}
-        mine = [n for n in up if self._router in self.askers(n)]
+        mine = [n for n in up if self._asks and self._router in self.askers(n)]
         # Each gateway in an order of its own: else all that ask an engine would turn to it at once.
         self._mine = sorted(mine, key=lambda n: rank(self._router, hashed(n)))
         known = set(up)
@@ -129,13 +130,10 @@
         figures = bytes(packed(report.get(field, 0.0)) for field in self._fields)
         return bytes((Word.REPORT,)) + short(name) + figures
 
-    def reading(self, name: str, tokens: int) -> bytes | None:
-        """The message on a prompt that this gateway sends to a reader, if it is long: reports tell of what
-        waits there and not of what is read, so that the reader looks idle for seconds to all others."""
-        usual = self._prompts
-        long = usual.count >= KNOWN_PROMPTS and tokens >= LONG * usual.size
-        usual.add(0.0, tokens)
-        return bytes((Word.READING,)) + short(name) + bytes((packed(tokens / 1000),)) if long else None
+    def reading(self, name: str, time: int) -> bytes:
+        """The message on a long read of this gateway's (us): reports tell of what waits there and not of what
+        is read, so that the reader looks idle for seconds to all others."""
+        return bytes((Word.READING,)) + short(name) + bytes((packed(time / 1e6),))
 
     def fault(self, now: int, name: str, word: Word) -> bytes | None:
         """The message on a fault that this gateway met; none where all were just told."""
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -270,8 +270,6 @@
     def _start(self, q: Request, attempt: Attempt, listed: Listed) -> None:
         self.count("sends_read" if attempt.reading else "sends_write")
         left = attempt.until - self.now
-        if attempt.reading and self.state.picture is not None:
-            self._tell(self.state.picture.reading(attempt.worker, q.prompt))
         self.do(StartAttempt(q.id, attempt.number, attempt.worker, listed.address, attempt.reading, left))
 
     def _role(self, listed: Listed | None) -> Role:
@@ -609,6 +607,10 @@
         elif picture is not None and refused:
             self._tell(picture.fault(self.now, event.worker, Word.REFUSES))
 
+    def long_read(self, action: api.LongRead) -> None:
+        if self.state.picture is not None:
+            self._tell(self.state.picture.reading(action.worker, action.time))
+
     def _tell(self, message: bytes | None) -> None:
         if message is not None:
             self.count("peers_told")
@@ -851,7 +853,7 @@
         HandedOn: handed_on, Adopted: adopted, Terminate: terminate,
     }  # fmt: skip
     ACTIONS: ClassVar[dict[type, Callable[[_Step, Any], None]]] = {
-        api.Send: send, api.HoldPlace: hold_place, api.Release: release, api.Cancel: cancel,
-        api.Refuse: refuse, api.Fail: fail, api.Move: move, api.SetTimer: set_timer, api.Probe: probe,
-        api.WatchList: watch_list, api.FetchList: fetch_list, api.Log: say,
+        api.Send: send, api.LongRead: long_read, api.HoldPlace: hold_place, api.Release: release,
+        api.Cancel: cancel, api.Refuse: refuse, api.Fail: fail, api.Move: move, api.SetTimer: set_timer,
+        api.Probe: probe, api.WatchList: watch_list, api.FetchList: fetch_list, api.Log: say,
     }  # fmt: skip
--- a/basaltspread/interface.py
+++ b/basaltspread/interface.py
@@ -11,7 +11,7 @@
 
 from basaltspread.records import record
 
-READING = "prompt_k_reading"  # in a report: thousands of tokens of one long prompt that is being read there
+READING = "reading_s"  # in a report: seconds for which one long read keeps a reader busy
 FEW_ROUTERS = 4  # up to so many, a router's own counts and waits tell more than reports and pools do
 
 
@@ -253,6 +253,14 @@
     timeout: int  # 0: until the client gives up
 
 
+@record
+class LongRead:
+    """For the other routers: one read keeps this reader busy for so long from now on."""
+
+    worker: str
+    time: int
+
+
 @record
 class HoldPlace:
     request: str
@@ -313,6 +321,6 @@
 
 
 Action = (
-    Send | HoldPlace | Release | Cancel | Refuse | Fail | Move | SetTimer | Probe | WatchList | FetchList
-    | Log
+    Send | LongRead | HoldPlace | Release | Cancel | Refuse | Fail | Move | SetTimer | Probe | WatchList
+    | FetchList | Log
 )
--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -18,6 +18,7 @@
 from basaltspread.structures.averages import Rate, RecentMedian, Usual
 from basaltspread.structures.bucket import Bucket
 from basaltspread.structures.hashing import HASH_MASK, hashed, rank
+from basaltspread.structures.prefixes import PrefixTable
 
 SECOND = 1_000_000
 # The design's ordinary path.
@@ -27,8 +28,7 @@
 GAP = 16  # requests between the busiest and the idlest reader, fleet-wide, that ends prefix matching
 LOAD_FACTOR = 2.0  # deviations over the mean that a reader with a match may be busy
 NEAR_EQUAL = GAP / 2  # requests within which old reports tell no reader from another
-HOME_SPREAD = 3.0  # homes of a text for each reader that its requests alone would keep busy; one with words
-LEAST_HOMES = 4  # of any text with many routers that are not told of waits: none sees its home fill
+HOME_SPREAD = 3.0  # homes of a text for each reader that its requests alone would keep busy; one with reports
 HOME_PRIOR = 20  # requests before a text's share is believed
 SPARE = 1.0  # requests that never make a difference between readers: counts are small whole numbers
 FULL_SLOTS = 8.0  # requests that a reader whose slots are all in use is taken to run at once
@@ -37,6 +37,7 @@
 AFFINITY = 3.0  # times the reading saved that a match may wait: a text read twice also costs memory
 AFFINITY_AIM = 0.25  # share of its aim that a request may wait for that beyond the plain saving
 NEAR_CALM = 0.25  # expected wait, over the tightest aim, up to which the own zone's readers come first
+LONG_READ = 0.4  # share of the tightest aim that a read takes of which other routers are told
 LAG_SLACK = 30_000.0  # us that a reader with a match may always be slower
 NEAR_MARGIN = 0.10  # share of a writer's memory that a nearer one may be fuller and still be preferred
 ROOM_MEMORY = 4 * SECOND  # half-life of a reported memory share: answers come and go in about that time
@@ -124,6 +125,7 @@
     def __init__(self, number: int, worker: Worker, reading: bool, sent_at: int, need: int):
         self.number, self.worker, self.reading, self.sent_at = number, worker, reading, sent_at
         self.need, self.cancelled = need, False
+        self.promised = self.tell_again_at = 0  # tokens there, by the table; of a long read
 
 
 class Request:
@@ -151,7 +153,7 @@
         self.fleet: dict[str, Worker] = {}
         self.up: dict[Role, list[Worker]] = {role: [] for role in Role}
         self.requests: dict[str, Request] = {}
-        self.table: OrderedDict[str, dict[str, tuple[int, int]]] = OrderedDict()  # key -> reader -> run, use
+        self.table = PrefixTable(TABLE_BLOCKS)
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.Arrival: self._arrived, api.AttemptEnded: self._ended, api.FirstToken: self._first_token,
             api.PlaceAnswer: self._place_answer, api.ClientGone: self._client_gone,
@@ -167,7 +169,7 @@
         self.class_work = [Usual() for _ in settings.classes]
         self.did = {role: Rate(RATE_MEMORIES[1]) for role in Role}  # work done, in class mean work
         self.normal = {role: Rate(ENTRY_LIFE) for role in Role}  # the most of it a warm peer did lately
-        self.blocks, self.dark = 0, dict[int, tuple[int, int]]()  # zone -> left out until, failures in a row
+        self.dark = dict[int, tuple[int, int]]()  # zone -> left out until, failures in a row
         self.unanswered = dict[str, None]()  # admitted, no first token yet
         self.token_time, self.latency, self.first_at = 0.0, 0.0, 0  # us to read one at best, to a first one
         self.first_rates = [Rate(m) for m in RATE_MEMORIES]
@@ -200,7 +202,7 @@
             "usuals": [(u.count, u.time, u.size) for u in usuals],
             "times": (self.token_time, self.near_time, self.latency),
             "workers": [(n, w.started, w.void_before, w.rest_until, w.strikes) for n, w in workers],
-            "table": [(key, list(runs.items())) for key, runs in list(self.table.items())[-MOST_TOLD:]],
+            "table": [(key, list(runs.items())) for key, runs in self.table.newest(MOST_TOLD)],
         }
 
     def recall(self, now: int, told: dict[str, Any]) -> None:
@@ -221,8 +223,7 @@
         for w in self.fleet.values():
             own = w.void_before, w.rest_until, w.strikes
             w.void_before, w.rest_until, w.strikes = workers.get((w.name, w.started), own)
-        self.table = OrderedDict(table)
-        self.blocks = sum(run for runs in self.table.values() for run, _ in runs.values())
+        self.table = PrefixTable(TABLE_BLOCKS, table)
 
     # --- fleet view: list, health, load ---------------------------------------------------------------
 
@@ -262,8 +263,8 @@
         rules, least = self.s.rules, self.s.rules.cold_start_share
         if not self._is_cold(w):
             return True
-        rate = self.normal[w.role].at(self.now) * (w.weight if self.s.weights_mean_size else 1.0)
-        rate *= rules.cold_multiple * self.part
+        rate = self.normal[w.role].at(self.now) * rules.cold_multiple * self.part
+        rate *= w.weight if self.s.weights_mean_size else 1.0
         if self.many:
             turn = (self.now + rules.cold_window * self.s.router // self.s.routers) // rules.cold_window
             share = least + (1 - least) * max(0, self.now - w.started) / rules.warm_within
@@ -310,8 +311,8 @@
         w = self.fleet.get(event.worker)
         if w is None:
             return
-        if (long := event.report.get(api.READING)) is not None:  # another router's long prompt is read there
-            until = max(w.busy_until, self.now) + int(long * 1000 * self.token_time)
+        if (long := event.report.get(api.READING)) is not None:  # another router's long read is there
+            until = max(w.busy_until, self.now) + int(long * SECOND)
             w.busy_until = min(until, self.now + LONGEST_REST)  # whatever a peer says
             return
         w.report = {} if event.report else w.report  # told anew, even where the figures are as before
@@ -383,34 +384,31 @@
     # --- prefix table -----------------------------------------------------------------------------------
 
     def _record(self, key: str, w: Worker, tokens: int) -> None:
-        if not key or tokens < BLOCK:
-            return
-        runs = self.table.setdefault(key, {})
-        self.table.move_to_end(key)
-        self.blocks += tokens // BLOCK - runs.get(w.name, (0, 0))[0]
-        runs[w.name] = (tokens // BLOCK, self.now)
-        while self.blocks > TABLE_BLOCKS:
-            self.blocks -= sum(run for run, _ in self.table.popitem(last=False)[1].values())
+        if key and tokens >= BLOCK:
+            self.table.record(key, w.name, tokens // BLOCK, self.now)
 
     def _match(self, key: str, w: Worker, limit: int) -> int:
         """Tokens of this key that the reader is believed to hold."""
-        run, used = self.table.get(key, {}).get(w.name, (0, 0))
+        run, used = self.table.run(key, w.name)
         return min(run * BLOCK, limit) if used >= max(w.void_before, self.now - ENTRY_LIFE + 1) else 0
 
     # --- reader choice ----------------------------------------------------------------------------------
 
-    def _choose_reader(self, q: Request, pool: list[Worker]) -> Worker:
-        """The design's order: gap test, then capped match or home, else fewest running."""
+    def _choose_reader(self, q: Request, pool: list[Worker]) -> tuple[Worker, int]:
+        """The design's order: gap test, then capped match or home, else fewest running; and what it holds."""
         tight = NEAR_CALM * min(c.aim for c in self.s.classes)  # of many, a full zone shows in readers' waits
         self.calm = bool(self._lags()) if self.many else self._expected_wait() <= tight
         counts, wait = self._counts(pool), self._pool_wait(Role.READER)
         waits = {w.name: self._wait_at(w, wait) for w in pool}
         homes = self._home_readers(q.a, pool)
+        shared = min(q.a.prefix_tokens, q.a.prompt_tokens) if q.a.prefix else 0
+        believed = {w.name: max(self._holds(q.a, w), shared if w in homes else 0) for w in pool}
         mean = sum(counts.values()) / len(counts)
         gap = GAP + LOAD_FACTOR * mean if self.many else GAP / max(1, self.s.routers)
         even = max(counts.values()) - min(counts.values()) <= gap
-        w = self._match_or_home(q, pool, homes, counts, waits) if even else None
-        return w or self._fewest_running(q.a, pool, counts, waits)
+        w = self._match_or_home(q, pool, homes, believed, counts, waits) if even else None
+        w = w or self._fewest_running(q.a, pool, counts, waits)
+        return w, believed[w.name]
 
     def _counts(self, pool: list[Worker]) -> Figures:
         """Own unfinished reads; with many routers the others' too, as reports tell, fading to the average."""
@@ -438,12 +436,11 @@
         return self.calm and w.zone != self.s.zone  # in a jam a zone's own are not enough
 
     def _match_or_home(
-        self, q: Request, pool: list[Worker], homes: list[Worker], counts: Figures, waits: Figures
-    ) -> Worker | None:
+        self, q: Request, pool: list[Worker], homes: list[Worker], held: dict[str, int], counts: Figures,
+        waits: Figures,
+    ) -> Worker | None:  # fmt: skip
         """The first by tokens believed held that is under the cap and not slower than they save."""
-        a, key = q.a, hashed(q.a.session or q.a.request)
-        shared = min(a.prefix_tokens, a.prompt_tokens) if a.prefix else 0
-        believed = {w.name: max(self._holds(a, w), shared if w in homes else 0) for w in pool}
+        a, key, believed = q.a, hashed(q.a.session or q.a.request), dict(held)
         if a.session and self.many:  # its earlier prompts went through routers that chose as this one would
             believed[max(homes, key=lambda w: rank(key, w.hash)).name] = a.prompt_tokens
         busy = sum(counts.values()) / len(counts) + NEAR_EQUAL * self.many
@@ -461,8 +458,8 @@
         most = min(counts.values()) + (NEAR_EQUAL if self.many else 0)
         key = hashed(a.prefix or a.session or a.request)
         equal = [w for w in pool if counts[w.name] <= most and self._not_hot(w, pool, counts)]
-        calm = min(waits[w.name] for w in equal) + LAG_SLACK
-        calm += self._unseen(pool) * self.read_time.size * self.token_time  # else all rush to the same one
+        unseen = self._unseen(pool) * self.read_time.size * self.token_time  # else all rush to the same one
+        calm = min(waits[w.name] for w in equal) + LAG_SLACK + unseen
         calmest = [w for w in equal if waits[w.name] <= calm]
         return max(calmest, key=lambda w: (not self._far(w), rank(key, w.hash)))
 
@@ -477,8 +474,7 @@
             self.asked.popitem(last=False)
         one = 0.693 / ENTRY_LIFE
         share = (self.asked[prefix].value - one) / (self.asked_all.value + HOME_PRIOR * one)
-        homes, wanted = LEAST_HOMES if self.many and not self.calm else 1, share * readers
-        wanted *= 1 if self.many and self.calm else HOME_SPREAD
+        homes, wanted = 1, share * readers * (1 if self.many and self.calm else HOME_SPREAD)
         while homes < wanted:
             homes *= 2  # in powers, so that routers that count a little differently mostly agree
         return min(homes, readers)
@@ -620,6 +616,8 @@
             if q.out is None:
                 self._advance(q)
             elif not q.out.cancelled:
+                if 0 < q.out.tell_again_at <= self.now:  # it takes more than its size: half as long again?
+                    self._tell_long(q.out, (self.now - q.out.sent_at) / 2)
                 self._check_silence(q, q.out)
 
     def _too_late(self, q: Request) -> bool:
@@ -666,13 +664,14 @@
                 return False
             roles = (Role.MIXED, Role.WRITER) if self.s.writers_read else (Role.MIXED,)
             return self._send_write(q, None) if self._pool(q, roles) else False
-        w = self._choose_reader(q, pool)
+        w, held = self._choose_reader(q, pool)
         if not self._promising(q, w):
             self._give_up(q)
             return True
-        need = max(1, q.a.prompt_tokens - self._holds(q.a, w))
-        self._send(q, w, True, need, self.read_time.of(need))
-        w.reads[q.id] = need
+        need = max(1, q.a.prompt_tokens - held)
+        out = self._send(q, w, True, need, self.read_time.of(need))
+        out.promised, w.reads[q.id] = self._holds(q.a, w), need
+        self._tell_long(out, need * self.token_time)
         self._record("p" + q.a.prefix if q.a.prefix else "", w, min(q.a.prefix_tokens, q.a.prompt_tokens))
         self._record("s" + q.a.session if q.a.session else "", w, q.a.prompt_tokens)
         q.place, q.placed, q.asked = None, False, []
@@ -691,16 +690,23 @@
         w.writes[q.id] = w.sent[q.id] = tokens
         return True
 
-    def _send(self, q: Request, w: Worker, reading: bool, need: int, usual: float) -> None:
+    def _send(self, q: Request, w: Worker, reading: bool, need: int, usual: float) -> Attempt:
         timeout = left = q.deadline - self.now
         another = q.cls.effect is Effect.SAFE and q.sent + 1 < self.s.limits.max_attempts
         if another and not self.s.limits.cancel:
             timeout = min(left, max(LEAST_PATIENCE, int(PATIENCE * usual)))  # no other way to call it back
-        q.out = Attempt(q.sent, w, reading, self.now, need)
+        q.out = out = Attempt(q.sent, w, reading, self.now, need)
         q.sent += 1
         self._pay(q, w)
         q.paid = None
         self.out.append(api.Send(q.id, w.name, max(1, timeout)))
+        return out
+
+    def _tell_long(self, out: Attempt, time: float) -> None:
+        """Readers read in turn. One of many routers can't see behind what its own request would wait."""
+        if self.many and time > LONG_READ * min(c.aim for c in self.s.classes):
+            out.tell_again_at = self.now + int(time)
+            self.out.append(api.LongRead(out.worker.name, int(time)))
 
     def _place_answer(self, event: api.PlaceAnswer) -> None:
         q = self.requests.get(event.request)
@@ -777,7 +783,7 @@
             q.reader, q.holds = w, True
             self._took(w, q)
             self._did(w, self._work(q))
-            if event.detail < BLOCK and attempt.need + BLOCK < q.a.prompt_tokens:
+            if event.detail < BLOCK and attempt.promised >= BLOCK:
                 # A flush: nothing that the table promised was there, so nothing noted before is believed.
                 w.void_before = max(w.void_before, attempt.sent_at - 1)
             need = max(1, q.a.prompt_tokens - event.detail)
@@ -858,9 +864,8 @@
 
     def _over_share(self, a: api.Arrival) -> bool:
         """Whether the tenant is past this router's part of its quota: a bucket that fills at 1/n of it."""
-        if a.tenant >= len(self.s.tenants) or self.s.tenants[a.tenant].quota_per_s <= 0:
-            return False
-        return not self.quotas[a.tenant].take(self.now)
+        quota = self.s.tenants[a.tenant].quota_per_s if a.tenant < len(self.s.tenants) else 0
+        return quota > 0 and not self.quotas[a.tenant].take(self.now)
 
     def _bearable(self, q: Request) -> float:
         """Expected wait up to which a request is taken, by the tightest aim: longer ones starve others."""
@@ -868,9 +873,8 @@
 
     def _admit(self, q: Request) -> bool:
         """Refuse early what would come too late; never the rest of a stream, most of which is paid for."""
-        if q.a.is_resumed or (self.many and len(self.unanswered) < FREE_OPEN):
-            return True  # judged when its reader is known
-        return self._expected_wait() <= self._bearable(q)
+        later = self.many and len(self.unanswered) < FREE_OPEN  # judged when its reader is known
+        return q.a.is_resumed or later or self._expected_wait() <= self._bearable(q)
 
     def _promising(self, q: Request, w: Worker) -> bool:
         """Many routers: whether to send a read there, by what it and the writers let wait. What is over is
