--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -159,7 +159,7 @@
             api.PlaceAnswer: self._place_answer, api.ClientGone: self._client_gone,
             api.WorkerList: self._listed, api.TimerFired: self._timer, api.ProbeEnded: self._probed,
         }  # fmt: skip
-        self.many = settings.many
+        self.many, self.tightest = settings.many, min((c.aim for c in settings.classes), default=SECOND)
         self.asked: OrderedDict[str, Rate] = OrderedDict()  # how often each text is asked for
         self.asked_all = Rate(ENTRY_LIFE)
         self.stage_wait = {role: RecentMedian(SEEN_WAITS, SEEN_MEMORY) for role in Role}  # us
@@ -395,8 +395,8 @@
 
     def _choose_reader(self, q: Request, pool: list[Worker]) -> tuple[Worker, int]:
         """The design's order: gap test, then capped match or home, else fewest running; and what it holds."""
-        tight = NEAR_CALM * min(c.aim for c in self.s.classes)  # of many, a full zone shows in readers' waits
-        self.calm = bool(self._lags()) if self.many else self._expected_wait() <= tight
+        few_calm = not self.many and self._expected_wait() <= NEAR_CALM * self.tightest
+        self.calm = few_calm or bool(self._lags())  # of many, a full zone shows in readers' waits
         counts, wait = self._counts(pool), self._pool_wait(Role.READER)
         waits = {w.name: self._wait_at(w, wait) for w in pool}
         homes = self._home_readers(q.a, pool)
@@ -702,8 +702,8 @@
         return out
 
     def _tell_long(self, out: Attempt, time: float) -> None:
-        """Readers read in turn. One of many routers can't see behind what its own request would wait."""
-        if self.many and time > LONG_READ * min(c.aim for c in self.s.classes):
+        """Readers read in turn, unseen by others. Who just started knows no speed: it saw queues alone."""
+        if self.many and self.read_time.count >= TAUGHT and time > LONG_READ * self.tightest:
             out.tell_again_at = 0 if out.tell_again_at else self.now + int(time)  # once: it may be lost
             self.out.append(api.LongRead(out.worker.name, int(time)))
 
@@ -870,7 +870,7 @@
     def _bearable(self, q: Request, reading: float = 0.0) -> float:
         """Expected wait up to which one is taken: by the tightest aim, as longer ones starve others, and what
         its prompt adds to its own, less its reading."""
-        aim = min(c.aim for c in self.s.classes) + max(0.0, q.aim - q.cls.aim - reading)
+        aim = self.tightest + max(0.0, q.aim - q.cls.aim - reading)
         return aim * (ADMIT_LESSER if q.over_share or q.a.is_retry else ADMIT)
 
     def _admit(self, q: Request) -> bool:
--- a/tests/test_picture.py
+++ b/tests/test_picture.py
@@ -222,6 +222,9 @@
     fleet = Fleet(200)
     other, own = cast(Router, fleet.states[8].module), cast(Router, fleet.states[7].module)
     own.token_time = 50.0
+    fleet.take(7, "early", tokens=30_000)
+    assert not fleet.words[Word.READING], "a gateway that has just started may have seen nothing but queues"
+    own.read_time.count = rules.TAUGHT
     for n in range(12):
         fleet.take(7, f"q{n}")
     assert not fleet.words[Word.READING], "short ones are not worth a word"
@@ -247,6 +250,8 @@
     # prompt. From the middle on the reader looked idle to all others.
     d = Drive(many(routers=200))
     d.router.token_time = 50.0
+    for _ in range(rules.TAUGHT):
+        d.router.read_time.add(1500 * MS, 30_000)
     d.arrive("long", "s", "", prompt=30_000)
     told = [a for a in d.actions if isinstance(a, api.LongRead)]
     assert [(a.worker, a.time) for a in told] == [(d.sent_to("long"), 1_500_000)]
@@ -264,7 +269,7 @@
     # By its own table a router takes most texts for new: words went out on most reads, and all readers
     # looked busy (peer price 0.017, 3,228 refusals in a play of 3,881 requests).
     d = Drive(many(routers=200))
-    d.router.token_time = 50.0
+    d.router.token_time, d.router.read_time.count = 50.0, rules.TAUGHT
     d.arrive("a", "s", "p", prompt=13_000, shared=12_000)
     assert not [a for a in d.actions if isinstance(a, api.LongRead)]
     d.arrive("b", "t", "q", prompt=13_000, shared=1000)
