--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -875,8 +875,8 @@
 
     def _admit(self, q: Request) -> bool:
         """Refuse early what would come too late; never the rest of a stream, most of which is paid for."""
-        later = self.many  # judged when its reader is known: a rate of what was let in would judge itself
-        return q.a.is_resumed or later or self._expected_wait() <= self._bearable(q)
+        # Many: judged when its reader is known. A rate of what one router let in would judge itself.
+        return q.a.is_resumed or self.many or self._expected_wait() <= self._bearable(q)
 
     def _promising(self, q: Request, w: Worker, need: int) -> bool:
         """Many routers: whether to send a read there, by what it and the writers let wait. What is over is
--- a/basaltspread/structures/averages.py
+++ b/basaltspread/structures/averages.py
@@ -58,7 +58,8 @@
 
     def add(self, now: int, sample: float) -> None:
         self._samples.append((now, sample))
-        self._mean, self._when = self.mean(now) + LEARN_RECENT * (sample - self.mean(now)), now
+        faded = self.mean(now)
+        self._mean, self._when = faded + LEARN_RECENT * (sample - faded), now
 
     def median(self, now: int) -> float:
         """What was not sampled yet counts as one 0: a single sample is no median."""
