Hold a refusal back until what was given up is seen to be, and call unsent what never went out

Left, and not seen directly: close and refusal travel on two connections, and a client is nearer than an engine in another zone; sends wait 10 ms for just that (GIVE_UP_PAUSE), refusals did not.

Changed: an attempt called back before its first byte ends as one never sent (CALLED_BACK_UNSENT). A refusal of a class that is not safe waits out the pause; what the gateway closes for its spoilt answer counts as given up too. Where the settings forbid two copies, further attempts of any class wait as an order's do. A client's leaving ends attempts that have not begun, also where the settings allow no cancel. A place that answers 'held' after all was let go is let go again.

Tests in test_core.py, four new and one made stricter; the five fail on the code before.

--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -70,7 +70,7 @@
 )
 from basaltspread.core.state import Attempt, Release, Request, State
 from basaltspread.core.toolcalls import ToolSteps
-from basaltspread.endings import OUTCOMES, QUIET, Ending
+from basaltspread.endings import CLOSED_HERE, OUTCOMES, QUIET, Ending
 from basaltspread.interface import Outcome, Role, WorkerState
 
 MS = 1000
@@ -141,6 +141,8 @@
         if not q.ended:
             self._end(q, Verdict.FAILED)
             self.do(Answer(q.id, Verdict.FAILED) if q.stream is None else BreakClient(q.id))
+        elif q.owed:
+            self.do(Answer(q.id, Verdict.FAILED))
         for attempt in q.out():
             self.do(AbandonAttempt(q.id, attempt.number))
         self.orphan_calls(q)
@@ -172,7 +174,7 @@
         self.orphan_calls(q)
         if q.may_hold:
             self._release(name)
-        if not q.asking:
+        if not (q.asking or q.owed):
             del self.state.requests[name]
 
     # --- requests ---------------------------------------------------------------------------------------
@@ -192,8 +194,9 @@
         )  # fmt: skip
         cls = self.state.settings.classes[a.request_class]
         unsafe = cls.effect is api.Effect.UNSAFE
+        alone = unsafe or not self.state.settings.limits.duplicates
         q = Request(
-            a.request, a.request_class, self.now + left, unsafe, a.is_resumed,
+            a.request, a.request_class, self.now + left, unsafe, a.is_resumed, alone,
             tenant=a.tenant, prompt=a.prompt_tokens,
         )  # fmt: skip
         self.state.requests[q.id] = q
@@ -216,6 +219,9 @@
             self._close(q, q.stream, event.ending, abandon=True)
         else:
             self.told.append(api.ClientGone(q.id))
+            for attempt in q.out():  # also where the settings allow no cancel
+                if not attempt.begun:
+                    self._close(q, attempt, Ending.CALLED_BACK_UNSENT, abandon=True)
 
     def turned_away(self, event: TurnedAway) -> None:
         self.state.replies[event.request_class, Verdict.REFUSED] += 1
@@ -235,7 +241,15 @@
             return
         self._end(q, verdict)
         self.count(f"answers_{verdict.value}")
-        self.do(Answer(q.id, verdict, retry_after))
+        pause = q.gave_up_at + GIVE_UP_PAUSE - self.now
+        safe = self.state.settings.classes[q.request_class].effect is api.Effect.SAFE
+        if verdict is Verdict.REFUSED and not safe and pause > 0:
+            # As for a next send: the refusal may reach the client before an engine in another zone has seen
+            # that the attempt was given up, and what may still run must not be asked for again.
+            q.owed = True
+            self.do(Wake(self.now + pause, ("answer", q.id, retry_after)))
+        else:
+            self.do(Answer(q.id, verdict, retry_after))
 
     # --- attempts ---------------------------------------------------------------------------------------
 
@@ -260,7 +274,7 @@
         self.do(Wake(self.now + left, ("attempt", q.id, attempt.number)))
         attempt.until = self.now + left
         pause = q.gave_up_at + GIVE_UP_PAUSE - self.now
-        if q.unsafe and pause > 0:
+        if q.one_at_a_time and pause > 0:
             # Two connections keep no order between them: a close and the next send reach two engines in any
             # order, and what must not run twice would be out twice.
             self.do(Wake(self.now + pause, ("start", q.id, attempt.number)))
@@ -281,7 +295,10 @@
     def cancel(self, action: api.Cancel) -> None:
         found = self._find(action.request, action.attempt)
         if found is not None and found[0].stream is not found[1]:
-            self._close(*found, Ending.CANCELLED, abandon=True)
+            # Guards against a connection that never came up being taken for an attempt that was out: the time
+            # of what is held for the request would begin anew with each.
+            ending = Ending.CANCELLED if found[1].begun else Ending.CALLED_BACK_UNSENT
+            self._close(*found, ending, abandon=True)
 
     def begun(self, event: Begun) -> None:
         found = self._find(event.request, event.number)
@@ -326,7 +343,6 @@
         if attempt.reading and attempt.begun:
             q.may_hold = True
         attempt.over = True
-        q.gave_up_at = self.now
         self.touched[q.id] = None
         self.do(AbandonAttempt(q.id, attempt.number))
 
@@ -342,6 +358,8 @@
         """The one way in which an attempt ends, whoever ended it."""
         if abandon:
             self._abandon(q, attempt)
+        if attempt.begun and (abandon or ending in CLOSED_HERE):
+            q.gave_up_at = self.now
         attempt.over = True
         self.touched[q.id] = None
         outcome = OUTCOMES[ending]
@@ -425,12 +443,14 @@
         q = self.state.requests.get(event.request)
         if q is None or event.worker not in q.asking:
             return
+        overtaken = event.worker in q.let_go
         q.asking.discard(event.worker)
+        q.let_go.discard(event.worker)
         self.touched[q.id] = None
-        if event.place is not Place.NOT_HELD and (q.ended or q.stream is not None):
+        if event.place is not Place.NOT_HELD and (q.ended or q.stream is not None or overtaken):
             # The question may have overtaken nothing: what it left is let go, whatever was before.
             q.may_hold = True
-            if q.stream is not None and not q.ended:
+            if not q.ended:
                 self._release(q.id)
         read = q.attempts[event.number]
         if event.place is Place.UNKNOWN or read.over:
@@ -444,7 +464,7 @@
     def _release(self, name: str) -> None:
         q = self.state.requests.get(name)
         if q is not None:
-            q.may_hold = False
+            q.may_hold, q.let_go = False, q.let_go | q.asking
         until = self.now + RELEASE_PATIENCE * self.state.settings.rules.release_within
         duty = self.state.releases.setdefault(name, Release())
         duty.until, duty.tries, duty.tried = until, 0, []
@@ -734,6 +754,12 @@
                     self.count("deadline_backstops")
                     self.told.append(api.ClientGone(name))  # the module takes it as over
                     self._answer(q, Verdict.FAILED)
+            case ("answer", str(name), int(retry_after)):
+                q = self.state.requests.get(name)
+                if q is not None and q.owed:
+                    q.owed = False
+                    self.touched[name] = None
+                    self.do(Answer(name, Verdict.REFUSED, retry_after))
             case ("release", str(name), int(number)):
                 duty = self.state.releases.get(name)
                 if duty is not None and duty.tries == number:
--- a/basaltspread/endings.py
+++ b/basaltspread/endings.py
@@ -31,6 +31,7 @@
     STALLED = "the stream fell silent"
     TIMED_OUT = "nothing came in time"
     CANCELLED = "called back by the module"
+    CALLED_BACK_UNSENT = "called back before its first byte"
     HANDED_ON = "handed on to the process that follows, connections and all"
     CALLED_OFF = "the tool server called it off"
     MOVED = "ended so that the client asks another gateway for the rest"
@@ -58,6 +59,7 @@
     Ending.STALLED: Outcome.TIMEOUT,
     Ending.TIMED_OUT: Outcome.TIMEOUT,
     Ending.CANCELLED: Outcome.CANCELLED,
+    Ending.CALLED_BACK_UNSENT: Outcome.NOT_SENT,
     Ending.HANDED_ON: Outcome.CANCELLED,
     Ending.CALLED_OFF: Outcome.ERROR,
     Ending.MOVED: Outcome.CANCELLED,
@@ -72,6 +74,10 @@
 )
 
 
+# The endings by which this side closes the connection while the other may still be at work on the request; it
+# learns of that a moment later.
+CLOSED_HERE = frozenset((Ending.MALFORMED, Ending.STALLED))
+
 # The endings of an ordinary day, which are counted but not logged.
 QUIET = frozenset((
     Ending.SERVED, Ending.READ, Ending.TURNED_AWAY, Ending.CLIENT_LEFT, Ending.NOT_SENT, Ending.MOVED,
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -119,6 +119,70 @@
         self.now = wake.at
         self.assertEqual(self.kinds(core.Woken(wake.token)), ["StartAttempt"])
 
+    def test_an_attempt_called_back_before_its_first_byte_was_never_sent(self) -> None:
+        """Guards what is held: taken for one that had been out, it gave that its whole time again."""
+        for begun, outcome in ((False, api.Outcome.NOT_SENT), (True, api.Outcome.CANCELLED)):
+            self.begin(Arrival=send("r1"), TimerFired=lambda e: [api.Cancel("q", 0)])
+            self.feed(core.Taken(ARRIVAL))
+            if begun:
+                self.feed(core.Begun("q", 0))
+            self.feed(core.Woken(("timer", 1)), after=150 * MS)
+            ended = self.module.told[-1]
+            assert isinstance(ended, api.AttemptEnded)
+            self.assertIs(ended.outcome, outcome)
+
+    def test_a_refusal_goes_out_once_an_engine_anywhere_has_seen_that_the_attempt_is_given_up(self) -> None:
+        """Guards an order that is asked for again while a far engine still has the first. What the gateway ends
+        for its answer's sake is given up as well; what was never sent, or may run twice, waits for nothing."""
+        for effect, begun, spoilt, waits in (
+            (api.Effect.UNSAFE, True, False, True), (api.Effect.KEYED, True, False, True),
+            (api.Effect.UNSAFE, True, True, True), (api.Effect.UNSAFE, False, False, False),
+            (api.Effect.SAFE, True, False, False),
+        ):  # fmt: skip
+            self.begin(Arrival=send("r1"), AttemptEnded=lambda e: [api.Refuse("q", 7)])
+            self.state.settings = settings(effect)
+            self.feed(core.Taken(ARRIVAL))
+            if begun:
+                self.feed(core.Begun("q", 0))
+                self.feed(core.Written("q", 0))
+            if spoilt:
+                effects = self.feed(core.Ended("q", 0, Ending.MALFORMED, 0, {}))
+            else:
+                effects = self.feed(core.Woken(("attempt", "q", 0)), after=ARRIVAL.time_left)
+            answer = core.Answer("q", Verdict.REFUSED, 7)
+            self.assertEqual(answer in effects, not waits, (effect, begun, spoilt))
+            if waits:
+                (owed,) = [wake for wake in self.wakes if wake.token[0] == "answer"]
+                self.assertIn("q", self.state.requests)  # the process does not end before it has gone out
+                effects = self.feed(core.Woken(owed.token), after=owed.at - self.now)
+                self.assertEqual(effects.count(answer), 1)
+                self.assertNotIn(answer, self.feed(core.Woken(owed.token)))
+            self.assertEqual(self.state.requests, {})
+
+    def test_nothing_begins_for_a_client_that_has_gone_whatever_the_settings_allow(self) -> None:
+        """A connection that comes up later would carry its request: the settings may allow no cancel."""
+        self.begin(Arrival=send("r1"))  # a module that calls nothing back
+        self.feed(core.Taken(ARRIVAL))
+        effects = self.feed(core.ClientLeft("q", Ending.CLIENT_LEFT))
+        self.assertIn(core.AbandonAttempt("q", 0), effects)
+        self.begin(Arrival=send("r1"))
+        self.feed(core.Taken(ARRIVAL))
+        self.feed(core.Begun("q", 0))
+        self.assertNotIn(core.AbandonAttempt("q", 0), self.feed(core.ClientLeft("q", Ending.CLIENT_LEFT)))
+
+    def test_a_place_that_is_answered_after_all_was_let_go_is_let_go_too(self) -> None:
+        """The question and the release go to two engines, in any order."""
+        self.begin(
+            Arrival=lambda e: [api.Send("q", "r1", 0), api.HoldPlace("q", "w1")],
+            AttemptEnded=lambda e: [api.Release("q"), api.Send("q", "r2", 0)],
+        )
+        self.feed(core.Taken(ARRIVAL))
+        self.feed(core.Begun("q", 0))
+        self.assertIn("AskPlace", self.kinds(core.Written("q", 0)))
+        self.feed(core.Ended("q", 0, Ending.RESET, 0, {}))
+        self.feed(core.ReleaseEnded("q", next(iter(self.state.releases["q"].open)), True))
+        self.assertIn("SendRelease", self.kinds(core.PlaceEnded("q", 0, "w1", core.Place.HELD)))
+
     def test_attempts_past_the_limit_and_to_what_is_not_up_are_never_sent(self) -> None:
         self.begin(Arrival=send("r1"), AttemptEnded=send("r1"))
         started = self.kinds(core.Taken(ARRIVAL))
@@ -317,7 +381,13 @@
             (at,) = [wake.at for wake in self.wakes if wake.token == ("last",)]
             effects = self.feed(core.Woken(("last",)), after=at - self.now)
             answer = core.Answer("q", verdict)
-            self.assertIn(answer, effects)
+            if effect is api.Effect.UNSAFE and verdict is Verdict.REFUSED:
+                # It may be asked for again at once: not before the engine has seen that the read is given up.
+                self.assertNotIn(answer, effects)
+                (owed,) = [wake for wake in self.wakes if wake.token[0] == "answer"]
+                self.assertEqual(owed.at, self.now + core.GIVE_UP_PAUSE)
+                effects += self.feed(core.Woken(owed.token), after=core.GIVE_UP_PAUSE)
+            self.assertEqual(effects.count(answer), 1)
             number = max(e.number for e in effects if isinstance(e, core.AbandonAttempt))
             self.assertLess(effects.index(core.AbandonAttempt("q", number)), effects.index(answer))
             self.assertIn("SendRelease", [type(e).__name__ for e in effects])
