Let a place go while no reader comes up, and fill cold writers by draws alone

A lot lets 0.16 of all sessions go to a cold engine; readers are chosen by text, but the emptiest writer is taken by each whose lot allows it: 0.16 of 50 a second, beside a budget of 11.6 in which draws alone may use 0.6. A writer keeps nothing of a session, so it has no lot any more.

Each piece of work counts by how many were warm as it was done.

--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -61,8 +61,8 @@
 UNREAD_PART = 0.5  # of an unread end's wait, for its pool: in plain overload many end so, others do not wait
 SEEN_MEMORY = 8 * SECOND  # for which one counts: without news a request is let through to see
 # Cold workers.
-COLD_SAFETY = 1.2  # share of the rule's budget that all routers together use
-COLD_DRAWN = 0.6  # the same of many, by draws that add up to it on the mean; lots take the rest
+COLD_SAFETY = 1.2  # share of the rule's budget that all of few routers use
+COLD_DRAWN = 0.6  # the same of many, by draws that add up to it on the mean; at readers lots take the rest
 RATE_MEMORIES = (SECOND, 4 * SECOND)  # half-lives of measured rates: quick, and steady
 # Admission.
 ADMIT = 0.8  # expected wait for a first token, over the aim, up to which a request is taken
@@ -80,6 +80,7 @@
 WAIT_EMPTY = SECOND // 4  # how long a request that holds nothing may wait for a reader
 WATCH_TIMER = 1
 MOST_TOLD = 5000  # texts and sessions that a process which takes over is told of
+NOTHING_ARRIVED = (Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 Figures = dict[str, float]  # by worker name
 
 
@@ -167,7 +168,7 @@
         self.read_time, self.first_time = Usual(), Usual()
         self.near_time, self.far_time = 0.0, dict[int, float]()  # to a first token within, out of a cell
         self.class_work = [Usual() for _ in settings.classes]
-        self.did = {role: Rate(RATE_MEMORIES[1]) for role in Role}  # work done, in class mean work
+        self.did = {role: Rate(RATE_MEMORIES[1]) for role in Role}  # by a warm peer, in class mean work
         self.normal = {role: Rate(ENTRY_LIFE) for role in Role}  # the most of it a warm peer did lately
         self.dark = dict[int, tuple[int, int]]()  # zone -> left out until, failures in a row
         self.unanswered = dict[str, None]()  # admitted, no first token yet
@@ -258,8 +259,8 @@
         return w.started > 0 and self.now - w.started < self.s.rules.warm_within
 
     def _cold_room(self, q: Request, w: Worker) -> bool:
-        """Cold budget: this router's part of it, by what a warm peer does. Few: credit that grows, begun at a
-        random part of one. Many: a part of all sessions by lot, and requests drawn anew in each window."""
+        """Slow start: this router's part of the budget, by what a warm peer does. Few: credit that grows.
+        Many: a part of all sessions by lot, and requests drawn anew in each window."""
         rules, least = self.s.rules, self.s.rules.cold_start_share
         if not self._is_cold(w):
             return True
@@ -271,7 +272,8 @@
             if w.credit_at != turn:
                 drawn = COLD_DRAWN * rate * share * rules.cold_window
                 w.credit, w.credit_at = float(int(drawn + self.random.random())), turn
-            lot = rank(hashed("cold" + (q.a.session or q.id)), w.hash)  # a session stays where it may go
+            # A session stays where its lot lets it go. At writers all of these would go to one that is empty.
+            lot = rank(hashed("cold" + (q.a.session or q.id)), w.hash) if w.role is Role.READER else HASH_MASK
             return w.credit >= 1 or lot < share / rules.cold_multiple * self.part * HASH_MASK
         rate *= COLD_SAFETY * least
         w.credit = min(max(1.0, rate * rules.cold_window), w.credit + rate * (self.now - w.credit_at))
@@ -288,13 +290,15 @@
                 q.paid.credit -= self._work(q)
 
     def _did(self, w: Worker, work: float) -> None:
-        """What a warm peer normally does, kept through an outage: dead peers would teach that it is 0."""
-        self.did[w.role].add(self.now, work)
+        """What a warm peer normally does, kept through an outage: dead peers would teach that it is 0. Each
+        work counts by how many were warm as it was done: the few left have not done what all did before."""
+        if self._is_cold(w):
+            return
         warm = [p for p in self.up[w.role] if not self._is_cold(p)]
-        sizes = sum(p.weight for p in warm) if self.s.weights_mean_size else len(warm)
-        normal, rate = self.normal[w.role], self.did[w.role].at(self.now) / max(1, sizes)
-        if warm and rate > normal.at(self.now):
-            normal.value, normal.when = rate, self.now
+        did, normal = self.did[w.role], self.normal[w.role]
+        did.add(self.now, work / max(1.0, sum(p.weight if self.s.weights_mean_size else 1 for p in warm)))
+        if did.at(self.now) > normal.at(self.now):
+            normal.value, normal.when = did.at(self.now), self.now
 
     def _strike(self, w: Worker, unreached: bool = False) -> None:
         """Rest who failed or fell silent; where no connection came up its zone too, until one answers."""
@@ -326,10 +330,9 @@
         self._failed(w, event.outcome, event.detail == 1, 1.0)
 
     def _failed(self, w: Worker, outcome: Outcome, refused: bool, weight: float) -> None:
-        """What an error, a break or a refused connection says of the worker. One of many routers would meet a
-        sick one anew each time it comes: its first own error tells, or two of others'. Who refuses is gone
-        until the list has a new start of it. Harms where it was chance: a worker missed for LONGEST_REST."""
-        if self.many and outcome is Outcome.CONNECT_FAILED and refused:
+        """What an error, a break or a refused connection says of the worker. Each of many routers would meet
+        a sick one anew: its first own error tells, or two of others'. Harms where it was chance."""
+        if self.many and outcome is Outcome.CONNECT_FAILED and refused:  # until a new start is told
             w.gone_until = self.now + LONGEST_REST
         w.faults += weight if outcome is Outcome.ERROR else outcome is Outcome.RESET
         if self.many and outcome is Outcome.ERROR and w.faults >= FAULTS_TELL:
@@ -342,8 +345,7 @@
         return own * len(seen) / sum(seen) if own > 0 else 1.0
 
     def _pool(self, q: Request, roles: tuple[Role, ...]) -> list[Worker]:
-        """Workers of these roles that may work now, those that failed this request last. Rests never
-        empty a pool: then every listed worker counts, as far as its cold budget goes."""
+        """Workers of these roles that may work now, who failed this request last; rests never empty it."""
         listed = [w for role in roles for w in self.up[role] if q.ran is None or self._scope_ok(q, w)]
         listed = [w for w in listed if w.gone_until <= self.now] or listed
         free = [w for w in listed if w.full_until <= self.now]
@@ -363,8 +365,7 @@
         self.dark.pop(w.zone, None)
 
     def _turned_away(self, w: Worker, q: Request, sent_at: int) -> None:
-        """A full worker is left alone for a moment; one that just took other tenants' requests by this tenant
-        alone, each time for longer. Harms where others just filled a queue: it misses a worker for REST."""
+        """A full worker is left alone for a moment; one that took other tenants' by this tenant alone."""
         if not any(at > sent_at - SECOND for tenant, at in w.served.items() if tenant != q.a.tenant):
             w.full_until = self.now + FULL_REST
             return
@@ -405,7 +406,7 @@
         mean = sum(counts.values()) / len(counts)
         gap = GAP + LOAD_FACTOR * mean if self.many else GAP / max(1, self.s.routers)
         even = max(counts.values()) - min(counts.values()) <= gap
-        w = self._match_or_home(q, pool, homes, believed, counts, waits) if even else None
+        w = self._match_or_home(q, homes, believed, counts, waits, pool) if even else None
         w = w or self._fewest_running(q.a, pool, counts, waits)
         return w, believed[w.name] if self.many else self._holds(q.a, w)  # few see what was sent
 
@@ -434,10 +435,8 @@
     def _far(self, w: Worker) -> bool:
         return self.calm and w.zone != self.s.zone  # in a jam a zone's own are not enough
 
-    def _match_or_home(
-        self, q: Request, pool: list[Worker], homes: list[Worker], held: dict[str, int], counts: Figures,
-        waits: Figures,
-    ) -> Worker | None:  # fmt: skip
+    def _match_or_home(self, q: Request, homes: list[Worker], held: dict[str, int], counts: Figures,
+                       waits: Figures, pool: list[Worker]) -> Worker | None:  # fmt: skip
         """The first by tokens believed held that is under the cap and not slower than they save."""
         a, key, believed = q.a, hashed(q.a.session or q.a.request), dict(held)
         if a.session and self.many:  # its earlier prompts went through routers that chose as this one would
@@ -499,13 +498,11 @@
         return bool(w.report) and self.now - w.lag_at < 2 * REPORT_AGE
 
     def _saves(self, q: Request, tokens: int) -> float:
-        """How much longer than elsewhere a request may wait for its text."""
         saved = tokens * self.token_time + LAG_SLACK
         return max(saved, min(AFFINITY * saved, AFFINITY_AIM * q.aim))
 
     def _not_hot(self, w: Worker, pool: list[Worker], counts: Figures) -> bool:
-        """The design's cap, with mean and deviation taken over the other readers: among n values none
-        lies over sqrt(n-1) deviations from their mean. The deviation is of counts not faded."""
+        """The design's cap over the other readers: of n none is over sqrt(n-1) deviations from the mean."""
         others = [p for p in pool if p is not w]
         if not others:
             return True
@@ -570,7 +567,7 @@
     def _arrived(self, a: api.Arrival) -> None:
         q = Request(a, self.s.classes[a.request_class], self.now, self._over_share(a))
         self.requests[q.id] = q
-        if self._admit(q):
+        if a.is_resumed or self.many or self._expected_wait() <= self._bearable(q):  # else it comes too late
             self.unanswered[q.id] = None
             self._advance(q)
         else:
@@ -586,6 +583,10 @@
                 self.out.append(api.Release(q.id))
             self.requests.pop(q.id, None)
             return
+        if q.reader is None and self._held_long(q):  # a place alone: readers are tried on without it
+            self._pay(q, None)
+            q.holds, q.place, q.placed = False, None, False
+            self.out.append(api.Release(q.id))
         barred = q.ran is not None and q.cls.effect is Effect.UNSAFE
         if barred or not self._another_pays(q):
             self._give_up(q)
@@ -595,13 +596,18 @@
 
     def _another_pays(self, q: Request) -> bool:
         """Whether another attempt is allowed and not hopeless; hopeless ones only add work to a jam."""
-        least = self.first_time.of(q.a.prompt_tokens) / 2
-        least += self.read_time.of(self.read_time.size) / 2 if q.reader is None else 0
-        in_time = q.deadline - self.now > least and not self._too_late(q)
-        kept = self.s.rules.release_within - self.s.limits.connect_timeout + WATCH_STEP  # for one more try
-        free = q.reader is None or self.now - q.idle_since <= max(kept, WATCH_STEP)
+        reads = self.read_time.of(self.read_time.size) if q.reader is None else 0
+        least = (self.first_time.of(q.a.prompt_tokens) + reads) / 2
+        late = self.many and q.reader is None and self.now - q.arrived > q.aim  # not even read: of no use
+        in_time = q.deadline - self.now > least and not late
+        free = q.reader is None or not self._held_long(q)
         return in_time and free and q.sent < self.s.limits.max_attempts
 
+    def _held_long(self, q: Request) -> bool:
+        """Whether what is held for it, with no attempt out, can't wait for one more connection to come up."""
+        kept = self.s.rules.release_within - self.s.limits.connect_timeout + WATCH_STEP
+        return q.holds and self.now - q.idle_since > max(kept, WATCH_STEP)
+
     def _keep_waiting(self, q: Request) -> bool:
         """Wait a little for a worker; far within the release limit while something is held."""
         limit = self.s.rules.release_within * WAIT_HOLDING if q.holds else WAIT_EMPTY
@@ -621,13 +627,9 @@
                     self._tell_long(q.out, (self.now - q.out.sent_at) / 2)
                 self._check_silence(q, q.out)
 
-    def _too_late(self, q: Request) -> bool:
-        """Many routers: not even read when its first token was due. A read that is out is served late."""
-        return self.many and q.reader is None and self.now - q.arrived > q.aim
-
     def _check_silence(self, q: Request, out: Attempt) -> None:
-        """Call back what waits many times longer than usual, if nothing at all came from the worker since (it
-        is struck then: dead, cut off, hanging) or if it has answered what was sent later: this was lost."""
+        """Call back what waits many times longer than usual, if nothing came from the worker since (it is
+        struck then) or if it has answered what was sent later: this was lost."""
         w, usual = out.worker, self.read_time if out.reading else self.first_time
         stuck = out.reading and self._is_stuck(w, out)
         silent = w.heard_at < out.sent_at or stuck
@@ -757,7 +759,7 @@
         if q is None or q.out is None or q.out.number != event.attempt:
             return
         attempt, w, q.out = q.out, q.out.worker, None
-        if event.outcome is not Outcome.CONNECT_FAILED:  # nothing arrived: the time for what is held runs on
+        if event.outcome not in NOTHING_ARRIVED:  # else the time for what is held runs on
             q.idle_since = self.now
         w.reads.pop(q.id, None)
         w.writes.pop(q.id, None)
@@ -776,23 +778,22 @@
     def _judge(self, q: Request, attempt: Attempt, event: api.AttemptEnded) -> None:
         """What one outcome says of the worker and of the request."""
         w, outcome = attempt.worker, event.outcome
-        not_run = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT, Outcome.READ)
+        not_run = (Outcome.FULL, Outcome.READ, *NOTHING_ARRIVED)
         if not attempt.reading and outcome not in not_run and q.ran is None:
             q.ran, q.ran_at = w, attempt.sent_at
         if outcome is Outcome.READ:
             q.reader, q.holds = w, True
             self._took(w, q)
             self._did(w, self._work(q))
-            if event.detail < BLOCK and attempt.promised >= BLOCK:
-                # A flush: nothing that the table promised was there, so nothing noted before is believed.
+            if event.detail < BLOCK and attempt.promised >= BLOCK:  # a flush: nothing noted before counts
                 w.void_before = max(w.void_before, attempt.sent_at - 1)
             need = max(1, q.a.prompt_tokens - event.detail)
             best = event.elapsed / need
             self.token_time = min(best, self.token_time * 1.002) if self.token_time else best
             lag = max(0.0, event.elapsed - need * self.token_time)
             self.stage_wait[w.role].add(self.now, lag)
-            waits = event.report.get("prompt_k_waiting")
-            lag = lag if waits is None else waits * 1000 * self.token_time
+            if "prompt_k_waiting" in event.report:
+                lag = event.report["prompt_k_waiting"] * 1000 * self.token_time
             old = 0.6 * exp2((w.lag_at - self.now) / LAG_MEMORY)  # rarely heard: the newest counts alone
             w.lag, w.lag_at = lag + old * (w.lag - lag), self.now
             self.read_time.add(event.elapsed, need)
@@ -815,7 +816,6 @@
             silent = outcome is Outcome.TIMEOUT and w.heard_at < attempt.sent_at
             if w is q.place and q.placed and not attempt.reading:
                 q.reader = q.place = None  # the state has moved there, and is lost with it
-            # One fault is chance. One that only fails is sick, and the sooner it fails, the idler it looks.
             self._failed(w, outcome, event.detail == 1, FAULTS_TELL if self.many else 1.0)
             if silent or failed or w.faults >= FAULTS_TELL:
                 self._strike(w, failed and event.elapsed >= self.s.limits.connect_timeout)
@@ -868,19 +868,13 @@
         return quota > 0 and not self.quotas[a.tenant].take(self.now)
 
     def _bearable(self, q: Request, reading: float = 0.0) -> float:
-        """Expected wait up to which one is taken: by the tightest aim, as longer ones starve others, and what
-        its prompt adds to its own, less its reading."""
+        """Expected wait up to which one is taken: the tightest aim, and what its prompt adds to its own."""
         aim = self.tightest + max(0.0, q.aim - q.cls.aim - reading)
         return aim * (ADMIT_LESSER if q.over_share or q.a.is_retry else ADMIT)
 
-    def _admit(self, q: Request) -> bool:
-        """Refuse early what would come too late; never the rest of a stream, most of which is paid for."""
-        # Many: judged when its reader is known. A rate of what one router let in would judge itself.
-        return q.a.is_resumed or self.many or self._expected_wait() <= self._bearable(q)
-
     def _promising(self, q: Request, w: Worker, need: int) -> bool:
         """Many routers: whether to send a read there, by what it and the writers let wait. What is over is
-        thinned by a lot that all draw alike from the session: some find their text kept. Harms the others."""
+        thinned by a lot that all draw alike from the session: some find their text kept."""
         allowed = self._bearable(q, need * self.token_time) * ADMIT_SEEN
         wait, after = self._wait_at(w, self._pool_wait(Role.READER)), self._pool_wait(Role.WRITER)
         wait = wait * (ADMIT_SEEN if w.busy_until > self.now or self._lately(w) else 1) + after
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -443,6 +443,70 @@
     assert api.Release("a") in d.end("a", outcome)
 
 
+@pytest.mark.parametrize("outcome", [Outcome.CONNECT_FAILED, Outcome.NOT_SENT])
+def test_a_place_is_let_go_while_no_connection_to_a_reader_comes_up_and_reading_goes_on(
+    outcome: Outcome,
+) -> None:
+    """Guards what a lost read leaves: each connection that came up never, or was called back before it did,
+    gave the place held for the request its whole time again (five reads in 0.87 s, with 0.5 s allowed)."""
+    d = Drive()
+    d.arrive("a", "s", "p")
+    place = next(a for a in d.actions if isinstance(a, api.HoldPlace)).worker
+    d.feed(api.PlaceAnswer("a", 0, place, True))
+    d.end("a", Outcome.RESET)
+    since = d.now
+    while api.Release("a") not in d.log:
+        assert d.now - since < d.s.rules.release_within and "a" not in d.answered
+        d.end("a", outcome, after=150 * MS)
+    assert d.sent_to("a").startswith("r")  # tried on, with nothing held
+    d.serve("a")
+    assert "a" not in d.answered and "a" not in d.holding
+
+
+def test_many_routers_fill_a_cold_writer_by_draws_alone_whatever_part_of_them_it_would_attract() -> None:
+    """Guards an empty writer under a burst, chosen by every request whose lot let it: 19 in a second where it
+    could do 4.6. A lot by session brings a writer nothing, as it keeps nothing of one."""
+    fleet = (*WIDE[:8], *(entry(f"w{i}", 1, i % 3) for i in range(4)))
+    drives = many_routers(32, fleet)
+    see_traffic(drives)
+    start = drives[0].now
+    for d in drives:
+        d.listed(entry("w0", 1, 0, started=start))
+        for name in ("w1", "w2", "w3"):  # the report that all hold: an empty one beside full ones
+            d.feed(api.ProbeEnded(name, Outcome.SERVED, 1, {"memory_share": 0.9}))
+        d.feed(api.ProbeEnded("w0", Outcome.SERVED, 1, {"memory_share": 0.0}))
+    at_cold: list[int] = []
+    for second in range(4):
+        for i, d in enumerate(drives):
+            for n in range(2):  # a burst: twice what each saw before
+                name = f"b{second}-{n}"
+                d.arrive(name, f"t{i}-{name}", after=400 * MS)
+                d.end(name, Outcome.READ)
+                if d.sent_to(name) == "w0":
+                    at_cold.append(second)
+                d.first(name)
+                d.end(name, Outcome.SERVED)
+    normal = 32 / 4  # requests a second that a warm writer got
+    budget = 2.5 * 0.25 * normal
+    worst = max(at_cold.count(second) for second in range(4))
+    assert 0 < worst <= budget + 2 * budget**0.5 + 2
+
+
+def test_few_peers_left_are_not_taken_to_have_done_what_all_did() -> None:
+    """Guards the budget of cold workers: right after most are replaced, the rate of all over the few that are
+    warm made it several times too large."""
+    (d,) = many_routers(1, WIDE)
+    d.s = d.router.s = replace(d.s, routers=32)
+    d.router.many = True
+    see_traffic([d])
+    normal = d.router.normal[api.Role.WRITER].at(d.now)
+    for i in range(7):
+        d.listed(entry(f"w{i}", 1, i % 3, started=d.now))
+    d.arrive("n", "n", after=200 * MS)
+    d.serve("n")
+    assert d.router.normal[api.Role.WRITER].at(d.now) <= 3 * normal  # 8 times, by the rate of all over one
+
+
 def test_state_without_a_writer_is_released_in_time() -> None:
     d = Drive()
     d.arrive("a", "s", "p")
