--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -25,6 +25,7 @@
 HELD_SLACK = 300 * MS  # and on what is held
 CONNECT = 250 * MS
 READ_TIME, FIRST_TIME, STREAM_TIME = 60 * MS, 40 * MS, 400 * MS
+FULL = 20  # requests lately at an engine that fill its memory
 
 
 @dataclass
@@ -65,13 +66,14 @@
 class World:
     def __init__(
         self, seed: int, gateways: int, readers: int, writers: int, rate: float, zones: int = 3,
-        talk: bool = True,
+        talk: bool = True, memory: bool = False,
     ) -> None:  # fmt: skip
         self.rng, self.now, self.rate = random.Random(seed), 1000 * SECOND, rate
         self.began, self.order = self.now, 0
         self.events: list[tuple[int, int, Callable[[], None]]] = []
         names = tuple("abcdef"[:zones])
-        base = settings(routers=gateways, zones=names, fields=("prompt_k_waiting",), weights_mean_size=True)
+        fields = ("memory_share", "prompt_k_waiting") if memory else ("prompt_k_waiting",)
+        base = settings(routers=gateways, zones=names, fields=fields, weights_mean_size=True)
         safe = replace(base.classes[0], deadline=6 * SECOND, aim=1200 * MS)
         order = replace(safe, name="order", effect=api.Effect.UNSAFE, deadline=8 * SECOND)
         rules = replace(base.rules, drain_grace=250 * MS, cold_start_share=0.26, warm_within=14 * SECOND)
@@ -264,6 +266,9 @@
             self.later(g, 1 * MS, core.Probed(name, Ending.REFUSED, 1 * MS))
         else:
             report = {"prompt_k_waiting": 0.0}
+            if "memory_share" in self.settings.report_fields:  # an engine that has just come back is empty
+                lately = sum(s > self.now - STREAM_TIME for s in self.engines[name].sends)
+                report["memory_share"] = min(1.0, lately / FULL)
             self.later(g, 2 * MS, core.Probed(name, Ending.SERVED, 2 * MS, report))
 
     def _sent(self, g: Gateway, effect: core.StartAttempt, engine: Engine, life: int) -> None:
