See clients leave behind a flood, keep watching where discovery was, and ask briefly after a failure

The request is taken a turn later, if the client is still there (clients_gone_before). - commands that came at once were dropped unanswered where the door shut during the first one's stream (Client.serve broke off); now a last look serves what is here. - a drain that old discovery tells just after a reload was read by nobody, as its watch ended with the reload (Front._discover). It goes on until the new place has answered once.

Calls after a failure are brief now, holds last 2 s instead of 5 (going on with a watch costs nothing), and the longest pause is 3 s, what 6 s leave beside one call. The test of pauses is the stricter for it. Counters clients_made_room, clients_ahead, clients_gone_before; a log line as the door is shut.

--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -26,7 +26,7 @@
 from basaltspread import interface as api
 from basaltspread.adapter import REPORT_NAMES
 from basaltspread.config import Gateway, split_address
-from basaltspread.control.asking import BRIEF_MS, HOLD_MS, retry_pause
+from basaltspread.control.asking import BRIEF_MS, TURN, next_call, retry_pause
 from basaltspread.core import Ending, Place, Verdict
 from basaltspread.net.runtime import (
     BODY_LIMIT,
@@ -50,8 +50,6 @@
 
 log = logging.getLogger("basaltspread")
 COMPLETIONS = b"/v1/chat/completions"
-WATCH_SLACK = 2.5  # s past the time that a call may wait for news; it may wait 2 s for its turn before that
-GOING_ON_SLACK = 1.0  # s past that of one that goes on with a watch: 2 s past it, its news counts as told
 FIRST_LIST_WAIT = 0.25  # s that clients wait at a start for discovery's first word; it may say nothing
 CLIENT_SHARE = 0.6  # of the descriptors, for clients; a request has one here and at most two at engines
 FIRST_BYTE_PATIENCE = 2.0  # s from a connection's opening to its first byte; it may be closed without one
@@ -60,6 +58,8 @@
 LAST_LOOK = 0.005  # s for bytes under way, before a resting connection is closed from this side
 CLOSE_AFTER = 0.4  # s that a connection has rested before a drain closes it
 REST_PATIENCE = 30.0  # s that a connection may rest between two requests
+AHEAD_LIMIT = 2 * BODY_LIMIT  # bytes that a client may send while its request is under way
+AHEAD_PACE = 0.02  # s between two pieces of what is dropped: a flood must not take the neighbours' time
 QUEUE = 512  # connections that may wait to be accepted
 ACCEPTED_AT_ONCE = 8  # connections
 MOST_REFUSED = 16  # connections past the budget that are refused in words; more are closed
@@ -288,11 +288,10 @@
             while await self._one():
                 self.idle, self.rests_since = True, time.monotonic()
                 self._front.seats.rests(self, self.rests_since)
-                if core.leaving(self._front.runtime.state):
-                    break  # a head that went out before could not say so
         except (OSError, LinkError):
             pass
         finally:
+            self._take_early()
             self.close()
 
     def close(self) -> None:
@@ -329,6 +328,10 @@
     def leaving(self) -> bool:
         return self._writer.transport.is_closing()
 
+    def has_left(self) -> bool:
+        """Its close has come, and nothing before it is unread."""
+        return self._reader.at_eof() or self._reader.exception() is not None
+
     def abort(self) -> None:
         """Closes without waiting for what was written to go out."""
         self._front.seats.left(self)
@@ -360,6 +363,8 @@
         request: h11.Request | None = None
         body = bytearray()
         by = self._opened + FIRST_BYTE_PATIENCE if not self.spoke else self.rests_since + REST_PATIENCE
+        if self.spoke and core.leaving(self._front.runtime.state):
+            by = self.rests_since  # the head of the last answer could not say so yet; what has come is served
         while True:
             try:
                 event = self._http.next_event()
@@ -370,7 +375,7 @@
                 if request is not None and self._http.they_are_waiting_for_100_continue:
                     go_on = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
                     self._writer.write(self._http.send(go_on) or b"")
-                data, self._early = self._early, b""
+                data = self._take_early()
                 if not data:
                     data = await (self._first_bytes(by) if self.idle else self._more_bytes(by))
                     if not data and self.idle:
@@ -473,11 +478,25 @@
             data = b"" if read.exception() is not None else read.result()
             if not data:
                 return done.done()
-            self._early += data
-            if len(self._early) >= READ_SIZE:  # it talks ahead: no more is read, so its end is not seen
-                await done
+            # However much it talks ahead, it is read: else its leaving would not be seen, and what it asked
+            # for would be sent on. What can't be kept is dropped, and the connection ends with the answer.
+            room = not self._last and self._front.read_ahead + len(data) <= self._front.runtime.body_room
+            if room and len(self._early) + len(data) <= AHEAD_LIMIT:
+                self._early += data
+                self._front.read_ahead += len(data)
+            elif not self._last:
+                self._last = True
+                self._front.runtime.count("clients_ahead")
+                log.info("a client sent %d bytes ahead; what follows is dropped", len(self._early))
+            else:
+                await asyncio.wait({done}, timeout=AHEAD_PACE)
         return True
 
+    def _take_early(self) -> bytes:
+        data, self._early = self._early, b""
+        self._front.read_ahead -= len(data)
+        return data
+
 
 # --- the front ------------------------------------------------------------------------------------------
 
@@ -495,10 +514,11 @@
         self._places: dict[tuple[str, str], tuple[asyncio.Task[None], list[bool]]] = {}
         self._clients: dict[Client, asyncio.Task[None]] = {}
         self.seats = Seats()
-        self._bodies = 0
+        self._bodies = self.read_ahead = 0  # bytes: of requests under way, and of what came meanwhile
         self._bad_second = self._bad_lines = self._odd_report_second = 0
         self._server: asyncio.Server | None = None
-        self._watching: asyncio.Task[None] | None = None
+        self._watching: dict[str, asyncio.Task[None]] = {}  # by discovery's address; two while it moves
+        self._told_by: str | None = None  # whose answer came last
         self._asked = asyncio.Event()  # set by discovery's first answer
         self.address = config.listen
         runtime.carry.update({
@@ -529,7 +549,7 @@
     async def start(self) -> None:
         """Let clients come, once discovery has said what changed since the known list was written. Guards
         against sends to an engine that drained meanwhile: to a gateway that starts, it counts as told."""
-        if self._watching is not None:
+        if self._watching:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._asked.wait(), FIRST_LIST_WAIT)
         self._server = await open_door(
@@ -554,6 +574,7 @@
     def _stop_accepting(self) -> None:
         self._stop_listening()
         self._close_idle(0.0)
+        log.info("the door is shut; %d clients are still here", len(self._clients))
 
     def _close_idle(self, rest: float) -> None:
         """A connection just opened, or just answered, may have bytes under way."""
@@ -570,6 +591,7 @@
         if len(self.seats) >= most:
             idle = self.seats.idlest(time.monotonic())
             if idle is not None:
+                self.runtime.count("clients_made_room")
                 idle.abort()
             else:
                 self.runtime.count("clients_over_budget")
@@ -630,6 +652,10 @@
         fields = {k.decode(): v.decode("latin-1") for k, v in request.headers}
         arrival = arrival_from(fields, self._config.settings)
         rid = arrival.request
+        await asyncio.sleep(0)  # a close that came with the request's last bytes is read by then
+        if client.has_left():
+            self.runtime.count("clients_gone_before")
+            raise LinkError(Ending.CLIENT_LEFT)
         if client.refused:
             self.runtime.feed(core.TurnedAway(arrival.request_class))
             client.answer_last(503, "out of connections", [(b"Retry-After", b"1")])
@@ -972,31 +998,37 @@
         old, new = self._config.discovery, config.discovery
         if new == old:
             return
-        if old is not None:
-            self.runtime.pool.drop(old)
         self._config = replace(self._config, discovery=new)
+        # Where discovery was goes on being watched until the new place has answered once. Guards against a
+        # change that is on its way as discovery moves: it is told, and would be read by nobody.
+        self._end_watches(*({old, self._told_by} - {new} if new is not None else ()))
         self._discover(new, None)
         log.info("discovery moves from %s to %s", old, new)
 
     def _discover(self, discovery: str | None, version: int | None) -> None:
-        if self._watching is not None:
-            self._watching.cancel()
-        self._watching = None
         if discovery is not None:
-            self._watching = self._spawn(self._watch(discovery, version), "watch")
+            self._watching[discovery] = self._spawn(self._watch(discovery, version), f"watch {discovery}")
+
+    def _end_watches(self, *but: str | None) -> None:
+        for discovery in [d for d in self._watching if d not in but]:
+            self._watching.pop(discovery).cancel()
+            self.runtime.pool.drop(discovery)
 
     async def _watch(self, discovery: str, version: int | None) -> None:
-        failures, hold = 0, BRIEF_MS
+        failures, begins = 0, True
         while True:
             try:
-                slack = GOING_ON_SLACK if hold == HOLD_MS and not failures else WATCH_SLACK
-                version = await self._fetch(discovery, version, hold, slack)
+                version = await self._fetch(discovery, version, *next_call(begins))
+                self._told_by = discovery
+                if discovery == self._config.discovery:
+                    self._end_watches(discovery)
                 self._asked.set()
-                hold = HOLD_MS
+                begins = False
                 if failures:
                     log.info("discovery answers again at version %d", version)
                 failures = 0
             except (LinkError, ValueError) as error:
+                begins = True
                 self.runtime.count("discovery_failures")
                 if isinstance(error, NoRoom):
                     self.runtime.count("discovery_full")
@@ -1018,7 +1050,7 @@
             self.runtime.feed(core.ListTold(api.ListKind.FAILED, 0, ()))
 
     async def _fetch(
-        self, discovery: str, version: int | None, hold: int = HOLD_MS, slack: float = WATCH_SLACK
+        self, discovery: str, version: int | None, hold: int = BRIEF_MS, slack: float = TURN
     ) -> int:
         """One call; a watch if a version is held, of so many ms."""
         target = "/registry/instances"
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -11,7 +11,7 @@
 import sys
 import tempfile
 import unittest
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -49,6 +49,7 @@
         self.method, self.target, self.headers, self.body = method, target, headers, body
         self._reader, self._writer = reader, writer
         self.rid = headers.get("x-correlation-id", target.rpartition("/")[2])
+        self.sent = 0  # bytes of the answer
 
     def reply(self, status: int, body: bytes = b"", **headers: str) -> None:
         fields = {"Content-Length": str(len(body)), **{k.replace("_", "-"): v for k, v in headers.items()}}
@@ -57,6 +58,10 @@
 
     def raw(self, data: bytes) -> None:
         self._writer.write(data)
+        self.sent += len(data)
+
+    async def flushed(self) -> None:
+        await _flushed(self._writer)
 
     def begin(self) -> None:
         self.raw(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
@@ -85,6 +90,12 @@
         self._writer.transport.abort()
 
 
+async def _flushed(writer: asyncio.StreamWriter) -> None:
+    """Until all that was written is at the other side: on loopback, as soon as the kernel has taken it."""
+    writer.transport.set_write_buffer_limits(high=0)
+    await writer.drain()
+
+
 Handler = Callable[[Asked], Awaitable[None]]
 
 
@@ -259,17 +270,30 @@
 
     async def reload(self, text: str | dict[str, Any], word: str) -> None:
         """Replace the file, then SIGHUP; until the log has this word."""
+        self.replace_file(text)
+        self.process.send_signal(signal.SIGHUP)
+        await self.until(word)
+
+    def replace_file(self, text: str | dict[str, Any]) -> None:
         if isinstance(text, dict):
             text = json.dumps({**(self._config or {}), **text})
         Path(self.file + ".new").write_text(text)
         os.replace(self.file + ".new", self.file)
-        self.process.send_signal(signal.SIGHUP)
-        await self.until(word)
 
     async def kill(self) -> None:
         self.process.kill()
         await self.process.wait()
 
+    @contextlib.asynccontextmanager
+    async def held(self) -> AsyncIterator[None]:
+        """Stands still meanwhile: all that is sent to it, signals too, is there at once as it goes on."""
+        self.process.send_signal(signal.SIGSTOP)
+        async with asyncio.timeout(PATIENCE):
+            while Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()[0] != "T":
+                await asyncio.sleep(0)
+        yield
+        self.process.send_signal(signal.SIGCONT)
+
 
 class Client:
     """One client connection. Each answer is (status, headers, body, whether it ended in order)."""
@@ -325,6 +349,39 @@
         self.send(rid, **options)
         return await self.answer()
 
+    def raw(self, data: bytes) -> None:
+        self._writer.write(data)
+
+    async def flushed(self) -> None:
+        await _flushed(self._writer)
+
+    def as_asked(self) -> None:
+        """The next answer is to a request that was written as bytes."""
+        request = h11.Request(method="GET", target="/", headers=[("Host", "-")])
+        for event in (request, h11.EndOfMessage()):
+            self._http.send(event)
+
+    async def answer_to_raw(self) -> tuple[int, dict[bytes, bytes], bytes, bool]:
+        self.as_asked()
+        return await self.answer()
+
+    async def to_the_end(self) -> bytes:
+        """All that comes until the gateway closes the connection, in whatever way."""
+        got = b""
+        with contextlib.suppress(ConnectionError):
+            async with asyncio.timeout(PATIENCE):
+                while data := await self._reader.read(65536):
+                    got += data
+        return got
+
+    def write_end(self) -> None:
+        self._writer.write_eof()
+
+    async def gone(self) -> None:
+        """Once closed, until the connection is."""
+        with contextlib.suppress(ConnectionError):
+            await self._writer.wait_closed()
+
     async def closed(self) -> None:
         """Until the gateway has closed this connection."""
         async with asyncio.timeout(PATIENCE):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -132,8 +132,8 @@
             self.assertIs(ended.outcome, outcome)
 
     def test_a_refusal_goes_out_once_an_engine_anywhere_has_seen_that_the_attempt_is_given_up(self) -> None:
-        """Guards an order that is asked for again while a far engine still has the first. What the gateway ends
-        for its answer's sake is given up as well; what was never sent, or may run twice, waits for nothing."""
+        """Guards an order that is asked for again while a far engine still has the first. What the gateway
+        ends for a spoilt answer is given up as well; what was never sent, or may run twice, does not wait."""
         for effect, begun, spoilt, waits in (
             (api.Effect.UNSAFE, True, False, True), (api.Effect.KEYED, True, False, True),
             (api.Effect.UNSAFE, True, True, True), (api.Effect.UNSAFE, False, False, False),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,7 +17,7 @@
 
 from basaltspread import interface as api
 from basaltspread.adapter import settings_from
-from basaltspread.control.asking import retry_pause
+from basaltspread.control.asking import TOLD_WITHIN, retry_pause
 from basaltspread.core import Ending
 from basaltspread.net.platform import (
     BadRequest,
@@ -165,8 +165,9 @@
         self.assertEqual(slept, [retry_pause(n, 0.5) for n in range(1, 13)])
 
     async def test_a_watch_that_fell_silent_is_opened_anew_before_what_it_missed_counts_as_told(self) -> None:
-        """It does 2 s after the call's time for news is over; a drain that waited 2.5 s for an answer was
-        learnt 0.3 s too late. A first call, and one after a failure, may have to wait 2 s for its turn."""
+        """It does 6 s after it fell silent, and 6 s after discovery can be reached again, whatever calls
+        failed in between: one of 7.5 s was open that long. A first call, and one after a failure, may have to
+        wait 2 s for its turn; its answer is wanted at once, so that it is short."""
         runtime, waits = mock.MagicMock(), list[tuple[str, float]]()
 
         async def call(address: str, method: str, target: str, wait: float) -> Any:
@@ -184,8 +185,12 @@
             self.assertRaises(asyncio.CancelledError),
         ):
             await front._watch("127.0.0.1:1", 41)
-        first, goes_on, anew = ("1", 2.501), ("5000", 6.0), ("5000", 7.5)
-        self.assertEqual(waits, [first, goes_on, goes_on, anew, anew, goes_on, goes_on])
+        brief, goes_on = ("1", 2.501), ("2000", 3.0)
+        self.assertEqual(waits, [brief, goes_on, goes_on, brief, brief, goes_on, goes_on])
+        for gateways in (1, 8, 40, 200):  # a call that falls silent, and a pause before one that is answered
+            longest = max(retry_pause(n, 1.0, gateways) for n in range(1, 20))
+            self.assertLess(goes_on[1] + retry_pause(1, 1.0, gateways), TOLD_WITHIN)
+            self.assertLess(brief[1] + longest, TOLD_WITHIN)
 
     async def test_a_discovery_without_room_is_counted_and_asked_by_many_ever_more_rarely(self) -> None:
         runtime, slept = mock.MagicMock(), list[float]()
@@ -203,7 +208,8 @@
             self.assertRaises(asyncio.CancelledError),
         ):
             await front._watch("127.0.0.1:1", 41)
-        self.assertEqual(slept, [0.75, 1.5, 3.0, 6.0, 6.0, 6.0])
+        # No longer than that: with one more call of 2.5 s, all that it has then is learnt within 6 s.
+        self.assertEqual(slept, [0.75, 1.5, 2.25, 2.25, 2.25, 2.25])
         counted = [c.args[0] for c in runtime.count.call_args_list]
         self.assertEqual((counted.count("discovery_full"), counted.count("discovery_failures")), (6, 6))
 
@@ -243,8 +249,8 @@
         ):
             await front.start()
         self.assertEqual(order, ["door after 2 calls"])
-        self.assertEqual([c.partition("?")[2] for c in calls], ["from=5&hold_ms=1", "from=7&hold_ms=5000"])
-        front._watching.cancel()  # type: ignore[union-attr]
+        self.assertEqual([c.partition("?")[2] for c in calls], ["from=5&hold_ms=1", "from=7&hold_ms=2000"])
+        front._watching["127.0.0.1:1"].cancel()
 
 
 class GatewayTest(FleetTest):
