--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -7,12 +7,14 @@
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
+from itertools import permutations
 from typing import Any
 
 from basaltspread import core
 from basaltspread import interface as api
 from basaltspread.core import Ending, Order, Place, Verdict
 from basaltspread.net.runtime import Overlap
+from basaltspread.rules import Router
 from tests.helpers import FLEET, MS, SECOND, settings
 
 ARRIVAL = api.Arrival("q", "s", "p", 100, 200, 50, 0, 0, SECOND, 0, False, False)
@@ -170,6 +172,49 @@
         self.feed(core.Begun("q", 0))
         self.assertNotIn(core.AbandonAttempt("q", 0), self.feed(core.ClientLeft("q", Ending.CLIENT_LEFT)))
 
+    def test_a_time_out_a_cancel_and_an_answer_in_one_turn_in_any_order(self) -> None:
+        """With the real module: one end for the client, one release at most, and nothing left."""
+        falls_due: dict[str, core.Input] = {
+            "attempt": core.Woken(("attempt", "q", 1)), "deadline": core.Woken(("deadline", "q")),
+            "left": core.ClientLeft("q", Ending.CLIENT_LEFT), "first": core.FirstEvent("q", 1),
+            "served": core.Ended("q", 1, Ending.SERVED, 0, {}), "watch": core.Woken(("timer", 1)),
+        }  # fmt: skip
+        for effect in api.Effect:
+            for order in permutations(falls_due):
+                self.begin()
+                self.state = core.State(settings(effect), Router(settings(effect), 7))
+                listed = tuple(core.Listed(e, f"{e.name}:1") for e in FLEET)
+                done = self.feed(core.ListTold(api.ListKind.CACHED, 1, listed))
+                for number in (0, 1):
+                    event = core.Taken(ARRIVAL) if number == 0 else core.Ended("q", 0, Ending.READ, 0, {})
+                    done += self.feed(event)
+                    self.assertEqual(len([e for e in done if isinstance(e, core.StartAttempt)]), number + 1)
+                    done += self.feed(core.Begun("q", number))
+                    done += self.feed(core.Written("q", number))
+                self.now += ARRIVAL.time_left
+                waits = list[core.Wake]()
+                for name in order:
+                    done += self.feed(falls_due[name])
+                    waits += self.wakes
+                for place in [e for e in done if isinstance(e, core.AskPlace)]:
+                    done += self.feed(core.PlaceEnded("q", place.number, place.worker, Place.HELD))
+                    waits += self.wakes
+                for wake in waits:
+                    done += self.feed(core.Woken(wake.token), after=max(0, wake.at - self.now))
+                kinds = [type(e).__name__ for e in done]
+                ends = sum(kinds.count(kind) for kind in ("Answer", "EndStream", "BreakClient"))
+                before = order[: order.index("left")]  # the stream goes on past its time, until it is served
+                streams = [n for n in before if n != "watch"][:1] == ["first"]
+                due = ("served",) if streams else ("attempt", "deadline", "served")
+                answered = any(name in due for name in before)
+                if answered or "watch" not in before:  # the module may give up as its own timer fires
+                    self.assertEqual(ends, int(answered), (effect, order, kinds))
+                self.assertLessEqual(ends, 1, (effect, order, kinds))
+                self.assertLessEqual(kinds.count("AbandonAttempt"), 1, (effect, order, kinds))
+                for release in [e for e in done if isinstance(e, core.SendRelease)]:
+                    self.feed(core.ReleaseEnded("q", release.worker, True))
+                self.assertEqual((self.state.requests, self.state.releases), ({}, {}), (effect, order))
+
     def test_a_place_that_is_answered_after_all_was_let_go_is_let_go_too(self) -> None:
         """The question and the release go to two engines, in any order."""
         self.begin(
