Thin what is over by a lot for each turn of a session, not by the session's name

The lot is drawn for a session and the length of its prompt now: alike at every gateway and for a turn that is asked again, anew for the next turn.

--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -874,9 +874,9 @@
 
     def _promising(self, q: Request, w: Worker, need: int) -> bool:
         """Many routers: whether to send a read there, by what it and the writers let wait. What is over is
-        thinned by a lot that all draw alike from the session: some find their text kept."""
+        thinned by a lot that all draw alike for a turn of a session, asked again or not."""
         allowed = self._bearable(q, need * self.token_time) * ADMIT_SEEN
         wait, after = self._wait_at(w, self._pool_wait(Role.READER)), self._pool_wait(Role.WRITER)
         wait = wait * (ADMIT_SEEN if w.busy_until > self.now or self._lately(w) else 1) + after
-        lot = hashed("lot" + (q.a.session or q.id)) / HASH_MASK
+        lot = hashed(f"lot{q.a.session or q.id} {q.a.prompt_tokens}") / HASH_MASK
         return not self.many or wait <= allowed or lot < (allowed / wait) ** 2
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -492,6 +492,33 @@
     assert 0 < worst <= budget + 2 * budget**0.5 + 2
 
 
+def test_no_session_is_refused_for_its_name_while_others_are_let_in() -> None:
+    """Guards against a lot of the session's: half were let in at each turn and half at none. A turn that is
+    asked again is judged alike, at every gateway."""
+    drives = many_routers(2, WIDE)
+    for d in drives:
+        d.router.many = True
+        d.warm()
+        for name in (f"r{i}" for i in range(8)):
+            d.router.fleet[name].lag, d.router.fleet[name].lag_at = 0.7 * SECOND, d.now
+    turns, sessions = 4, 200
+    let_in: dict[str, int] = {f"s{i}": 0 for i in range(sessions)}
+    for session in let_in:
+        for turn in range(turns):
+            judged = set()
+            for d in drives:
+                name, prompt = f"{session}-{turn}", 800 + 700 * turn
+                a = api.Arrival(name, session, "p", 600, prompt, 200, 0, 0, 5 * SECOND, 0, False, False)
+                q = rules.Request(a, d.s.classes[0], d.now, False)
+                judged.add(d.router._promising(q, d.router.fleet["r0"], 1))
+            assert len(judged) == 1
+            let_in[session] += judged.pop()
+    part = sum(let_in.values()) / (turns * sessions)
+    assert 0.2 < part < 0.8
+    throughout = sum(n == 0 for n in let_in.values()) / sessions
+    assert throughout <= (1 - part) ** turns + 0.06
+
+
 def test_few_peers_left_are_not_taken_to_have_done_what_all_did() -> None:
     """Guards the budget of cold workers: right after most are replaced, the rate of all over the few that are
     warm made it several times too large."""
