--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -515,7 +515,7 @@
         self._clients: dict[Client, asyncio.Task[None]] = {}
         self.seats = Seats()
         self._bodies = self.read_ahead = 0  # bytes: of requests under way, and of what came meanwhile
-        self._bad_second = self._bad_lines = self._odd_report_second = 0
+        self._bad_second = self._bad_lines = self._odd_report_second = self._full_second = 0
         self._server: asyncio.Server | None = None
         self._watching: dict[str, asyncio.Task[None]] = {}  # by discovery's address; two while it moves
         self._told_by: str | None = None  # whose answer came last
@@ -589,6 +589,9 @@
         # one is refused in words, as an accepted connection may carry a request already.
         most = self.runtime.descriptors.limit * CLIENT_SHARE
         if len(self.seats) >= most:
+            if int(time.monotonic()) != self._full_second:
+                self._full_second = int(time.monotonic())
+                log.warning("clients fill %d descriptors: idle ones make room, or it is refused", most)
             idle = self.seats.idlest(time.monotonic())
             if idle is not None:
                 self.runtime.count("clients_made_room")
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -508,4 +508,5 @@
         counters = await gateway.stop()
         self.assertEqual(len(crowd), 300)
         self.assertGreater(counters["clients_made_room"], 0)
+        self.assertTrue(any("clients fill" in line for line in gateway.lines))
         self.assertLessEqual(counters["most_descriptors"], 128)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -83,6 +83,33 @@
     assert world.share("served") > 0.7
 
 
+@pytest.mark.parametrize("killed", [False, True])
+@pytest.mark.parametrize("talk", [False, True])
+def test_cold_engines_under_a_burst_are_not_pushed_over_by_the_sum_of_thirty_gateways(
+    talk: bool, killed: bool
+) -> None:
+    """Five of six writers and as many readers come back cold, their reports say that they are empty, and half
+    as much again comes; with and without words between gateways, and after a mass kill."""
+    world = World(5, gateways=30, readers=6, writers=6, rate=30.0, talk=talk, memory=True)
+    names = list(world.engines)
+
+    def come_back() -> None:
+        for name in names[:5] + names[6:11]:
+            world.tell(world.replace_engine(name), 50 * MS, 300 * MS)
+
+    def burst() -> None:
+        world.rate *= 1.5
+        for g in world.gateways:
+            if killed and world.rng.random() < 0.7:
+                world.kill(g, world.rng.randrange(300 * MS, SECOND))
+
+    world.after(4 * SECOND, come_back)
+    world.after(5 * SECOND, burst)
+    world.run(12)
+    assert world.breaches == []
+    assert world.share("served") > (0.75 if killed else 0.95)
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_drains_bind_every_gateway(seed: int) -> None:
     world = day(seed)
