--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,7 +18,7 @@
 from basaltspread import interface as api
 from basaltspread.adapter import settings_from
 from basaltspread.control.asking import TOLD_WITHIN, retry_pause
-from basaltspread.core import Ending
+from basaltspread.core import AskPlace, Ending, Place
 from basaltspread.net.platform import (
     BadRequest,
     Client,
@@ -213,6 +213,15 @@
         counted = [c.args[0] for c in runtime.count.call_args_list]
         self.assertEqual((counted.count("discovery_full"), counted.count("discovery_failures")), (6, 6))
 
+    async def test_a_place_is_not_asked_for_longer_than_it_may_be_held_for_nobody(self) -> None:
+        """Guards 'pinned': the answer got lost, and what the question left was let go 1 s after it."""
+        for limit, wait in ((500_000, 0.5), (300_000, 0.3), (2_000_000, 1.0), (0, 1.0)):
+            runtime, config = mock.MagicMock(), configured()
+            config.settings.rules.release_within = limit
+            runtime.pool.call = mock.AsyncMock(side_effect=LinkError(Ending.TIMED_OUT))
+            await Front(runtime, config)._place(AskPlace("q", 0, "w1", "x:1"), [False], [Place.UNKNOWN])
+            self.assertEqual(runtime.pool.call.call_args.kwargs["wait"], wait)
+
     async def test_a_report_that_cannot_be_read_is_counted_and_costs_nothing_else(self) -> None:
         runtime = mock.MagicMock()
         front = Front(runtime, configured())
