--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -937,8 +937,8 @@
         task.add_done_callback(over)
 
     async def _place(self, effect: core.AskPlace, begun: list[bool], heard: list[Place]) -> None:
-        # A question whose answer is lost may be heard late, and hold a place for a request that has gone on: it
-        # is waited for no longer than what is held may be, and then all is let go.
+        # One whose answer is lost may be heard late, and hold a place for a request that has gone on: it is
+        # waited for no longer than what is held may be, and then all is let go.
         wait = min(CALL_WAIT, self._config.settings.rules.release_within / 1e6 or CALL_WAIT)
         try:
             reply = await self.runtime.pool.call(
