Let go of what is held only once the engine has seen that its read is given up

The word to let go went out in the same turn as the close of the read's connection, on another connection: a read that ends well in the 0.2 to 3 ms until its reader has seen the close leaves a state behind the word, held for nobody.

Changed: reducer._release waits out GIVE_UP_PAUSE, as sends and refusals do.

--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -147,7 +147,7 @@
             self.do(AbandonAttempt(q.id, attempt.number))
         self.orphan_calls(q)
         if q.may_hold or q.asking:
-            self._release(q.id)
+            self._release(q.id, q)
 
     def _ask_module(self, event: api.Event) -> None:
         try:
@@ -461,15 +461,22 @@
     def release(self, action: api.Release) -> None:
         self._release(action.request)
 
-    def _release(self, name: str) -> None:
-        q = self.state.requests.get(name)
+    def _release(self, name: str, q: Request | None = None) -> None:
+        q = q or self.state.requests.get(name)
+        pause = 0
         if q is not None:
             q.may_hold, q.let_go = False, q.let_go | q.asking
+            # A read that is given up may end well until its engine has seen it: what it leaves after the word
+            # has gone round would be held for nobody.
+            pause = q.gave_up_at + GIVE_UP_PAUSE - self.now
         until = self.now + RELEASE_PATIENCE * self.state.settings.rules.release_within
         duty = self.state.releases.setdefault(name, Release())
         duty.until, duty.tries, duty.tried = until, 0, []
         self.count("releases")
-        self._try_release(name)
+        if pause > 0:
+            self.do(Wake(self.now + pause, ("release", name, 0)))
+        else:
+            self._try_release(name)
 
     def _try_release(self, name: str) -> None:
         """One more engine gets the word, and every engine passes it on. Guards against a word that no engine
