Refuse an id whose request is over, as one that is under way

A bad client replays ids; while the first is under way it gets 409 (many such lines), after it was taken anew. Engines take it for the first, which is over: the read is answered late or oddly, and the place asked for beside it is held for nobody.

Changed: Front._exchange remembers ids for the longest deadline of the settings after their request ended (20,000 at most), and answers 409. An id whose request was never read, as where a close crossed it, is not among them.

--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -60,6 +60,7 @@
 REST_PATIENCE = 30.0  # s that a connection may rest between two requests
 AHEAD_LIMIT = 2 * BODY_LIMIT  # bytes that a client may send while its request is under way
 AHEAD_PACE = 0.02  # s between two pieces of what is dropped: a flood must not take the neighbours' time
+MOST_USED = 20_000  # ids of requests that are over, known for the longest deadline
 QUEUE = 512  # connections that may wait to be accepted
 ACCEPTED_AT_ONCE = 8  # connections
 MOST_REFUSED = 16  # connections past the budget that are refused in words; more are closed
@@ -514,6 +515,8 @@
         self._places: dict[tuple[str, str], tuple[asyncio.Task[None], list[bool]]] = {}
         self._clients: dict[Client, asyncio.Task[None]] = {}
         self.seats = Seats()
+        self._used: dict[str, float] = {}  # ids of requests that are over: until when known
+        self._used_for = max((c.deadline for c in config.settings.classes), default=0) / 1e6
         self._bodies = self.read_ahead = 0  # bytes: of requests under way, and of what came meanwhile
         self._bad_second = self._bad_lines = self._odd_report_second = self._full_second = 0
         self._server: asyncio.Server | None = None
@@ -665,6 +668,10 @@
             return
         if rid in self._exchanges or rid in self.runtime.state.requests:
             raise BadRequest(409, "a request with this X-Correlation-Id is under way")
+        if time.monotonic() < self._used.get(rid, 0.0):
+            # Each request has an id of its own. Engines take one that comes again for the first, which is
+            # over: what they would hold for it is held for nobody.
+            raise BadRequest(409, "a request with this X-Correlation-Id has been here")
         if self._bodies + len(body) > self.runtime.body_room:
             self.runtime.count("refused_for_memory")
             self.runtime.feed(core.TurnedAway(arrival.request_class))
@@ -678,6 +685,14 @@
         finally:
             self._bodies -= len(body)
             del self._exchanges[rid]
+            self._note_used(rid)
+
+    def _note_used(self, rid: str) -> None:
+        now = time.monotonic()
+        self._used.pop(rid, None)
+        self._used[rid] = now + self._used_for
+        while len(self._used) > MOST_USED or next(iter(self._used.values())) < now:
+            del self._used[next(iter(self._used))]
 
     async def _until_end(self, client: Client, exchange: Exchange, rid: str) -> None:
         if not await client.wait_for(exchange):
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -297,6 +297,26 @@
                             got += connection.recv(100)
         self.assertEqual((got, counters["now_requests"], counters.get("ended_reset", 0)), (b"", 0, 0))
 
+    async def test_an_id_that_comes_again_after_its_request_is_over_reaches_no_engine(self) -> None:
+        """Guards "pinned": engines take it for the first request, whose client has gone; the place asked
+        for beside its read was held for nobody."""
+        reads = Gated(READ)
+        reader, writer = await self.standin(reads.handle), await self.standin(writing(answer_plainly))
+        gateway = await self.fleet(r1=reader, w1=writer)
+        gone = await self.client(gateway)
+        gone.send("q1")
+        await reads.until(("q1", 0))
+        await writer.until("POST", target="/state/q1")
+        gone.close()
+        await gateway.until_counter("clients_gone")
+        await gateway.until_true(lambda counters: not counters["now_requests"])
+        again = await self.client(gateway)
+        self.assertEqual((await again.ask("q1"))[0], 409)
+        reads.let_on("q2")
+        self.assertEqual((await (await self.client(gateway)).ask("q2"))[0], 200)
+        self.assertEqual((requests_of(reader, "q1"), writer.count("POST", "/state/q1")), (1, 1))
+        self.assertEqual((await gateway.stop())["bad_requests_409"], 1)
+
     async def test_half_a_request_and_then_a_close_costs_nobody_anything(self) -> None:
         gateway = await self.plain()
         whole = request("q1", body=b"x" * 50)
