--- a/basaltspread/conformance/cases_calls.py
+++ b/basaltspread/conformance/cases_calls.py
@@ -376,7 +376,7 @@
     equal(len(stage.seen()), 31, "calls made")
 
 
-@case("limits/silence", "operators: silence_ms", Needs(server="silence_ms = 150"))
+@case("limits/silence", "operators: silence_ms", Needs(server="silence_ms = 1000"))
 async def silence(stage: Stage) -> None:
     async def first_silent(asked: Asked) -> None:
         await (hold(asked) if len(stage.seen()) == 1 else echo(asked))
