Fail at the end what may have run and is discarded as a repeat in one zone alone, and begin nothing late

A connection whose answer's head could not say that it ends was given a last look once the door was shut, and what came was sent on; where streams can't be resumed, one that begins at 1.7 s can't end before the kill. It is closed unread again, and what had been read already is refused in words. Tests: both rows fail on the code before; the crossing on real sockets asks for the refusal.

--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -195,8 +195,10 @@
         cls = self.state.settings.classes[a.request_class]
         unsafe = cls.effect is api.Effect.UNSAFE
         alone = unsafe or not self.state.settings.limits.duplicates
+        everywhere = cls.effect is api.Effect.KEYED and cls.key_scope is api.KeyScope.ALL
         q = Request(
-            a.request, a.request_class, self.now + left, unsafe, a.is_resumed, alone,
+            a.request, a.request_class, self.now + left, unsafe, a.is_resumed,
+            cls.effect is api.Effect.SAFE or everywhere, alone,
             tenant=a.tenant, prompt=a.prompt_tokens,
         )  # fmt: skip
         self.state.requests[q.id] = q
@@ -826,7 +828,7 @@
             for attempt in q.out():
                 self._close(q, attempt, Ending.CANCELLED, abandon=True)
             may_have_run = ran or q.resumed  # of what is resumed, a part was answered
-            self._answer(q, Verdict.FAILED if q.unsafe and may_have_run else Verdict.REFUSED)
+            self._answer(q, Verdict.REFUSED if q.refusable or not may_have_run else Verdict.FAILED)
         if self.state.requests:
             self.do(Wake(self.now + MOVE_STEP, ("last",)))
 
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -51,6 +51,7 @@
     deadline: int
     unsafe: bool = False
     resumed: bool = False
+    refusable: bool = True  # also once it may have run: it may be asked for again
     one_at_a_time: bool = False  # no attempt may begin while another is out
     gave_up_at: int = -(10**9)  # when an attempt was last closed from this side
     attempts: list[Attempt] = field(default_factory=list)
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -279,7 +279,7 @@
         self.idle = True  # not a byte of a next request has come
         self.spoke = False  # a byte has come at all
         self.rests_since = self._opened = time.monotonic()
-        self.refused = False  # over the budget: its request is refused
+        self.refused = False  # over the budget, or this process ends: its request is refused
         self._wait: asyncio.Timeout | None = None  # for a first byte, while one is waited for
         self._last = False  # the connection ends with this answer
         writer.transport.set_write_buffer_limits(high=CLIENT_BUFFER)
@@ -289,6 +289,10 @@
             while await self._one():
                 self.idle, self.rests_since = True, time.monotonic()
                 self._front.seats.rests(self, self.rests_since)
+                if core.leaving(self._front.runtime.state):  # a head that went out before could not say so
+                    if not self._early and not self._http.trailing_data[0]:
+                        break
+                    self.refused = True  # what is read already is answered; sent on, it might not end in time
         except (OSError, LinkError):
             pass
         finally:
@@ -364,8 +368,6 @@
         request: h11.Request | None = None
         body = bytearray()
         by = self._opened + FIRST_BYTE_PATIENCE if not self.spoke else self.rests_since + REST_PATIENCE
-        if self.spoke and core.leaving(self._front.runtime.state):
-            by = self.rests_since  # the head of the last answer could not say so yet; what has come is served
         while True:
             try:
                 event = self._http.next_event()
@@ -664,7 +666,7 @@
             raise LinkError(Ending.CLIENT_LEFT)
         if client.refused:
             self.runtime.feed(core.TurnedAway(arrival.request_class))
-            client.answer_last(503, "out of connections", [(b"Retry-After", b"1")])
+            client.answer_last(503, "ask elsewhere, or later", [(b"Retry-After", b"1")])
             return
         if rid in self._exchanges or rid in self.runtime.state.requests:
             raise BadRequest(409, "a request with this X-Correlation-Id is under way")
