Derive two facts of a request from the settings where they are asked, and name the pause once

Request.refusable and one_at_a_time were copies of the class and the limits, each read in one place; the pause after an attempt is given up was worked out three times (_unseen). A comment on owed ran over two fields.

--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -185,6 +185,10 @@
             return None
         return q, q.attempts[number]
 
+    def _unseen(self, q: Request) -> int:
+        """How long yet an engine may not have seen that an attempt there was given up."""
+        return q.gave_up_at + GIVE_UP_PAUSE - self.now
+
     def taken(self, event: Taken) -> None:
         a = event.arrival
         left = max(0, a.time_left - ANSWER_EARLY)
@@ -194,11 +198,8 @@
         )  # fmt: skip
         cls = self.state.settings.classes[a.request_class]
         unsafe = cls.effect is api.Effect.UNSAFE
-        alone = unsafe or not self.state.settings.limits.duplicates
-        everywhere = cls.effect is api.Effect.KEYED and cls.key_scope is api.KeyScope.ALL
         q = Request(
             a.request, a.request_class, self.now + left, unsafe, a.is_resumed,
-            cls.effect is api.Effect.SAFE or everywhere, alone,
             tenant=a.tenant, prompt=a.prompt_tokens,
         )  # fmt: skip
         self.state.requests[q.id] = q
@@ -243,7 +244,7 @@
             return
         self._end(q, verdict)
         self.count(f"answers_{verdict.value}")
-        pause = q.gave_up_at + GIVE_UP_PAUSE - self.now
+        pause = self._unseen(q)
         safe = self.state.settings.classes[q.request_class].effect is api.Effect.SAFE
         if verdict is Verdict.REFUSED and not safe and pause > 0:
             # As for a next send: the refusal may reach the client before an engine in another zone has seen
@@ -275,8 +276,8 @@
         left = min(left, action.timeout) if action.timeout > 0 else left
         self.do(Wake(self.now + left, ("attempt", q.id, attempt.number)))
         attempt.until = self.now + left
-        pause = q.gave_up_at + GIVE_UP_PAUSE - self.now
-        if q.one_at_a_time and pause > 0:
+        pause = self._unseen(q)
+        if (q.unsafe or not self.state.settings.limits.duplicates) and pause > 0:
             # Two connections keep no order between them: a close and the next send reach two engines in any
             # order, and what must not run twice would be out twice.
             self.do(Wake(self.now + pause, ("start", q.id, attempt.number)))
@@ -470,7 +471,7 @@
             q.may_hold, q.let_go = False, q.let_go | q.asking
             # A read that is given up may end well until its engine has seen it: what it leaves after the word
             # has gone round would be held for nobody.
-            pause = q.gave_up_at + GIVE_UP_PAUSE - self.now
+            pause = self._unseen(q)
         until = self.now + RELEASE_PATIENCE * self.state.settings.rules.release_within
         duty = self.state.releases.setdefault(name, Release())
         duty.until, duty.tries, duty.tried = until, 0, []
@@ -828,7 +829,10 @@
             for attempt in q.out():
                 self._close(q, attempt, Ending.CANCELLED, abandon=True)
             may_have_run = ran or q.resumed  # of what is resumed, a part was answered
-            self._answer(q, Verdict.REFUSED if q.refusable or not may_have_run else Verdict.FAILED)
+            cls = self.state.settings.classes[q.request_class]
+            everywhere = cls.effect is api.Effect.KEYED and cls.key_scope is api.KeyScope.ALL
+            again = cls.effect is api.Effect.SAFE or everywhere or not may_have_run
+            self._answer(q, Verdict.REFUSED if again else Verdict.FAILED)
         if self.state.requests:
             self.do(Wake(self.now + MOVE_STEP, ("last",)))
 
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -51,13 +51,11 @@
     deadline: int
     unsafe: bool = False
     resumed: bool = False
-    refusable: bool = True  # also once it may have run: it may be asked for again
-    one_at_a_time: bool = False  # no attempt may begin while another is out
     gave_up_at: int = -(10**9)  # when an attempt was last closed from this side
     attempts: list[Attempt] = field(default_factory=list)
     stream: Attempt | None = None
-    ended: bool = False  # the client has had its final answer, or has gone; but for one that is
-    owed: bool = False  # decided, and goes out once what was given up is surely seen to be
+    ended: bool = False  # the client has had its final answer, or has gone
+    owed: bool = False  # it has ended, and its answer goes out once what was given up is surely seen to be
     place: str | None = None  # a writer to be asked once the read's last byte is out
     asking: set[str] = field(default_factory=set)  # writers whose answer is awaited
     let_go: set[str] = field(default_factory=set)  # of these, asked before all that is held was let go
