--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import heapq
+import json
 import random
 from collections import Counter, defaultdict
 from collections.abc import Callable
@@ -20,12 +21,21 @@
 from basaltspread.core import Ending, Place
 from basaltspread.rules import Router
 from tests.helpers import MS, SECOND, settings
+from tests.overload_judge import EngineArrival, windows, worst_breach
 
 SLACK = 50 * MS  # on every time limit
 HELD_SLACK = 300 * MS  # and on what is held
 CONNECT = 250 * MS
 READ_TIME, FIRST_TIME, STREAM_TIME = 60 * MS, 40 * MS, 400 * MS
 FULL = 20  # requests lately at an engine that fill its memory
+PROMPT_TOKENS = (800, 4000)  # of one request, uniform
+ANSWER_TOKENS = (50, 350)
+MEAN_PROMPT, MEAN_ANSWER = sum(PROMPT_TOKENS) / 2, sum(ANSWER_TOKENS) / 2
+READER, WRITER = 0, 1  # kinds of engine
+OVERLAP_NOTICED = 50 * MS  # until a process knows that another of its gateway runs
+OVERLAP = 2 * SECOND  # for which the old process of a gateway runs beside the new one
+CLIENT_TRIES = 3
+CLIENT_BACKOFF = (50 * MS, 500 * MS)
 
 
 @dataclass
@@ -34,7 +44,14 @@
     alive: bool = True
     silent: bool = False
     sick: bool = False  # answers every request with an error
-    sends: list[int] = field(default_factory=list)
+    hung: bool = False  # takes work in and answers nothing until it goes on
+    full: bool = False  # refuses places
+    postponed: list[Callable[[], None]] = field(default_factory=list)  # answers due while it hung
+    arrivals: list[EngineArrival] = field(default_factory=list)
+
+    @property
+    def sends(self) -> list[int]:
+        return [arrival.at for arrival in self.arrivals]
 
 
 @dataclass
@@ -45,6 +62,8 @@
     life: int = 0
     told: dict[str, int] = field(default_factory=dict)  # engine -> when it was told that it drains or is gone
     known: dict[str, core.Listed] = field(default_factory=dict)
+    traffic: float = 1.0  # of clients' requests, against the other gateways
+    leaving: bool = False  # the old one of two processes: it gets no more requests
 
 
 @dataclass
@@ -55,6 +74,12 @@
     life: int
     unsafe: bool
     deadline: int
+    came_at: int = 0
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    tries: int = 1
+    session: str = ""
+    prefix: str = ""
     answer: str = ""
     streams: bool = False
     out: set[int] = field(default_factory=set)
@@ -66,7 +91,8 @@
 class World:
     def __init__(
         self, seed: int, gateways: int, readers: int, writers: int, rate: float, zones: int = 3,
-        talk: bool = True, memory: bool = False,
+        talk: bool = True, memory: bool = False, load: float = 0.4,
+        count_sends: bool = True,
     ) -> None:  # fmt: skip
         self.rng, self.now, self.rate = random.Random(seed), 1000 * SECOND, rate
         self.began, self.order = self.now, 0
@@ -84,7 +110,15 @@
         for i in range(readers + writers):
             # Names tell the zone, as many platforms' do: whoever goes by names alone stays in one zone.
             self.add_engine(f"{names[i % zones]}{i}", kind=int(i >= readers), zone=i % zones, started=0)
-        self.capacity = [2.5 * rate / readers, 2.5 * rate / writers]  # requests a second, of a warm engine
+        # Mean requests a second that a warm engine can do; `load` is the used part of what all can.
+        self.capacity = [rate / load / readers, rate / load / writers]
+        self.swollen = 0.0  # share of prompts that are eight times as long
+        self.late_connects = 0.0  # share of connections that take up to a second to come up
+        self.places_refused, self.places_lost = 0.2, 0.0
+        self.clients_repeat = False
+        self.late_lists = dict[int, int]()  # gateway -> how much later than others it hears of changes
+        self.first_tokens: list[int] = []  # from a request's arrival
+        self.count_sends = count_sends
         self.held: dict[str, dict[str, int]] = defaultdict(dict)  # request -> engine -> since when
         self.asks: dict[str, Ask] = {}
         self.cut: set[int] = set()  # zones that only hear themselves
@@ -116,6 +150,11 @@
         self._audit_cold()
         return self
 
+    def choose_gateway(self, live: list[Gateway]) -> Gateway:
+        if all(g.traffic == 1.0 for g in live):
+            return self.rng.choice(live)
+        return self.rng.choices(live, [g.traffic for g in live])[0]
+
     def breach(self, rule: str, about: str) -> None:
         self.breaches.append(f"{rule}: {about} at {(self.now - self.began) / SECOND:.3f} s")
 
@@ -137,6 +176,25 @@
         g.state = None
         self.after(back_after, lambda: self.start(g))
 
+    def hand_over(self, g: Gateway) -> None:
+        """A second process of this gateway starts beside the first, learns from it and takes its clients."""
+        if g.state is None or g.leaving:
+            return
+        new = Gateway(g.number, g.zone, known=dict(g.known), traffic=g.traffic)
+        knowledge = json.loads(json.dumps(core.knowledge(g.state)))
+        g.leaving = True
+        self.gateways.append(new)
+        self.start(new)
+        self.feed(new, core.Sharing(2))
+        self.feed(new, core.Recalled(knowledge))
+        self.after(OVERLAP_NOTICED, lambda: self.feed(g, core.Sharing(2)))
+        self.after(OVERLAP, lambda: self._left(g, new))
+
+    def _left(self, old: Gateway, new: Gateway) -> None:
+        old.state = None
+        self.gateways.remove(old)
+        self.feed(new, core.Sharing(1))
+
     def feed(self, g: Gateway, event: core.Input) -> None:
         if g.state is not None:
             for effect in core.reduce(g.state, self.now, event):
@@ -149,8 +207,15 @@
 
     def tell(self, engines: list[str], least: int, most: int) -> None:
         """Each gateway hears of these at a time of its own."""
-        for g in self.gateways:
-            self.after(self.rng.randrange(least, most), lambda g=g: self._told(g, engines))  # type: ignore[misc]
+        for number in sorted({g.number for g in self.gateways}):
+            self.after(
+                self.rng.randrange(least, most) + self.late_lists.get(number, 0),
+                lambda number=number: self._tell_processes(number, engines),  # type: ignore[misc]
+            )
+
+    def _tell_processes(self, number: int, engines: list[str]) -> None:
+        for g in [g for g in self.gateways if g.number == number]:
+            self._told(g, engines)
 
     def _told(self, g: Gateway, engines: list[str]) -> None:
         entries = []
@@ -183,6 +248,29 @@
         for places in self.held.values():
             places.pop(name, None)
 
+    def come_back_cold(self, name: str) -> None:
+        """A new process on the same machine, under the same name."""
+        engine = self.engines[name]
+        engine.alive, engine.silent, engine.hung = True, False, False
+        engine.entry = replace(engine.entry, started=self.now)
+
+    def hang(self, name: str, time: int) -> None:
+        """It takes work in, answers nothing, and answers all at once in the end."""
+        self.engines[name].hung = True
+        self.after(time, lambda: self._go_on(self.engines[name]))
+
+    def _go_on(self, engine: Engine) -> None:
+        engine.hung = False
+        postponed, engine.postponed = engine.postponed, []
+        for answer in postponed:
+            answer()
+
+    def _answer(self, engine: Engine, answer: Callable[[], None]) -> None:
+        if engine.hung:
+            engine.postponed.append(answer)
+        else:
+            answer()
+
     def drain(self, name: str) -> None:
         engine = self.engines[name]
         engine.entry = replace(engine.entry, state=api.WorkerState.DRAINING)
@@ -255,12 +343,17 @@
             else:
                 self._sent(g, effect, engine, life)
 
-        self.after(1 * MS, came_up)
+        late = self.rng.random() < self.late_connects
+        time = self.rng.randrange(SECOND) if late else 1 * MS
+        if time >= CONNECT:
+            self._end_later(g, effect, CONNECT, Ending.CONNECT_TIMED_OUT)
+        else:
+            self.after(time, came_up)
 
     def _probe(self, g: Gateway, name: str) -> None:
         engine = self.engines[name]
         self.costs["probes"] += 1
-        if not self.reaches(g, name):
+        if not self.reaches(g, name) or engine.hung:
             self.later(g, CONNECT, core.Probed(name, Ending.CONNECT_TIMED_OUT, CONNECT))
         elif not engine.alive:
             self.later(g, 1 * MS, core.Probed(name, Ending.REFUSED, 1 * MS))
@@ -276,7 +369,7 @@
         told = g.told.get(effect.worker)
         if told is not None and self.now > told + self.settings.rules.drain_grace + SLACK:
             self.breach("drain", f"{rid} to {effect.worker}")
-        engine.sends.append(self.now)
+        engine.arrivals.append(self._arrival(g, effect, engine))
         q.arrived.add(effect.number)
         self.costs["attempts"] += 1
         if not effect.reading:
@@ -289,13 +382,27 @@
             self.costs["errors"] += 1
             self._end_later(g, effect, 2 * MS, Ending.SERVER_ERROR)
         elif effect.reading:
-            self.after(self._slow(engine, READ_TIME), lambda: self._read(g, effect, engine, life))
+            time = self._slow(engine, int(READ_TIME * q.prompt_tokens / MEAN_PROMPT))
+            self.after(time, lambda: self._answer(engine, lambda: self._read(g, effect, engine, life)))
         elif not self.held[rid]:
             q.may_have_run = False
             self._end_later(g, effect, 1 * MS, Ending.STATE_GONE)
         else:
             self.held[rid].clear()
-            self.after(self._slow(engine, FIRST_TIME), lambda: self._first(g, effect, engine, life))
+            time = self._slow(engine, FIRST_TIME)
+            self.after(time, lambda: self._answer(engine, lambda: self._first(g, effect, engine, life)))
+
+    def _arrival(self, g: Gateway, effect: core.StartAttempt, engine: Engine) -> EngineArrival:
+        q, known = self.asks[effect.request], g.known.get(effect.worker)
+        told = known is not None and known.entry.started == engine.entry.started
+        return EngineArrival(self.now, self.work(q, effect.reading), told, effect.request, g.number)
+
+    @staticmethod
+    def work(q: Ask, reading: bool) -> float:
+        """In requests of mean work, as the clients' ordinary requests are: a reader reads the prompt, a
+        writer takes it in and writes the answer."""
+        prompt, answer = q.prompt_tokens / MEAN_PROMPT, q.answer_tokens / MEAN_ANSWER
+        return prompt if reading else (prompt + answer) / 2
 
     def _slow(self, engine: Engine, time: int) -> int:
         return int(time * self.rng.uniform(0.7, 1.6) / self._warmth(engine, self.now))
@@ -327,17 +434,22 @@
             self._end(g, effect, Ending.RESET)
         elif self.reaches(g, effect.worker):
             self.asks[effect.request].streams = True
+            self.first_tokens.append(self.now - self.asks[effect.request].came_at)
             self.held.pop(effect.request, None)
             self.feed(g, core.FirstEvent(effect.request, effect.number))
-            self._end_later(g, effect, STREAM_TIME, Ending.SERVED)
+            time = int(STREAM_TIME * self.asks[effect.request].answer_tokens / MEAN_ANSWER)
+            self._end_later(g, effect, time, Ending.SERVED)
 
     def _place(self, g: Gateway, effect: core.AskPlace) -> None:
         said = Place.UNKNOWN
         if self.reaches(g, effect.worker) and self.engines[effect.worker].alive:
-            said = Place.HELD if self.rng.random() < 0.8 else Place.NOT_HELD
+            refused = self.engines[effect.worker].full or self.rng.random() < self.places_refused
+            said = Place.NOT_HELD if refused else Place.HELD
             if said is Place.HELD and not self.asks[effect.request].streams:
                 self.held[effect.request][effect.worker] = self.now
                 self.asks[effect.request].idle_since = self.now
+        if said is Place.HELD and self.rng.random() < self.places_lost:
+            said = Place.UNKNOWN  # the answer got lost, the place is held
         wait = 1 * MS if said is not Place.UNKNOWN else CONNECT
         self.later(g, wait, core.PlaceEnded(effect.request, effect.number, effect.worker, said))
 
@@ -353,19 +465,37 @@
     def _arrive(self, end: int) -> None:
         if self.now >= end:
             return
-        live = [g for g in self.gateways if g.state is not None]
+        live = [g for g in self.gateways if g.state is not None and not g.leaving]
         if live:
-            g, n = self.rng.choice(live), len(self.asks)
-            name, unsafe = f"q{n}", self.rng.random() < 0.3
-            deadline = (8 if unsafe else 6) * SECOND
-            self.asks[name] = Ask(g, g.life, unsafe, self.now + deadline)
+            unsafe = self.rng.random() < 0.3
             session, prefix = f"s{self.rng.randrange(400)}", f"p{self.rng.randrange(12)}"
-            tokens = self.rng.randrange(800, 4000)
-            self.feed(g, core.Taken(api.Arrival(
-                name, session, prefix, 700, tokens, 400, int(unsafe), 0, deadline, 0, False, False
-            )))  # fmt: skip
+            tokens = self.rng.randrange(*PROMPT_TOKENS) * (8 if self.rng.random() < self.swollen else 1)
+            answer = self.rng.randrange(*ANSWER_TOKENS)
+            time = (8 if unsafe else 6) * SECOND
+            q = Ask(live[0], 0, unsafe, time, prompt_tokens=tokens, answer_tokens=answer)
+            self._ask(q, session, prefix, live)
         self.after(int(self.rng.expovariate(self.rate) * SECOND), lambda: self._arrive(end))
 
+    def _ask(self, q: Ask, session: str, prefix: str, live: list[Gateway]) -> None:
+        """`q.deadline` is the time that the client has left."""
+        g, time_left = self.choose_gateway(live), q.deadline
+        name = f"q{len(self.asks)}"
+        q.gateway, q.life, q.came_at, q.deadline = g, g.life, self.now, self.now + time_left
+        q.session, q.prefix = session, prefix
+        self.asks[name] = q
+        self.feed(g, core.Taken(api.Arrival(
+            name, session, prefix, 700, q.prompt_tokens, 400, int(q.unsafe), 0, time_left, 0,
+            q.tries > 1, False,
+        )))  # fmt: skip
+
+    def _come_again(self, q: Ask) -> None:
+        """Clients repeat what was refused at once, at whichever gateway they reach."""
+        time_left = q.deadline - self.now
+        live = [g for g in self.gateways if g.state is not None and not g.leaving]
+        if time_left > SECOND and live:
+            again = replace(q, deadline=time_left, tries=q.tries + 1, answer="", out=set(), arrived=set())
+            self._ask(again, q.session, q.prefix, live)
+
     def _lives(self, q: Ask) -> bool:
         return q.gateway.state is not None and q.gateway.life == q.life
 
@@ -378,6 +508,8 @@
         if answer == "refused" and q.unsafe and q.may_have_run:
             self.breach("refused what may have run", name)
         q.answer = answer
+        if self.clients_repeat and answer == "refused" and q.tries < CLIENT_TRIES:
+            self.after(self.rng.randrange(*CLIENT_BACKOFF), lambda: self._come_again(q))
 
     def _audit(self, end: int) -> None:
         limit = self.settings.rules.release_within + SLACK + HELD_SLACK
@@ -393,16 +525,52 @@
         if self.now < end:
             self.after(20 * MS, lambda: self._audit(end))
 
-    def _audit_cold(self) -> None:
-        """In each window, less than the multiple of what it could do then."""
+    def allowed(self, engine: Engine, when: int) -> float:
+        """Mean requests in one window that the settings allow this engine at that time."""
         rules = self.settings.rules
+        could = self.capacity[engine.entry.kind] * self._warmth(engine, when)
+        return rules.cold_multiple * could * rules.cold_window / SECOND
+
+    def cold_arrivals(self, engine: Engine) -> list[EngineArrival]:
+        """What arrived there since its latest start, as long as it was cold."""
+        started = engine.entry.started
+        until = started + self.settings.rules.warm_within
+        return [a for a in engine.arrivals if started and started <= a.at < until]
+
+    def cold_use(self) -> list[float]:
+        """Of each engine in slow start, the share of its limit that its fullest window used."""
+        found = []
+        for engine in self.engines.values():
+            at_engine = windows(
+                self.cold_arrivals(engine),
+                lambda when, engine=engine: self.allowed(engine, when),  # type: ignore[misc]
+                self.settings.rules.cold_window,
+            )
+            if at_engine:
+                found.append(max(window.fills for window in at_engine))
+        return found
+
+    def _audit_cold(self) -> None:
         for name, engine in self.engines.items():
-            if not engine.entry.started:
-                continue
-            cold = [s for s in engine.sends if s < engine.entry.started + rules.warm_within]
-            for i, first in enumerate(cold):
-                sent = sum(s < first + rules.cold_window for s in cold[i:])
-                could = self.capacity[engine.entry.kind] * self._warmth(engine, first)
-                if sent > rules.cold_multiple * could * rules.cold_window / SECOND + 2:
-                    self.breach("pushed over", f"{name} sent {sent} a window, could do {could:.1f}")
-                    break
+            breach = worst_breach(
+                self.cold_arrivals(engine),
+                lambda when, engine=engine: self.allowed(engine, when),  # type: ignore[misc]
+                self.settings.rules.cold_window,
+            )
+            if breach is not None:
+                began = (breach.start - engine.entry.started) / SECOND
+                got = f"{breach.work:.1f} of {breach.limit:.1f} in a window"
+                self.breach("pushed over", f"{name} got {got}, {began:.3f} s after its start")
+            if self.count_sends:
+                self._audit_cold_count(name, engine)
+
+    def _audit_cold_count(self, name: str, engine: Engine) -> None:
+        """Besides, on the days that have been held to it: no more sends than the multiple and two."""
+        rules = self.settings.rules
+        cold = [arrival.at for arrival in self.cold_arrivals(engine)]
+        for i, first in enumerate(cold):
+            sent = sum(at < first + rules.cold_window for at in cold[i:])
+            could = self.capacity[engine.entry.kind] * self._warmth(engine, first)
+            if sent > rules.cold_multiple * could * rules.cold_window / SECOND + 2:
+                self.breach("pushed over", f"{name} sent {sent} a window, could do {could:.1f}")
+                break
