--- a/basaltspread/config.py
+++ b/basaltspread/config.py
@@ -16,6 +16,7 @@
 import sys
 from collections.abc import Mapping, Sequence
 from dataclasses import field
+from math import isfinite
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -109,13 +110,33 @@
     try:
         settings = settings_from(conf)
         idle = int((conf.get("limits") or {}).get("idle_close") or 30_000_000)
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
         raise ConfigError("settings", f"can't be read: {error!r}", "give it as the platform does") from error
     if not settings.classes:
         raise ConfigError("settings.classes", "missing or empty", "list at least one request class")
+    _check_slow_start(settings.rules)
     return settings, idle
 
 
+def _check_slow_start(rules: api.RuleFigures) -> None:
+    """All figures of slow start are given or none: with one that says nothing its budget would have no bound,
+    or be none."""
+    figures = {
+        "fall": rules.cold_window,
+        "start_capacity": rules.cold_start_share,
+        "tip_multiple": rules.cold_multiple,
+        "warm_within": rules.warm_within,
+    }
+    if not any(figures.values()):
+        return  # engines need no slow start
+    for key, value in figures.items():
+        if not (isfinite(value) and value > 0):
+            raise ConfigError(f"settings.rules.{key}", f"{value!r} is not over 0", "give all four or none")
+    if rules.cold_start_share > 1:
+        fault = f"{rules.cold_start_share!r} is over 1"
+        raise ConfigError("settings.rules.start_capacity", fault, "give a share of 1 at most")
+
+
 # --- the platform ---------------------------------------------------------------------------------------
 
 
--- a/basaltspread/control/load_view.py
+++ b/basaltspread/control/load_view.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from math import isfinite
+
 from basaltspread import interface as api
 from basaltspread.interface import Role
 from basaltspread.records import record
@@ -18,14 +20,17 @@
 
     def __init__(self, entry: api.WorkerEntry, role: Role, memory: int) -> None:
         self.name, self.hash, self.role, self.memory = entry.name, hashed(entry.name), role, memory
+        self.started = 0  # clock time of its latest start; 0: long ago
         self.reads: dict[str, int] = {}  # own unfinished reads: request -> tokens to read
         self.writes: dict[str, int] = {}  # own unfinished answers: request -> prompt tokens
         self.update(entry)
         self.restarted(0)
 
     def update(self, entry: api.WorkerEntry) -> None:
+        """A list may be older than another: a start never goes back."""
         self.entry, self.state, self.cell, self.zone = entry, entry.state, entry.cell, entry.zone
-        self.started, self.weight = entry.started, entry.weight if entry.weight > 0 else 1.0
+        self.started = max(self.started, entry.started)
+        self.weight = entry.weight if isfinite(entry.weight) and entry.weight > 0 else 1.0
 
     def restarted(self, now: int) -> None:
         """A new process: nothing learnt of the old one holds."""
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -16,6 +16,7 @@
 from zlib import crc32
 
 from basaltspread import interface as api
+from basaltspread.control import list_check
 from basaltspread.control.picture import BadWord, Word
 from basaltspread.core.messages import (
     AbandonAttempt,
@@ -88,6 +89,8 @@
 LAST_ANSWERS = 250 * MS  # past the grace: who has had nothing by then is told to ask elsewhere
 LEFT_KEPT = 60_000 * MS  # for which an older list can't bring back an engine that was told to have left
 ODD_WORDS_STEP = 1000 * MS  # between two log lines about peers' messages that can't be read; all are counted
+ODD_LIST_STEP = 10_000 * MS  # the same about odd entries of the list, which may come with each list
+ODD_SAID = 5  # odd entries that such a line names
 MOST_BANS = 1024  # engines left out at once, listed or not
 DRAIN_DOOR = 1000 * MS  # after an operator's drain, idle clients stay so long: a front learns of it by asking
 DRAIN_STEP = 200 * MS  # between two looks for idle clients from then on
@@ -551,7 +554,7 @@
     def list_told(self, event: ListTold) -> None:
         self.count("lists_" + event.kind.value)
         state = self.state
-        entries = self._in_order(event)
+        entries = self._believed(self._in_order(event))
         if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
             state.listed.clear()
         for listed in entries:
@@ -591,6 +594,25 @@
             self.do(Say(f"the list went back to version {event.version}; {back} engines still drain"))
         return tuple(out)
 
+    def _believed(self, entries: Iterable[Listed]) -> tuple[Listed, ...]:
+        """The entries, with what can't be true put right. Guards slow start against a list that would make
+        an engine look warm, or larger than any."""
+        state, out, odd = self.state, list[Listed](), list[str]()
+        for listed in entries:
+            known = state.listed.get(listed.entry.name)
+            entry, wrong = list_check.checked(
+                listed.entry, known.entry if known else None, self.now, len(state.settings.kinds)
+            )
+            for oddity in wrong:
+                self.count("list_oddity_" + oddity.name.lower())
+                odd.append(f"{entry.name} {oddity.value}")
+            out.append(Listed(entry, listed.address))
+        said = state.odd_list_said_at
+        if odd and (said is None or self.now >= said + ODD_LIST_STEP):
+            state.odd_list_said_at = self.now
+            self.do(Say(f"{len(odd)} odd entries in the list: " + "; ".join(odd[:ODD_SAID])))
+        return tuple(out)
+
     def _treated(self, listed: Listed) -> Listed:
         """An engine that is left out counts as draining, and one let in again as started just then: it may
         have been restarted meanwhile, and discovery may tell of that late."""
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -126,6 +126,7 @@
     releases: dict[str, Release] = field(default_factory=dict)
     picture: Picture | None = None  # only where many gateways tell each other of the engines
     odd_words_said_at: int | None = None  # when the log last told of a message that can't be read
+    odd_list_said_at: int | None = None  # the same of odd entries in discovery's list
     tools: Dispatcher | None = None  # only where a configuration has tool servers
     calls: dict[tuple[str, str], ToolCall] = field(default_factory=dict)  # open ones
     bundles: dict[tuple[str, int], Bundle] = field(default_factory=dict)  # unanswered ones
--- a/basaltspread/policy/slow_start.py
+++ b/basaltspread/policy/slow_start.py
@@ -141,7 +141,9 @@
         left nothing can be completed: what was known then goes on to hold."""
         rate = self.completed_rate[worker.role]
         known_at = now if self._warm_weight(now, worker.role) > 0 else rate.when
-        return rate.over(known_at, self._slot_length) * self._weight(worker)
+        others = [self._weight(other) for other in self._available[worker.role] if other is not worker]
+        like = min(self._weight(worker), max(others, default=self._weight(worker)))  # as large as any known
+        return rate.over(known_at, self._slot_length) * like
 
     def _offset(self, worker: Worker, slot: int) -> float:
         """What is added before rounding down, in [0, 1): evenly divided among all routers, in an order and
--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -142,7 +142,7 @@
                 worker = self.fleet.get(entry.name)
                 known = self.s.kinds[entry.kind : entry.kind + 1]
                 role, memory = (known[0].role, known[0].memory_tokens) if known else (Role.MIXED, 0)
-                new = worker is None or entry.started != worker.started or role is not worker.role
+                new = worker is None or entry.started > worker.started or role is not worker.role
                 if worker is None:
                     worker = self.fleet[entry.name] = Worker(entry, role, memory)
                 worker.update(entry)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -407,13 +407,13 @@
 
     def _reading_time(self, engine: Engine, q: Ask) -> int:
         """Of a prompt alone at this engine: the mean one takes as long as its capacity says."""
-        mean = SECOND / self.capacity[READER] / self._warmth(engine, self.now)
+        mean = SECOND / self.capacity[READER] / self.warmth(engine, self.now)
         return int(mean * q.prompt_tokens / MEAN_PROMPT * self.rng.uniform(0.9, 1.4))
 
     def _slow(self, engine: Engine, time: int) -> int:
-        return int(time * self.rng.uniform(0.7, 1.6) / self._warmth(engine, self.now))
+        return int(time * self.rng.uniform(0.7, 1.6) / self.warmth(engine, self.now))
 
-    def _warmth(self, engine: Engine, when: int) -> float:
+    def warmth(self, engine: Engine, when: int) -> float:
         rules, started = self.settings.rules, engine.entry.started
         if not started:
             return 1.0
@@ -534,7 +534,7 @@
     def allowed(self, engine: Engine, when: int) -> float:
         """Mean requests in one window that the settings allow this engine at that time."""
         rules = self.settings.rules
-        could = self.capacity[engine.entry.kind] * self._warmth(engine, when)
+        could = self.capacity[engine.entry.kind] * self.warmth(engine, when)
         return rules.cold_multiple * could * rules.cold_window / SECOND
 
     def cold_arrivals(self, engine: Engine) -> list[EngineArrival]:
@@ -576,7 +576,7 @@
         cold = [arrival.at for arrival in self.cold_arrivals(engine)]
         for i, first in enumerate(cold):
             sent = sum(at < first + rules.cold_window for at in cold[i:])
-            could = self.capacity[engine.entry.kind] * self._warmth(engine, first)
+            could = self.capacity[engine.entry.kind] * self.warmth(engine, first)
             if sent > rules.cold_multiple * could * rules.cold_window / SECOND + 2:
                 self.breach("pushed over", f"{name} sent {sent} a window, could do {could:.1f}")
                 break
--- a/tests/slow_start_days.py
+++ b/tests/slow_start_days.py
@@ -13,13 +13,14 @@
 from dataclasses import dataclass, field
 from itertools import combinations
 
-from tests.fleet import READER, WRITER, World
+from tests.fleet import READER, WRITER, Engine, World
 from tests.helpers import MS, SECOND
 from tests.overload_judge import EngineArrival, Window, worst_breach
 
 LENGTH = 12.0  # seconds in which clients come
 COLD_AT = 4 * SECOND  # until then the gateways learn what warm engines do
 ZONES = 3
+FAIR_STEP = 100 * MS
 
 
 @dataclass(frozen=True)
@@ -50,6 +51,7 @@
     served: float
     use: list[float] = field(default_factory=list)  # of each cold engine's limit, by its fullest window
     cold_work: float = 0.0  # mean requests that cold engines got
+    fair_work: float = 0.0  # the same, if each got its even part of all, times its warmth
     first_tokens: list[int] = field(default_factory=list)  # microseconds from arrival
 
     @property
@@ -279,7 +281,18 @@
     world = build(plan).run(LENGTH)
     cold = [e for e in world.engines.values() if e.entry.started]
     work = sum(arrival.work for e in cold for arrival in world.cold_arrivals(e))
-    return Played(plan, world.breaches, world.share("served"), world.cold_use(), work, world.first_tokens)
+    fair = sum(fair_work(world, plan, e) for e in cold)
+    return Played(
+        plan, world.breaches, world.share("served"), world.cold_use(), work, fair, world.first_tokens
+    )
+
+
+def fair_work(world: World, plan: Plan, engine: Engine) -> float:
+    """Of the clients' requests while they come, at the plan's rate."""
+    engines = plan.readers if engine.entry.kind == READER else plan.writers
+    end = world.began + int(LENGTH * SECOND)
+    steps = range(engine.entry.started, end, FAIR_STEP)
+    return sum(world.warmth(engine, at) for at in steps) * plan.rate / engines * FAIR_STEP / SECOND
 
 
 def trace(world: World) -> Iterable[tuple[str, Window]]:
@@ -330,7 +343,8 @@
     broken = sum(bool(day.breaches) for day in days)
     print(f"{len(days)} days, {overloaded} with an overload, {broken} with any breach")
     print(f"served {sum(day.served for day in days) / len(days):.4f}")
-    print(f"work at cold engines {sum(day.cold_work for day in days):.0f} mean requests")
+    cold, fair = sum(day.cold_work for day in days), sum(day.fair_work for day in days)
+    print(f"work at cold engines {cold:.0f} mean requests, {cold / max(fair, 1):.2f} of an even part")
     if use:
         median, high = use[len(use) // 2], use[len(use) * 99 // 100]
         print(f"limit used: median {median:.2f}, 99% {high:.2f}, most {use[-1]:.2f}")
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -69,6 +69,30 @@
             config.load_platform({})
 
 
+class SlowStartSettingsTest(unittest.TestCase):
+    def load(self, **rules: Any) -> None:
+        settings = {**PLATFORM["settings"], "rules": {**PLATFORM["settings"]["rules"], **rules}}
+        config._settings(settings)
+
+    def test_figures_of_slow_start_without_which_its_budget_has_no_bound_are_named(self) -> None:
+        for key, odd in (
+            ("fall", 0), ("fall", -1), ("start_capacity", 0), ("start_capacity", -0.1), ("tip_multiple", 0),
+            ("start_capacity", 1.2), ("start_capacity", float("nan")), ("tip_multiple", float("inf")),
+            ("warm_within", 0), ("warm_within", -5), ("warm_within", None),
+        ):  # fmt: skip
+            with self.assertRaises(ConfigError, msg=f"{key} {odd}") as caught:
+                self.load(**{key: odd})
+            self.assertEqual(caught.exception.key, f"settings.rules.{key}")
+        with self.assertRaises(ConfigError) as caught:
+            self.load(fall=float("inf"))
+        self.assertEqual(caught.exception.key, "settings")
+
+    def test_a_deployment_whose_engines_need_no_slow_start_gives_none_of_them(self) -> None:
+        self.load()
+        self.load(fall=0, start_capacity=0, tip_multiple=0, warm_within=0)
+        self.load(fall=None, start_capacity=None, tip_multiple=None, warm_within=None)
+
+
 class SidecarTest(unittest.TestCase):
     def setUp(self) -> None:
         tools = ("--tool", "look_up=safe", "--tool", "place_order")
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -622,6 +622,37 @@
         (answer,) = self.feed(core.Operate(1, Order.DISABLE, "nobody"))
         self.assertEqual(answer, core.OperatorAnswer(1, False, "no such engine", unknown=True))
 
+    def test_what_cannot_be_true_in_a_list_is_counted_said_once_and_put_right(self) -> None:
+        self.begin()
+        entry = self.state.listed["r1"].entry
+        odd = (
+            (replace(entry, started=self.now + 3600 * SECOND), "list_oddity_start_ahead"),
+            (replace(entry, weight=0.0), "list_oddity_bad_weight"),
+            (replace(entry, weight=float("nan")), "list_oddity_bad_weight"),
+            (replace(entry, weight=-3.0), "list_oddity_bad_weight"),
+            (replace(entry, weight=float("inf")), "list_oddity_bad_weight"),
+            (replace(entry, kind=9), "list_oddity_unknown_kind"),
+        )
+        for i, (told, counter) in enumerate(odd):
+            effects = self.listed(replace(told, name=f"odd{i}"))
+            self.assertIn(core.Count(counter), effects)
+            self.assertEqual(any(isinstance(e, core.Say) for e in effects), i == 0)  # a line in ten seconds
+        for name in ("odd1", "odd2", "odd3", "odd4"):
+            self.assertEqual(self.state.listed[name].entry.weight, 1.0)
+        self.now += 10 * SECOND
+        self.listed(replace(entry, name="back", started=self.now))
+        effects = self.listed(replace(entry, name="back", started=self.now - SECOND))
+        self.assertIn(core.Count("list_oddity_start_went_back"), effects)
+        said = [e.text for e in effects if isinstance(e, core.Say)]
+        self.assertEqual(said, ["1 odd entries in the list: back has an earlier start than was told before"])
+        self.assertEqual(self.state.workers["back"].entry.started, self.now)
+        told_module = [e for e in self.module.told if isinstance(e, api.WorkerList)]
+        self.assertEqual(told_module[-1].entries[0].started, self.now)
+
+    def listed(self, entry: api.WorkerEntry) -> list[core.Effect]:
+        told = core.ListTold(api.ListKind.DELTA, 2, (core.Listed(entry, "127.0.0.1:1"),))
+        return core.reduce(self.state, self.now, told)
+
     def test_two_processes_share_the_budget_for_cold_engines(self) -> None:
         self.begin()
         for processes in (2, 1):
