--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -276,6 +276,8 @@
         if listed is None or listed.entry.state is not WorkerState.UP:
             self._close(q, attempt, Ending.WITHDRAWN)
             return
+        if self._starts(listed):
+            self.count("sends_in_slow_start")
         left = min(left, action.timeout) if action.timeout > 0 else left
         self.do(Wake(self.now + left, ("attempt", q.id, attempt.number)))
         attempt.until = self.now + left
@@ -287,6 +289,11 @@
         else:
             self._start(q, attempt, listed)
 
+    def _starts(self, listed: Listed) -> bool:
+        """Whether this engine is in slow start, by the list and the settings."""
+        started = listed.entry.started
+        return started > 0 and self.now - started < self.state.settings.rules.warm_within
+
     def _start(self, q: Request, attempt: Attempt, listed: Listed) -> None:
         self.count("sends_read" if attempt.reading else "sends_write")
         left = attempt.until - self.now
@@ -442,6 +449,8 @@
         q.may_hold = True
         q.asking.add(worker)
         self.count("places_asked")
+        if self._starts(listed):
+            self.count("places_in_slow_start")
         self.do(AskPlace(q.id, read.number, worker, listed.address))
 
     def place_ended(self, event: PlaceEnded) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -649,6 +649,16 @@
         told_module = [e for e in self.module.told if isinstance(e, api.WorkerList)]
         self.assertEqual(told_module[-1].entries[0].started, self.now)
 
+    def test_what_goes_to_an_engine_in_slow_start_is_counted(self) -> None:
+        self.begin(Arrival=send("r1"))
+        warm_within = self.state.settings.rules.warm_within
+        entry = self.state.listed["r1"].entry
+        for age, counted in ((SECOND, True), (warm_within, False), (self.now, False)):
+            self.listed(replace(entry, name=f"r{age}", started=self.now - age))
+            self.module.answers["Arrival"] = send(f"r{age}")
+            effects = core.reduce(self.state, self.now, core.Taken(replace(ARRIVAL, request=f"q{age}")))
+            self.assertEqual(core.Count("sends_in_slow_start") in effects, counted)
+
     def listed(self, entry: api.WorkerEntry) -> list[core.Effect]:
         told = core.ListTold(api.ListKind.DELTA, 2, (core.Listed(entry, "127.0.0.1:1"),))
         return core.reduce(self.state, self.now, told)
