--- a/basaltspread/client/blocking.py
+++ b/basaltspread/client/blocking.py
@@ -87,5 +87,3 @@
 
     def _call(self, work: Any) -> None:
         self._loop.call_soon_threadsafe(work)
-
-
--- a/basaltspread/conformance/runner.py
+++ b/basaltspread/conformance/runner.py
@@ -52,9 +52,7 @@
         why = f"{type(error).__name__}: {error}" if not isinstance(error, AssertionError) else str(error)
     if not why:
         ended = [g for g in world.gateways[-1:] if g.process.returncode not in (None, 0)]
-        faults = [
-            line for g in world.gateways for line in g.lines if " fault" in line
-        ]
+        faults = [line for g in world.gateways for line in g.lines if " fault" in line]
         if case.alone and faults:
             why = f"the gateway logged {faults[0]!r:.300}"
         elif ended and not case.alone:
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -659,9 +659,7 @@
 
     def probed(self, event: Probed) -> None:
         outcome, refused = OUTCOMES[event.ending], event.ending is Ending.REFUSED
-        self.told.append(
-            api.ProbeEnded(event.worker, outcome, event.elapsed, event.report, int(refused))
-        )
+        self.told.append(api.ProbeEnded(event.worker, outcome, event.elapsed, event.report, int(refused)))
         picture = self.state.picture
         if picture is not None and event.ending is Ending.SERVED:
             self._tell(picture.report(self.now, event.worker, event.report))
--- a/basaltspread/interface.py
+++ b/basaltspread/interface.py
@@ -241,7 +241,14 @@
 
 
 Event = (
-    WorkerList | Arrival | FirstToken | PlaceAnswer | AttemptEnded | ClientGone | TimerFired | ProbeEnded
+    WorkerList
+    | Arrival
+    | FirstToken
+    | PlaceAnswer
+    | AttemptEnded
+    | ClientGone
+    | TimerFired
+    | ProbeEnded
     | PeerMessage
 )
 
@@ -321,6 +328,17 @@
 
 
 Action = (
-    Send | LongRead | HoldPlace | Release | Cancel | Refuse | Fail | Move | SetTimer | Probe | WatchList
-    | FetchList | Log
+    Send
+    | LongRead
+    | HoldPlace
+    | Release
+    | Cancel
+    | Refuse
+    | Fail
+    | Move
+    | SetTimer
+    | Probe
+    | WatchList
+    | FetchList
+    | Log
 )
--- a/basaltspread/net/toolcalls.py
+++ b/basaltspread/net/toolcalls.py
@@ -581,5 +581,3 @@
         bundle = self._bundles.pop((effect.request, effect.bundle), None)
         if bundle is not None and bundle.task is not None and not bundle.task.done():
             bundle.task.cancel()
-
-
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -680,9 +680,7 @@
         gateway = await self.fleet(r1=reader, w1=writer)
         client = library.Client([gateway.address], Policy(resume=False), account="acme", seed=1)
         self.addAsyncCleanup(client.close)
-        asking = asyncio.ensure_future(
-            client.ask(MESSAGES, request_class="order", unsafe=True, timeout=10.0)
-        )
+        asking = asyncio.ensure_future(client.ask(MESSAGES, request_class="order", unsafe=True, timeout=10.0))
         async with asyncio.timeout(20):
             await reached.wait()
             if step == "streaming":
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -749,7 +749,6 @@
             head + b"20\r\ndata: 1\n",
             head + b"C0000000\r\ndata: " + b"x" * 70_000,
         ):
-
             spoils = iter((spoilt, spoilt))  # q1's only write, and q2's first
 
             async def spoil_twice(asked: Asked, spoils: Iterator[bytes] = spoils) -> None:
