--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -276,6 +276,19 @@
     assert d.sent_to(name) == "w2"
 
 
+@pytest.mark.parametrize("named", ["w2", "r1", ""])
+def test_a_places_answer_counts_whoever_the_host_names_but_not_an_earlier_places(named: str) -> None:
+    """Guards against hosts that name the reader, whose attempt carries the answer: all were left out."""
+    d, name = reserved_at_cold_writer()
+    request = d.router.requests[name]
+    request.place, request.placed = d.router.fleet["w2"], False
+    request.asked.append("w2")
+    d.feed(api.PlaceAnswer(name, 0, "w1", True))
+    assert not request.placed
+    d.feed(api.PlaceAnswer(name, 0, named, True))
+    assert request.placed
+
+
 def test_a_refused_place_gives_nothing_back() -> None:
     d, name = reserved_at_cold_writer()
     left = d.router.fleet["w1"].allowance
