--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -567,7 +567,7 @@
         if q is None or q.out is None or q.out.number != event.attempt or not q.out.reading:
             return  # too late: the read has ended and the request has gone on
         if q.place is not None and event.worker in q.asked and event.worker != q.place.name:
-            return  # of an earlier place, given up since; some hosts name the reader, whose attempt carries it
+            return  # of an earlier place; some hosts name the reader, whose attempt carries the answer
         q.placed = event.held
         if not event.held:
             q.reservation = None
