--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -21,7 +21,7 @@
 from basaltspread.core import Ending, Place
 from basaltspread.rules import Router
 from tests.helpers import MS, SECOND, settings
-from tests.overload_judge import EngineArrival, windows, worst_breach
+from tests.overload_judge import EngineArrival, Window, windows, worst_breach
 
 SLACK = 50 * MS  # on every time limit
 HELD_SLACK = 300 * MS  # and on what is held
@@ -556,13 +556,14 @@
                 found.append(max(window.fills for window in at_engine))
         return found
 
+    def overload(self, engine: Engine) -> Window | None:
+        """The fullest window in which this engine was overloaded while it was cold, if it was."""
+        length = self.settings.rules.cold_window
+        return worst_breach(self.cold_arrivals(engine), lambda when: self.allowed(engine, when), length)
+
     def _audit_cold(self) -> None:
         for name, engine in self.engines.items():
-            breach = worst_breach(
-                self.cold_arrivals(engine),
-                lambda when, engine=engine: self.allowed(engine, when),  # type: ignore[misc]
-                self.settings.rules.cold_window,
-            )
+            breach = self.overload(engine)
             if breach is not None:
                 began = (breach.start - engine.entry.started) / SECOND
                 got = f"{breach.work:.1f} of {breach.limit:.1f} in a window"
--- a/tests/slow_start_days.py
+++ b/tests/slow_start_days.py
@@ -15,7 +15,7 @@
 
 from tests.fleet import READER, WRITER, Engine, World
 from tests.helpers import MS, SECOND
-from tests.overload_judge import EngineArrival, Window, worst_breach
+from tests.overload_judge import EngineArrival, Window
 
 LENGTH = 12.0  # seconds in which clients come
 COLD_AT = 4 * SECOND  # until then the gateways learn what warm engines do
@@ -298,11 +298,7 @@
 def trace(world: World) -> Iterable[tuple[str, Window]]:
     """The fullest broken window of each engine that was overloaded."""
     for name, engine in world.engines.items():
-        breach = worst_breach(
-            world.cold_arrivals(engine),
-            lambda when, engine=engine: world.allowed(engine, when),  # type: ignore[misc]
-            world.settings.rules.cold_window,
-        )
+        breach = world.overload(engine)
         if breach is not None:
             yield name, breach
 
