Count allowed sends in one place in the fleet's audit, and drop a flag that nothing set

Found in reading the whole change again. The count of sends worked out for itself what allowed() gives; the bound, the multiple and two, is the same. Engine.full was never set.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -45,7 +45,6 @@
     silent: bool = False
     sick: bool = False  # answers every request with an error
     hung: bool = False  # takes work in and answers nothing until it goes on
-    full: bool = False  # refuses places
     postponed: list[Callable[[], None]] = field(default_factory=list)  # answers due while it hung
     arrivals: list[EngineArrival] = field(default_factory=list)
 
@@ -449,7 +448,7 @@
     def _place(self, g: Gateway, effect: core.AskPlace) -> None:
         said = Place.UNKNOWN
         if self.reaches(g, effect.worker) and self.engines[effect.worker].alive:
-            refused = self.engines[effect.worker].full or self.rng.random() < self.places_refused
+            refused = self.rng.random() < self.places_refused
             said = Place.NOT_HELD if refused else Place.HELD
             if said is Place.HELD and not self.asks[effect.request].streams:
                 self.held[effect.request][effect.worker] = self.now
@@ -573,11 +572,10 @@
 
     def _audit_cold_count(self, name: str, engine: Engine) -> None:
         """Besides, on the days that have been held to it: no more sends than the multiple and two."""
-        rules = self.settings.rules
         cold = [arrival.at for arrival in self.cold_arrivals(engine)]
         for i, first in enumerate(cold):
-            sent = sum(at < first + rules.cold_window for at in cold[i:])
-            could = self.capacity[engine.entry.kind] * self.warmth(engine, first)
-            if sent > rules.cold_multiple * could * rules.cold_window / SECOND + 2:
-                self.breach("pushed over", f"{name} sent {sent} a window, could do {could:.1f}")
+            sent = sum(at < first + self.settings.rules.cold_window for at in cold[i:])
+            allowed = self.allowed(engine, first)
+            if sent > allowed + 2:
+                self.breach("pushed over", f"{name} got {sent} in a window, {allowed:.1f} allowed")
                 break
