--- /dev/null
+++ b/tests/test_request_time.py
@@ -0,0 +1,97 @@
+"""What a client has left, and whether it is still there: known from what its connection showed first."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+from typing import Any
+from unittest import mock
+
+from basaltspread import core
+from basaltspread.adapter import settings_from
+from basaltspread.net.platform import Client, Exchange, Front
+from basaltspread.net.runtime import BODY_LIMIT, READ_SIZE, Ear
+from tests.standins import SETTINGS
+
+HEAD = (
+    b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nX-Service-Class: ask\r\n"
+    b"X-Account: acme\r\nX-Time-Left-Ms: 5000\r\nContent-Length: 2\r\n\r\n"
+)
+LATE_MS = 1500
+
+
+class Door:
+    """A front whose inputs to the core are kept, and a client connection whose bytes the test writes."""
+
+    def __init__(self) -> None:
+        self.fed = list[Any]()
+        runtime = mock.MagicMock(body_room=1 << 30)
+        runtime.feed = self.fed.append
+        runtime.state.requests, runtime.state.stopping = {}, False
+        runtime.state.draining_since = None
+        config = mock.MagicMock(settings=settings_from(SETTINGS))
+        self.front = Front(runtime, config)
+        self.reader = Ear(limit=READ_SIZE)
+        self.client = Client(self.front, self.reader, mock.MagicMock())
+
+    def taken(self) -> core.Taken | None:
+        return next((event for event in self.fed if isinstance(event, core.Taken)), None)
+
+
+class ArrivalTimeTest(unittest.IsolatedAsyncioTestCase):
+    async def arrive(self, first: bytes, rest: bytes, used: bool) -> int:
+        """The time that the core is told the client has left, in ms, of a request in two pieces."""
+        door = Door()
+        if used:
+            door.client.spoke, door.client.rests_since = True, time.monotonic()
+        clock, late = time.monotonic, LATE_MS / 1000
+        serving = asyncio.ensure_future(door.client._one())
+        if first:
+            door.reader.feed_data(first)
+        for _ in range(5):
+            await asyncio.sleep(0)
+        with mock.patch("time.monotonic", lambda: clock() + late):
+            door.reader.feed_data(rest)
+            while door.taken() is None:
+                await asyncio.sleep(0)
+        serving.cancel()
+        await asyncio.wait({serving})
+        taken = door.taken()
+        assert taken is not None
+        return taken.arrival.time_left // core.MS
+
+    async def test_a_request_that_arrives_slowly_has_less_left(self) -> None:
+        """The client counts from the moment it began to send: an engine was told 1,492 ms too much."""
+        whole = HEAD % b"q" + b"{}"
+        for first, rest, used in (
+            (whole[:-1], whole[-1:], False), (whole[:-1], whole[-1:], True),
+            (whole[:20], whole[20:], False), (whole[:20], whole[20:], True),
+            (b"", whole, False),  # nothing since the connection was opened for it
+        ):  # fmt: skip
+            left = await self.arrive(first, rest, used)
+            self.assertLessEqual(left, 5000 - LATE_MS, (first[:10], used))
+
+    async def test_a_rest_between_two_requests_costs_the_next_nothing(self) -> None:
+        self.assertGreater(await self.arrive(b"", HEAD % b"q" + b"{}", True), 5000 - LATE_MS)
+
+
+class FloodTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_close_behind_some_megabytes_is_seen_without_a_pause(self) -> None:
+        """Read at a pace, a close was seen seconds late, and an attempt began after it."""
+        door = Door()
+        exchange = Exchange(door.client, mock.MagicMock(headers=[], method=b"POST", target=b"/"), b"")
+        for _ in range(3 * 1024 * 1024 // READ_SIZE):
+            door.reader.feed_data(b"x" * READ_SIZE)
+        door.reader.feed_eof()
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(loop, "call_later", wraps=loop.call_later) as later:
+            self.assertFalse(await door.client.wait_for(exchange))
+        self.assertEqual(later.call_args_list, [])
+
+    async def test_a_client_known_to_have_closed_gets_nothing_sent_whatever_it_left_unread(self) -> None:
+        """The close has been read from the socket, and bytes before it have not been read from the buffer."""
+        door = Door()
+        door.reader.feed_data(b"y" * BODY_LIMIT)
+        door.reader.feed_eof()
+        self.assertTrue(door.client.has_left())
