--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -18,7 +18,8 @@
 from basaltspread.control import picture
 from basaltspread.net.management import Management
 from basaltspread.net.platform import Front
-from basaltspread.net.runtime import BanFile, Overlap, Runtime
+from basaltspread.net.runtime import Runtime
+from basaltspread.net.shared_files import BanFile, Overlap
 from basaltspread.rules import Router
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/basaltspread/net/clients.py
@@ -0,0 +1,329 @@
+"""Clients' connections: one request at a time on each, its answer, and the watch for the client's leaving.
+
+It must never choose an engine, send anything to one, or word a final answer that the core did not ask for
+(malformed requests, which the core never sees, excepted).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import logging
+import time
+from typing import TYPE_CHECKING, Any
+
+import h11
+
+from basaltspread import core
+from basaltspread.core import Ending
+from basaltspread.net.links import BODY_LIMIT, HEAD_LIMIT, READ_SIZE, Headers, LinkError
+from basaltspread.net.parsing import BadRequest, check_head
+from basaltspread.net.runtime import CLIENT_BUFFER
+
+if TYPE_CHECKING:
+    from basaltspread.net.platform import Front
+
+log = logging.getLogger("basaltspread")
+FIRST_BYTE_PATIENCE = 2.0  # s from a connection's opening to its first byte; it may be closed without one
+FIRST_BYTES_UNDER_WAY = 0.25  # s after a connection's opening
+REQUEST_PATIENCE = 2.5  # s from a request's first byte to its last; a first one's runs from the opening
+LAST_LOOK = 0.005  # s for bytes under way, before a resting connection is closed from this side
+REST_PATIENCE = 30.0  # s that a connection may rest between two requests
+AHEAD_LIMIT = 2 * BODY_LIMIT  # bytes that a client may send while its request is under way
+AHEAD_PACE = 0.02  # s between two pieces of what is dropped: a flood must not take the neighbours' time
+CLIENT_PATIENCE = 30.0  # s for a client that does not read its stream
+# Not passed on to an engine: of this hop alone, or set anew.
+HOP_HEADERS = frozenset((
+    b"host", b"connection", b"content-length", b"transfer-encoding", b"x-time-left-ms", b"te", b"upgrade",
+    b"keep-alive", b"expect", b"trailer", b"proxy-connection", b"proxy-authorization",
+))  # fmt: skip
+REASONS = {
+    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
+    409: b"Conflict", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway", 503: b"Service Unavailable",
+}  # fmt: skip
+
+
+class Seats:
+    """The clients' connections that are open, and which idle one makes room first: one that was opened and
+    said nothing, then the one that rests longest; one just opened only after these, as its first bytes may be
+    under way. Every step costs the same however many there are."""
+
+    def __init__(self) -> None:
+        self._open: dict[Client, None] = {}
+        self._silent: dict[Client, float] = {}  # since when; the longest first, as in the next
+        self._resting: dict[Client, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def opened(self, client: Client, now: float) -> None:
+        self._open[client] = None
+        self._silent[client] = now
+
+    def rests(self, client: Client, now: float) -> None:
+        self.busy(client)
+        if client in self._open:
+            self._resting[client] = now
+
+    def busy(self, client: Client) -> None:
+        self._silent.pop(client, None)
+        self._resting.pop(client, None)
+
+    def left(self, client: Client) -> None:
+        self.busy(client)
+        self._open.pop(client, None)
+
+    def idlest(self, now: float) -> Client | None:
+        """The one to make room, if one is idle."""
+        opened = next(iter(self._silent.values()), now)
+        silent, resting = next(iter(self._silent), None), next(iter(self._resting), None)
+        return silent if now - opened >= FIRST_BYTES_UNDER_WAY or resting is None else resting
+
+
+class Exchange:
+    """One client request: what is passed on to engines, and the client that waits for the answer."""
+
+    def __init__(self, client: Client, request: h11.Request, body: bytes) -> None:
+        self.client, self.body = client, body
+        self.method, self.target = request.method.decode(), request.target.decode()
+        self.headers: Headers = [(k, v) for k, v in request.headers if k not in HOP_HEADERS]
+        self.passing: int | None = None  # the attempt whose stream the client gets
+        self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    def finish(self) -> None:
+        if not self.done.done():
+            self.done.set_result(None)
+
+
+class Client:
+    """One client connection: one request at a time, its answer, and the watch for the client's leaving."""
+
+    def __init__(self, front: Front, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._front, self._reader, self._writer = front, reader, writer
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
+        self._early = b""  # what came while the answer was awaited
+        self.idle = True  # not a byte of a next request has come
+        self.spoke = False  # a byte has come at all
+        self.rests_since = self._opened = time.monotonic()
+        self.refused = False  # over the budget, or this process ends: its request is refused
+        self._wait: asyncio.Timeout | None = None  # for a first byte, while one is waited for
+        self._last = False  # the connection ends with this answer
+        writer.transport.set_write_buffer_limits(high=CLIENT_BUFFER)
+
+    async def serve(self) -> None:
+        try:
+            while await self._one():
+                self.idle, self.rests_since = True, time.monotonic()
+                self._front.seats.rests(self, self.rests_since)
+                if core.leaving(self._front.runtime.state):  # a head that went out before could not say so
+                    if not self._early and not self._http.trailing_data[0]:
+                        break
+                    self.refused = True  # what is read already is answered; sent on, it might not end in time
+        except (OSError, LinkError):
+            pass
+        finally:
+            self._take_early()
+            self.close()
+
+    def close(self) -> None:
+        """What was written still goes out; a stream not ended stays without its last chunk."""
+        self._front.seats.left(self)
+        if not self._writer.transport.is_closing():
+            self._writer.close()
+
+    def carry_on(self) -> h11.Request:
+        """For a connection on which another process has begun to answer in chunks. It ends with that answer:
+        what its head said of the connection is not known here."""
+        self._http.receive_data(b"GET / HTTP/1.1\r\nHost: -\r\n\r\n")
+        request = self._http.next_event()
+        assert isinstance(request, h11.Request)
+        self._http.next_event()
+        self._http.send(h11.Response(status_code=200, headers=[("Transfer-Encoding", "chunked")]))
+        self.idle, self.spoke, self._last = False, True, True
+        return request
+
+    def can_leave(self) -> bool:
+        """Whether another process can go on with the answer: all that was written is out, nothing came."""
+        waiting = self._writer.transport.get_write_buffer_size()
+        return not self.leaving() and not waiting and not self._early and not self._reader.at_eof()
+
+    def leave(self) -> int:
+        """The connection's descriptor, for that process."""
+        return int(self._writer.get_extra_info("socket").fileno())
+
+    def let_go(self) -> None:
+        """Close a resting connection, unless the next request's bytes are there already."""
+        if self._wait is not None and not self._wait.expired():
+            self._wait.reschedule(0.0)
+
+    def leaving(self) -> bool:
+        return self._writer.transport.is_closing()
+
+    def has_left(self) -> bool:
+        """Its close has come, and nothing before it is unread."""
+        return self._reader.at_eof() or self._reader.exception() is not None
+
+    def abort(self) -> None:
+        """Closes without waiting for what was written to go out."""
+        self._front.seats.left(self)
+        self._writer.transport.abort()
+
+    async def _one(self) -> bool:
+        """Read and answer one request; whether another may follow."""
+        try:
+            got = await self._read()
+            if got is None:
+                return False
+            await self._front.route(self, *got)
+        except BadRequest as error:
+            self._front.note_bad_request(error)
+            self.answer_last(error.status, error.why)  # what stands behind it is not read as a request
+        except h11.LocalProtocolError:  # the answer was under way when something else went wrong
+            return False
+        try:
+            await self._drained()
+        except TimeoutError:
+            return False
+        if self._last or self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        return True
+
+    async def _read(self) -> tuple[h11.Request, bytes] | None:
+        """The next request, whole; None if the connection ends without one. Every wait is bounded."""
+        request: h11.Request | None = None
+        body = bytearray()
+        by = self._opened + FIRST_BYTE_PATIENCE if not self.spoke else self.rests_since + REST_PATIENCE
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                status = error.error_status_hint
+                raise BadRequest(status if status in (431, 501) else 400, "not HTTP/1.1") from error
+            if event is h11.NEED_DATA:
+                if request is not None and self._http.they_are_waiting_for_100_continue:
+                    go_on = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
+                    self._writer.write(self._http.send(go_on) or b"")
+                data = self._take_early()
+                if not data:
+                    data = await (self._first_bytes(by) if self.idle else self._more_bytes(by))
+                    if not data and self.idle:
+                        return None
+                if self.idle:
+                    by = (time.monotonic() if self.spoke else self._opened) + REQUEST_PATIENCE
+                    self._front.seats.busy(self)
+                self.idle, self.spoke = False, True
+                self._http.receive_data(data)
+            elif isinstance(event, h11.Request):
+                request, self.idle, self.spoke = event, False, True
+                self._front.seats.busy(self)
+                check_head(list(request.headers))
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > BODY_LIMIT:
+                    raise BadRequest(413, f"the body is over {BODY_LIMIT} bytes")
+            elif isinstance(event, h11.EndOfMessage) and request is not None:
+                return request, bytes(body)
+            else:
+                return None
+
+    async def _first_bytes(self, by: float) -> bytes:
+        """Of a next request; none if the connection has rested too long, or is let go."""
+        try:
+            async with asyncio.timeout(by - time.monotonic()) as self._wait:
+                return await self._reader.read(READ_SIZE)
+        except TimeoutError:
+            self._front.runtime.count("clients_rested_out" if self.spoke else "clients_silent")
+        finally:
+            self._wait = None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_LOOK):
+                return await self._reader.read(READ_SIZE)
+        return b""
+
+    async def _more_bytes(self, by: float) -> bytes:
+        try:
+            async with asyncio.timeout(by - time.monotonic()):
+                return await self._reader.read(READ_SIZE)
+        except TimeoutError as error:
+            raise BadRequest(408, "the request did not arrive whole") from error
+
+    def answer(self, status: int, why: str, headers: Headers | None = None) -> None:
+        """A whole answer in the gateway's own words."""
+        body = b"" if status == 200 else json.dumps({"error": {"message": why, "code": status}}).encode()
+        head: Headers = [(b"Content-Length", str(len(body)).encode()), *(headers or [])]
+        if body:
+            head.append((b"Content-Type", b"application/json"))
+        self._send_head(status, head)
+        for event in (h11.Data(data=body), h11.EndOfMessage()):
+            self._writer.write(self._http.send(event) or b"")
+
+    def answer_last(self, status: int, why: str, headers: Headers | None = None) -> None:
+        """The same, and the connection ends with it."""
+        self._last = True
+        self.answer(status, why, headers)
+
+    def _send_head(self, status: int, headers: Headers) -> None:
+        if self._last or core.leaving(self._front.runtime.state) or self._http.their_state is not h11.DONE:
+            headers = [*headers, (b"Connection", b"close")]
+        head = h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b""))
+        self._writer.write(self._http.send(head) or b"")
+
+    def begin_stream(self, content_type: bytes) -> None:
+        self._send_head(200, [(b"Content-Type", content_type), (b"Transfer-Encoding", b"chunked")])
+
+    async def stream(self, data: bytes) -> None:
+        """Pass a piece on; waits while the client reads too slowly. Raises LinkError."""
+        if self._writer.transport.is_closing():
+            raise LinkError(Ending.CLIENT_LEFT)
+        self._writer.write(self._http.send(h11.Data(data=data)) or b"")
+        try:
+            await self._drained()
+        except TimeoutError as error:
+            raise LinkError(Ending.CLIENT_SLOW) from error
+        except OSError as error:
+            raise LinkError(Ending.CLIENT_LEFT) from error
+
+    async def _drained(self) -> None:
+        """Until the client reads on, where it has not taken all that was written. Raises as drain does."""
+        if self._writer.transport.get_write_buffer_size():
+            async with asyncio.timeout(CLIENT_PATIENCE):
+                await self._writer.drain()
+
+    def end_stream(self) -> None:
+        self._writer.write(self._http.send(h11.EndOfMessage()) or b"")
+
+    async def wait_for(self, exchange: Exchange) -> bool:
+        """Until the answer is out; false if the client goes away first."""
+        done: asyncio.Future[Any] = exchange.done
+        while not done.done():
+            read: asyncio.Future[Any] = asyncio.ensure_future(self._reader.read(READ_SIZE))
+            await asyncio.wait({read, done}, return_when=asyncio.FIRST_COMPLETED)
+            if not read.done():
+                # Until the cancelled read is over, the stream refuses another: the connection would be lost.
+                read.cancel()
+                await asyncio.wait({read})
+                break
+            data = b"" if read.exception() is not None else read.result()
+            if not data:
+                return done.done()
+            # However much it talks ahead, it is read: else its leaving would not be seen, and what it asked
+            # for would be sent on. What can't be kept is dropped, and the connection ends with the answer.
+            room = not self._last and self._front.read_ahead + len(data) <= self._front.runtime.body_room
+            if room and len(self._early) + len(data) <= AHEAD_LIMIT:
+                self._early += data
+                self._front.read_ahead += len(data)
+            elif not self._last:
+                self._last = True
+                self._front.runtime.count("clients_ahead")
+                log.info("a client sent %d bytes ahead; what follows is dropped", len(self._early))
+            else:
+                await asyncio.wait({done}, timeout=AHEAD_PACE)
+        return True
+
+    def _take_early(self) -> bytes:
+        data, self._early = self._early, b""
+        self._front.read_ahead -= len(data)
+        return data
--- a/basaltspread/net/eureka.py
+++ b/basaltspread/net/eureka.py
@@ -18,7 +18,8 @@
 from basaltspread import interface as api
 from basaltspread.config import Gateway, Registry, split_address
 from basaltspread.core import Listed
-from basaltspread.net.runtime import Headers, LinkError, Reply, Runtime, load_json
+from basaltspread.net.links import Headers, LinkError, Reply, load_json
+from basaltspread.net.runtime import Runtime
 
 log = logging.getLogger("basaltspread")
 CALL_WAIT = 3.0  # s for one call
--- /dev/null
+++ b/basaltspread/net/links.py
@@ -0,0 +1,456 @@
+"""Connections to other parties (engines, discovery, tool servers), their pool, and the budget of descriptors.
+
+It knows HTTP messages (parsed by h11) but none of any front's paths, headers or meanings. It must never
+decide what becomes of a request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import socket
+import time
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import h11
+
+from basaltspread.endings import Ending
+from basaltspread.records import record
+
+READ_SIZE = 65536
+BODY_LIMIT = 256 * 1024
+CHUNK_LIMIT = 256 * 1024  # bytes of one chunk, whatever size it declares
+PART_PATIENCE = 1.0  # s spent waiting for the rest of a head or a chunk that has begun
+HEAD_LIMIT = 32 * 1024
+TAIL = 16  # bytes by which the end of a chunk is known
+SPARE_DESCRIPTORS = 48  # for the interpreter, the listener, discovery and log files
+DUTY_DESCRIPTORS = 12  # of the spare ones, for releases
+DISTRUST = 30.0  # s in which no kept link to an address is used, after one was reset as it was used again
+MOST_DISTRUSTED = 3  # addresses; with so many, no kept link to any address is used
+Headers = list[tuple[bytes, bytes]]
+
+
+def load_json(text: str | bytes) -> Any:
+    """A peer's JSON; raises ValueError for all that is none, nesting without end included."""
+    try:
+        return json.loads(text)
+    except RecursionError as error:
+        raise ValueError("nested too deeply") from error
+
+
+class LinkError(Exception):
+    """A link could not be used; says how its use ended."""
+
+    def __init__(self, ending: Ending) -> None:
+        super().__init__(ending.value)
+        self.ending = ending
+
+
+class Descriptors:
+    """How many sockets are open, against the limit."""
+
+    def __init__(self, limit: int) -> None:
+        self.used = self.most = 0
+        self.set_limit(limit)
+
+    def set_limit(self, limit: int) -> None:
+        self.limit = max(8, limit - SPARE_DESCRIPTORS)
+
+    def take(self, duty: bool = False) -> bool:
+        """Whether one may be opened; a duty (letting go of what is held) may go into the spare ones."""
+        if self.used >= self.limit + (DUTY_DESCRIPTORS if duty else 0):
+            return False
+        self.accepted()
+        return True
+
+    def accepted(self) -> None:
+        """One that is open already."""
+        self.used += 1
+        self.most = max(self.most, self.used)
+
+    def free(self) -> None:
+        self.used -= 1
+
+
+@record
+class Reply:
+    """A whole small answer."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+class Ear(asyncio.StreamReader):
+    """Counts what comes in, so that bytes that nobody asked for are noticed, and bounds the waits for it by
+    one alarm: that is put off, not set anew, by each piece that comes. A stream of many pieces would else
+    spend more on the loop's timers than on passing its pieces on."""
+
+    heard = 0
+    _bell: asyncio.Future[None] | None = None  # rings as something comes, ends or is late
+    _alarm: asyncio.TimerHandle | None = None
+    _by = 0.0
+
+    def feed_data(self, data: Any) -> None:
+        self.heard += len(data)
+        super().feed_data(data)
+        self._ring()
+
+    def feed_eof(self) -> None:
+        super().feed_eof()
+        self._ring()
+
+    def set_exception(self, exc: Exception) -> None:
+        super().set_exception(exc)
+        self._ring()
+
+    def _ring(self) -> None:
+        if self._bell is not None and not self._bell.done():
+            self._bell.set_result(None)
+
+    def _late(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._alarm = None
+        if self._bell is None or self._bell.done():
+            return
+        if loop.time() < self._by:
+            self._alarm = loop.call_at(self._by, self._late, loop)
+        else:
+            self._ring()
+
+    async def piece(self, taken: int, patience: float | None) -> bytes:
+        """What comes next, within so many seconds; `taken` bytes have been read before. Raises TimeoutError,
+        or as the connection broke; nothing at its end."""
+        if self._nothing(taken):
+            loop = asyncio.get_running_loop()
+            bell = self._bell = loop.create_future()
+            if patience is not None:
+                self._by = loop.time() + patience
+                if self._alarm is not None and self._alarm.when() > self._by:
+                    self.rest()
+                if self._alarm is None:
+                    self._alarm = loop.call_at(self._by, self._late, loop)
+            else:
+                self.rest()
+            try:
+                await bell
+            finally:
+                self._bell = None
+            if self._nothing(taken):
+                raise TimeoutError
+        return await self.read(READ_SIZE)
+
+    def _nothing(self, taken: int) -> bool:
+        return self.heard == taken and not self.at_eof() and self.exception() is None
+
+    def rest(self) -> None:
+        """Nothing is waited for: no alarm stays behind."""
+        if self._alarm is not None:
+            self._alarm.cancel()
+            self._alarm = None
+
+
+async def connect(**where: Any) -> tuple[Ear, asyncio.StreamWriter]:
+    """asyncio.open_connection with that reader."""
+    loop = asyncio.get_running_loop()
+    reader = Ear(limit=READ_SIZE, loop=loop)
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(lambda: protocol, **where)
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
+class Link:
+    """One connection to another party, with its h11 state. One request at a time."""
+
+    def __init__(
+        self,
+        address: str,
+        reader: Ear,
+        writer: asyncio.StreamWriter,
+        free: Callable[[], None],
+    ) -> None:
+        self.address, self._reader, self._writer, self._free = address, reader, writer, free
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT)
+        self._eof = self._closed = False
+        self._taken = 0  # bytes read so far
+        self._in_chunk = 0  # bytes of a chunk that has not ended
+        self._chunked = False
+        self._tail, self._chunk_tail = b"", b"?"  # the last bytes read, and of the last chunk
+        self._part_waited = 0.0  # s waited for the rest of what has begun
+        self.idle_since = 0.0
+        self.reused = False
+        self.written = False  # the last byte of the present request has gone out
+        writer.transport.set_write_buffer_limits(high=0)  # so that drain means: all of it is written
+
+    async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+        self.written = False
+        head: Headers = [(b"Host", self.address.encode()), *headers]
+        if body or method == "POST":
+            head.append((b"Content-Length", str(len(body)).encode()))
+        out = self._http.send(h11.Request(method=method, target=target, headers=head)) or b""
+        if body:
+            out += self._http.send(h11.Data(data=body)) or b""
+        out += self._http.send(h11.EndOfMessage()) or b""
+        # What the kernel has taken may reach the other side, whatever becomes of the connection: only bytes
+        # that stay in the transport's buffer are certainly unsent.
+        self._writer.write(out)
+        if self._writer.transport.is_closing():
+            raise LinkError(Ending.BROKE_UNSENT)
+        if self._writer.transport.get_write_buffer_size():
+            try:
+                await self._writer.drain()
+            except OSError as error:
+                raise LinkError(Ending.BROKE_UNSENT) from error
+        self.written = True
+
+    async def event(self, silence: float | None = None, chunk: int = CHUNK_LIMIT) -> h11.Event:
+        """The next event of the answer. A head or a chunk that has begun must end soon, and no chunk is
+        waited for because of the size that it declares; `silence` bounds the wait for a next one."""
+        while True:
+            begun = self._http.their_state is h11.SEND_BODY  # asked now: after an error it says only that
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                if not self._eof:
+                    raise LinkError(Ending.MALFORMED) from error
+                raise LinkError(Ending.CUT_SHORT if begun else Ending.RESET) from error
+            if event is h11.NEED_DATA:
+                data = await self._more(silence)
+                self._eof = not data
+                self._http.receive_data(data)
+            elif isinstance(event, h11.InformationalResponse):
+                continue
+            elif isinstance(event, h11.Data):
+                if self._chunked:  # h11 says where a chunk begins only if its data came with its size
+                    self._chunk_tail = ((self._chunk_tail if self._in_chunk else b"") + event.data)[-TAIL:]
+                    self._in_chunk = 0 if event.chunk_end else self._in_chunk + len(event.data)
+                if self._in_chunk > chunk:
+                    raise LinkError(Ending.MALFORMED)
+                return event
+            elif isinstance(event, (h11.Response, h11.EndOfMessage)):
+                self._in_chunk = 0
+                self._chunked = isinstance(event, h11.Response) and any(
+                    name == b"transfer-encoding" for name, _ in event.headers
+                )
+                return event
+            else:
+                raise LinkError(Ending.RESET)
+
+    async def _more(self, silence: float | None) -> bytes:
+        part = bool(self._in_chunk or self._http.trailing_data[0])
+        if not part:
+            self._part_waited = 0.0
+        began = time.monotonic()
+        try:
+            patience = PART_PATIENCE - self._part_waited if part else silence
+            data = await self._reader.piece(self._taken, patience)
+        except TimeoutError as error:
+            raise LinkError(Ending.MALFORMED if part else Ending.STALLED) from error
+        except OSError as error:
+            raise LinkError(Ending.RESET) from error
+        if part:
+            self._part_waited += time.monotonic() - began
+        self._taken += len(data)
+        self._tail = (self._tail + data)[-TAIL - 2 :]
+        return data
+
+    async def rest(self, limit: int = BODY_LIMIT, silence: float | None = None) -> bytes:
+        """The rest of the body, which must be small."""
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await self.event(silence, limit)
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > limit:
+                    raise LinkError(Ending.MALFORMED)
+
+    @classmethod
+    def running(
+        cls, address: str, reader: Ear, writer: asyncio.StreamWriter, free: Callable[[], None]
+    ) -> Link:
+        """A link whose answer another process has read up to the end of a chunk."""
+        link = cls(address, reader, writer, free)
+        for event in (h11.Request(method="GET", target="/", headers=[("Host", "-")]), h11.EndOfMessage()):
+            link._http.send(event)
+        link._http.receive_data(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        link._http.next_event()
+        link.written = link._chunked = True
+        return link
+
+    def between_chunks(self) -> bool:
+        """Whether all that was read ends with a whole chunk, so that another process can read on."""
+        if self._chunk_tail.endswith(b"\r\n"):  # it can't be told from the end of the chunk that holds it
+            return False
+        whole = self._tail.endswith(self._chunk_tail + b"\r\n") and not self._in_chunk
+        return whole and not self._http.trailing_data[0] and not self.dead()
+
+    def leave(self) -> int:
+        """Its descriptor, for a process that goes on with it."""
+        return int(self._writer.get_extra_info("socket").fileno())
+
+    def left(self) -> None:
+        """Another process has it: it is closed here without a word to the other side."""
+        self._closed = True
+        self._writer.transport.abort()
+        self._free()
+
+    def done(self) -> bool:
+        """Whether the exchange is over and the link can carry another; readies it for that."""
+        both = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        if both and not self._http.trailing_data[0] and not self.dead():
+            self._http.start_next_cycle()
+            return True
+        return False
+
+    def dead(self) -> bool:
+        """Closed by either side, or holding what nobody asked for: it would be taken for the next answer."""
+        closed = self._closed or self._reader.at_eof() or self._writer.transport.is_closing()
+        return closed or self._eof or self._reader.heard != self._taken
+
+    def close(self) -> None:
+        if not self._closed:
+            self._closed = True
+            # abort() closes the socket a turn of the loop later; what is sent elsewhere must not go first.
+            with contextlib.suppress(OSError):
+                self._writer.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+            self._writer.transport.abort()
+            self._reader.rest()
+            self._free()
+
+
+class Pool:
+    """Links by address. Idle ones are kept well short of the time after which the other side closes them:
+    what is written to a closed link counts as sent, so a stale one costs a request that may not be resent."""
+
+    def __init__(
+        self, descriptors: Descriptors, connect_timeout: float, idle: float, counters: Counter[str]
+    ) -> None:
+        self._descriptors, self._connect_timeout, self._idle_limit = descriptors, connect_timeout, idle
+        self._idle: dict[str, list[Link]] = {}
+        self._distrusted: dict[str, float] = {}  # by address: until when
+        self._counters = counters
+
+    def _trusted(self, address: str) -> bool:
+        return address not in self._distrusted and len(self._distrusted) < MOST_DISTRUSTED
+
+    def lost(self, link: Link, ending: Ending) -> None:
+        """A link's use ended badly. Where a kept one was reset as it was used again, the other side (or what
+        lies between) drops connections without a word, and each further reuse is a request at stake: one that
+        has been written may have run. A new connection costs far less."""
+        link.close()
+        if link.reused and ending in (Ending.RESET, Ending.BROKE_UNSENT):
+            self._counters["links_stale"] += 1
+            self._distrusted[link.address] = time.monotonic() + DISTRUST
+            self.drop(link.address)
+
+    async def acquire(self, address: str, fresh: bool = False, duty: bool = False) -> Link:
+        idle = [] if fresh or not self._trusted(address) else self._idle.get(address, [])
+        while idle:
+            link = idle.pop()
+            if not link.dead() and time.monotonic() - link.idle_since < self._idle_limit:
+                self._counters["links_reused"] += 1
+                link.reused = True
+                return link
+            link.close()
+        if not self._descriptors.take(duty) and not (self.shed() and self._descriptors.take(duty)):
+            raise LinkError(Ending.NO_DESCRIPTOR)
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(self._connect_timeout):
+                reader, writer = await connect(host=host, port=int(port))
+        except TimeoutError as error:
+            self._descriptors.free()
+            raise LinkError(Ending.CONNECT_TIMED_OUT) from error
+        except (OSError, ValueError) as error:
+            self._descriptors.free()
+            # Only a refusal says that no process is there. Guards against a reset of the new connection, or a
+            # fault of this side, that is told to all gateways as an engine gone.
+            refused = isinstance(error, ConnectionRefusedError)
+            raise LinkError(Ending.REFUSED if refused else Ending.BROKE_UNSENT) from error
+        except BaseException:
+            self._descriptors.free()
+            raise
+        self._counters["links_opened"] += 1
+        return Link(address, reader, writer, self._descriptors.free)
+
+    async def adopt(self, address: str, running: socket.socket) -> Link:
+        """A link of another process, in the middle of an answer."""
+        reader, writer = await connect(sock=running)
+        self._descriptors.accepted()
+        return Link.running(address, reader, writer, self._descriptors.free)
+
+    def give_back(self, link: Link) -> None:
+        if self._trusted(link.address) and link.done():
+            link.idle_since = time.monotonic()
+            self._idle.setdefault(link.address, []).append(link)
+        else:
+            link.close()
+
+    def shed(self) -> bool:
+        """Close the link that has been idle longest, for its descriptor."""
+        waiting = [links for links in self._idle.values() if links]
+        oldest = min(waiting, key=lambda links: links[0].idle_since, default=None)
+        if oldest is None:
+            return False
+        oldest.pop(0).close()
+        return True
+
+    def drop(self, address: str) -> None:
+        """Close the idle links to an address that is not used any more."""
+        for link in self._idle.pop(address, []):
+            link.close()
+
+    def sweep(self) -> None:
+        now = time.monotonic()
+        self._distrusted = {a: until for a, until in self._distrusted.items() if until > now}
+        for address, links in list(self._idle.items()):
+            limit = time.monotonic() - self._idle_limit
+            for link in links:
+                if link.dead() or link.idle_since < limit:
+                    link.close()
+            self._idle[address] = [link for link in links if not link.dead()]
+            if not self._idle[address]:
+                del self._idle[address]
+
+    async def call(
+        self, address: str, method: str, target: str, headers: Headers | None = None, body: bytes = b"",
+        wait: float = 1.0, begun: list[bool] | None = None, fresh: bool = False, duty: bool = False,
+        limit: int = BODY_LIMIT,
+    ) -> Reply:  # fmt: skip
+        """One whole small exchange; raises LinkError. `begun` is set when its first byte goes out; `fresh`
+        asks for a new connection, which can't be stale."""
+        async with self.using(address, wait, fresh, duty) as link:
+            if begun is not None:
+                begun[0] = True
+            await link.send(method, target, headers or [], body)
+            event = await link.event()
+            if not isinstance(event, h11.Response):
+                raise LinkError(Ending.MALFORMED)
+            return Reply(event.status_code, dict(event.headers), await link.rest(limit))
+
+    @contextlib.asynccontextmanager
+    async def using(
+        self, address: str, wait: float, fresh: bool = False, duty: bool = False
+    ) -> AsyncIterator[Link]:
+        """A link for one exchange of `wait` seconds at the most; raises LinkError. It is kept if the exchange
+        has come to its end by then, and closed if not."""
+        link = await self.acquire(address, fresh, duty)
+        try:
+            async with asyncio.timeout(wait):
+                yield link
+        except TimeoutError as error:
+            link.close()
+            raise LinkError(Ending.TIMED_OUT if link.written else Ending.BROKE_UNSENT) from error
+        except LinkError as error:
+            self.lost(link, error.ending)
+            raise
+        except BaseException:
+            link.close()
+            raise
+        self.give_back(link)
--- a/basaltspread/net/management.py
+++ b/basaltspread/net/management.py
@@ -19,8 +19,11 @@
 
 from basaltspread import core
 from basaltspread.core import Order, Verdict
-from basaltspread.net.platform import REASONS, BadRequest
-from basaltspread.net.runtime import MANAGEMENT_DESCRIPTORS, READ_SIZE, Runtime, address_of, open_door
+from basaltspread.net.clients import REASONS
+from basaltspread.net.door import address_of, open_door
+from basaltspread.net.links import READ_SIZE
+from basaltspread.net.parsing import BadRequest
+from basaltspread.net.runtime import MANAGEMENT_DESCRIPTORS, Runtime
 
 log = logging.getLogger("basaltspread")
 CALL_PATIENCE = 2.0  # s from a connection's opening to the last byte of its call
--- a/basaltspread/net/mcp.py
+++ b/basaltspread/net/mcp.py
@@ -23,7 +23,8 @@
 from basaltspread.control.routes import MCP, RouteTable, Server
 from basaltspread.endings import Ending
 from basaltspread.net import jsonrpc, sse
-from basaltspread.net.runtime import Headers, Link, LinkError, Runtime
+from basaltspread.net.links import Headers, Link, LinkError
+from basaltspread.net.runtime import Runtime
 
 log = logging.getLogger("basaltspread")
 VERSIONS = ("2025-06-18", "2025-03-26", "2024-11-05")  # the newest first
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -9,14 +9,12 @@
 
 import asyncio
 import contextlib
-import json
 import logging
-import math
 import random
 import re
 import socket
 import time
-from collections.abc import Coroutine, Mapping
+from collections.abc import Coroutine
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
@@ -24,24 +22,20 @@
 
 from basaltspread import core
 from basaltspread import interface as api
-from basaltspread.adapter import REPORT_NAMES
-from basaltspread.config import Gateway, split_address
+from basaltspread.config import Gateway
 from basaltspread.control.asking import BRIEF_MS, TURN, next_call, retry_pause
 from basaltspread.core import Ending, Place, Verdict
-from basaltspread.net.runtime import (
-    BODY_LIMIT,
-    CLIENT_BUFFER,
-    HEAD_LIMIT,
-    PART_PATIENCE,
-    READ_SIZE,
-    Headers,
-    Link,
-    LinkError,
-    Runtime,
-    address_of,
-    load_json,
-    open_door,
+from basaltspread.net.clients import (
+    CLIENT_PATIENCE,
+    LAST_LOOK,
+    Client,
+    Exchange,
+    Seats,
 )
+from basaltspread.net.door import address_of, open_door
+from basaltspread.net.links import PART_PATIENCE, READ_SIZE, Link, LinkError, load_json
+from basaltspread.net.parsing import BadRequest, NoRoom, arrival_from, parse_list, parse_report
+from basaltspread.net.runtime import Runtime
 from basaltspread.net.sse import END, TooLong
 
 if TYPE_CHECKING:
@@ -52,456 +46,17 @@
 COMPLETIONS = b"/v1/chat/completions"
 FIRST_LIST_WAIT = 0.25  # s that clients wait at a start for discovery's first word; it may say nothing
 CLIENT_SHARE = 0.6  # of the descriptors, for clients; a request has one here and at most two at engines
-FIRST_BYTE_PATIENCE = 2.0  # s from a connection's opening to its first byte; it may be closed without one
-FIRST_BYTES_UNDER_WAY = 0.25  # s after a connection's opening
-REQUEST_PATIENCE = 2.5  # s from a request's first byte to its last; a first one's runs from the opening
-LAST_LOOK = 0.005  # s for bytes under way, before a resting connection is closed from this side
 CLOSE_AFTER = 0.4  # s that a connection has rested before a drain closes it
-REST_PATIENCE = 30.0  # s that a connection may rest between two requests
-AHEAD_LIMIT = 2 * BODY_LIMIT  # bytes that a client may send while its request is under way
-AHEAD_PACE = 0.02  # s between two pieces of what is dropped: a flood must not take the neighbours' time
 MOST_USED = 20_000  # ids of requests that are over, known for the longest deadline
 QUEUE = 512  # connections that may wait to be accepted
 ACCEPTED_AT_ONCE = 8  # connections
 MOST_REFUSED = 16  # connections past the budget that are refused in words; more are closed
 BAD_REQUEST_LINES = 10  # log lines about them in a second; the counters hold them all
-CLIENT_PATIENCE = 30.0  # s for a client that does not read its stream
 CALL_WAIT = 1.0  # s for an answer about a place, a release or a probe
 ERROR_BODY_WAIT = 0.5  # s for the rest of an answer whose status has settled it
 STREAM_SILENCE = 4.0  # s between two pieces of a stream; the protocol lets a client wait for 5
 EVENT_LIMIT = 64 * 1024  # bytes of a stream's first event
-MOST_TOKENS = 10_000_000
-SAFE_ID = re.compile(r"[A-Za-z0-9._~-]{1,128}\Z")
 CACHED = re.compile(rb'"cached_tokens"\s*:\s*(\d{1,9})')
-# Not passed on to an engine: of this hop alone, or set anew.
-HOP_HEADERS = frozenset((
-    b"host", b"connection", b"content-length", b"transfer-encoding", b"x-time-left-ms", b"te", b"upgrade",
-    b"keep-alive", b"expect", b"trailer", b"proxy-connection", b"proxy-authorization",
-))  # fmt: skip
-# Of each of these a request holds one at most: two readers that take different ones see different requests.
-SINGLE_HEADERS = frozenset((
-    b"content-length", b"transfer-encoding", b"x-correlation-id", b"x-service-class", b"x-account",
-    b"x-session-key", b"x-time-left-ms", b"x-facts", b"x-repeat",
-))  # fmt: skip
-SOCKET_REPORT_NAMES = {"inflight": "inflight", "queue": "queue", "util": "utilisation", **REPORT_NAMES}
-REASONS = {
-    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
-    409: b"Conflict", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
-    502: b"Bad Gateway", 503: b"Service Unavailable",
-}  # fmt: skip
-
-
-class NoRoom(ValueError):
-    """Discovery turned a call away."""
-
-
-class BadRequest(Exception):
-    """A request that gets its own 4xx and never reaches the core."""
-
-    def __init__(self, status: int, why: str) -> None:
-        super().__init__(why)
-        self.status, self.why = status, why
-
-
-# --- parsers --------------------------------------------------------------------------------------------
-
-
-def parse_report(text: str) -> dict[str, float]:
-    """A load report, `TEXT name=value, ...` or JSON, in the module's names; what is odd is left out."""
-    pairs: list[tuple[str, Any]]
-    text = text.strip()
-    if text.startswith(("JSON", "{")):
-        try:
-            loaded = load_json(text.removeprefix("JSON"))
-        except ValueError:
-            return {}
-        pairs = list(loaded.items()) if isinstance(loaded, dict) else []
-    else:
-        parts = (part.partition("=") for part in text.removeprefix("TEXT").split(","))
-        pairs = [(name.strip(), value) for name, _, value in parts]
-    report: dict[str, float] = {}
-    for name, value in pairs:
-        try:
-            figure = float(value)
-        except (TypeError, ValueError):
-            continue
-        if name in SOCKET_REPORT_NAMES and math.isfinite(figure):
-            report[SOCKET_REPORT_NAMES[name]] = figure
-    return report
-
-
-def parse_facts(text: str) -> dict[str, str]:
-    return {k.strip(): v.strip() for k, eq, v in (part.partition("=") for part in text.split(",")) if eq}
-
-
-def _count(name: str, text: str, most: int) -> int:
-    if not text.isascii() or not text.isdigit() or len(text) > 12 or int(text) > most:
-        raise BadRequest(400, f"{name} is not a whole number in range")
-    return int(text)
-
-
-def check_head(headers: Headers) -> None:
-    """Refuses a head that two readers may take in different ways, before a byte of the body is read."""
-    names = [name for name, _ in headers]
-    if b"content-length" in names and b"transfer-encoding" in names:
-        raise BadRequest(400, "both Content-Length and Transfer-Encoding")
-    for name in SINGLE_HEADERS.intersection(names):
-        if names.count(name) > 1:
-            raise BadRequest(400, f"{name.decode()} is given twice")
-    if int(dict(headers).get(b"content-length", b"0")) > BODY_LIMIT:
-        raise BadRequest(413, f"the body is over {BODY_LIMIT} bytes")
-
-
-def arrival_from(headers: Mapping[str, str], settings: api.Settings) -> api.Arrival:
-    """A client's request in the module's terms; `headers` by lower-case name. Raises BadRequest."""
-    rid = headers.get("x-correlation-id", "")
-    if not SAFE_ID.match(rid):
-        raise BadRequest(400, "X-Correlation-Id is missing or not a plain id")
-    classes = {c.name: i for i, c in enumerate(settings.classes)}
-    cls = classes.get(headers.get("x-service-class", ""))
-    if cls is None:
-        raise BadRequest(400, "X-Service-Class is missing or unknown")
-    tenants = {t.name: i for i, t in enumerate(settings.tenants)}
-    tenant = tenants.get(headers.get("x-account", ""), None if tenants else 0)
-    if tenant is None:
-        raise BadRequest(400, "X-Account is missing or unknown")
-    left = settings.classes[cls].deadline
-    if "x-time-left-ms" in headers:
-        left = _count("X-Time-Left-Ms", headers["x-time-left-ms"], 86_400_000) * core.MS
-    facts = parse_facts(headers.get("x-facts", ""))
-    tokens = {
-        name: _count(f"X-Facts {name}", facts.get(name, "0"), MOST_TOKENS)
-        for name in ("prompt_len", "prefix_len", "max_out")
-    }
-    repeat = headers.get("x-repeat", "")
-    return api.Arrival(
-        request=rid, session=headers.get("x-session-key", ""), prefix=facts.get("prefix", ""),
-        prefix_tokens=tokens["prefix_len"], prompt_tokens=tokens["prompt_len"], max_tokens=tokens["max_out"],
-        request_class=cls, tenant=tenant, time_left=left, hint=0, is_retry=repeat == "1",
-        is_resumed=repeat == "again",
-    )  # fmt: skip
-
-
-def parse_list(raw: Any, platform: api.Settings, kind: api.ListKind | None = None) -> core.ListTold:
-    """Discovery's list; raises ValueError on what is not one. `startedAtMs` becomes microseconds here."""
-    if not isinstance(raw, dict) or not isinstance(raw.get("instances"), list):
-        raise ValueError("not a list of instances")
-    version = raw.get("generation")
-    if isinstance(version, bool) or not isinstance(version, int):
-        raise ValueError(f"generation {version!r} is not a whole number")
-    kinds = {k.name: i for i, k in enumerate(platform.kinds)}
-    zones = {z: i for i, z in enumerate(platform.zones)}
-    entries = []
-    for item in raw["instances"]:
-        if not isinstance(item, dict) or not isinstance(item.get("instanceId"), str):
-            raise ValueError("an instance without instanceId")
-        state = api.WorkerState(item.get("lifecycle"))
-        address = item.get("hostPort") or ""
-        if state is not api.WorkerState.REMOVED:
-            split_address("hostPort", address)
-        try:
-            entry = api.WorkerEntry(
-                item["instanceId"], state, int(item.get("cell") or 0),
-                zones.get(str(item.get("zone")), len(zones)),
-                kinds.get(str(item.get("machineType")), len(kinds)),
-                float(1.0 if item.get("weight") is None else item["weight"]),
-                int(item.get("startedAtMs") or 0) * core.MS,
-            )  # fmt: skip
-        except (TypeError, OverflowError) as error:
-            raise ValueError(f"instance {item['instanceId']!r}: {error}") from error
-        entries.append(core.Listed(entry, str(address)))
-    kind = kind or (api.ListKind.FULL if raw.get("reset") is True else api.ListKind.DELTA)
-    return core.ListTold(kind, version, tuple(entries))
-
-
-class Seats:
-    """The clients' connections that are open, and which idle one makes room first: one that was opened and
-    said nothing, then the one that rests longest; one just opened only after these, as its first bytes may be
-    under way. Every step costs the same however many there are."""
-
-    def __init__(self) -> None:
-        self._open: dict[Client, None] = {}
-        self._silent: dict[Client, float] = {}  # since when; the longest first, as in the next
-        self._resting: dict[Client, float] = {}
-
-    def __len__(self) -> int:
-        return len(self._open)
-
-    def opened(self, client: Client, now: float) -> None:
-        self._open[client] = None
-        self._silent[client] = now
-
-    def rests(self, client: Client, now: float) -> None:
-        self.busy(client)
-        if client in self._open:
-            self._resting[client] = now
-
-    def busy(self, client: Client) -> None:
-        self._silent.pop(client, None)
-        self._resting.pop(client, None)
-
-    def left(self, client: Client) -> None:
-        self.busy(client)
-        self._open.pop(client, None)
-
-    def idlest(self, now: float) -> Client | None:
-        """The one to make room, if one is idle."""
-        opened = next(iter(self._silent.values()), now)
-        silent, resting = next(iter(self._silent), None), next(iter(self._resting), None)
-        return silent if now - opened >= FIRST_BYTES_UNDER_WAY or resting is None else resting
-
-
-# --- clients --------------------------------------------------------------------------------------------
-
-
-class Exchange:
-    """One client request: what is passed on to engines, and the client that waits for the answer."""
-
-    def __init__(self, client: Client, request: h11.Request, body: bytes) -> None:
-        self.client, self.body = client, body
-        self.method, self.target = request.method.decode(), request.target.decode()
-        self.headers: Headers = [(k, v) for k, v in request.headers if k not in HOP_HEADERS]
-        self.passing: int | None = None  # the attempt whose stream the client gets
-        self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-
-    def finish(self) -> None:
-        if not self.done.done():
-            self.done.set_result(None)
-
-
-class Client:
-    """One client connection: one request at a time, its answer, and the watch for the client's leaving."""
-
-    def __init__(self, front: Front, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._front, self._reader, self._writer = front, reader, writer
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
-        self._early = b""  # what came while the answer was awaited
-        self.idle = True  # not a byte of a next request has come
-        self.spoke = False  # a byte has come at all
-        self.rests_since = self._opened = time.monotonic()
-        self.refused = False  # over the budget, or this process ends: its request is refused
-        self._wait: asyncio.Timeout | None = None  # for a first byte, while one is waited for
-        self._last = False  # the connection ends with this answer
-        writer.transport.set_write_buffer_limits(high=CLIENT_BUFFER)
-
-    async def serve(self) -> None:
-        try:
-            while await self._one():
-                self.idle, self.rests_since = True, time.monotonic()
-                self._front.seats.rests(self, self.rests_since)
-                if core.leaving(self._front.runtime.state):  # a head that went out before could not say so
-                    if not self._early and not self._http.trailing_data[0]:
-                        break
-                    self.refused = True  # what is read already is answered; sent on, it might not end in time
-        except (OSError, LinkError):
-            pass
-        finally:
-            self._take_early()
-            self.close()
-
-    def close(self) -> None:
-        """What was written still goes out; a stream not ended stays without its last chunk."""
-        self._front.seats.left(self)
-        if not self._writer.transport.is_closing():
-            self._writer.close()
-
-    def carry_on(self) -> h11.Request:
-        """For a connection on which another process has begun to answer in chunks. It ends with that answer:
-        what its head said of the connection is not known here."""
-        self._http.receive_data(b"GET / HTTP/1.1\r\nHost: -\r\n\r\n")
-        request = self._http.next_event()
-        assert isinstance(request, h11.Request)
-        self._http.next_event()
-        self._http.send(h11.Response(status_code=200, headers=[("Transfer-Encoding", "chunked")]))
-        self.idle, self.spoke, self._last = False, True, True
-        return request
-
-    def can_leave(self) -> bool:
-        """Whether another process can go on with the answer: all that was written is out, nothing came."""
-        waiting = self._writer.transport.get_write_buffer_size()
-        return not self.leaving() and not waiting and not self._early and not self._reader.at_eof()
-
-    def leave(self) -> int:
-        """The connection's descriptor, for that process."""
-        return int(self._writer.get_extra_info("socket").fileno())
-
-    def let_go(self) -> None:
-        """Close a resting connection, unless the next request's bytes are there already."""
-        if self._wait is not None and not self._wait.expired():
-            self._wait.reschedule(0.0)
-
-    def leaving(self) -> bool:
-        return self._writer.transport.is_closing()
-
-    def has_left(self) -> bool:
-        """Its close has come, and nothing before it is unread."""
-        return self._reader.at_eof() or self._reader.exception() is not None
-
-    def abort(self) -> None:
-        """Closes without waiting for what was written to go out."""
-        self._front.seats.left(self)
-        self._writer.transport.abort()
-
-    async def _one(self) -> bool:
-        """Read and answer one request; whether another may follow."""
-        try:
-            got = await self._read()
-            if got is None:
-                return False
-            await self._front.route(self, *got)
-        except BadRequest as error:
-            self._front.note_bad_request(error)
-            self.answer_last(error.status, error.why)  # what stands behind it is not read as a request
-        except h11.LocalProtocolError:  # the answer was under way when something else went wrong
-            return False
-        try:
-            await self._drained()
-        except TimeoutError:
-            return False
-        if self._last or self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
-            return False
-        self._http.start_next_cycle()
-        return True
-
-    async def _read(self) -> tuple[h11.Request, bytes] | None:
-        """The next request, whole; None if the connection ends without one. Every wait is bounded."""
-        request: h11.Request | None = None
-        body = bytearray()
-        by = self._opened + FIRST_BYTE_PATIENCE if not self.spoke else self.rests_since + REST_PATIENCE
-        while True:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as error:
-                status = error.error_status_hint
-                raise BadRequest(status if status in (431, 501) else 400, "not HTTP/1.1") from error
-            if event is h11.NEED_DATA:
-                if request is not None and self._http.they_are_waiting_for_100_continue:
-                    go_on = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
-                    self._writer.write(self._http.send(go_on) or b"")
-                data = self._take_early()
-                if not data:
-                    data = await (self._first_bytes(by) if self.idle else self._more_bytes(by))
-                    if not data and self.idle:
-                        return None
-                if self.idle:
-                    by = (time.monotonic() if self.spoke else self._opened) + REQUEST_PATIENCE
-                    self._front.seats.busy(self)
-                self.idle, self.spoke = False, True
-                self._http.receive_data(data)
-            elif isinstance(event, h11.Request):
-                request, self.idle, self.spoke = event, False, True
-                self._front.seats.busy(self)
-                check_head(list(request.headers))
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > BODY_LIMIT:
-                    raise BadRequest(413, f"the body is over {BODY_LIMIT} bytes")
-            elif isinstance(event, h11.EndOfMessage) and request is not None:
-                return request, bytes(body)
-            else:
-                return None
-
-    async def _first_bytes(self, by: float) -> bytes:
-        """Of a next request; none if the connection has rested too long, or is let go."""
-        try:
-            async with asyncio.timeout(by - time.monotonic()) as self._wait:
-                return await self._reader.read(READ_SIZE)
-        except TimeoutError:
-            self._front.runtime.count("clients_rested_out" if self.spoke else "clients_silent")
-        finally:
-            self._wait = None
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(LAST_LOOK):
-                return await self._reader.read(READ_SIZE)
-        return b""
-
-    async def _more_bytes(self, by: float) -> bytes:
-        try:
-            async with asyncio.timeout(by - time.monotonic()):
-                return await self._reader.read(READ_SIZE)
-        except TimeoutError as error:
-            raise BadRequest(408, "the request did not arrive whole") from error
-
-    def answer(self, status: int, why: str, headers: Headers | None = None) -> None:
-        """A whole answer in the gateway's own words."""
-        body = b"" if status == 200 else json.dumps({"error": {"message": why, "code": status}}).encode()
-        head: Headers = [(b"Content-Length", str(len(body)).encode()), *(headers or [])]
-        if body:
-            head.append((b"Content-Type", b"application/json"))
-        self._send_head(status, head)
-        for event in (h11.Data(data=body), h11.EndOfMessage()):
-            self._writer.write(self._http.send(event) or b"")
-
-    def answer_last(self, status: int, why: str, headers: Headers | None = None) -> None:
-        """The same, and the connection ends with it."""
-        self._last = True
-        self.answer(status, why, headers)
-
-    def _send_head(self, status: int, headers: Headers) -> None:
-        if self._last or core.leaving(self._front.runtime.state) or self._http.their_state is not h11.DONE:
-            headers = [*headers, (b"Connection", b"close")]
-        head = h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b""))
-        self._writer.write(self._http.send(head) or b"")
-
-    def begin_stream(self, content_type: bytes) -> None:
-        self._send_head(200, [(b"Content-Type", content_type), (b"Transfer-Encoding", b"chunked")])
-
-    async def stream(self, data: bytes) -> None:
-        """Pass a piece on; waits while the client reads too slowly. Raises LinkError."""
-        if self._writer.transport.is_closing():
-            raise LinkError(Ending.CLIENT_LEFT)
-        self._writer.write(self._http.send(h11.Data(data=data)) or b"")
-        try:
-            await self._drained()
-        except TimeoutError as error:
-            raise LinkError(Ending.CLIENT_SLOW) from error
-        except OSError as error:
-            raise LinkError(Ending.CLIENT_LEFT) from error
-
-    async def _drained(self) -> None:
-        """Until the client reads on, where it has not taken all that was written. Raises as drain does."""
-        if self._writer.transport.get_write_buffer_size():
-            async with asyncio.timeout(CLIENT_PATIENCE):
-                await self._writer.drain()
-
-    def end_stream(self) -> None:
-        self._writer.write(self._http.send(h11.EndOfMessage()) or b"")
-
-    async def wait_for(self, exchange: Exchange) -> bool:
-        """Until the answer is out; false if the client goes away first."""
-        done: asyncio.Future[Any] = exchange.done
-        while not done.done():
-            read: asyncio.Future[Any] = asyncio.ensure_future(self._reader.read(READ_SIZE))
-            await asyncio.wait({read, done}, return_when=asyncio.FIRST_COMPLETED)
-            if not read.done():
-                # Until the cancelled read is over, the stream refuses another: the connection would be lost.
-                read.cancel()
-                await asyncio.wait({read})
-                break
-            data = b"" if read.exception() is not None else read.result()
-            if not data:
-                return done.done()
-            # However much it talks ahead, it is read: else its leaving would not be seen, and what it asked
-            # for would be sent on. What can't be kept is dropped, and the connection ends with the answer.
-            room = not self._last and self._front.read_ahead + len(data) <= self._front.runtime.body_room
-            if room and len(self._early) + len(data) <= AHEAD_LIMIT:
-                self._early += data
-                self._front.read_ahead += len(data)
-            elif not self._last:
-                self._last = True
-                self._front.runtime.count("clients_ahead")
-                log.info("a client sent %d bytes ahead; what follows is dropped", len(self._early))
-            else:
-                await asyncio.wait({done}, timeout=AHEAD_PACE)
-        return True
-
-    def _take_early(self) -> bytes:
-        data, self._early = self._early, b""
-        self._front.read_ahead -= len(data)
-        return data
-
-
-# --- the front ------------------------------------------------------------------------------------------
 
 
 class Front:
--- a/basaltspread/net/toolcalls.py
+++ b/basaltspread/net/toolcalls.py
@@ -24,8 +24,9 @@
 from basaltspread.core import Ending, ToolFault
 from basaltspread.endings import NEVER_RAN
 from basaltspread.net import jsonrpc, sse
+from basaltspread.net.links import Headers, LinkError
 from basaltspread.net.mcp import ACCEPT, JSON_TYPE, NAME, PING_WAIT, VERSIONS, Listing, Sessions, ask, texts
-from basaltspread.net.runtime import Headers, LinkError, Runtime
+from basaltspread.net.runtime import Runtime
 
 log = logging.getLogger("basaltspread")
 REPLY_WAIT = 2.0  # s for an engine to take a reply
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -13,7 +13,7 @@
 from basaltspread import core
 from basaltspread import interface as api
 from basaltspread.core import Ending, Order, Place, Verdict
-from basaltspread.net.runtime import Overlap
+from basaltspread.net.shared_files import Overlap
 from basaltspread.rules import Router
 from tests.helpers import FLEET, MS, SECOND, settings
 
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -16,8 +16,9 @@
 from unittest import mock
 
 from basaltspread import core
-from basaltspread.net.platform import Client
-from basaltspread.net.runtime import BanFile, Ear, Link
+from basaltspread.net.clients import Client
+from basaltspread.net.links import Ear, Link
+from basaltspread.net.shared_files import BanFile
 from tests.standins import (
     DONE,
     PATIENCE,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,17 +19,10 @@
 from basaltspread.adapter import settings_from
 from basaltspread.control.asking import TOLD_WITHIN, retry_pause
 from basaltspread.core import AskPlace, Ending, Place
-from basaltspread.net.platform import (
-    BadRequest,
-    Client,
-    Front,
-    Seats,
-    arrival_from,
-    parse_facts,
-    parse_list,
-    parse_report,
-)
-from basaltspread.net.runtime import LinkError
+from basaltspread.net.clients import Client, Seats
+from basaltspread.net.links import LinkError
+from basaltspread.net.parsing import BadRequest, arrival_from, parse_facts, parse_list, parse_report
+from basaltspread.net.platform import Front
 from tests.standins import (
     DONE,
     SETTINGS,
--- a/tests/test_request_time.py
+++ b/tests/test_request_time.py
@@ -10,8 +10,9 @@
 
 from basaltspread import core
 from basaltspread.adapter import settings_from
-from basaltspread.net.platform import Client, Exchange, Front
-from basaltspread.net.runtime import BODY_LIMIT, READ_SIZE, Ear
+from basaltspread.net.clients import Client, Exchange
+from basaltspread.net.links import BODY_LIMIT, READ_SIZE, Ear
+from basaltspread.net.platform import Front
 from tests.standins import SETTINGS
 
 HEAD = (
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -10,7 +10,8 @@
 import pytest
 
 from basaltspread.endings import Ending
-from basaltspread.net.runtime import Descriptors, Ear, LinkError, Pool, Wheel
+from basaltspread.net.links import Descriptors, Ear, LinkError, Pool
+from basaltspread.net.runtime import Wheel
 
 
 class Loop:
@@ -122,7 +123,7 @@
     pool = Pool(descriptors, 0.25, 10.0, Counter())
 
     async def acquire() -> None:
-        with mock.patch("basaltspread.net.runtime.connect", mock.AsyncMock(side_effect=error)):
+        with mock.patch("basaltspread.net.links.connect", mock.AsyncMock(side_effect=error)):
             await pool.acquire("127.0.0.1:1")
 
     with pytest.raises(LinkError) as caught:
