Count a client's time from its first byte, and see a close behind what it sent ahead

Cause: Front._exchange counted X-Time-Left-Ms from the request's last byte; Client.wait_for read what came ahead at 64 KiB in 20 ms, and has_left asked whether the buffer was empty. Change: a request carries when its client may have begun to send (the opening of a new connection, else its first byte, also of one sent ahead); the core gets what is left. What comes ahead is read without a pause up to 4 MiB; who sends more is answered at once (ClientFloods: refused, or failed where an order may have run), as its close could not be seen in time. A close counts as it is read from the socket (Ear.ended). Ruled out: a longer pace, which any larger flood hides again. Related: a slow reader of a stream (the wait goes on beside the stream), requests sent ahead (their time runs from their arrival), hand-over (connect).

--- a/basaltspread/core/messages.py
+++ b/basaltspread/core/messages.py
@@ -67,6 +67,13 @@
     ending: Ending = Ending.CLIENT_LEFT
 
 
+@record
+class ClientFloods:
+    """A client sends more behind its request than is read of it: its close could not be seen in time."""
+
+    request: str
+
+
 @record
 class Begun:
     """The first byte of an attempt is about to be written."""
@@ -315,9 +322,9 @@
 
 
 Input = (
-    Taken | TurnedAway | ClientLeft | Begun | Written | FirstEvent | Ended | PlaceEnded | ReleaseEnded
-    | Probed | PeerTold | ListTold | ToolCalled | ToolCancelled | ToolBegun | ToolProgressed
-    | ToolEnded | ProgressEnded | ReplyEnded | ServerTried | ServerDrains | RoutesTold | Woken | Serving
+    Taken | TurnedAway | ClientLeft | ClientFloods | Begun | Written | FirstEvent | Ended
+    | PlaceEnded | ReleaseEnded | Probed | PeerTold | ListTold | ToolCalled | ToolCancelled
+    | ToolBegun | ToolProgressed | ToolEnded | ProgressEnded | ReplyEnded | ServerTried | ServerDrains | RoutesTold | Woken | Serving
     | Operate | BansTold | Recalled | Sharing | HandedOn | Adopted | Terminate
 )  # fmt: skip
 
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -26,6 +26,7 @@
     BansTold,
     Begun,
     BreakClient,
+    ClientFloods,
     ClientLeft,
     CloseIdle,
     Count,
@@ -229,6 +230,12 @@
                 if not attempt.begun:
                     self._close(q, attempt, Ending.CALLED_BACK_UNSENT, abandon=True)
 
+    def client_floods(self, event: ClientFloods) -> None:
+        q = self.state.requests.get(event.request)
+        if q is not None and not q.ended and q.stream is None:
+            self.count("clients_flooding")
+            self._give_up(q)
+
     def turned_away(self, event: TurnedAway) -> None:
         self.state.replies[event.request_class, Verdict.REFUSED] += 1
 
@@ -847,24 +854,28 @@
             self.do(Wake(door, ("door",)))
 
     def _answer_the_rest(self) -> None:
-        """The kill would find them unanswered, and what is held for them would stay at the engines. What
-        can't have run, or may run twice, is refused: it can be asked for again at once."""
+        """The kill would find them unanswered, and what is held for them would stay at the engines."""
         for q in [q for q in self.state.requests.values() if not q.ended and q.stream is None]:
-            ran = any(a.written and not a.reading for a in q.attempts)
             what = "the rest of a stream" if q.resumed else "a request"
             self.do(Say(f"{q.id}, {what}, is given up: this process has to end"))
-            self.told.append(api.ClientGone(q.id))  # the module takes it as over
-            # Given up first: what is still out may run yet, and of an order that may run nothing is refused.
-            for attempt in q.out():
-                self._close(q, attempt, Ending.CANCELLED, abandon=True)
-            may_have_run = ran or q.resumed  # of what is resumed, a part was answered
-            cls = self.state.settings.classes[q.request_class]
-            everywhere = cls.effect is api.Effect.KEYED and cls.key_scope is api.KeyScope.ALL
-            again = cls.effect is api.Effect.SAFE or everywhere or not may_have_run
-            self._answer(q, Verdict.REFUSED if again else Verdict.FAILED)
+            self._give_up(q)
         if self.state.requests:
             self.do(Wake(self.now + MOVE_STEP, ("last",)))
 
+    def _give_up(self, q: Request) -> None:
+        """Answer a request that has no stream yet. What can't have run, or may run twice, is refused: it can
+        be asked for again at once."""
+        ran = any(a.written and not a.reading for a in q.attempts)
+        self.told.append(api.ClientGone(q.id))  # the module takes it as over
+        # Given up first: what is still out may run yet, and of an order that may run nothing is refused.
+        for attempt in q.out():
+            self._close(q, attempt, Ending.CANCELLED, abandon=True)
+        may_have_run = ran or q.resumed  # of what is resumed, a part was answered
+        cls = self.state.settings.classes[q.request_class]
+        everywhere = cls.effect is api.Effect.KEYED and cls.key_scope is api.KeyScope.ALL
+        again = cls.effect is api.Effect.SAFE or everywhere or not may_have_run
+        self._answer(q, Verdict.REFUSED if again else Verdict.FAILED)
+
     def _running(self) -> list[tuple[Request, Attempt]]:
         """The streams that may leave this process, oldest first; one with a tool call open stays."""
         free = (q for q in self.state.requests.values() if not (q.ended or q.open or q.bundles))
@@ -912,7 +923,8 @@
             self.do(Wake(self.now + pause, ("move",)))
 
     HANDLERS: ClassVar[dict[type, Callable[[_Step, Any], None]]] = {
-        Taken: taken, TurnedAway: turned_away, ClientLeft: client_left, Serving: serving,
+        Taken: taken, TurnedAway: turned_away, ClientLeft: client_left,
+        ClientFloods: client_floods, Serving: serving,
         Begun: begun, Written: written, FirstEvent: first_event,
         Ended: ended, PlaceEnded: place_ended, ReleaseEnded: release_ended, Probed: probed,
         PeerTold: peer_told,
--- a/basaltspread/net/clients.py
+++ b/basaltspread/net/clients.py
@@ -11,15 +11,17 @@
 import json
 import logging
 import time
+from enum import Enum
 from typing import TYPE_CHECKING, Any
 
 import h11
 
 from basaltspread import core
 from basaltspread.core import Ending
-from basaltspread.net.links import BODY_LIMIT, HEAD_LIMIT, READ_SIZE, Headers, LinkError
+from basaltspread.net.links import BODY_LIMIT, HEAD_LIMIT, READ_SIZE, Ear, Headers, LinkError
 from basaltspread.net.parsing import BadRequest, check_head
 from basaltspread.net.runtime import CLIENT_BUFFER
+from basaltspread.records import record
 
 if TYPE_CHECKING:
     from basaltspread.net.platform import Front
@@ -31,7 +33,11 @@
 LAST_LOOK = 0.005  # s for bytes under way, before a resting connection is closed from this side
 REST_PATIENCE = 30.0  # s that a connection may rest between two requests
 AHEAD_LIMIT = 2 * BODY_LIMIT  # bytes that a client may send while its request is under way
-AHEAD_PACE = 0.02  # s between two pieces of what is dropped: a flood must not take the neighbours' time
+# Bytes dropped of one client while its request is under way: it is answered at once when it sends more. What
+# comes is read without a pause until then, so that a close behind it is seen, and no longer: a flood must not
+# take the neighbours' time.
+DROPPED_LIMIT = 4 * 1024 * 1024
+STREAM_DROP_PACE = 0.02  # s between two pieces of such a flood during a stream, when nothing more begins
 CLIENT_PATIENCE = 30.0  # s for a client that does not read its stream
 # Not passed on to an engine: of this hop alone, or set anew.
 HOP_HEADERS = frozenset((
@@ -82,6 +88,23 @@
         return silent if now - opened >= FIRST_BYTES_UNDER_WAY or resting is None else resting
 
 
+@record
+class ReceivedRequest:
+    """A whole request, and when the client may have begun to send it, by the monotonic clock in s."""
+
+    head: h11.Request
+    body: bytes
+    began_at: float
+
+
+class WaitEnd(Enum):
+    """What ended the wait for an answer."""
+
+    ANSWERED = "answered"
+    CLIENT_LEFT = "client left"
+    CLIENT_FLOODS = "client sent too much ahead"
+
+
 class Exchange:
     """One client request: what is passed on to engines, and the client that waits for the answer."""
 
@@ -100,13 +123,16 @@
 class Client:
     """One client connection: one request at a time, its answer, and the watch for the client's leaving."""
 
-    def __init__(self, front: Front, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, front: Front, reader: Ear, writer: asyncio.StreamWriter) -> None:
         self._front, self._reader, self._writer = front, reader, writer
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
         self._early = b""  # what came while the answer was awaited
+        self._early_since = 0.0  # when the first of it came
+        self._dropped = 0  # bytes that came ahead past what is kept
         self.idle = True  # not a byte of a next request has come
         self.spoke = False  # a byte has come at all
         self.rests_since = self._opened = time.monotonic()
+        self._received_at = self._opened  # when the last bytes were handed to the parser
         self.refused = False  # over the budget, or this process ends: its request is refused
         self._wait: asyncio.Timeout | None = None  # for a first byte, while one is waited for
         self._last = False  # the connection ends with this answer
@@ -162,8 +188,8 @@
         return self._writer.transport.is_closing()
 
     def has_left(self) -> bool:
-        """Its close has come, and nothing before it is unread."""
-        return self._reader.at_eof() or self._reader.exception() is not None
+        """Its close or a break has come. What it sent before may still be unread; nothing of that counts."""
+        return self._reader.ended
 
     def abort(self) -> None:
         """Closes without waiting for what was written to go out."""
@@ -173,10 +199,10 @@
     async def _one(self) -> bool:
         """Read and answer one request; whether another may follow."""
         try:
-            got = await self._read()
-            if got is None:
+            received = await self._read()
+            if received is None:
                 return False
-            await self._front.route(self, *got)
+            await self._front.route(self, received)
         except BadRequest as error:
             self._front.note_bad_request(error)
             self.answer_last(error.status, error.why)  # what stands behind it is not read as a request
@@ -191,11 +217,14 @@
         self._http.start_next_cycle()
         return True
 
-    async def _read(self) -> tuple[h11.Request, bytes] | None:
-        """The next request, whole; None if the connection ends without one. Every wait is bounded."""
+    async def _read(self) -> ReceivedRequest | None:
+        """The next request, whole; None if the connection ends without one. Every wait is bounded. The client
+        counts its time from the moment it began to send: on a new connection, which was opened for the
+        request, that may have been before its first byte."""
         request: h11.Request | None = None
         body = bytearray()
         by = self._opened + FIRST_BYTE_PATIENCE if not self.spoke else self.rests_since + REST_PATIENCE
+        began_at = self._received_at if self.spoke else self._opened
         while True:
             try:
                 event = self._http.next_event()
@@ -206,29 +235,35 @@
                 if request is not None and self._http.they_are_waiting_for_100_continue:
                     go_on = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
                     self._writer.write(self._http.send(go_on) or b"")
-                data = self._take_early()
+                data, came_at = self._take_early(), self._early_since
                 if not data:
                     data = await (self._first_bytes(by) if self.idle else self._more_bytes(by))
+                    came_at = time.monotonic()
                     if not data and self.idle:
                         return None
                 if self.idle:
+                    began_at = came_at if self.spoke else self._opened
                     by = (time.monotonic() if self.spoke else self._opened) + REQUEST_PATIENCE
-                    self._front.seats.busy(self)
-                self.idle, self.spoke = False, True
+                    self._begins(came_at)
+                self._received_at = came_at
                 self._http.receive_data(data)
             elif isinstance(event, h11.Request):
-                request, self.idle, self.spoke = event, False, True
-                self._front.seats.busy(self)
+                request = event
                 check_head(list(request.headers))
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > BODY_LIMIT:
                     raise BadRequest(413, f"the body is over {BODY_LIMIT} bytes")
             elif isinstance(event, h11.EndOfMessage) and request is not None:
-                return request, bytes(body)
+                return ReceivedRequest(request, bytes(body), began_at)
             else:
                 return None
 
+    def _begins(self, now: float) -> None:
+        """The first bytes of a next request are here."""
+        self.idle, self.spoke = False, True
+        self._front.seats.busy(self)
+
     async def _first_bytes(self, by: float) -> bytes:
         """Of a next request; none if the connection has rested too long, or is let go."""
         try:
@@ -295,10 +330,12 @@
     def end_stream(self) -> None:
         self._writer.write(self._http.send(h11.EndOfMessage()) or b"")
 
-    async def wait_for(self, exchange: Exchange) -> bool:
-        """Until the answer is out; false if the client goes away first."""
+    async def wait_for(self, exchange: Exchange) -> WaitEnd:
+        """Until the answer is out, the client goes away, or it sends more than is read of it."""
         done: asyncio.Future[Any] = exchange.done
         while not done.done():
+            if self.has_left():
+                return WaitEnd.CLIENT_LEFT
             read: asyncio.Future[Any] = asyncio.ensure_future(self._reader.read(READ_SIZE))
             await asyncio.wait({read, done}, return_when=asyncio.FIRST_COMPLETED)
             if not read.done():
@@ -308,20 +345,33 @@
                 break
             data = b"" if read.exception() is not None else read.result()
             if not data:
-                return done.done()
-            # However much it talks ahead, it is read: else its leaving would not be seen, and what it asked
-            # for would be sent on. What can't be kept is dropped, and the connection ends with the answer.
-            room = not self._last and self._front.read_ahead + len(data) <= self._front.runtime.body_room
-            if room and len(self._early) + len(data) <= AHEAD_LIMIT:
-                self._early += data
-                self._front.read_ahead += len(data)
-            elif not self._last:
-                self._last = True
-                self._front.runtime.count("clients_ahead")
-                log.info("a client sent %d bytes ahead; what follows is dropped", len(self._early))
-            else:
-                await asyncio.wait({done}, timeout=AHEAD_PACE)
-        return True
+                return WaitEnd.ANSWERED if done.done() else WaitEnd.CLIENT_LEFT
+            if self._keeps(data):
+                continue
+            self._dropped += len(data)
+            if self._dropped <= DROPPED_LIMIT:
+                continue
+            if exchange.passing is None:
+                return WaitEnd.CLIENT_FLOODS
+            await asyncio.wait({done}, timeout=STREAM_DROP_PACE)
+        return WaitEnd.ANSWERED
+
+    def _keeps(self, data: bytes) -> bool:
+        """Whether what came ahead is kept for the next request. However much comes, it is read: else the
+        client's leaving would not be seen, and what it asked for would be sent on. What can't be kept is
+        dropped, and the connection ends with the answer."""
+        room = not self._last and self._front.read_ahead + len(data) <= self._front.runtime.body_room
+        if room and len(self._early) + len(data) <= AHEAD_LIMIT:
+            if not self._early:
+                self._early_since = time.monotonic()
+            self._early += data
+            self._front.read_ahead += len(data)
+            return True
+        if not self._last:
+            self._last = True
+            self._front.runtime.count("clients_ahead")
+            log.info("a client sent %d bytes ahead; what follows is dropped", len(self._early))
+        return False
 
     def _take_early(self) -> bytes:
         data, self._early = self._early, b""
--- a/basaltspread/net/door.py
+++ b/basaltspread/net/door.py
@@ -11,9 +11,9 @@
 from typing import Any
 
 from basaltspread.config import split_address
-from basaltspread.net.links import READ_SIZE
+from basaltspread.net.links import READ_SIZE, Ear
 
-Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Coroutine[Any, Any, None]]
+Accept = Callable[[Any, asyncio.StreamWriter], Coroutine[Any, Any, None]]
 
 
 async def open_door(
@@ -29,7 +29,12 @@
     else:
         door = socket.socket(fileno=inherited)
     door.setblocking(False)
-    server = await asyncio.start_server(accept, sock=door, limit=READ_SIZE, backlog=at_once)
+    loop = asyncio.get_running_loop()
+
+    def protocol() -> asyncio.StreamReaderProtocol:
+        return asyncio.StreamReaderProtocol(Ear(limit=READ_SIZE, loop=loop), accept, loop=loop)
+
+    server = await loop.create_server(protocol, sock=door, backlog=at_once)
     door.listen(queue)
     return server
 
--- a/basaltspread/net/links.py
+++ b/basaltspread/net/links.py
@@ -90,6 +90,7 @@
     spend more on the loop's timers than on passing its pieces on."""
 
     heard = 0
+    ended = False  # its close or break has come, whatever of what came before is still unread
     _bell: asyncio.Future[None] | None = None  # rings as something comes, ends or is late
     _alarm: asyncio.TimerHandle | None = None
     _by = 0.0
@@ -100,10 +101,12 @@
         self._ring()
 
     def feed_eof(self) -> None:
+        self.ended = True
         super().feed_eof()
         self._ring()
 
     def set_exception(self, exc: Exception) -> None:
+        self.ended = True
         super().set_exception(exc)
         self._ring()
 
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -30,10 +30,12 @@
     LAST_LOOK,
     Client,
     Exchange,
+    ReceivedRequest,
     Seats,
+    WaitEnd,
 )
 from basaltspread.net.door import address_of, open_door
-from basaltspread.net.links import PART_PATIENCE, READ_SIZE, Link, LinkError, load_json
+from basaltspread.net.links import PART_PATIENCE, Ear, Link, LinkError, connect, load_json
 from basaltspread.net.parsing import BadRequest, NoRoom, arrival_from, parse_list, parse_report
 from basaltspread.net.runtime import Runtime
 from basaltspread.net.sse import END, TooLong
@@ -143,7 +145,7 @@
             if client.idle and client.rests_since <= before:
                 client.let_go()
 
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _accept(self, reader: Ear, writer: asyncio.StreamWriter) -> None:
         client = Client(self, reader, writer)
         # Engines need descriptors too, or each request taken would fail: an idle client goes, else this
         # one is refused in words, as an accepted connection may carry a request already.
@@ -200,7 +202,8 @@
         if self._bad_lines <= BAD_REQUEST_LINES:
             log.info("bad request: %d %s", error.status, error.why)
 
-    async def route(self, client: Client, request: h11.Request, body: bytes) -> None:
+    async def route(self, client: Client, received: ReceivedRequest) -> None:
+        request = received.head
         path = request.target.split(b"?")[0]
         if path == b"/health/ready":
             client.answer(200, "") if core.door_open(self.runtime.state) else client.answer(503, "not ready")
@@ -209,9 +212,10 @@
         elif request.method != b"POST":
             raise BadRequest(405, "POST is wanted here")
         else:
-            await self._exchange(client, request, body)
+            await self._exchange(client, received)
 
-    async def _exchange(self, client: Client, request: h11.Request, body: bytes) -> None:
+    async def _exchange(self, client: Client, received: ReceivedRequest) -> None:
+        request, body = received.head, received.body
         fields = {k.decode(): v.decode("latin-1") for k, v in request.headers}
         arrival = arrival_from(fields, self._config.settings)
         rid = arrival.request
@@ -237,7 +241,8 @@
         exchange = self._exchanges[rid] = Exchange(client, request, body)
         self._bodies += len(body)
         try:
-            self.runtime.feed(core.Taken(arrival))
+            spent = round((time.monotonic() - received.began_at) * 1_000_000)
+            self.runtime.feed(core.Taken(replace(arrival, time_left=max(0, arrival.time_left - spent))))
             await self._until_end(client, exchange, rid)
         finally:
             self._bodies -= len(body)
@@ -252,9 +257,14 @@
             del self._used[next(iter(self._used))]
 
     async def _until_end(self, client: Client, exchange: Exchange, rid: str) -> None:
-        if not await client.wait_for(exchange):
+        ended = await client.wait_for(exchange)
+        if ended is WaitEnd.CLIENT_LEFT:
             self.runtime.feed(core.ClientLeft(rid))
             client.close()
+        elif ended is WaitEnd.CLIENT_FLOODS:
+            log.info("%s: its client sends without end and is answered now", rid)
+            self.runtime.feed(core.ClientFloods(rid))
+            await exchange.done
 
     # --- streams from one process to the next -----------------------------------------------------------
 
@@ -300,7 +310,7 @@
         for taken in (connection, engine):
             taken.setblocking(False)
         link = await self.runtime.pool.adopt(effect.address, engine)
-        reader, writer = await asyncio.open_connection(sock=connection, limit=READ_SIZE)
+        reader, writer = await connect(sock=connection)
         client = Client(self, reader, writer)
         exchange = self._exchanges[effect.request] = Exchange(client, client.carry_on(), b"")
         exchange.passing = effect.number
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -112,6 +112,28 @@
                 self.feed(core.ListTold(api.ListKind.FULL, version, listed), after=later)
                 self.assertEqual("StartAttempt" in self.kinds(core.Taken(ARRIVAL)), up)
 
+    def test_a_client_that_floods_is_answered_at_once_and_nothing_more_begins_for_it(self) -> None:
+        """Its close could not be seen in time. What may have run and may not run twice is failed."""
+        for effect, worker, written, verdict in (
+            (api.Effect.SAFE, "w1", True, Verdict.REFUSED), (api.Effect.UNSAFE, "w1", True, Verdict.FAILED),
+            (api.Effect.UNSAFE, "w1", False, Verdict.REFUSED),
+            (api.Effect.UNSAFE, "r1", True, Verdict.REFUSED),
+        ):  # fmt: skip
+            self.begin(Arrival=send(worker))
+            self.state.settings = settings(effect)
+            self.feed(core.Taken(ARRIVAL))
+            if written:
+                self.feed(core.Begun("q", 0))
+                self.feed(core.Written("q", 0))
+            effects = self.feed(core.ClientFloods("q"))
+            if core.Answer("q", verdict, 0) not in effects:  # it waits until the engine has seen the close
+                (wake,) = [w for w in self.wakes if w.token[0] == "answer"]
+                self.now = wake.at
+                effects += self.feed(core.Woken(wake.token))
+            self.assertIn(core.Answer("q", verdict, 0), effects, (effect, worker, written))
+            self.assertIn(core.AbandonAttempt("q", 0), effects)
+            self.assertEqual(self.feed(core.ClientFloods("q")), [])
+
     def test_an_unsafe_request_pauses_between_giving_up_and_sending_again(self) -> None:
         """The engines are reached by two connections: the new send could come first, and count as a copy."""
         self.begin(Arrival=send("r1"), TimerFired=lambda e: [api.Cancel("q", 0), api.Send("q", "r2", 0)])
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -239,7 +239,7 @@
 class LetGoTest(unittest.IsolatedAsyncioTestCase):
     async def test_bytes_under_way_keep_a_connection_that_is_let_go(self) -> None:
         for under_way in (b"", b"POST"):
-            reader = asyncio.StreamReader()
+            reader = Ear()
             client = Client(mock.MagicMock(), reader, mock.MagicMock())
             first = asyncio.ensure_future(client._first_bytes(time.monotonic() + PATIENCE))
             await asyncio.sleep(0)
--- a/tests/test_request_time.py
+++ b/tests/test_request_time.py
@@ -10,7 +10,7 @@
 
 from basaltspread import core
 from basaltspread.adapter import settings_from
-from basaltspread.net.clients import Client, Exchange
+from basaltspread.net.clients import Client, Exchange, WaitEnd
 from basaltspread.net.links import BODY_LIMIT, READ_SIZE, Ear
 from basaltspread.net.platform import Front
 from tests.standins import SETTINGS
@@ -34,7 +34,9 @@
         config = mock.MagicMock(settings=settings_from(SETTINGS))
         self.front = Front(runtime, config)
         self.reader = Ear(limit=READ_SIZE)
-        self.client = Client(self.front, self.reader, mock.MagicMock())
+        writer = mock.MagicMock()
+        writer.transport.get_write_buffer_size.return_value = 0
+        self.client = Client(self.front, self.reader, writer)
 
     def taken(self) -> core.Taken | None:
         return next((event for event in self.fed if isinstance(event, core.Taken)), None)
@@ -87,9 +89,16 @@
         door.reader.feed_eof()
         loop = asyncio.get_running_loop()
         with mock.patch.object(loop, "call_later", wraps=loop.call_later) as later:
-            self.assertFalse(await door.client.wait_for(exchange))
+            self.assertIs(await door.client.wait_for(exchange), WaitEnd.CLIENT_LEFT)
         self.assertEqual(later.call_args_list, [])
 
+    async def test_a_client_that_sends_without_end_is_given_its_answer(self) -> None:
+        door = Door()
+        exchange = Exchange(door.client, mock.MagicMock(headers=[], method=b"POST", target=b"/"), b"")
+        for _ in range(6 * 1024 * 1024 // READ_SIZE):
+            door.reader.feed_data(b"x" * READ_SIZE)
+        self.assertIs(await door.client.wait_for(exchange), WaitEnd.CLIENT_FLOODS)
+
     async def test_a_client_known_to_have_closed_gets_nothing_sent_whatever_it_left_unread(self) -> None:
         """The close has been read from the socket, and bytes before it have not been read from the buffer."""
         door = Door()
