--- a/basaltspread/core/messages.py
+++ b/basaltspread/core/messages.py
@@ -324,7 +324,8 @@
 Input = (
     Taken | TurnedAway | ClientLeft | ClientFloods | Begun | Written | FirstEvent | Ended
     | PlaceEnded | ReleaseEnded | Probed | PeerTold | ListTold | ToolCalled | ToolCancelled
-    | ToolBegun | ToolProgressed | ToolEnded | ProgressEnded | ReplyEnded | ServerTried | ServerDrains | RoutesTold | Woken | Serving
+    | ToolBegun | ToolProgressed | ToolEnded | ProgressEnded | ReplyEnded
+    | ServerTried | ServerDrains | RoutesTold | Woken | Serving
     | Operate | BansTold | Recalled | Sharing | HandedOn | Adopted | Terminate
 )  # fmt: skip
 
--- a/tests/test_request_time.py
+++ b/tests/test_request_time.py
@@ -10,7 +10,7 @@
 
 from basaltspread import core
 from basaltspread.adapter import settings_from
-from basaltspread.net.clients import Client, Exchange, WaitEnd
+from basaltspread.net.clients import REQUEST_PATIENCE, Client, Exchange, WaitEnd
 from basaltspread.net.links import BODY_LIMIT, READ_SIZE, Ear
 from basaltspread.net.platform import Front
 from tests.standins import SETTINGS
@@ -79,6 +79,25 @@
         self.assertGreater(await self.arrive(b"", HEAD % b"q" + b"{}", True), 5000 - LATE_MS)
 
 
+class HalfRequestTest(unittest.IsolatedAsyncioTestCase):
+    async def test_half_a_request_in_the_piece_of_the_one_before_is_waited_for_as_any_other(self) -> None:
+        """It was taken for a connection that rests, for 30 s; a client that stays is owed its error in 3 s."""
+        door = Door()
+        whole = HEAD % b"q" + b"{}"
+        door.reader.feed_data(whole.replace(b"/v1/chat/completions", b"/health/ready") + whole[:30])
+        self.assertTrue(await door.client._one())
+        self.assertFalse(door.client.idle)
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(loop, "call_at", wraps=loop.call_at) as alarms:
+            waiting = asyncio.ensure_future(door.client._one())
+            for _ in range(5):
+                await asyncio.sleep(0)
+            waiting.cancel()
+            await asyncio.wait({waiting})
+        wait = max(call.args[0] for call in alarms.call_args_list) - loop.time()
+        self.assertLessEqual(wait, REQUEST_PATIENCE)
+
+
 class FloodTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_close_behind_some_megabytes_is_seen_without_a_pause(self) -> None:
         """Read at a pace, a close was seen seconds late, and an attempt began after it."""
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
 from collections import Counter
 from typing import Any
 from unittest import mock
@@ -10,7 +12,7 @@
 import pytest
 
 from basaltspread.endings import Ending
-from basaltspread.net.links import Descriptors, Ear, LinkError, Pool
+from basaltspread.net.links import Descriptors, Ear, Link, LinkError, Pool
 from basaltspread.net.runtime import Wheel
 
 
@@ -107,6 +109,25 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("code", [errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET])
+def test_a_broken_connection_is_no_silence_whatever_the_error(code: int) -> None:
+    """Python takes ETIMEDOUT for a TimeoutError: the stream was asked again and again without a pause while it
+    waited for a tool, and the whole gateway stood still."""
+
+    async def run() -> Ending:
+        ear, writer = Ear(), mock.MagicMock()
+        writer.transport.is_closing.return_value = False
+        writer.transport.get_write_buffer_size.return_value = 0
+        link = Link("127.0.0.1:1", ear, writer, lambda: None)
+        await link.send("GET", "/", [], b"")
+        ear.set_exception(OSError(code, os.strerror(code)))
+        with pytest.raises(LinkError) as caught:
+            await link.event(4.0)
+        return caught.value.ending
+
+    assert asyncio.run(run()) is Ending.RESET
+
+
 @pytest.mark.parametrize(
     ("error", "ending"),
     [
