Take faults of this machine's system calls for what they are, in one table

Causes: Pool.acquire told every failed connect as the engine's, and the module marked it as failed and went on to the next until no attempt was left; Link._more took ETIMEDOUT for its own patience; Client._read did not look at what h11 held of the next request. Change: net/faults.py classes errors once. A connect that fails here is tried again in the same attempt, 5 to 50 ms apart, for 2 s (LOCAL_FAULT, which like NO_DESCRIPTOR says nothing of an engine and blames none); a silence is a type of its own; a half request has 2.5 s from its first byte, whatever it came with. Related: discovery, releases, probes and tool servers go through Pool; a release that failed here does not make its engine count as unreached. Open: the partners' client library has its own connects.

--- a/basaltspread/control/dispatch.py
+++ b/basaltspread/control/dispatch.py
@@ -48,6 +48,7 @@
 FATES: dict[Ending, Fate] = {
     Ending.SERVED: Fate.ANSWERED,
     Ending.NO_DESCRIPTOR: Fate.NOT_OURS,
+    Ending.LOCAL_FAULT: Fate.NOT_OURS,
     Ending.WITHDRAWN: Fate.NOT_OURS,
     Ending.TURNED_AWAY: Fate.TURNED_AWAY,
     Ending.REFUSED: Fate.UNMADE,
--- a/basaltspread/core/messages.py
+++ b/basaltspread/core/messages.py
@@ -118,6 +118,7 @@
     request: str
     worker: str
     done: bool
+    ending: Ending = Ending.SERVED  # of its connection
 
 
 @record
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -72,7 +72,7 @@
 )
 from basaltspread.core.state import Attempt, Release, Request, State
 from basaltspread.core.toolcalls import ToolSteps
-from basaltspread.endings import CLOSED_HERE, OUTCOMES, QUIET, Ending
+from basaltspread.endings import CLOSED_HERE, OUTCOMES, QUIET, SAYS_NOTHING, Ending
 from basaltspread.interface import Outcome, Role, WorkerState
 
 MS = 1000
@@ -389,7 +389,7 @@
             self.do(Say(f"attempt {q.id}/{attempt.number} {what} at {attempt.worker}: {ending.value}"))
         if ending in WORDS and self.state.picture is not None:
             self._tell(self.state.picture.fault(self.now, attempt.worker, WORDS[ending]))
-        if ending not in (Ending.NOT_SENT, Ending.NO_DESCRIPTOR):  # these say nothing of the engine
+        if ending not in SAYS_NOTHING:
             heard = outcome in (Outcome.READ, Outcome.SERVED, Outcome.FULL, Outcome.ERROR)
             self._noted(attempt.worker, heard)
         if attempt.reading and (ending is Ending.READ or attempt.written):
@@ -542,7 +542,8 @@
         return True
 
     def release_ended(self, event: ReleaseEnded) -> None:
-        self._noted(event.worker, event.done)
+        if event.ending not in SAYS_NOTHING:
+            self._noted(event.worker, event.done)
         duty = self.state.releases.get(event.request)
         if duty is None:
             return
--- a/basaltspread/endings.py
+++ b/basaltspread/endings.py
@@ -24,6 +24,7 @@
     REFUSED = "connection refused"
     CONNECT_TIMED_OUT = "connection did not come up"
     NO_DESCRIPTOR = "out of descriptors"
+    LOCAL_FAULT = "this machine could not connect"
     BROKE_UNSENT = "broke before the last byte was written"
     WITHDRAWN = "drained before the first byte"
     RESET = "reset after the last byte"
@@ -51,7 +52,8 @@
     Ending.STATE_GONE: Outcome.FULL,
     Ending.REFUSED: Outcome.CONNECT_FAILED,
     Ending.CONNECT_TIMED_OUT: Outcome.CONNECT_FAILED,
-    Ending.NO_DESCRIPTOR: Outcome.CONNECT_FAILED,
+    Ending.NO_DESCRIPTOR: Outcome.NOT_SENT,
+    Ending.LOCAL_FAULT: Outcome.NOT_SENT,
     Ending.BROKE_UNSENT: Outcome.CONNECT_FAILED,
     Ending.WITHDRAWN: Outcome.CONNECT_FAILED,
     Ending.RESET: Outcome.RESET,
@@ -74,6 +76,9 @@
 )
 
 
+# The endings that are this side's alone, and say nothing of the other.
+SAYS_NOTHING = frozenset((Ending.NOT_SENT, Ending.NO_DESCRIPTOR, Ending.LOCAL_FAULT))
+
 # The endings by which this side closes the connection while the other may still be at work on the request; it
 # learns of that a moment later.
 CLOSED_HERE = frozenset((Ending.MALFORMED, Ending.STALLED))
--- a/basaltspread/net/clients.py
+++ b/basaltspread/net/clients.py
@@ -225,6 +225,9 @@
         body = bytearray()
         by = self._opened + FIRST_BYTE_PATIENCE if not self.spoke else self.rests_since + REST_PATIENCE
         began_at = self._received_at if self.spoke else self._opened
+        if self._http.trailing_data[0]:  # it came with the bytes of the request before
+            self._begins()
+            by = time.monotonic() + REQUEST_PATIENCE
         while True:
             try:
                 event = self._http.next_event()
@@ -244,7 +247,7 @@
                 if self.idle:
                     began_at = came_at if self.spoke else self._opened
                     by = (time.monotonic() if self.spoke else self._opened) + REQUEST_PATIENCE
-                    self._begins(came_at)
+                    self._begins()
                 self._received_at = came_at
                 self._http.receive_data(data)
             elif isinstance(event, h11.Request):
@@ -259,7 +262,7 @@
             else:
                 return None
 
-    def _begins(self, now: float) -> None:
+    def _begins(self) -> None:
         """The first bytes of a next request are here."""
         self.idle, self.spoke = False, True
         self._front.seats.busy(self)
@@ -325,7 +328,10 @@
         """Until the client reads on, where it has not taken all that was written. Raises as drain does."""
         if self._writer.transport.get_write_buffer_size():
             async with asyncio.timeout(CLIENT_PATIENCE):
-                await self._writer.drain()
+                try:
+                    await self._writer.drain()
+                except OSError as error:  # ETIMEDOUT among them, which is no patience that ran out
+                    raise ConnectionResetError(str(error)) from error
 
     def end_stream(self) -> None:
         self._writer.write(self._http.send(h11.EndOfMessage()) or b"")
--- a/basaltspread/net/links.py
+++ b/basaltspread/net/links.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import json
+import logging
 import socket
 import time
 from collections import Counter
@@ -18,8 +19,10 @@
 import h11
 
 from basaltspread.endings import Ending
+from basaltspread.net import faults
 from basaltspread.records import record
 
+log = logging.getLogger("basaltspread")
 READ_SIZE = 65536
 BODY_LIMIT = 256 * 1024
 CHUNK_LIMIT = 256 * 1024  # bytes of one chunk, whatever size it declares
@@ -30,6 +33,9 @@
 DUTY_DESCRIPTORS = 12  # of the spare ones, for releases
 DISTRUST = 30.0  # s in which no kept link to an address is used, after one was reset as it was used again
 MOST_DISTRUSTED = 3  # addresses; with so many, no kept link to any address is used
+LOCAL_FAULT_PAUSE = 0.005  # s between two tries to connect while this machine can't, at first
+LONGEST_LOCAL_FAULT_PAUSE = 0.05  # s
+LOCAL_FAULT_PATIENCE = 2.0  # s of such tries in one attempt
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -41,6 +47,10 @@
         raise ValueError("nested too deeply") from error
 
 
+class Silence(TimeoutError):
+    """Nothing came in time. Not a plain TimeoutError, as ETIMEDOUT is, by which a connection breaks."""
+
+
 class LinkError(Exception):
     """A link could not be used; says how its use ended."""
 
@@ -124,8 +134,8 @@
             self._ring()
 
     async def piece(self, taken: int, patience: float | None) -> bytes:
-        """What comes next, within so many seconds; `taken` bytes have been read before. Raises TimeoutError,
-        or as the connection broke; nothing at its end."""
+        """What comes next, within so many seconds; `taken` bytes have been read before. Raises Silence, or
+        as the connection broke; nothing at its end."""
         if self._nothing(taken):
             loop = asyncio.get_running_loop()
             bell = self._bell = loop.create_future()
@@ -142,7 +152,7 @@
             finally:
                 self._bell = None
             if self._nothing(taken):
-                raise TimeoutError
+                raise Silence
         return await self.read(READ_SIZE)
 
     def _nothing(self, taken: int) -> bool:
@@ -249,7 +259,7 @@
         try:
             patience = PART_PATIENCE - self._part_waited if part else silence
             data = await self._reader.piece(self._taken, patience)
-        except TimeoutError as error:
+        except Silence as error:
             raise LinkError(Ending.MALFORMED if part else Ending.STALLED) from error
         except OSError as error:
             raise LinkError(Ending.RESET) from error
@@ -338,6 +348,7 @@
         self._idle: dict[str, list[Link]] = {}
         self._distrusted: dict[str, float] = {}  # by address: until when
         self._counters = counters
+        self._local_fault_second = -1  # in which one was logged last
 
     def _trusted(self, address: str) -> bool:
         return address not in self._distrusted and len(self._distrusted) < MOST_DISTRUSTED
@@ -363,25 +374,45 @@
             link.close()
         if not self._descriptors.take(duty) and not (self.shed() and self._descriptors.take(duty)):
             raise LinkError(Ending.NO_DESCRIPTOR)
-        host, _, port = address.rpartition(":")
         try:
-            async with asyncio.timeout(self._connect_timeout):
-                reader, writer = await connect(host=host, port=int(port))
-        except TimeoutError as error:
-            self._descriptors.free()
-            raise LinkError(Ending.CONNECT_TIMED_OUT) from error
-        except (OSError, ValueError) as error:
-            self._descriptors.free()
-            # Only a refusal says that no process is there. Guards against a reset of the new connection, or a
-            # fault of this side, that is told to all gateways as an engine gone.
-            refused = isinstance(error, ConnectionRefusedError)
-            raise LinkError(Ending.REFUSED if refused else Ending.BROKE_UNSENT) from error
+            reader, writer = await self._connect(address)
         except BaseException:
             self._descriptors.free()
             raise
         self._counters["links_opened"] += 1
         return Link(address, reader, writer, self._descriptors.free)
 
+    async def _connect(self, address: str) -> tuple[Ear, asyncio.StreamWriter]:
+        """A new connection. While this machine itself can't make one, it is tried again: that says nothing of
+        the other side, and each attempt given up would be one less that the request has."""
+        host, _, port = address.rpartition(":")
+        give_up_at, pause = time.monotonic() + LOCAL_FAULT_PATIENCE, LOCAL_FAULT_PAUSE
+        while True:
+            try:
+                async with asyncio.timeout(self._connect_timeout):
+                    return await connect(host=host, port=int(port))
+            except TimeoutError as error:
+                raise LinkError(Ending.CONNECT_TIMED_OUT) from error
+            except (OSError, ValueError) as error:
+                if faults.of_connect(error) is faults.FaultScope.REMOTE:
+                    # Only a refusal says that no process is there. Guards against a reset of the new
+                    # connection that is told to all gateways as an engine gone.
+                    refused = isinstance(error, ConnectionRefusedError)
+                    raise LinkError(Ending.REFUSED if refused else Ending.BROKE_UNSENT) from error
+                self._note_local_fault(address, error)
+                if time.monotonic() >= give_up_at:
+                    raise LinkError(Ending.LOCAL_FAULT) from error
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, LONGEST_LOCAL_FAULT_PAUSE)
+
+    def _note_local_fault(self, address: str, error: Exception) -> None:
+        """Counted always, logged once a second."""
+        self._counters["local_connect_faults"] += 1
+        second = int(time.monotonic())
+        if second != self._local_fault_second:
+            self._local_fault_second = second
+            log.warning("this machine can't connect to %s for now: %s", address, error)
+
     async def adopt(self, address: str, running: socket.socket) -> Link:
         """A link of another process, in the middle of an answer."""
         reader, writer = await connect(sock=running)
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -539,17 +539,18 @@
         self._spawn(self._release(effect), f"release {effect.request}")
 
     async def _release(self, effect: core.SendRelease) -> None:
-        done = False
+        done, ending = False, Ending.GATEWAY_FAULT
         try:
             await self.runtime.pool.call(
                 effect.address, "DELETE", f"/state/{effect.request}", wait=CALL_WAIT, duty=True
             )
-            done = True
+            done, ending = True, Ending.SERVED
         except LinkError as error:
+            ending = error.ending
             self.runtime.count("release_calls_failed")
             log.info("release of %s by %s: %s", effect.request, effect.worker, error)
         finally:
-            self.runtime.feed(core.ReleaseEnded(effect.request, effect.worker, done))
+            self.runtime.feed(core.ReleaseEnded(effect.request, effect.worker, done, ending))
 
     def _start_probe(self, effect: core.StartProbe) -> None:
         self._spawn(self._probe(effect), f"probe {effect.worker}")
--- a/tests/test_local_faults.py
+++ b/tests/test_local_faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
 import os
 import unittest
@@ -30,3 +31,16 @@
                 await pool.acquire("127.0.0.1:1")
             self.assertEqual(descriptors.used, 1, errno.errorcode[code])
             self.assertEqual(counters["local_connect_faults"], FAILURES)
+
+    async def test_a_wait_for_this_machine_can_be_called_off_and_leaves_nothing(self) -> None:
+        descriptors = Descriptors(100)
+        pool = Pool(descriptors, 0.25, 10.0, Counter())
+        error = OSError(errno.ENETUNREACH, "unreachable")
+        with mock.patch("basaltspread.net.links.connect", mock.AsyncMock(side_effect=error)):
+            waiting = asyncio.ensure_future(pool.acquire("127.0.0.1:1"))
+            for _ in range(20):
+                await asyncio.sleep(0)
+            self.assertFalse(waiting.done())
+            waiting.cancel()
+            await asyncio.wait({waiting})
+        self.assertEqual(descriptors.used, 0)
