--- a/tests/test_local_faults.py
+++ b/tests/test_local_faults.py
@@ -5,17 +5,25 @@
 import asyncio
 import errno
 import os
+import socket
 import unittest
 from collections import Counter
 from typing import Any
 from unittest import mock
 
+from basaltspread.net.door import address_of, open_door
 from basaltspread.net.links import Descriptors, Pool
 
 MOMENTARY = (
     errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENETDOWN, errno.ENOBUFS, errno.ENFILE, errno.ENOMEM,
     errno.EAGAIN, errno.EINTR,
 )  # fmt: skip
+ACCEPT_FAULTS = (
+    errno.ECONNABORTED, errno.EINTR, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPERM,
+    errno.ENETDOWN, errno.EPROTO, errno.EHOSTUNREACH,
+)  # fmt: skip
+LONGEST_PAUSE = 0.1  # s in which the door may stay shut after a fault
+WAITING = 3  # connections at the door
 FAILURES = 8  # in a row; more than a request has attempts
 
 
@@ -44,3 +52,58 @@
             waiting.cancel()
             await asyncio.wait({waiting})
         self.assertEqual(descriptors.used, 0)
+
+
+class AcceptFaultTest(unittest.IsolatedAsyncioTestCase):
+    async def accepted_after(self, *codes: int, ends: bool = False) -> tuple[int, list[str]]:
+        """How many of three waiting connections are accepted when accept fails so first; the log's lines.
+        With `ends`, the door is closed while accept fails."""
+        accepted = 0
+        all_in = asyncio.Event()
+
+        async def accept(_: Any, writer: asyncio.StreamWriter) -> None:
+            nonlocal accepted
+            accepted += 1
+            writer.close()
+            if accepted == WAITING:
+                all_in.set()
+
+        faults, real = list(codes), socket.socket.accept
+
+        def failing(listener: socket.socket) -> Any:
+            if faults:
+                raise OSError(code := faults.pop(0), os.strerror(code))
+            return real(listener)
+
+        loop = asyncio.get_running_loop()
+        problems = list[str]()
+        loop.set_exception_handler(lambda _, context: problems.append(str(context["message"])))
+        with mock.patch.object(socket.socket, "accept", failing):
+            with mock.patch.object(loop, "call_later", wraps=loop.call_later) as later:
+                door = await open_door("listen", "127.0.0.1:0", accept, 16, 4)
+                host, _, port = address_of(door).rpartition(":")
+                clients = [await asyncio.open_connection(host, int(port)) for _ in range(WAITING)]
+                if ends:
+                    while len(faults) == len(codes):
+                        await asyncio.sleep(0)
+                    door.close()
+                async with asyncio.timeout(30):
+                    await all_in.wait()
+        for _, writer in clients:
+            writer.close()
+        door.close()
+        pauses = [call.args[0] for call in later.call_args_list]
+        self.assertLessEqual(max(pauses, default=0.0), LONGEST_PAUSE)
+        return accepted, problems
+
+    async def test_the_door_opens_again_at_once_after_a_fault_of_this_machine(self) -> None:
+        """asyncio shut it for a whole second, or wrote a line for each turn of the loop."""
+        for code in ACCEPT_FAULTS:
+            accepted, problems = await self.accepted_after(*[code] * 6)
+            self.assertEqual((accepted, problems), (WAITING, []), errno.errorcode[code])
+
+    async def test_what_waits_at_a_door_that_shuts_is_still_accepted(self) -> None:
+        """Closed unread, it was reset: a SIGTERM that crossed a fault cost the requests that lay there."""
+        for code in (errno.ENFILE, errno.ECONNABORTED):
+            accepted, _ = await self.accepted_after(*[code] * 6, ends=True)
+            self.assertEqual(accepted, WAITING, errno.errorcode[code])
