Accept connections in a loop of the project's own, which knows accept's errors

Cause: asyncio's accept loop stops for 1 s on EMFILE, ENFILE, ENOBUFS and ENOMEM, raises all else it does not know into a log line a turn, and Server.close resets what waits in the kernel's queue. Change: net/door.py. Errors are classed by net/faults.py; a fault of this machine pauses 5 to 50 ms, one of a new connection none, each counts (accept_faults) and is said once a second. A closing door first accepts what waits at it, for 1 s at most; these connections' requests are refused, as one sent on now might not end in time. A socket that is inherited is left to the process that follows.

--- a/basaltspread/net/door.py
+++ b/basaltspread/net/door.py
@@ -1,43 +1,154 @@
 """The listening side: an address at which connections are accepted.
 
-It owns the listening socket. It must never read from a connection.
+It owns the listening socket, and what happens where accept fails. It must never read from a connection.
 """
 
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
+import time
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 from basaltspread.config import split_address
+from basaltspread.net import faults
 from basaltspread.net.links import READ_SIZE, Ear
 
+log = logging.getLogger("basaltspread")
+ACCEPT_PAUSE = 0.005  # s without a try after accept failed, at first
+LONGEST_ACCEPT_PAUSE = 0.05  # s
+CLOSE_PATIENCE = 1.0  # s in which a closing door tries to accept what waits at it
+
 Accept = Callable[[Any, asyncio.StreamWriter], Coroutine[Any, Any, None]]
 
 
+class Door:
+    """A listening socket of which each connection goes to `accept`.
+
+    At most `at_once` are accepted in one turn of the loop: before any budget is asked, nothing else bounds
+    them. asyncio's own accept loop stops for a whole second where this machine is short of something, and
+    writes a line for each turn of the loop on errors that it does not know.
+    """
+
+    def __init__(
+        self, listener: socket.socket, accept: Accept, at_once: int, counters: Counter[str], inherited: bool
+    ) -> None:
+        self._listener, self._accept, self._at_once = listener, accept, at_once
+        self._counters, self._inherited = counters, inherited
+        self._loop = asyncio.get_running_loop()
+        self._pause = 0.0  # s; 0: accept did not fail last
+        self._retry: asyncio.TimerHandle | None = None
+        self._close_by: float | None = None  # the door is closing
+        self._closed = False
+        self._logged_second = -1
+        self._opening: set[asyncio.Task[Any]] = set()
+        self.address = "{}:{}".format(*listener.getsockname()[:2])
+        self._loop.add_reader(listener, self._ready)
+
+    def close(self) -> None:
+        """Accept no more. What waits is accepted first: its clients have connected, and a close would reset
+        them. At an inherited socket it is left to the process that follows."""
+        if self._close_by is not None:
+            return
+        self._close_by = self._loop.time() + CLOSE_PATIENCE
+        if self._inherited:
+            self._shut()
+        elif self._retry is None:
+            self._ready()
+
+    def _shut(self) -> None:
+        if self._closed:
+            return
+        self._closed = True
+        if self._retry is not None:
+            self._retry.cancel()
+        self._loop.remove_reader(self._listener)
+        self._listener.close()
+
+    def _ready(self) -> None:
+        self._retry = None
+        if self._closed:
+            return
+        for _ in range(self._at_once):
+            try:
+                connection, _ = self._listener.accept()
+            except BlockingIOError:
+                if self._close_by is not None:
+                    self._shut()
+                else:
+                    self._pause = 0.0
+                return
+            except OSError as error:
+                self._note(error)
+                if faults.of_accept(error) is not faults.FaultScope.CONNECTION:
+                    self._wait()
+                    return
+                continue
+            self._pause = 0.0
+            connection.setblocking(False)
+            self._open(connection)
+        if self._close_by is not None or self._pause:
+            self._wait()
+
+    def _wait(self) -> None:
+        """Accept is asked again a little later, whether something comes or not."""
+        if self._close_by is not None and self._loop.time() >= self._close_by:
+            log.warning("the door %s closes though accept still fails", self.address)
+            self._shut()
+            return
+        self._loop.remove_reader(self._listener)
+        self._pause = min(max(ACCEPT_PAUSE, 2 * self._pause), LONGEST_ACCEPT_PAUSE)
+        self._retry = self._loop.call_later(self._pause, self._ready_again)
+
+    def _ready_again(self) -> None:
+        self._loop.add_reader(self._listener, self._ready)
+        self._ready()
+
+    def _note(self, error: OSError) -> None:
+        """Counted always, logged once a second."""
+        self._counters["accept_faults"] += 1
+        self._pause = self._pause or ACCEPT_PAUSE / 2
+        second = int(time.monotonic())
+        if second != self._logged_second:
+            self._logged_second = second
+            log.warning("accept failed at %s: %s", self.address, error)
+
+    def _open(self, connection: socket.socket) -> None:
+        task = self._loop.create_task(self._loop.connect_accepted_socket(self._protocol, connection))
+        self._opening.add(task)
+        task.add_done_callback(self._opened)
+
+    def _opened(self, task: asyncio.Task[Any]) -> None:
+        self._opening.discard(task)
+        if not task.cancelled() and isinstance(error := task.exception(), OSError):
+            self._note(error)  # it broke as it was taken
+
+    def _protocol(self) -> asyncio.StreamReaderProtocol:
+        reader = Ear(limit=READ_SIZE, loop=self._loop)
+        return asyncio.StreamReaderProtocol(reader, self._accept, loop=self._loop)
+
+
 async def open_door(
-    key: str, listen: str, accept: Accept, queue: int, at_once: int, inherited: int | None = None
-) -> asyncio.Server:
-    """Serve what connects to an address, or to a socket that listens there already. asyncio accepts as many
-    connections at one turn as its backlog says, before any budget is asked: that is small here, and the
-    kernel's queue is made long after it."""
+    key: str,
+    listen: str,
+    accept: Accept,
+    queue: int,
+    at_once: int,
+    inherited: int | None = None,
+    counters: Counter[str] | None = None,
+) -> Door:
+    """Serve what connects to an address (named `key` in errors), or to a socket that listens there already.
+    `queue` connections may wait in the kernel. Raises ConfigError, or OSError where the address is taken."""
     host, port = split_address(key, listen)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     if inherited is None:
-        door = socket.create_server((host.strip("[]"), port), family=family, backlog=queue)
+        listener = socket.create_server((host.strip("[]"), port), family=family, backlog=queue)
     else:
-        door = socket.socket(fileno=inherited)
-    door.setblocking(False)
-    loop = asyncio.get_running_loop()
-
-    def protocol() -> asyncio.StreamReaderProtocol:
-        return asyncio.StreamReaderProtocol(Ear(limit=READ_SIZE, loop=loop), accept, loop=loop)
-
-    server = await loop.create_server(protocol, sock=door, backlog=at_once)
-    door.listen(queue)
-    return server
-
-
-def address_of(server: asyncio.Server) -> str:
-    return "{}:{}".format(*server.sockets[0].getsockname()[:2])
+        listener = socket.socket(fileno=inherited)
+    listener.setblocking(False)
+    listener.listen(queue)
+    counted = counters if counters is not None else Counter[str]()
+    return Door(listener, accept, at_once, counted, inherited is not None)
--- a/basaltspread/net/management.py
+++ b/basaltspread/net/management.py
@@ -20,7 +20,7 @@
 from basaltspread import core
 from basaltspread.core import Order, Verdict
 from basaltspread.net.clients import REASONS
-from basaltspread.net.door import address_of, open_door
+from basaltspread.net.door import open_door
 from basaltspread.net.links import READ_SIZE
 from basaltspread.net.parsing import BadRequest
 from basaltspread.net.runtime import MANAGEMENT_DESCRIPTORS, Runtime
@@ -49,8 +49,11 @@
         runtime.carry[core.OperatorAnswer] = lambda e: self._answers.update({e.call: e})
 
     async def start(self) -> None:
-        server = await open_door("management", self._listen, self._accept, QUEUE, ACCEPTED_AT_ONCE)
-        log.info("operators call %s", address_of(server))
+        counters = self._runtime.counters
+        door = await open_door(
+            "management", self._listen, self._accept, QUEUE, ACCEPTED_AT_ONCE, counters=counters
+        )
+        log.info("operators call %s", door.address)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Whoever says nothing makes room for the next caller: a whole call is answered at once."""
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -34,7 +34,7 @@
     Seats,
     WaitEnd,
 )
-from basaltspread.net.door import address_of, open_door
+from basaltspread.net.door import Door, open_door
 from basaltspread.net.links import PART_PATIENCE, Ear, Link, LinkError, connect, load_json
 from basaltspread.net.parsing import BadRequest, NoRoom, arrival_from, parse_list, parse_report
 from basaltspread.net.runtime import Runtime
@@ -78,7 +78,7 @@
         self._used_for = max((c.deadline for c in config.settings.classes), default=0) / 1e6
         self._bodies = self.read_ahead = 0  # bytes: of requests under way, and of what came meanwhile
         self._bad_second = self._bad_lines = self._odd_report_second = self._full_second = 0
-        self._server: asyncio.Server | None = None
+        self._door: Door | None = None
         self._watching: dict[str, asyncio.Task[None]] = {}  # by discovery's address; two while it moves
         self._told_by: str | None = None  # whose answer came last
         self._asked = asyncio.Event()  # set by discovery's first answer
@@ -114,10 +114,16 @@
         if self._watching:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._asked.wait(), FIRST_LIST_WAIT)
-        self._server = await open_door(
-            "listen", self._config.listen, self._accept, QUEUE, ACCEPTED_AT_ONCE, self._config.door
+        self._door = await open_door(
+            "listen",
+            self._config.listen,
+            self._accept,
+            QUEUE,
+            ACCEPTED_AT_ONCE,
+            self._config.door,
+            self.runtime.counters,
         )
-        self.address = address_of(self._server)
+        self.address = self._door.address
         self.runtime.take_over_streams(self._take_over)
         self.runtime.feed(core.Serving())
         log.info("serving %s on %s", self._config.name, self.address)
@@ -130,8 +136,8 @@
             await asyncio.wait(busy, timeout=2.0)
 
     def _stop_listening(self) -> None:
-        if self._server is not None:
-            self._server.close()
+        if self._door is not None:
+            self._door.close()
 
     def _stop_accepting(self) -> None:
         self._stop_listening()
@@ -147,6 +153,7 @@
 
     async def _accept(self, reader: Ear, writer: asyncio.StreamWriter) -> None:
         client = Client(self, reader, writer)
+        client.refused = not self.runtime.state.accepting  # it waited at the door as that was shut
         # Engines need descriptors too, or each request taken would fail: an idle client goes, else this
         # one is refused in words, as an accepted connection may carry a request already.
         most = self.runtime.descriptors.limit * CLIENT_SHARE
--- a/tests/test_local_faults.py
+++ b/tests/test_local_faults.py
@@ -11,7 +11,7 @@
 from typing import Any
 from unittest import mock
 
-from basaltspread.net.door import address_of, open_door
+from basaltspread.net.door import LONGEST_ACCEPT_PAUSE, open_door
 from basaltspread.net.links import Descriptors, Pool
 
 MOMENTARY = (
@@ -22,7 +22,6 @@
     errno.ECONNABORTED, errno.EINTR, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPERM,
     errno.ENETDOWN, errno.EPROTO, errno.EHOSTUNREACH,
 )  # fmt: skip
-LONGEST_PAUSE = 0.1  # s in which the door may stay shut after a fault
 WAITING = 3  # connections at the door
 FAILURES = 8  # in a row; more than a request has attempts
 
@@ -80,8 +79,9 @@
         loop.set_exception_handler(lambda _, context: problems.append(str(context["message"])))
         with mock.patch.object(socket.socket, "accept", failing):
             with mock.patch.object(loop, "call_later", wraps=loop.call_later) as later:
-                door = await open_door("listen", "127.0.0.1:0", accept, 16, 4)
-                host, _, port = address_of(door).rpartition(":")
+                counters = Counter[str]()
+                door = await open_door("listen", "127.0.0.1:0", accept, 16, 4, counters=counters)
+                host, _, port = door.address.rpartition(":")
                 clients = [await asyncio.open_connection(host, int(port)) for _ in range(WAITING)]
                 if ends:
                     while len(faults) == len(codes):
@@ -92,8 +92,9 @@
         for _, writer in clients:
             writer.close()
         door.close()
+        self.assertEqual(counters["accept_faults"], len(codes))
         pauses = [call.args[0] for call in later.call_args_list]
-        self.assertLessEqual(max(pauses, default=0.0), LONGEST_PAUSE)
+        self.assertLessEqual(max(pauses, default=0.0), LONGEST_ACCEPT_PAUSE)
         return accepted, problems
 
     async def test_the_door_opens_again_at_once_after_a_fault_of_this_machine(self) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -266,13 +266,10 @@
 
         async def door(*_: Any) -> Any:
             order.append(f"door after {len(calls)} calls")
-            return mock.MagicMock()
+            return mock.MagicMock(address="here")
 
         front._discover("127.0.0.1:1", 5)
-        with (
-            mock.patch("basaltspread.net.platform.open_door", door),
-            mock.patch("basaltspread.net.platform.address_of", lambda _: "here"),
-        ):
+        with mock.patch("basaltspread.net.platform.open_door", door):
             await front.start()
         self.assertEqual(order, ["door after 2 calls"])
         self.assertEqual([c.partition("?")[2] for c in calls], ["from=5&hold_ms=1", "from=7&hold_ms=2000"])
