Hold spans by the monotonic clock, and keep files and tasks alive through faults

Change: control/engine_starts.py keeps when each start was by this process's clock, from its stamp, the steps that were seen (net/clock.py) and what was listed before; a stamp tells starts apart, whichever way it went. Orders stay pending until they are written (200 says kept: false meanwhile); drafts are removed; lasting tasks begin anew. How far the wall clock is ahead is kept in the folder, for a process that starts after a step. Ruled out: taking an engine's first listing for its start, which leaves an engine cold that was only listed late.

--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -16,6 +16,7 @@
 from basaltspread import core, logs
 from basaltspread.config import ConfigError, Gateway, Tools, load_platform, load_sidecar, needs_restart
 from basaltspread.control import picture
+from basaltspread.net.clock import ClockFile
 from basaltspread.net.management import Management
 from basaltspread.net.platform import Front
 from basaltspread.net.runtime import Runtime
@@ -57,6 +58,15 @@
     joined.listed(w.entry for w in runtime.state.workers.values())
 
 
+def overlap_in(folder: str, name: str) -> Overlap | None:
+    """None where the folder fails: a gateway serves without it, and hands nothing on."""
+    try:
+        return Overlap(folder, name)
+    except OSError as error:
+        log.error("nothing can be shared with another process of this gateway: %s", error)
+        return None
+
+
 async def serve(config: Gateway, load: Load) -> None:
     inherited = config.door is not None
     state = core.State(config.settings, Router(config.settings, config.seed), inherited=inherited)
@@ -68,7 +78,8 @@
     runtime = Runtime(
         state, config.sockets, config.memory_mb, connect_timeout=timeout / 1e6, idle=idle,
         bans=BanFile(scratch, config.name) if scratch is not None and config.management is not None else None,
-        overlap=Overlap(scratch, config.name) if scratch is not None and inherited else None,
+        overlap=overlap_in(scratch, config.name) if scratch is not None and inherited else None,
+        clock_file=ClockFile(scratch, config.name) if scratch is not None else None,
     )  # fmt: skip
     relay = None
     if config.tools is not None:
@@ -105,7 +116,7 @@
         runtime.spawn(share(runtime, config), "share")
     runtime.watch_signals(reload)
     runtime.look_at_other()  # before a list can name an engine that was left out
-    runtime.spawn(runtime.watch_other(), "other")
+    runtime.spawn_lasting(runtime.watch_other, "other")
     if management is not None:
         await management.start()  # first: operators may ask before clients can come
     front.begin()
@@ -113,13 +124,14 @@
     await front.start()
     if eureka is not None:
         eureka.start(front.address)
-    runtime.spawn(runtime.sweep(), "sweep")
+    runtime.spawn_lasting(runtime.sweep, "sweep")
     await runtime.over.wait()
     await front.stop()
     if eureka is not None:
         await eureka.stop()
     if relay is not None:
         await relay.stop()
+    runtime.look_at_other(tell=False)  # orders that could not be written yet get one more try
     runtime.hold_signals()
     runtime.print_counters()
 
--- a/basaltspread/control/list_check.py
+++ b/basaltspread/control/list_check.py
@@ -25,18 +25,17 @@
 
 
 def checked(
-    entry: WorkerEntry, known: WorkerEntry | None, now: int, kinds: int
+    entry: WorkerEntry, known: WorkerEntry | None, latest: int, kinds: int
 ) -> tuple[WorkerEntry, tuple[Oddity, ...]]:
-    """The entry as it is believed, and what was odd of it. `known` is what was believed before, `kinds` how
-    many the settings name. A start that lies ahead is kept, as it tells this start from the next one; slow
-    start begins as it is first told."""
+    """The entry as it is believed, and what was odd of it. `known` is what was believed before, `latest` the
+    latest time that a wall clock may read now, `kinds` how many the settings name. An odd start is kept: it
+    tells this start from the next one. When it was is asked elsewhere (engine_starts.py)."""
     odd: list[Oddity] = []
     if entry.state is WorkerState.REMOVED:
         return entry, ()
     if known is not None and entry.started < known.started:
         odd.append(Oddity.START_WENT_BACK)
-        entry = replace(entry, started=known.started)
-    elif entry.started > now + CLOCKS_DIFFER:
+    elif entry.started > latest + CLOCKS_DIFFER:
         odd.append(Oddity.START_AHEAD)
     if not (isfinite(entry.weight) and entry.weight > 0):
         odd.append(Oddity.BAD_WEIGHT)
--- a/basaltspread/core/messages.py
+++ b/basaltspread/core/messages.py
@@ -146,9 +146,13 @@
 
 @record
 class ListTold:
+    """Discovery's list, or a change of it. `wall_shifts` are how far the wall clock, which stamps starts, may
+    be ahead of this process's clock, in us: more than one after it was stepped."""
+
     kind: api.ListKind
     version: int
     entries: tuple[Listed, ...]
+    wall_shifts: tuple[int, ...] = (0,)
 
 
 @record
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -10,7 +10,7 @@
 
 import traceback
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 from typing import Any, ClassVar
 from zlib import crc32
@@ -571,7 +571,9 @@
     def list_told(self, event: ListTold) -> None:
         self.count("lists_" + event.kind.value)
         state = self.state
-        entries = self._believed(self._in_order(event))
+        entries = self._believed(self._in_order(event), event.wall_shifts)
+        if event.kind is not api.ListKind.CACHED:  # that one was kept, and may be of any time
+            state.starts.list_ended(self.now)
         if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
             state.listed.clear()
         for listed in entries:
@@ -611,18 +613,21 @@
             self.do(Say(f"the list went back to version {event.version}; {back} engines still drain"))
         return tuple(out)
 
-    def _believed(self, entries: Iterable[Listed]) -> tuple[Listed, ...]:
+    def _believed(self, entries: Iterable[Listed], wall_shifts: tuple[int, ...]) -> tuple[Listed, ...]:
         """The entries, with what can't be true put right. Guards slow start against a list that would make
         an engine look warm, or larger than any."""
         state, out, odd = self.state, list[Listed](), list[str]()
+        latest = self.now + max(wall_shifts)
         for listed in entries:
             known = state.listed.get(listed.entry.name)
             entry, wrong = list_check.checked(
-                listed.entry, known.entry if known else None, self.now, len(state.settings.kinds)
+                listed.entry, known.entry if known else None, latest, len(state.settings.kinds)
             )
             for oddity in wrong:
                 self.count("list_oddity_" + oddity.name.lower())
                 odd.append(f"{entry.name} {oddity.value}")
+            if entry.state is not WorkerState.REMOVED:
+                state.starts.listed(entry.name, entry.started, self.now, wall_shifts)
             out.append(Listed(entry, listed.address))
         said = state.odd_list_said_at
         if odd and (said is None or self.now >= said + ODD_LIST_STEP):
@@ -636,7 +641,7 @@
         entry, state = listed.entry, self.state
         if entry.name in state.disabled and entry.state is WorkerState.UP:
             entry = replace(entry, state=WorkerState.DRAINING)
-        started = max(entry.started, state.returned.get(entry.name, 0))
+        started = max(state.starts.since(entry.name), state.returned.get(entry.name, 0))
         return Listed(replace(entry, started=started), listed.address)
 
     def _fleet_changed(self, kind: api.ListKind, version: int, changed: Iterable[Listed]) -> None:
@@ -773,11 +778,23 @@
             tools = event.knowledge.pop("tools", None)
             if tools is not None and self.state.tools is not None:
                 self.decided(self.state.tools.recall(self.now, tools))
+            self._recall_starts(event.knowledge.pop("starts", {}))
             self.state.module.recall(self.now, event.knowledge)
             self.count("knowledge_recalled")
         except (AttributeError, KeyError, TypeError, ValueError) as error:
             self.do(Say(f"what the other process knew can't be used: {error!r}"))
 
+    def _recall_starts(self, ages: Mapping[str, tuple[int, int]]) -> None:
+        """The other process has seen starts that this one knows by their stamps alone."""
+        changed = set()
+        for name, (stamp, age) in ages.items():
+            if self.state.starts.recall(self.now, name, int(stamp), int(age)):
+                changed.add(name)
+        if changed:
+            self._treat_anew(changed)
+            while self.told:  # before the module hears what was known of these starts
+                self._ask_module(self.told.popleft())
+
     # --- time and the end ------------------------------------------------------------------------------
 
     def woken(self, event: Woken) -> None:
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from basaltspread import interface as api
+from basaltspread.control.engine_starts import EngineStarts
 from basaltspread.core.messages import Listed, Verdict
 from basaltspread.endings import ToolFault
 from basaltspread.records import record
@@ -27,7 +28,7 @@
 
     def share_with(self, processes: int) -> None: ...
 
-    def knowledge(self) -> dict[str, Any]: ...
+    def knowledge(self, now: int) -> dict[str, Any]: ...
 
     def recall(self, now: int, told: dict[str, Any]) -> None: ...
 
@@ -114,6 +115,7 @@
     settings: api.Settings
     module: Module
     listed: dict[str, Listed] = field(default_factory=dict)  # as discovery tells it
+    starts: EngineStarts = field(default_factory=EngineStarts)
     version: int = 0
     # Engines told to drain or gone lately: when they had started, by which version, and when it was told.
     left: dict[str, tuple[int, int, int]] = field(default_factory=dict)
@@ -190,7 +192,7 @@
     return stopping or state.draining_since is not None
 
 
-def knowledge(state: State) -> dict[str, Any]:
-    """What has been learnt here, for the process that takes over."""
-    learnt = state.module.knowledge()
+def knowledge(state: State, now: int) -> dict[str, Any]:
+    """What has been learnt here, for the process that takes over: spans, as its clock may be another."""
+    learnt = {**state.module.knowledge(now), "starts": state.starts.ages(now, state.listed)}
     return learnt if state.tools is None else {**learnt, "tools": state.tools.knowledge()}
--- a/basaltspread/net/eureka.py
+++ b/basaltspread/net/eureka.py
@@ -267,4 +267,6 @@
         self._version += 1
         self._told = engines
         listed = tuple(engines[name] for name in sorted(engines))
-        self.runtime.feed(core.ListTold(api.ListKind.FULL, self._version, listed))
+        self.runtime.feed(
+            core.ListTold(api.ListKind.FULL, self._version, listed, self.runtime.clock.wall_shifts())
+        )
--- a/basaltspread/net/management.py
+++ b/basaltspread/net/management.py
@@ -157,10 +157,12 @@
         call = next(self._numbers)
         self._runtime.feed(core.Operate(call, order, engine))
         answer = self._answers.pop(call)
-        log.info("operator: %s %s: %s", order.value, ascii(engine)[:140], answer.why or "done")
+        kept = self._runtime.kept(engine)
+        said = answer.why or ("done" if kept else "done, and still to be written")
+        log.info("operator: %s %s: %s", order.value, ascii(engine)[:140], said)
         if not answer.done:
             raise BadRequest(404 if answer.unknown else 409, answer.why)
-        return {"done": True}
+        return {"done": True} if kept else {"done": True, "kept": False}
 
     def _tools(self) -> dict[str, Any]:
         tools = self._runtime.state.tools
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 import random
 import re
@@ -102,7 +103,7 @@
             try:
                 told = parse_list(self._config.known, self._config.settings, api.ListKind.CACHED)
                 version = told.version
-                self.runtime.feed(told)
+                self.runtime.feed(replace(told, wall_shifts=self.runtime.clock.wall_shifts()))
             except ValueError as error:
                 self.runtime.count("known_unusable")
                 log.warning("known list unusable: %s", error)
@@ -603,7 +604,8 @@
 
     def _discover(self, discovery: str | None, version: int | None) -> None:
         if discovery is not None:
-            self._watching[discovery] = self._spawn(self._watch(discovery, version), f"watch {discovery}")
+            watch = functools.partial(self._watch, discovery, version)
+            self._watching[discovery] = self.runtime.spawn_lasting(watch, f"watch {discovery}")
 
     def _end_watches(self, *but: str | None) -> None:
         for discovery in [d for d in self._watching if d not in but]:
@@ -662,5 +664,5 @@
             raise ValueError(f"status {reply.status}")
         told = parse_list(load_json(reply.body), self._config.settings)
         if told.entries or told.kind is api.ListKind.FULL:
-            self.runtime.feed(told)
+            self.runtime.feed(replace(told, wall_shifts=self.runtime.clock.wall_shifts()))
         return told.version
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -8,17 +8,18 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import heapq
 import logging
 import signal
 import socket
 import sys
-import time
 from collections import Counter, deque
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
 from typing import Any
 
 from basaltspread import core
+from basaltspread.net.clock import Clock, ClockFile
 from basaltspread.net.links import Descriptors, Pool
 from basaltspread.net.shared_files import BanFile, Overlap
 
@@ -27,20 +28,11 @@
 CLIENT_BUFFER = 64 * 1024  # bytes that may wait for a slow reader of a stream
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 MANAGEMENT_DESCRIPTORS = 16  # of the spare ones, for operators
+FAULT_PAUSE = 0.2  # s before a task that must last begins anew
 OTHER_STEP = 0.05  # s between two looks at this gateway's other process
 BODY_BUDGET = 0.2  # share of the memory limit that request bodies may take
 
 
-class Clock:
-    """Unix time in microseconds that never goes back: read once, then carried on by the monotonic clock."""
-
-    def __init__(self) -> None:
-        self._offset = time.time() - time.monotonic()
-
-    def now(self) -> int:
-        return int((self._offset + time.monotonic()) * 1_000_000)
-
-
 class Wheel:
     """Coarse timers: what is due within a tick fires together, and the loop wakes only for ticks that hold
     something. A timer in a tick that holds others costs an append, a first one a push on a heap of ticks."""
@@ -87,11 +79,17 @@
 
     def __init__(
         self, state: core.State, sockets: int, memory_mb: int, connect_timeout: float, idle: float,
-        bans: BanFile | None = None, overlap: Overlap | None = None,
+        bans: BanFile | None = None, overlap: Overlap | None = None, clock_file: ClockFile | None = None,
     ) -> None:  # fmt: skip
-        self.state, self.bans, self._overlap = state, bans, overlap
-        self._processes = 1 if overlap is None or overlap.alone() else 2
+        self.state, self.bans, self._overlap, self._clock_file = state, bans, overlap, clock_file
         self.clock = Clock()
+        if bans is not None:
+            bans.clock_offset = self.clock.from_monotonic(0)
+        if clock_file is not None:
+            clock_file.load(self.clock)
+        self._processes = 1
+        self._tell_owed = False  # the other process has not been told yet what is known here
+        self._file_faults: set[str] = set()  # what failed when last tried: each is logged once
         self.counters: Counter[str] = Counter()
         self.descriptors = Descriptors(sockets)
         self.pool = Pool(self.descriptors, connect_timeout, idle, self.counters)
@@ -109,7 +107,8 @@
             core.KeepBans: self._keep_bans,
             core.Exit: lambda e: self.over.set(),
         }
-        self.feed(core.Sharing(self._processes))
+        self.feed(core.Sharing(1))
+        self.look_at_other(tell=False)
 
     def reconfigure(self, sockets: int, memory_mb: int) -> None:
         """The limits; what is over a lower one comes down as it ends."""
@@ -147,6 +146,20 @@
         task.add_done_callback(lambda _: work.close())  # cancelled before its first step, it never began
         return task
 
+    def spawn_lasting(self, work: Callable[[], Coroutine[Any, Any, None]], name: str) -> asyncio.Task[None]:
+        """The same for one that must outlive its faults: it begins anew a moment after one."""
+
+        async def again() -> None:
+            while True:
+                try:
+                    return await work()
+                except Exception:
+                    self.count("task_faults")
+                    log.exception("task fault, which begins anew: %s", name)
+                await asyncio.sleep(FAULT_PAUSE)
+
+        return self.spawn(again(), name)
+
     async def _guarded(self, work: Coroutine[Any, Any, None], name: str) -> None:
         try:
             await work
@@ -179,18 +192,46 @@
             self.look_at_other()
             await asyncio.sleep(OTHER_STEP)
 
-    def look_at_other(self) -> None:
+    def look_at_other(self, tell: bool = True) -> None:
+        """One look at the files that processes share. What fails is tried again at the next."""
+        with self._noting_file_faults("bans"):
+            if self.bans is not None:
+                self.bans.retry()
+        with self._noting_file_faults("clock"):
+            if self._clock_file is not None:
+                self._clock_file.keep(self.clock)
         told = self.bans.news() if self.bans is not None else None
         if told is not None:
             self.feed(told)
-        processes = 1 if self._overlap is None or self._overlap.alone() else 2
-        if processes != self._processes:
-            self._processes = processes
-            self.feed(core.Sharing(processes))
-            self.reconfigure(*self._limits)
-            if processes > 1 and self._overlap is not None:
-                self._overlap.tell(core.knowledge(self.state))
-            log.info("another process of this gateway %s", "runs" if processes > 1 else "has ended")
+        with self._noting_file_faults("overlap"):
+            processes = 1 if self._overlap is None or self._overlap.alone() else 2
+            if processes != self._processes:
+                self._share_with(processes, tell)
+            if self._tell_owed and self._overlap is not None:
+                self._overlap.tell(core.knowledge(self.state, self.clock.now()))
+                self._tell_owed = False
+
+    def _share_with(self, processes: int, tell: bool) -> None:
+        self._processes = processes
+        self._tell_owed = tell and processes > 1
+        self.feed(core.Sharing(processes))
+        self.reconfigure(*self._limits)
+        log.info("another process of this gateway %s", "runs" if processes > 1 else "has ended")
+
+    @contextlib.contextmanager
+    def _noting_file_faults(self, what: str) -> Iterator[None]:
+        """A fault of the folder is counted each time, logged as it begins and as it is over."""
+        try:
+            yield
+        except OSError as error:
+            self.count(f"file_faults_{what}")
+            if what not in self._file_faults:
+                self._file_faults.add(what)
+                log.error("files of %s fail, and are tried again: %s", what, error)
+            return
+        if what in self._file_faults:
+            self._file_faults.discard(what)
+            log.info("files of %s are written again", what)
 
     async def take_over(self) -> None:
         """Learn from the process that this one is to replace, before clients come."""
@@ -211,8 +252,13 @@
             self._overlap.take_over_streams(take)
 
     def _keep_bans(self, effect: core.KeepBans) -> None:
-        if self.bans is not None:
-            self.bans.keep(effect)
+        with self._noting_file_faults("bans"):
+            if self.bans is not None:
+                self.bans.keep(effect)
+
+    def kept(self, engine: str) -> bool:
+        """Whether all that operators ordered of this engine is on disk, where it is kept at all."""
+        return self.bans is None or not self.bans.pending(engine)
 
     @staticmethod
     def hold_signals() -> None:
@@ -229,4 +275,6 @@
     async def sweep(self) -> None:
         while True:
             await asyncio.sleep(1.0)
+            self.clock.wall_shifts()  # a step is noticed also while no list comes
+            self.counters["wall_clock_steps"] = self.clock.steps
             self.pool.sweep()
--- a/basaltspread/net/shared_files.py
+++ b/basaltspread/net/shared_files.py
@@ -8,7 +8,9 @@
 import array
 import asyncio
 import contextlib
+import errno
 import fcntl
+import functools
 import json
 import logging
 import os
@@ -34,7 +36,9 @@
 
     def __init__(self, folder: str, name: str) -> None:
         self.path = Path(folder) / f"basaltspread-{plain(name)}-engines.json"
+        self.clock_offset = 0  # us by which the process's clock is ahead of the system's monotonic one
         self._seen: tuple[int, ...] = ()
+        self._pending: dict[str, core.KeepBans] = {}  # orders that were taken and are not written yet
 
     def news(self) -> core.BansTold | None:
         """What it says, if that has changed since the last look."""
@@ -55,28 +59,53 @@
             texts = [*disabled, *returned]
             if not isinstance(disabled, list) or not all(isinstance(t, str) for t in texts):
                 raise ValueError("not a list of engines")
-            return core.BansTold(frozenset(disabled), {name: int(at) for name, at in returned.items()})
+            returns = {name: int(at) + self.clock_offset for name, at in returned.items()}
+            if raw.get("boot", "") != boot_id():  # its monotonic clock is another
+                returns = {}
+            return self._with_pending(core.BansTold(frozenset(disabled), returns))
         except FileNotFoundError:
             return None
         except (OSError, ValueError, TypeError, KeyError, AttributeError) as error:
             log.error("bans kept in %s can't be read and do not count: %r", self.path.name, error)
             return None
 
-    def keep(self, effect: core.KeepBans) -> None:
-        """Only this engine's entry changes: the other process may have changed others meanwhile."""
+    def _with_pending(self, held: core.BansTold) -> core.BansTold:
+        """What the file says and what it does not say yet. Only each order's own engine changes: the other
+        process may have changed others meanwhile."""
+        disabled, returned = held.disabled, dict(held.returned)
+        for engine, order in self._pending.items():
+            disabled = disabled - {engine} | order.disabled & {engine}
+            returned.update(order.returned)
+            if engine not in order.returned:
+                returned.pop(engine, None)
+        return core.BansTold(disabled, returned)
+
+    def keep(self, order: core.KeepBans) -> None:
+        """Write an operator's order. Raises OSError; it is pending then, until `retry` has written it."""
+        self._pending.pop(order.engine, None)
+        self._pending[order.engine] = order
+        self.retry()
+
+    def pending(self, engine: str) -> bool:
+        """Whether an order on this engine has been taken and is not written."""
+        return engine in self._pending
+
+    def retry(self) -> None:
+        """Write all orders that are pending. Raises OSError."""
+        if not self._pending:
+            return
         lock = open_lock(self.path.with_suffix(".lock"))
         try:
             fcntl.flock(lock, fcntl.LOCK_EX)
             held = self._read()
-            disabled, returned = effect.disabled, dict(effect.returned)
-            if held is not None:
-                disabled = held.disabled - {effect.engine} | effect.disabled & {effect.engine}
-                returned = {**held.returned, **effect.returned}
-                if effect.engine not in effect.returned:
-                    returned.pop(effect.engine, None)
-            lately = max(returned.values(), default=0) - RETURNS_KEPT
-            returned = {name: at for name, at in returned.items() if at > lately}
-            replace_file(self.path, {"disabled": sorted(disabled), "returned": returned})
+            if held is None:  # no file yet, or a spoilt one
+                newest = next(reversed(self._pending.values()))
+                held = core.BansTold(newest.disabled, newest.returned)
+            lately = max(held.returned.values(), default=0) - RETURNS_KEPT
+            returned = {n: at - self.clock_offset for n, at in held.returned.items() if at > lately}
+            content = {"disabled": sorted(held.disabled), "returned": returned, "boot": boot_id()}
+            replace_file(self.path, content)
+            self._pending.clear()
         finally:
             os.close(lock)
 
@@ -88,6 +117,7 @@
     def __init__(self, folder: str, name: str) -> None:
         self._path = Path(folder) / f"basaltspread-{plain(name)}-knowledge.json"
         self._path.unlink(missing_ok=True)  # of an earlier time; the other process writes it once we are seen
+        remove_drafts(self._path)
         self._lock = open_lock(Path(folder) / f"basaltspread-{plain(name)}.lock")
         # Streams are handed to whoever bound this path last.
         self._door = Path(folder) / f"basaltspread-{plain(name)}.sock"
@@ -102,13 +132,16 @@
             log.warning("no streams can be handed on or taken over: %s", error)
 
     def alone(self) -> bool:
+        """Whether no other process of this gateway runs. Raises OSError where that can't be told now."""
         # POSIX locks: a failed try for the whole lock keeps the share that is held.
         try:
             fcntl.lockf(self._lock, fcntl.LOCK_SH | fcntl.LOCK_NB)
             fcntl.lockf(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
             fcntl.lockf(self._lock, fcntl.LOCK_SH | fcntl.LOCK_NB)
-        except OSError:
-            return False
+        except OSError as error:
+            if error.errno in (errno.EAGAIN, errno.EACCES):
+                return False
+            raise
         return True
 
     def hand_on(self, about: dict[str, Any], descriptors: list[int]) -> bool:
@@ -155,12 +188,34 @@
 
 
 def replace_file(path: Path, content: Any) -> None:
-    """Written whole, then renamed: a reader finds the old or the new."""
-    import tempfile  # with all that it imports, for the few gateways that write files
-
-    with tempfile.NamedTemporaryFile("w", dir=path.parent, delete=False) as file:
-        json.dump(content, file)
-    os.replace(file.name, path)
+    """Written whole and synced, then renamed: a reader finds the old or the new, also after a kill. Raises
+    OSError, and leaves nothing behind then."""
+    draft = path.with_name(f"{path.name}.{os.getpid()}")
+    flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC | os.O_NOFOLLOW
+    try:
+        with open(os.open(draft, flags, 0o600), "w") as file:
+            json.dump(content, file)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(draft, path)
+    except BaseException:
+        draft.unlink(missing_ok=True)
+        raise
+
+
+def remove_drafts(path: Path) -> None:
+    """Drafts that a kill left behind; one of a process that is writing now is written again by it."""
+    for draft in path.parent.glob(f"{path.name}.*[0-9]"):
+        draft.unlink(missing_ok=True)
+
+
+@functools.cache
+def boot_id() -> str:
+    """Which boot of the machine this is: its monotonic clock holds for that long. Empty if it is unknown."""
+    try:
+        return Path("/proc/sys/kernel/random/boot_id").read_text().strip()
+    except OSError:
+        return ""
 
 
 def plain(name: str) -> str:
--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -126,8 +126,8 @@
         """So many processes of this router run now, this one among them."""
         self.slow_start.processes = max(1, processes)
 
-    def knowledge(self) -> dict[str, Any]:
-        return snapshot.take(self)
+    def knowledge(self, now: int) -> dict[str, Any]:
+        return snapshot.take(self, now)
 
     def recall(self, now: int, told: dict[str, Any]) -> None:
         snapshot.restore(self, now, told)
--- a/benchmarks/dispatching.py
+++ b/benchmarks/dispatching.py
@@ -43,7 +43,7 @@
     def share_with(self, processes: int) -> None:
         pass
 
-    def knowledge(self) -> dict[str, Any]:
+    def knowledge(self, now: int) -> dict[str, Any]:
         return {}
 
     def recall(self, now: int, told: dict[str, Any]) -> None:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -180,7 +180,7 @@
         if g.state is None or g.leaving:
             return
         new = Gateway(g.number, g.zone, known=dict(g.known), traffic=g.traffic)
-        knowledge = json.loads(json.dumps(core.knowledge(g.state)))
+        knowledge = json.loads(json.dumps(core.knowledge(g.state, self.now)))
         g.leaving = True
         self.gateways.append(new)
         self.start(new)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -36,7 +36,7 @@
     def share_with(self, processes: int) -> None:
         self.processes = processes
 
-    def knowledge(self) -> dict[str, Any]:
+    def knowledge(self, now: int) -> dict[str, Any]:
         return {}
 
     def recall(self, now: int, told: dict[str, Any]) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -261,7 +261,7 @@
             return mock.MagicMock(status=200, body=b'{"generation":7,"reset":false,"instances":[]}')
 
         runtime.pool.call = call
-        runtime.spawn = lambda work, name: asyncio.get_running_loop().create_task(work)
+        runtime.spawn_lasting = lambda work, name: asyncio.get_running_loop().create_task(work())
         front = Front(runtime, configured())
 
         async def door(*_: Any) -> Any:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1438,7 +1438,7 @@
         holders[i] = old.sent_to(f"q{i}")
         old.serve(f"q{i}")
     assert len(set(holders.values())) > 1
-    told = json.loads(json.dumps(old.router.knowledge()))
+    told = json.loads(json.dumps(old.router.knowledge(old.now)))
     new.now = old.now
     new.router.recall(new.now, told)
     assert new.router.slow_start.completed_rate[api.Role.WRITER].at(new.now) > 0
@@ -1455,10 +1455,10 @@
 def test_odd_knowledge_changes_nothing(change: dict[str, object]) -> None:
     old, new = Drive(), Drive()
     old.warm()
-    before = new.router.knowledge()
+    before = new.router.knowledge(new.now)
     with pytest.raises(BadSnapshot):
-        new.router.recall(new.now, {**old.router.knowledge(), **change})
-    assert new.router.knowledge() == before
+        new.router.recall(new.now, {**old.router.knowledge(old.now), **change})
+    assert new.router.knowledge(new.now) == before
 
 
 @pytest.mark.parametrize(
--- a/tests/test_shared_files.py
+++ b/tests/test_shared_files.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
 import os
 import tempfile
@@ -12,7 +13,7 @@
 from basaltspread import core
 from basaltspread import interface as api
 from basaltspread.net.runtime import Runtime
-from basaltspread.net.shared_files import BanFile
+from basaltspread.net.shared_files import BanFile, Overlap
 from tests.helpers import FLEET, settings
 from tests.test_core import Script
 
@@ -45,3 +46,20 @@
             told = BanFile(self.folder, "n0").news()
             assert told is not None
             self.assertIn(engine, told.disabled)
+
+    async def test_one_failed_write_does_not_end_the_watch_of_the_other_process(self) -> None:
+        other = Overlap(self.folder, "n0")
+        runtime = Runtime(core.State(settings(), Script()), 1024, 192, 0.25, 10.0, overlap=other)
+        with (
+            mock.patch.object(other, "alone", lambda: False),
+            mock.patch("basaltspread.net.runtime.OTHER_STEP", 0.0),
+        ):
+            watch = runtime.spawn(runtime.watch_other(), "other")
+            with mock.patch.object(os, "replace", mock.Mock(side_effect=OSError(errno.ENOSPC, "full"))):
+                for _ in range(20):
+                    await asyncio.sleep(0)
+            self.assertFalse(watch.done())
+            for _ in range(20):
+                await asyncio.sleep(0)
+        self.assertEqual(self.files(), ["basaltspread-n0-knowledge.json"])
+        watch.cancel()
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import tempfile
 import time
 import unittest
 from typing import Any
@@ -10,6 +11,7 @@
 
 from basaltspread import core
 from basaltspread.adapter import settings_from
+from basaltspread.net.clock import ClockFile
 from basaltspread.net.platform import Front
 from basaltspread.net.runtime import Runtime
 from basaltspread.rules import Router
@@ -24,15 +26,16 @@
     """A gateway with its real clock; `step` is how far its wall clock has been stepped by now, in s, and
     `passed` how long it has run."""
 
-    def __init__(self, step: float = 0.0, overlap: Any = None) -> None:
+    def __init__(self, step: float = 0.0, overlap: Any = None, clock_file: ClockFile | None = None) -> None:
         self.step, self.passed = step, 0.0
         self._wall, self._monotonic = time.time, time.monotonic
         settings = settings_from(SETTINGS)
         self.router = Router(settings, 7)
         with self.time():
             self.runtime = Runtime(
-                core.State(settings, self.router), 1024, 192, connect_timeout=0.25, idle=10.0, overlap=overlap
-            )
+                core.State(settings, self.router), 1024, 192, connect_timeout=0.25, idle=10.0,
+                overlap=overlap, clock_file=clock_file,
+            )  # fmt: skip
         self.front = Front(self.runtime, mock.MagicMock(settings=settings, known=None))
         self.instances = [self.instance(name) for name in ("r1", "r2", "r3", "w1")]
         self.generation = 0
@@ -128,3 +131,21 @@
             self.assertTrue(0 < left <= SECOND, (step, left))
             self.assertTrue(SECOND <= void < 2 * SECOND, (step, void))
             self.assertTrue(new.is_cold("r1"), step)  # it started a moment ago, whatever its stamp says now
+
+    async def start_after(self, step: float, folder: str | None) -> bool:
+        """Whether a gateway that starts after a step takes an engine that started 1 s ago for a cold one."""
+        files = [ClockFile(folder, "n0") if folder is not None else None for _ in range(2)]
+        old = Process(clock_file=files[0])
+        started = old.starts("r1")
+        new = Process(step, clock_file=files[1])
+        new.passed = 1.0
+        await new.tell(started, *new.instances[1:], whole=True)
+        return new.is_cold("r1")
+
+    async def test_a_gateway_that_starts_after_a_step_knows_what_an_earlier_one_kept(self) -> None:
+        for step in STEPS:
+            with tempfile.TemporaryDirectory() as folder:
+                self.assertTrue(await self.start_after(step, folder), step)
+
+    async def test_a_gateway_that_starts_after_a_step_forward_with_nothing_kept(self) -> None:
+        self.assertTrue(await self.start_after(3600.0, None))
