--- a/basaltspread/core/messages.py
+++ b/basaltspread/core/messages.py
@@ -74,6 +74,15 @@
     request: str
 
 
+@record
+class Violated:
+    """The front saw an act that must not have been done: the value of an Invariant, and the request, if it
+    was about one."""
+
+    invariant: str
+    request: str = ""
+
+
 @record
 class Begun:
     """The first byte of an attempt is about to be written."""
@@ -327,7 +336,7 @@
 
 
 Input = (
-    Taken | TurnedAway | ClientLeft | ClientFloods | Begun | Written | FirstEvent | Ended
+    Taken | TurnedAway | ClientLeft | ClientFloods | Violated | Begun | Written | FirstEvent | Ended
     | PlaceEnded | ReleaseEnded | Probed | PeerTold | ListTold | ToolCalled | ToolCancelled
     | ToolBegun | ToolProgressed | ToolEnded | ProgressEnded | ReplyEnded
     | ServerTried | ServerDrains | RoutesTold | Woken | Serving
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -18,6 +18,7 @@
 from basaltspread import interface as api
 from basaltspread.control import list_check
 from basaltspread.control.picture import BadWord, Word
+from basaltspread.core import invariants
 from basaltspread.core.messages import (
     AbandonAttempt,
     Adopted,
@@ -66,6 +67,7 @@
     Terminate,
     TurnedAway,
     Verdict,
+    Violated,
     Wake,
     Woken,
     Written,
@@ -134,6 +136,8 @@
         idle = not state.requests and not state.releases and not state.calls
         if not state.accepting and idle and not state.exited:
             state.exited = True
+            for breach in invariants.of_exit(state):
+                self._check(breach)
             self.do(Exit())
 
     def fault(self, event: Input, trace: str) -> None:
@@ -179,6 +183,7 @@
         if q.may_hold:
             self._release(name)
         if not (q.asking or q.owed):
+            self._check(invariants.of_dropped(q))
             del self.state.requests[name]
 
     # --- requests ---------------------------------------------------------------------------------------
@@ -208,6 +213,7 @@
         )  # fmt: skip
         self.state.requests[q.id] = q
         self.touched[q.id] = None
+        q.note(self.now, "taken")
         self.count("requests_taken")
         self.do(Wake(q.deadline + DEADLINE_GUARD, ("deadline", q.id)))
         self.told.append(a)
@@ -230,6 +236,10 @@
                 if not attempt.begun:
                     self._close(q, attempt, Ending.CALLED_BACK_UNSENT, abandon=True)
 
+    def violated(self, event: Violated) -> None:
+        request = self.state.requests.get(event.request)
+        self._check(invariants.Breach(invariants.Invariant(event.invariant), request))
+
     def client_floods(self, event: ClientFloods) -> None:
         q = self.state.requests.get(event.request)
         if q is not None and not q.ended and q.stream is None:
@@ -244,7 +254,10 @@
 
     def _end(self, q: Request, verdict: Verdict | None) -> None:
         """The one place where a request ends for its client; with None, the client went away."""
+        if verdict is not None and q.stream is None:
+            self._check(invariants.of_answer(self.now, q))
         q.ended = True
+        q.note(self.now, verdict.value if verdict is not None else "over without an answer")
         self.touched[q.id] = None
         if verdict is not None:
             self.state.replies[q.request_class, verdict] += 1
@@ -274,7 +287,10 @@
         self.touched[q.id] = None
         role = self._role(listed)
         attempt = Attempt(len(q.attempts), action.worker, role is Role.READER, self.now)
+        if listed is not None:
+            attempt.zone, attempt.cell = listed.entry.zone, listed.entry.cell
         q.attempts.append(attempt)
+        q.note(self.now, f"attempt {attempt.number} at {action.worker}")
         left = q.deadline - self.now
         limit = self.state.settings.limits.max_attempts
         if q.ended or q.stream is not None or left <= 0 or len(q.attempts) > limit > 0:
@@ -323,7 +339,15 @@
     def begun(self, event: Begun) -> None:
         found = self._find(event.request, event.number)
         if found is not None:
+            self._check(invariants.of_send(self.state, self.now, *found))
             found[1].begun = True
+            found[0].note(self.now, f"attempt {event.number} begun")
+
+    def _check(self, breach: invariants.Breach | None) -> None:
+        """Count and log a violation, if there is one."""
+        if breach is not None:
+            self.count(f"invariant_{breach.invariant.value}")
+            self.do(Say(str(breach)))
 
     def written(self, event: Written) -> None:
         found = self._find(event.request, event.number)
@@ -345,6 +369,8 @@
         q.stream = attempt
         q.may_hold = bool(q.asking)  # all else that is held goes by itself, but for what is asked for now
         self.touched[q.id] = None
+        self._check(invariants.of_answer(self.now, q))
+        q.note(self.now, f"stream of attempt {attempt.number}")
         self._noted(attempt.worker, True)
         self.count("streams_started")
         self.do(PassOn(q.id, attempt.number))
@@ -380,8 +406,9 @@
             self._abandon(q, attempt)
         if attempt.begun and (abandon or ending in CLOSED_HERE):
             q.gave_up_at = self.now
-        attempt.over = True
+        attempt.over, attempt.ending = True, ending
         self.touched[q.id] = None
+        q.note(self.now, f"attempt {attempt.number} {ending.name.lower()}")
         outcome = OUTCOMES[ending]
         self.count(f"ended_{ending.name.lower()}")
         if ending not in QUIET:
@@ -942,7 +969,7 @@
 
     HANDLERS: ClassVar[dict[type, Callable[[_Step, Any], None]]] = {
         Taken: taken, TurnedAway: turned_away, ClientLeft: client_left,
-        ClientFloods: client_floods, Serving: serving,
+        ClientFloods: client_floods, Violated: violated, Serving: serving,
         Begun: begun, Written: written, FirstEvent: first_event,
         Ended: ended, PlaceEnded: place_ended, ReleaseEnded: release_ended, Probed: probed,
         PeerTold: peer_told,
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -13,7 +13,7 @@
 from basaltspread import interface as api
 from basaltspread.control.engine_starts import EngineStarts
 from basaltspread.core.messages import Listed, Verdict
-from basaltspread.endings import ToolFault
+from basaltspread.endings import Ending, ToolFault
 from basaltspread.records import record
 
 if TYPE_CHECKING:
@@ -21,6 +21,9 @@
     from basaltspread.control.picture import Picture
 
 
+CHANGES_KEPT = 12  # of a request's state changes
+
+
 class Module(Protocol):
     def handle(self, now: int, events: list[api.Event]) -> list[api.Action]: ...
 
@@ -43,6 +46,9 @@
     begun: bool = False
     written: bool = False
     over: bool = False
+    ending: Ending | None = None  # once it is over
+    zone: int = -1  # of its worker, as it was listed then
+    cell: int = -1
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -70,6 +76,19 @@
     replied_at: int = 0  # when the engine last got a reply that it waited for
     errors: int = 0  # messages that could only be answered without an id
 
+    history: list[tuple[int, str]] = field(default_factory=list)  # its last state changes, and when
+
+    def note(self, now: int, change: str) -> None:
+        """Keep a state change, for the log line of a violation."""
+        if len(self.history) >= CHANGES_KEPT:
+            del self.history[0]
+        self.history.append((now, change))
+
+    def changes(self) -> str:
+        """Its last state changes, in ms from the first of them."""
+        first = self.history[0][0] if self.history else 0
+        return ", ".join(f"{(at - first) / 1000:.0f} ms {change}" for at, change in self.history)
+
     def out(self) -> list[Attempt]:
         return [a for a in self.attempts if not a.over]
 
