Ask one guard before each send, close and start, and count what goes round it

Cause: the facts were looked at when the module decided, and a connection may take 250 ms to come up. Change: Front._attempt and the question for a place ask guards.may_send and may_ask_place in the turn of the write (sends_withheld_REASON); Client.close asks may_close and counts its reason (clients_closed_REASON); Front.start asks may_serve. A client's close counts as soon as the system knows it (TCP_INFO), whatever is unread.

--- a/basaltspread/core/guards.py
+++ b/basaltspread/core/guards.py
@@ -61,6 +61,17 @@
     return may_repeat(state, now, request, attempt, listed.entry)
 
 
+def may_ask_place(state: State, request: Request | None, worker: str) -> Denial | None:
+    """Before a writer is asked to hold a place."""
+    if request is None or request.ended:
+        return Denial.REQUEST_OVER
+    if request.stream is not None:
+        return Denial.STREAM_BEGUN
+    listed = state.workers.get(worker)
+    up = listed is not None and listed.entry.state is WorkerState.UP
+    return None if up else Denial.ENGINE_NOT_UP
+
+
 def may_repeat(
     state: State, now: int, request: Request, attempt: Attempt, engine: api.WorkerEntry
 ) -> Denial | None:
--- a/basaltspread/net/clients.py
+++ b/basaltspread/net/clients.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import logging
+import socket
 import time
 from enum import Enum
 from typing import TYPE_CHECKING, Any
@@ -17,7 +18,7 @@
 import h11
 
 from basaltspread import core
-from basaltspread.core import Ending
+from basaltspread.core import Ending, guards, invariants
 from basaltspread.net.links import BODY_LIMIT, HEAD_LIMIT, READ_SIZE, Ear, Headers, LinkError
 from basaltspread.net.parsing import BadRequest, check_head
 from basaltspread.net.runtime import CLIENT_BUFFER
@@ -97,6 +98,29 @@
     began_at: float
 
 
+class CloseReason(Enum):
+    """Why a client's connection is closed from this side; counted as `clients_closed_REASON`."""
+
+    CLIENT_LEFT = "client_left"
+    SAID_NOTHING = "said_nothing"
+    RESTED = "rested"
+    LET_GO = "let_go"
+    LAST_ANSWER = "last_answer"
+    BAD_REQUEST = "bad_request"
+    TOO_SLOW = "too_slow"
+    STREAM_BROKEN = "stream_broken"
+    HANDED_ON = "handed_on"
+    MADE_ROOM = "made_room"
+    NO_ROOM = "no_room"
+    GATEWAY_FAULT = "gateway_fault"
+
+
+GONE = frozenset((CloseReason.CLIENT_LEFT, CloseReason.TOO_SLOW))
+BROKEN = frozenset((CloseReason.STREAM_BROKEN, CloseReason.HANDED_ON))
+# States of a TCP socket whose other side has closed it, as tcp(7) numbers them.
+CLOSED_BY_PEER = frozenset((6, 7, 8, 9, 11))
+
+
 class WaitEnd(Enum):
     """What ended the wait for an answer."""
 
@@ -136,6 +160,8 @@
         self.refused = False  # over the budget, or this process ends: its request is refused
         self._wait: asyncio.Timeout | None = None  # for a first byte, while one is waited for
         self._last = False  # the connection ends with this answer
+        self.owed: str | None = None  # the id of a request that has no final answer yet
+        self._ends_for = CloseReason.GATEWAY_FAULT  # why its service ends, once that is known
         writer.transport.set_write_buffer_limits(high=CLIENT_BUFFER)
 
     async def serve(self) -> None:
@@ -145,19 +171,31 @@
                 self._front.seats.rests(self, self.rests_since)
                 if core.leaving(self._front.runtime.state):  # a head that went out before could not say so
                     if not self._early and not self._http.trailing_data[0]:
+                        self._ends_for = CloseReason.LET_GO
                         break
                     self.refused = True  # what is read already is answered; sent on, it might not end in time
         except (OSError, LinkError):
-            pass
+            self._ends_for = CloseReason.CLIENT_LEFT
         finally:
             self._take_early()
-            self.close()
+            self.close(self._ends_for)
 
-    def close(self) -> None:
-        """What was written still goes out; a stream not ended stays without its last chunk."""
+    def close(self, reason: CloseReason) -> None:
+        """The one way in which this side closes. What was written still goes out; a stream not ended stays
+        without its last chunk."""
         self._front.seats.left(self)
-        if not self._writer.transport.is_closing():
-            self._writer.close()
+        if self._writer.transport.is_closing():
+            return
+        self._note_close(reason)
+        self._writer.close()
+
+    def _note_close(self, reason: CloseReason) -> None:
+        """Asks the guard, and counts the reason."""
+        runtime = self._front.runtime
+        runtime.count(f"clients_closed_{reason.value}")
+        gone = reason in GONE or self.has_left()
+        if guards.may_close(self.owed is not None, gone, reason in BROKEN) is not None:
+            runtime.feed(core.Violated(invariants.Invariant.CLOSED_UNANSWERED.value, self.owed or ""))
 
     def carry_on(self) -> h11.Request:
         """For a connection on which another process has begun to answer in chunks. It ends with that answer:
@@ -189,11 +227,21 @@
 
     def has_left(self) -> bool:
         """Its close or a break has come. What it sent before may still be unread; nothing of that counts."""
-        return self._reader.ended
+        return self._reader.ended or self._closed_by_peer()
+
+    def _closed_by_peer(self) -> bool:
+        """Whether the system knows of the close, though it has not been read here."""
+        connection = self._writer.get_extra_info("socket")
+        try:
+            return connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in CLOSED_BY_PEER
+        except (OSError, AttributeError):  # it has no such state, or is closed here
+            return False
 
-    def abort(self) -> None:
-        """Closes without waiting for what was written to go out."""
+    def abort(self, reason: CloseReason | None = None) -> None:
+        """Closes without waiting for what was written to go out; with no reason, what is closed already."""
         self._front.seats.left(self)
+        if reason is not None:
+            self._note_close(reason)
         self._writer.transport.abort()
 
     async def _one(self) -> bool:
@@ -206,13 +254,18 @@
         except BadRequest as error:
             self._front.note_bad_request(error)
             self.answer_last(error.status, error.why)  # what stands behind it is not read as a request
+            self._ends_for = CloseReason.BAD_REQUEST
         except h11.LocalProtocolError:  # the answer was under way when something else went wrong
+            self._ends_for = CloseReason.GATEWAY_FAULT
             return False
         try:
             await self._drained()
         except TimeoutError:
+            self._ends_for = CloseReason.TOO_SLOW
             return False
         if self._last or self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
+            if self._ends_for is not CloseReason.BAD_REQUEST:
+                self._ends_for = CloseReason.LAST_ANSWER
             return False
         self._http.start_next_cycle()
         return True
@@ -243,6 +296,8 @@
                     data = await (self._first_bytes(by) if self.idle else self._more_bytes(by))
                     came_at = time.monotonic()
                     if not data and self.idle:
+                        if self.has_left():
+                            self._ends_for = CloseReason.CLIENT_LEFT
                         return None
                 if self.idle:
                     began_at = came_at if self.spoke else self._opened
@@ -260,6 +315,7 @@
             elif isinstance(event, h11.EndOfMessage) and request is not None:
                 return ReceivedRequest(request, bytes(body), began_at)
             else:
+                self._ends_for = CloseReason.CLIENT_LEFT
                 return None
 
     def _begins(self) -> None:
@@ -274,6 +330,7 @@
                 return await self._reader.read(READ_SIZE)
         except TimeoutError:
             self._front.runtime.count("clients_rested_out" if self.spoke else "clients_silent")
+            self._ends_for = CloseReason.RESTED if self.spoke else CloseReason.SAID_NOTHING
         finally:
             self._wait = None
         with contextlib.suppress(TimeoutError):
@@ -294,6 +351,7 @@
         head: Headers = [(b"Content-Length", str(len(body)).encode()), *(headers or [])]
         if body:
             head.append((b"Content-Type", b"application/json"))
+        self.owed = None
         self._send_head(status, head)
         for event in (h11.Data(data=body), h11.EndOfMessage()):
             self._writer.write(self._http.send(event) or b"")
@@ -334,6 +392,7 @@
                     raise ConnectionResetError(str(error)) from error
 
     def end_stream(self) -> None:
+        self.owed = None
         self._writer.write(self._http.send(h11.EndOfMessage()) or b"")
 
     async def wait_for(self, exchange: Exchange) -> WaitEnd:
--- a/basaltspread/net/links.py
+++ b/basaltspread/net/links.py
@@ -426,6 +426,14 @@
         else:
             link.close()
 
+    def put_back(self, link: Link) -> None:
+        """One on which nothing was sent."""
+        if self._trusted(link.address) and not link.dead():
+            link.idle_since = time.monotonic()
+            self._idle.setdefault(link.address, []).append(link)
+        else:
+            link.close()
+
     def shed(self) -> bool:
         """Close the link that has been idle longest, for its descriptor."""
         waiting = [links for links in self._idle.values() if links]
@@ -454,14 +462,14 @@
 
     async def call(
         self, address: str, method: str, target: str, headers: Headers | None = None, body: bytes = b"",
-        wait: float = 1.0, begun: list[bool] | None = None, fresh: bool = False, duty: bool = False,
-        limit: int = BODY_LIMIT,
+        wait: float = 1.0, permitted: Callable[[], bool] | None = None, fresh: bool = False,
+        duty: bool = False, limit: int = BODY_LIMIT,
     ) -> Reply:  # fmt: skip
-        """One whole small exchange; raises LinkError. `begun` is set when its first byte goes out; `fresh`
-        asks for a new connection, which can't be stale."""
+        """One whole small exchange; raises LinkError. `permitted` is asked as its first byte is about to go
+        out; `fresh` asks for a new connection, which can't be stale."""
         async with self.using(address, wait, fresh, duty) as link:
-            if begun is not None:
-                begun[0] = True
+            if permitted is not None and not permitted():
+                raise LinkError(Ending.NOT_SENT)
             await link.send(method, target, headers or [], body)
             event = await link.event()
             if not isinstance(event, h11.Response):
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -16,7 +16,7 @@
 import socket
 import time
 from collections.abc import Coroutine
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -25,11 +25,14 @@
 from basaltspread import interface as api
 from basaltspread.config import Gateway
 from basaltspread.control.asking import BRIEF_MS, TURN, next_call, retry_pause
-from basaltspread.core import Ending, Place, Verdict
+from basaltspread.core import Ending, Place, Verdict, guards
+from basaltspread.core.guards import Denial, StartFacts
+from basaltspread.core.invariants import Invariant
 from basaltspread.net.clients import (
     CLIENT_PATIENCE,
     LAST_LOOK,
     Client,
+    CloseReason,
     Exchange,
     ReceivedRequest,
     Seats,
@@ -62,6 +65,15 @@
 CACHED = re.compile(rb'"cached_tokens"\s*:\s*(\d{1,9})')
 
 
+@dataclass(slots=True)
+class PlaceCall:
+    """A question whether a writer holds a place, under way."""
+
+    task: asyncio.Task[None] | None = None
+    begun: bool = False  # its first byte has gone out
+    heard: Place = Place.UNKNOWN
+
+
 class Front:
     """Serves clients, and carries out the core's effects on engines and discovery."""
 
@@ -72,7 +84,7 @@
         self._attempts: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._links: dict[tuple[str, int], Link] = {}  # of the attempts that are out
         self._splitters: dict[tuple[str, int], Splitter] = {}  # of their streams, where tools may be called
-        self._places: dict[tuple[str, str], tuple[asyncio.Task[None], list[bool]]] = {}
+        self._places: dict[tuple[str, str], PlaceCall] = {}
         self._clients: dict[Client, asyncio.Task[None]] = {}
         self.seats = Seats()
         self._used: dict[str, float] = {}  # ids of requests that are over: until when known
@@ -115,6 +127,9 @@
         if self._watching:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._asked.wait(), FIRST_LIST_WAIT)
+        facts = StartFacts(list_awaited=True, bans_read=self.runtime.looked_at_files)
+        if guards.may_serve(facts) is not None:
+            self.runtime.feed(core.Violated(Invariant.SERVED_TOO_EARLY.value))
         self._door = await open_door(
             "listen",
             self._config.listen,
@@ -165,12 +180,12 @@
             idle = self.seats.idlest(time.monotonic())
             if idle is not None:
                 self.runtime.count("clients_made_room")
-                idle.abort()
+                idle.abort(CloseReason.MADE_ROOM)
             else:
                 self.runtime.count("clients_over_budget")
                 client.refused = True
                 if len(self.seats) >= most + MOST_REFUSED:
-                    client.abort()
+                    client.abort(CloseReason.NO_ROOM)
         self.runtime.count("clients_accepted")
         await self._keep(client, writer, client.serve())
 
@@ -247,6 +262,7 @@
             client.answer(503, "out of memory for requests", [(b"Retry-After", b"1")])
             return
         exchange = self._exchanges[rid] = Exchange(client, request, body)
+        client.owed = rid
         self._bodies += len(body)
         try:
             spent = round((time.monotonic() - received.began_at) * 1_000_000)
@@ -268,7 +284,7 @@
         ended = await client.wait_for(exchange)
         if ended is WaitEnd.CLIENT_LEFT:
             self.runtime.feed(core.ClientLeft(rid))
-            client.close()
+            client.close(CloseReason.CLIENT_LEFT)
         elif ended is WaitEnd.CLIENT_FLOODS:
             log.info("%s: its client sends without end and is answered now", rid)
             self.runtime.feed(core.ClientFloods(rid))
@@ -294,7 +310,7 @@
         }  # fmt: skip
         if self.runtime.hand_on(about, [client.leave(), link.leave()]):
             link.left()
-            client.abort()
+            client.abort(CloseReason.HANDED_ON)
             self._attempts[key].cancel()
             self.runtime.feed(core.HandedOn(*key))
             exchange.finish()
@@ -330,7 +346,7 @@
                 await self._until_end(client, exchange, effect.request)
             finally:
                 del self._exchanges[effect.request]
-                client.close()
+                client.close(CloseReason.LAST_ANSWER)
 
         await self._keep(client, writer, work())
 
@@ -362,7 +378,7 @@
     def _break_client(self, effect: core.BreakClient) -> None:
         exchange = self._exchanges.get(effect.request)
         if exchange is not None:
-            exchange.client.close()
+            exchange.client.close(CloseReason.STREAM_BROKEN)
             exchange.finish()
 
     # --- engines ----------------------------------------------------------------------------------------
@@ -401,6 +417,14 @@
                 self.runtime.pool.give_back(link)
                 return
             link = self._links[name, number] = await self.runtime.pool.acquire(effect.address)
+            denial = self.runtime.send_denial(name, number, exchange.client.has_left())
+            if denial is not None:
+                ending = guards.DENIED_ENDINGS.get(denial, Ending.NOT_SENT)
+                self.runtime.pool.put_back(link)
+                if denial is Denial.CLIENT_GONE:
+                    self.runtime.feed(core.ClientLeft(name))
+                    exchange.client.close(CloseReason.CLIENT_LEFT)
+                return
             left = max(1, (by - self.runtime.clock.now()) // core.MS)
             headers = [*exchange.headers, (b"X-Time-Left-Ms", str(left).encode())]
             self.runtime.feed(core.Begun(name, number))
@@ -423,7 +447,7 @@
                 self.runtime.pool.lost(link, ending)
             if ending in (Ending.CLIENT_LEFT, Ending.CLIENT_SLOW):
                 self.runtime.feed(core.ClientLeft(name, ending))
-                exchange.client.close()
+                exchange.client.close(CloseReason.CLIENT_LEFT)
         except asyncio.CancelledError:
             cancelled = True
             raise
@@ -514,34 +538,40 @@
             raise LinkError(Ending.MALFORMED) from error
 
     def _ask_place(self, effect: core.AskPlace) -> None:
-        key, begun, heard = (effect.request, effect.worker), [False], [Place.UNKNOWN]
+        key, call = (effect.request, effect.worker), PlaceCall()
 
         def over(task: asyncio.Task[None]) -> None:
             """Also for a task that was dropped before its first step: the core waits for this input."""
             del self._places[key]
-            place = Place.NOT_HELD if task.cancelled() else heard[0]
+            place = Place.NOT_HELD if task.cancelled() else call.heard
             self.runtime.feed(core.PlaceEnded(effect.request, effect.number, effect.worker, place))
 
-        task = self._spawn(self._place(effect, begun, heard), f"place {key}")
-        self._places[key] = task, begun
-        task.add_done_callback(over)
+        call.task = self._spawn(self._place(effect, call), f"place {key}")
+        self._places[key] = call
+        call.task.add_done_callback(over)
+
+    async def _place(self, effect: core.AskPlace, call: PlaceCall) -> None:
+        def permitted() -> bool:
+            call.begun = not self.runtime.place_denied(effect.request, effect.worker)
+            if not call.begun:
+                call.heard = Place.NOT_HELD
+            return call.begun
 
-    async def _place(self, effect: core.AskPlace, begun: list[bool], heard: list[Place]) -> None:
         # One whose answer is lost may be heard late, and hold a place for a request that has gone on: it is
         # waited for no longer than what is held may be, and then all is let go.
         wait = min(CALL_WAIT, self._config.settings.rules.release_within / 1e6 or CALL_WAIT)
         try:
             reply = await self.runtime.pool.call(
-                effect.address, "POST", f"/state/{effect.request}", wait=wait, begun=begun
+                effect.address, "POST", f"/state/{effect.request}", wait=wait, permitted=permitted
             )
-            heard[0] = {200: Place.HELD, 409: Place.NOT_HELD}.get(reply.status, Place.UNKNOWN)
+            call.heard = {200: Place.HELD, 409: Place.NOT_HELD}.get(reply.status, Place.UNKNOWN)
         except LinkError:
             self.runtime.count("place_calls_failed")
 
     def _drop_place(self, effect: core.DropPlace) -> None:
-        task, begun = self._places.get((effect.request, effect.worker), (None, [True]))
-        if task is not None and not begun[0]:
-            task.cancel()
+        call = self._places.get((effect.request, effect.worker))
+        if call is not None and call.task is not None and not call.begun:
+            call.task.cancel()
 
     def _send_release(self, effect: core.SendRelease) -> None:
         self._spawn(self._release(effect), f"release {effect.request}")
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -19,6 +19,8 @@
 from typing import Any
 
 from basaltspread import core
+from basaltspread.core import guards, invariants
+from basaltspread.core.guards import Denial
 from basaltspread.net.clock import Clock, ClockFile
 from basaltspread.net.links import Descriptors, Pool
 from basaltspread.net.shared_files import BanFile, Overlap
@@ -88,6 +90,7 @@
         if clock_file is not None:
             clock_file.load(self.clock)
         self._processes = 1
+        self.looked_at_files = False
         self._tell_owed = False  # the other process has not been told yet what is known here
         self._file_faults: set[str] = set()  # what failed when last tried: each is logged once
         self.counters: Counter[str] = Counter()
@@ -119,6 +122,29 @@
             pass
         self.body_room = int(memory_mb * 1024 * 1024 * BODY_BUDGET) // self._processes
 
+    def send_denial(self, request: str, number: int, client_gone: bool) -> Denial | None:
+        """Asks the guard of sends, in the turn in which the first byte is to go out."""
+        found = self.state.requests.get(request)
+        if found is None or number >= len(found.attempts):
+            denial: Denial | None = Denial.REQUEST_OVER
+        else:
+            attempt, now = found.attempts[number], self.clock.now()
+            denial = guards.may_send(self.state, now, found, attempt, client_gone)
+        if denial is not None:
+            self._note_withheld(f"attempt {request}/{number}", denial)
+        return denial
+
+    def place_denied(self, request: str, worker: str) -> bool:
+        """The same for a place that is asked for."""
+        denial = guards.may_ask_place(self.state, self.state.requests.get(request), worker)
+        if denial is not None:
+            self._note_withheld(f"place of {request} at {worker}", denial)
+        return denial is not None
+
+    def _note_withheld(self, what: str, denial: Denial) -> None:
+        self.count(f"sends_withheld_{denial.value}")
+        log.info("%s is not sent: %s", what, denial.value)
+
     def count(self, name: str) -> None:
         self.counters[name] += 1
 
@@ -171,6 +197,9 @@
 
     def print_counters(self) -> None:
         state = self.state
+        for breach in invariants.of_state(state, self.clock.now()):
+            self.count(f"invariant_{breach.invariant.value}")
+            log.error("%s", breach)
         self.counters["now_requests"] = len(state.requests)
         self.counters["now_releases"] = len(state.releases)
         self.counters["now_descriptors"] = self.descriptors.used
@@ -194,6 +223,7 @@
 
     def look_at_other(self, tell: bool = True) -> None:
         """One look at the files that processes share. What fails is tried again at the next."""
+        self.looked_at_files = True
         with self._noting_file_faults("bans"):
             if self.bans is not None:
                 self.bans.retry()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,11 +18,11 @@
 from basaltspread import interface as api
 from basaltspread.adapter import settings_from
 from basaltspread.control.asking import TOLD_WITHIN, retry_pause
-from basaltspread.core import AskPlace, Ending, Place
+from basaltspread.core import AskPlace, Ending
 from basaltspread.net.clients import Client, Seats
 from basaltspread.net.links import LinkError
 from basaltspread.net.parsing import BadRequest, arrival_from, parse_facts, parse_list, parse_report
-from basaltspread.net.platform import Front
+from basaltspread.net.platform import Front, PlaceCall
 from tests.standins import (
     DONE,
     SETTINGS,
@@ -212,7 +212,7 @@
             runtime, config = mock.MagicMock(), configured()
             config.settings.rules.release_within = limit
             runtime.pool.call = mock.AsyncMock(side_effect=LinkError(Ending.TIMED_OUT))
-            await Front(runtime, config)._place(AskPlace("q", 0, "w1", "x:1"), [False], [Place.UNKNOWN])
+            await Front(runtime, config)._place(AskPlace("q", 0, "w1", "x:1"), PlaceCall())
             self.assertEqual(runtime.pool.call.call_args.kwargs["wait"], wait)
 
     async def test_where_lists_are_pushed_the_agent_is_asked_again_within_a_drains_time(self) -> None:
