--- /dev/null
+++ b/soak/engines.py
@@ -0,0 +1,296 @@
+"""Stand-ins for engines, and the way to each: a proxy that delays, cuts, resets and fragments.
+
+They write down what reached them and when. They must never know what a gateway thinks.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import time
+from dataclasses import dataclass, field
+from enum import Enum
+
+from soak.observations import Held, Observations, Sent, Work
+
+READ_SIZE = 65536
+READ_TIME = (0.01, 0.05)  # s that a reader takes for a prompt
+EVENT_TIME = (0.005, 0.04)  # s between two events of a stream
+EVENTS = (3, 12)
+DONE = b"data: [DONE]\n\n"
+CALLS = {"POST /v1": "generate", "POST /state": "place", "DELETE /state": "release"}
+
+
+def gateway_of(request: str) -> int:
+    """Requests' ids begin with the number of the gateway that they are sent to."""
+    number = request.partition("-")[0].removeprefix("g")
+    return int(number) if number.isdigit() else -1
+
+
+@dataclass
+class Mood:
+    """What goes wrong with an engine, and on the way to it, for now."""
+
+    hangs: bool = False
+    turns_away: bool = False
+    closes_idle: bool = False
+    delay: float = 0.0  # s for each piece
+    cut: bool = False
+    resets: bool = False
+    fragments: bool = False
+
+
+@dataclass
+class Head:
+    """The head of a request, as far as a stand-in reads it."""
+
+    method: str
+    target: str
+    fields: dict[str, str] = field(default_factory=dict)
+
+    @classmethod
+    def parse(cls, raw: bytes) -> Head:
+        line, *lines = raw.decode("latin-1").split("\r\n")
+        method, target, _ = line.split(" ", 2)
+        return cls(
+            method, target, {k.lower(): v for k, _, v in (one.partition(": ") for one in lines if one)}
+        )
+
+    @property
+    def request(self) -> str:
+        return self.fields.get("x-correlation-id") or self.target.rpartition("/")[2]
+
+    @property
+    def call(self) -> str:
+        for prefix, name in CALLS.items():
+            if f"{self.method} {self.target}".startswith(prefix):
+                return name
+        return "probe"
+
+
+class Role(Enum):
+    READER = "prefill"
+    WRITER = "decode"
+
+
+class Fleet:
+    """All engines, and what is held at them: a release goes round among them."""
+
+    def __init__(self, seen: Observations) -> None:
+        self.seen = seen
+        self.engines: list[Engine] = []
+        self.holding: dict[str, list[Held]] = {}
+
+    def hold(self, engine: Engine, request: str) -> None:
+        held = Held(engine.name, request, time.monotonic())
+        self.holding.setdefault(request, []).append(held)
+        self.seen.held.append(held)
+
+    def let_go(self, request: str) -> None:
+        for held in self.holding.pop(request, []):
+            held.until = time.monotonic()
+
+    def lost_with(self, engine: Engine) -> None:
+        for holders in self.holding.values():
+            for held in holders:
+                if held.engine == engine.name and held.until is None:
+                    held.until = time.monotonic()
+
+
+class Engine:
+    """One engine behind its proxy."""
+
+    def __init__(self, fleet: Fleet, name: str, role: Role, zone: str, seed: int) -> None:
+        self.fleet, self.name, self.role, self.zone = fleet, name, role, zone
+        self.mood, self.started_ms = Mood(), 0
+        self.lifecycle = "up"
+        self._lot = random.Random(f"{seed} {name}")
+        self._ways: set[Way] = set()
+        self._server: asyncio.Server | None = None
+        self._own: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.address = ""
+        fleet.engines.append(self)
+
+    async def start(self) -> None:
+        """At the same address as before, if there was one."""
+        self._own = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(
+            self._proxy, host or "127.0.0.1", int(port or 0), backlog=512
+        )
+        self.address = "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
+
+    def die(self) -> None:
+        """As a process that is killed: its connections are reset, new ones refused."""
+        for server in (self._server, self._own):
+            if server is not None:
+                server.close()
+        for way in list(self._ways):
+            way.abort()
+        for task in list(self._tasks):
+            task.cancel()
+        self.fleet.lost_with(self)
+
+    def reset_all(self) -> None:
+        for way in list(self._ways):
+            way.abort()
+
+    async def _proxy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._own is None or self.mood.resets:
+            writer.transport.abort()
+            return
+        try:
+            port = self._own.sockets[0].getsockname()[1]
+            inner_reader, inner_writer = await asyncio.open_connection("127.0.0.1", port)
+        except (OSError, IndexError):
+            writer.transport.abort()
+            return
+        way = Way(self, (reader, writer), (inner_reader, inner_writer))
+        self._ways.add(way)
+        try:
+            await way.run()
+        finally:
+            self._ways.discard(way)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            while True:
+                patience = 0.2 if self.mood.closes_idle else 30.0
+                async with asyncio.timeout(patience):
+                    raw = await reader.readuntil(b"\r\n\r\n")
+                head = Head.parse(raw[:-4])
+                await reader.readexactly(int(head.fields.get("content-length", 0)))
+                await self._answer(head, reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError, TimeoutError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            self._tasks.discard(task)
+
+    async def _answer(self, head: Head, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        request, call = head.request, head.call
+        if call == "release":
+            self.fleet.let_go(request)
+            _reply(writer, 204)
+        elif call == "place":
+            _reply(writer, 409 if self.role is Role.READER or self._lot.random() < 0.3 else 200)
+        elif call == "probe":
+            _reply(writer, 404)
+        else:
+            await self._generate(request, writer)
+        await writer.drain()
+
+    async def _generate(self, request: str, writer: asyncio.StreamWriter) -> None:
+        reading = self.role is Role.READER
+        call = "read" if reading else "write"
+        work = Work(self.name, call, request, gateway_of(request), time.monotonic(), 1.0)
+        self.fleet.seen.work.append(work)
+        if self.mood.turns_away:
+            work.refused, work.ended_at = True, time.monotonic()
+            _reply(writer, 503, extra="X-Unprocessed: 1\r\n")
+            return
+        while self.mood.hangs:
+            await asyncio.sleep(0.02)
+        if reading:
+            await asyncio.sleep(self._lot.uniform(*READ_TIME))
+            self.fleet.hold(self, request)
+            work.ended_at = time.monotonic()
+            _reply(writer, 202, b'{"cached_tokens":0}')
+            return
+        self.fleet.let_go(request)  # the state moves here with its first token
+        await self._stream(work, writer)
+
+    async def _stream(self, work: Work, writer: asyncio.StreamWriter) -> None:
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        body = b""
+        for number in range(self._lot.randint(*EVENTS)):
+            while self.mood.hangs:
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(self._lot.uniform(*EVENT_TIME))
+            content = {"choices": [{"delta": {"content": f"{work.request}@{self.name}#{number}"}}]}
+            piece = b"data: " + json.dumps(content).encode() + b"\n\n"
+            body += piece
+            writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+            await writer.drain()
+        body += DONE
+        writer.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(DONE), DONE))
+        await writer.drain()
+        work.body, work.whole, work.ended_at = body, True, time.monotonic()
+
+
+def _reply(writer: asyncio.StreamWriter, status: int, body: bytes = b"", extra: str = "") -> None:
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{extra}\r\n"
+    writer.write(head.encode() + body)
+
+
+Stream = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class Way:
+    """One connection from a gateway to an engine, through the proxy."""
+
+    def __init__(self, engine: Engine, gateway: Stream, inner: Stream) -> None:
+        self._engine, self._gateway, self._inner = engine, gateway, inner
+        self._head: bytes | None = b""  # of the request that comes in; None: it is known
+        self._first_byte_at = 0.0
+        self._fresh = True  # the next bytes of the gateway begin a request
+
+    def abort(self) -> None:
+        for _, writer in (self._gateway, self._inner):
+            writer.transport.abort()
+
+    async def run(self) -> None:
+        up = asyncio.create_task(self._pump(self._gateway[0], self._inner[1], True))
+        down = asyncio.create_task(self._pump(self._inner[0], self._gateway[1], False))
+        try:
+            await asyncio.wait({up, down}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in (up, down):
+                task.cancel()
+            await asyncio.wait({up, down})
+            self.abort()
+
+    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, inward: bool) -> None:
+        mood = self._engine.mood
+        with contextlib.suppress(OSError):
+            while data := await reader.read(READ_SIZE):
+                if inward:
+                    self._note(data)
+                else:
+                    self._fresh = True
+                while mood.cut:
+                    await asyncio.sleep(0.02)
+                if mood.delay:
+                    await asyncio.sleep(mood.delay)
+                step = 7 if mood.fragments else len(data)
+                for first in range(0, len(data), step):
+                    writer.write(data[first : first + step])
+                    await writer.drain()
+                    if mood.fragments:
+                        await asyncio.sleep(0)
+
+    def _note(self, data: bytes) -> None:
+        if self._fresh:
+            self._fresh, self._head, self._first_byte_at = False, b"", time.monotonic()
+        if self._head is None:
+            return
+        self._head += data
+        raw, end, _ = self._head.partition(b"\r\n\r\n")
+        if not end:
+            return
+        self._head, head = None, Head.parse(raw)
+        call = head.call
+        if call == "generate":
+            call = "read" if self._engine.role is Role.READER else "write"
+        left = head.fields.get("x-time-left-ms")
+        self._engine.fleet.seen.sent.append(Sent(
+            gateway_of(head.request), self._engine.name, call, head.request, self._first_byte_at,
+            int(left) if left is not None else None,
+        ))  # fmt: skip
--- /dev/null
+++ b/soak/runner.py
@@ -0,0 +1,387 @@
+"""Plays one soak: starts all, applies the schedule's troubles, and hands back what was seen.
+
+It owns every process and stand-in that it starts, and ends them all. It must never judge.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import os
+import shutil
+import signal
+import socket
+import tempfile
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+from soak.clients import Clients
+from soak.discovery import Discovery, DiscoveryMood
+from soak.engines import Engine, Fleet, Role
+from soak.gateways import GatewayProcess
+from soak.observations import ClientKind, Observations, Span
+from soak.schedule import Trouble, TroubleKind
+
+ZONES = ("a", "b")
+READERS, WRITERS = 8, 6
+WORKERS = 3  # clients of one gateway
+STARTED_AT_ONCE = 6  # gateways
+LAG_STEP = 0.02  # s between two looks at how far this runner is held up
+LAST_ANSWERS = 6.0  # s for what is under way as the load ends
+WARM_WITHIN = 14.0  # s
+ACCEPT_ERRORS = (errno.ECONNABORTED, errno.ENFILE, errno.ENOBUFS, errno.EPERM, errno.ENETDOWN, errno.EMFILE)
+CONNECT_ERRORS = (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.EINTR)
+SOCKET_ERRORS = (errno.ENOBUFS, errno.ENFILE, errno.ENOMEM)
+RECEIVE_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET)
+FOLDER_ERRORS = (errno.ENOSPC, errno.EIO)
+STEPS_MS = (-3_600_000, -7_000, 7_000, 3_600_000)
+SETTINGS: dict[str, Any] = {
+    "azs": list(ZONES), "registry_mode": "push", "round": 2000,
+    "classes": [
+        {"name": name, "effect": effect, "key_scope": "zone", "deadline": 5_000_000, "promise": 1_000_000,
+         "points": 2.0, "late_value": 0.3, "streaming": True, "window": 2_000_000}
+        for name, effect in (("ask", "safe"), ("order", "unsafe"), ("draft", "keyed"))
+    ],
+    "limits": {"cancel": True, "max_attempts": 5, "retry_after": True, "max_retry_after": 1_000_000,
+               "connect_timeout": 250_000, "idle_close": 10_000_000, "may_tell": True},
+    "machine_types": ["prefill", "decode"],
+    "orgs": [{"name": "acme", "quota_rps": 1000.0, "share": 1.0}],
+    "rules": {"answer_slack": 8000, "fall": 1_000_000, "start_capacity": 0.26, "stop_sending_within": 250_000,
+              "tip_multiple": 2.5, "warm_within": int(WARM_WITHIN * 1_000_000)},
+    "specifics": {"role_by_kind": ["read", "write"], "early_pairing": True, "release": 500_000,
+                  "resume": False, "token_aim": [60000.0, 70000.0]},
+}  # fmt: skip
+
+
+def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+    """A port that nobody holds now."""
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class Soak:
+    """One run. `folder` keeps the gateways' logs; with none, they go with the run."""
+
+    def __init__(
+        self, seed: int, gateways: int, seconds: float, troubles: Sequence[Trouble], folder: Path | None
+    ) -> None:
+        self.seen = Observations(seed)
+        self._seed, self._count, self._seconds, self._troubles = seed, gateways, seconds, troubles
+        self._keep = folder is not None
+        self._folder = folder or Path(tempfile.mkdtemp(prefix="soak-"))
+        self._fleet = Fleet(self.seen)
+        self._discovery = Discovery(self.seen)
+        self._gateways = list[GatewayProcess]()
+        self._clients = list[Clients]()
+        self._steps = 0  # ms that all wall clocks have been stepped by
+        self._calls: dict[TroubleKind, Callable[[Trouble], Awaitable[None]]] = {
+            TroubleKind.RESTART: self._restart, TroubleKind.KILL: self._kill,
+            TroubleKind.RELOAD: self._reload, TroubleKind.HAND_OVER: self._hand_over,
+            TroubleKind.HELD_UP: self._held_up, TroubleKind.FOLDER_FAILS: self._folder_fails,
+            TroubleKind.CLOCK_STEPS: self._clock_steps, TroubleKind.DRAIN: self._drain,
+            TroubleKind.COLD_RESTART: self._cold_restart, TroubleKind.RESET: self._reset,
+        }  # fmt: skip
+
+    async def play(self) -> Observations:
+        """The whole run. All that it started has ended when this returns, however it returns."""
+        self._folder.mkdir(parents=True, exist_ok=True)
+        lag = asyncio.create_task(self._watch_lag())
+        try:
+            await self._begin()
+            await self._load()
+        finally:
+            lag.cancel()
+            await asyncio.gather(*(gateway.end() for gateway in self._gateways))
+            for engine in self._fleet.engines:
+                engine.die()
+            if not self._keep:
+                shutil.rmtree(self._folder, ignore_errors=True)
+        return self.seen
+
+    async def _watch_lag(self) -> None:
+        """How far this process is held up: what it saw may have been so much earlier."""
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(LAG_STEP)
+            self.seen.slack = max(self.seen.slack, time.monotonic() - before - LAG_STEP)
+
+    async def _begin(self) -> None:
+        self.seen.load.append(os.getloadavg()[0])
+        limits = SETTINGS["rules"]
+        self.seen.rules = {
+            "drain": limits["stop_sending_within"] / 1e6, "release": SETTINGS["specifics"]["release"] / 1e6,
+            "warm": WARM_WITHIN, "window": limits["fall"] / 1e6, "multiple": limits["tip_multiple"],
+            "start": limits["start_capacity"],
+        }  # fmt: skip
+        roles = [Role.READER] * READERS + [Role.WRITER] * WRITERS
+        for number, role in enumerate(roles):
+            engine = Engine(self._fleet, f"e{number}", role, ZONES[number % len(ZONES)], self._seed)
+            await engine.start()
+            await self._discovery.tell(engine)
+        ports = [free_port(socket.SOCK_DGRAM) for _ in range(self._count)]
+        peers = [f"127.0.0.1:{port}" for port in ports]
+        for number in range(self._count):
+            self._gateways.append(await self._gateway(number, peers))
+        starting = asyncio.Semaphore(STARTED_AT_ONCE)
+
+        async def start(gateway: GatewayProcess) -> None:
+            async with starting:
+                await gateway.start()
+
+        await asyncio.gather(*(start(gateway) for gateway in self._gateways))
+
+    async def _gateway(self, number: int, peers: list[str]) -> GatewayProcess:
+        settings = {
+            **SETTINGS, "balancers": self._count, "me": number, "zone": number % len(ZONES),
+        }  # fmt: skip
+        config = {
+            "name": f"n{number}", "listen": f"127.0.0.1:{free_port()}", "seed": f"{self._seed + number:x}",
+            "discovery": await self._discovery.address_for(number), "known": self._discovery.whole(),
+            "settings": settings, "limits": {"sockets": 512, "memory_mb": 128},
+            "management": "127.0.0.1:0", "peers": peers, "peer_listen": peers[number],
+        }  # fmt: skip
+        gateway = GatewayProcess(self.seen, number, self._folder / f"n{number}", config)
+        if number % 3 == 0:
+            gateway.inherit()
+        return gateway
+
+    async def _load(self) -> None:
+        self.seen.began_at = time.monotonic()
+        workers = list[asyncio.Task[None]]()
+        for gateway in self._gateways:
+            clients = Clients(self.seen, gateway.number, self._address_of(gateway), self._seed)
+            self._clients.append(clients)
+            workers += [asyncio.create_task(clients.work()) for _ in range(WORKERS)]
+        troubles = [asyncio.create_task(self._apply(trouble)) for trouble in self._troubles]
+        await asyncio.sleep(self._seconds)
+        if troubles:
+            await asyncio.wait(troubles)
+        for clients in self._clients:
+            clients.stopped = True
+        await asyncio.wait(workers, timeout=LAST_ANSWERS)
+        for worker in workers:
+            worker.cancel()
+        self.seen.ended_at = time.monotonic()
+        await asyncio.gather(*(gateway.stop() for gateway in self._gateways))
+        for gateway in self._gateways:
+            self.seen.bans_kept[gateway.number] = gateway.kept_bans()
+        self.seen.load.append(os.getloadavg()[0])
+
+    @staticmethod
+    def _address_of(gateway: GatewayProcess) -> Callable[[], str]:
+        return lambda: gateway.address
+
+    # --- troubles ---------------------------------------------------------------------------------------
+
+    async def _apply(self, trouble: Trouble) -> None:
+        await asyncio.sleep(trouble.start)
+        began = time.monotonic()
+        call = self._calls.get(trouble.kind, self._mood)
+        await call(trouble)
+        for target in trouble.targets:
+            name = self._name(trouble, target)
+            span = Span(trouble.kind.value, name, began, time.monotonic(), str(trouble))
+            self.seen.troubles.append(span)
+
+    def _name(self, trouble: Trouble, target: int) -> str:
+        if trouble.kind.target in ("engine", "network"):
+            return self._engine(target).name
+        return f"n{target}"
+
+    def _engine(self, target: int) -> Engine:
+        return self._fleet.engines[target % len(self._fleet.engines)]
+
+    async def _at_each(self, trouble: Trouble, act: Callable[[GatewayProcess], Awaitable[None]]) -> None:
+        async def one(gateway: GatewayProcess) -> None:
+            async with gateway.lock:
+                await act(gateway)
+
+        await asyncio.gather(*(one(self._gateways[target]) for target in trouble.targets))
+
+    async def _restart(self, trouble: Trouble) -> None:
+        async def act(gateway: GatewayProcess) -> None:
+            await gateway.stop()
+            gateway.config["known"] = self._discovery.whole()
+            await gateway.start()
+
+        await self._at_each(trouble, act)
+
+    async def _kill(self, trouble: Trouble) -> None:
+        async def act(gateway: GatewayProcess) -> None:
+            if gateway.process is not None and gateway.life is not None:
+                await gateway.kill(gateway.process, gateway.life)
+            await asyncio.sleep(trouble.length)
+            await gateway.start()
+
+        await self._at_each(trouble, act)
+
+    async def _reload(self, trouble: Trouble) -> None:
+        async def act(gateway: GatewayProcess) -> None:
+            gateway.config["discovery"] = await self._discovery.address_for(gateway.number)
+            gateway.write_config()
+            gateway.signal(signal.SIGHUP)
+            if trouble.figure < 0.5:  # another in quick succession
+                await asyncio.sleep(0.02)
+                gateway.signal(signal.SIGHUP)
+
+        await self._at_each(trouble, act)
+
+    async def _hand_over(self, trouble: Trouble) -> None:
+        async def act(gateway: GatewayProcess) -> None:
+            if gateway.door is not None:
+                await gateway.hand_over()
+            else:
+                await gateway.stop()
+                await gateway.start()
+
+        await self._at_each(trouble, act)
+
+    async def _held_up(self, trouble: Trouble) -> None:
+        async def act(gateway: GatewayProcess) -> None:
+            until = time.monotonic() + trouble.length
+            while time.monotonic() < until:
+                await gateway.hold_up()
+                await asyncio.sleep(0.2)
+
+        await self._at_each(trouble, act)
+
+    async def _folder_fails(self, trouble: Trouble) -> None:
+        code = _one(FOLDER_ERRORS, trouble.figure)
+
+        async def act(gateway: GatewayProcess) -> None:
+            gateway.shim.set(files=code)
+            engine = f"e{gateway.number % READERS}"
+            if await gateway.operate(f"/-/engines/{engine}/disable"):
+                self.seen.bans.append((gateway.number, engine, time.monotonic()))
+            await asyncio.sleep(trouble.length)
+            gateway.shim.set(files=0)
+
+        await self._at_each(trouble, act)
+
+    async def _clock_steps(self, trouble: Trouble) -> None:
+        self._steps += _one(STEPS_MS, trouble.figure)
+        for gateway in self._gateways:
+            gateway.shim.set(step_ms=self._steps)
+
+    def _wall_ms(self) -> int:
+        """What every machine's wall clock reads."""
+        return int(time.time() * 1000) + self._steps
+
+    async def _drain(self, trouble: Trouble) -> None:
+        """Some engines drain, go, and are replaced by a new start."""
+
+        async def one(engine: Engine) -> None:
+            engine.lifecycle = "draining"
+            await self._discovery.tell(engine)
+            await asyncio.sleep(trouble.length * 0.5)
+            engine.lifecycle = "removed"
+            await self._discovery.tell(engine)
+            engine.die()
+            await asyncio.sleep(trouble.length * 0.5)
+            await self._comes_back(engine)
+
+        await asyncio.gather(*(one(engine) for engine in self._few(trouble)))
+
+    def _few(self, trouble: Trouble) -> list[Engine]:
+        """Of one role two at the most: the rest must be able to serve."""
+        engines = [self._engine(target) for target in trouble.targets if target % 3 == trouble.targets[0] % 3]
+        return [e for e in engines if e.lifecycle == "up"][:2]
+
+    async def _comes_back(self, engine: Engine) -> None:
+        await engine.start()
+        engine.started_ms, engine.lifecycle = self._wall_ms(), "up"
+        await self._discovery.tell(engine)
+
+    async def _cold_restart(self, trouble: Trouble) -> None:
+        async def one(engine: Engine) -> None:
+            engine.lifecycle = "restarting"
+            engine.die()
+            await asyncio.sleep(trouble.length)
+            await self._comes_back(engine)
+
+        await asyncio.gather(*(one(engine) for engine in self._few(trouble)))
+
+    async def _reset(self, trouble: Trouble) -> None:
+        engines = [self._engine(target) for target in trouble.targets]
+        until = time.monotonic() + trouble.length
+        while time.monotonic() < until:
+            for engine in engines:
+                engine.reset_all()
+            await asyncio.sleep(0.1)
+
+    async def _mood(self, trouble: Trouble) -> None:
+        """A state that lasts for the trouble's length and is taken back."""
+        await self._set(trouble, True)
+        await asyncio.sleep(trouble.length)
+        await self._set(trouble, False)
+
+    async def _set(self, trouble: Trouble, on: bool) -> None:
+        kind, figure = trouble.kind, trouble.figure
+        if kind.target == "gateway":
+            figures = {
+                TroubleKind.ACCEPT_FAILS: {"accept": _one(ACCEPT_ERRORS, figure)},
+                TroubleKind.CONNECT_FAILS: {"connect": _one(CONNECT_ERRORS, figure)},
+                TroubleKind.SOCKET_FAILS: {"socket": _one(SOCKET_ERRORS, figure)},
+                TroubleKind.RECEIVE_FAILS: {"receive": _one(RECEIVE_ERRORS, figure)},
+                TroubleKind.SHORT_IO: {"most_bytes": 1 + int(figure * 40)},
+            }[kind]
+            for target in trouble.targets:
+                self._gateways[target].shim.set(
+                    **{name: value if on else 0 for name, value in figures.items()}
+                )
+        elif kind.target == "discovery":
+            mood = {
+                TroubleKind.DISCOVERY_DOWN: DiscoveryMood.DOWN,
+                TroubleKind.DISCOVERY_SILENT: DiscoveryMood.SILENT,
+                TroubleKind.DISCOVERY_CROWDED: DiscoveryMood.CROWDED,
+            }[kind]
+            await self._discovery.set_mood(mood if on else DiscoveryMood.WELL)
+        elif kind.target == "clients":
+            behaviour = {
+                TroubleKind.CLIENTS_LEAVE: ClientKind.LEAVES,
+                TroubleKind.CLIENTS_STOP: ClientKind.STOPS_HALFWAY,
+                TroubleKind.CLIENTS_FLOOD: ClientKind.FLOODS,
+                TroubleKind.CLIENTS_SLOW: ClientKind.WRITES_SLOWLY,
+            }[kind]  # fmt: skip
+            for target in trouble.targets:
+                self._clients[target].trouble = behaviour if on else None
+        else:
+            self._set_engines(trouble, on)
+
+    def _set_engines(self, trouble: Trouble, on: bool) -> None:
+        for target in trouble.targets:
+            mood = self._engine(target).mood
+            match trouble.kind:
+                case TroubleKind.HANG:
+                    mood.hangs = on
+                case TroubleKind.TURNS_AWAY:
+                    mood.turns_away = on
+                case TroubleKind.CLOSES_IDLE:
+                    mood.closes_idle = on
+                case TroubleKind.DELAY:
+                    mood.delay = 0.02 + 0.2 * trouble.figure if on else 0.0
+                case TroubleKind.CUT:
+                    mood.cut = on
+                case TroubleKind.FRAGMENT:
+                    mood.fragments = on
+
+
+def _one(values: Sequence[int], figure: float) -> int:
+    return values[int(figure * len(values))]
+
+
+async def play(
+    seed: int, gateways: int, seconds: float, troubles: Sequence[Trouble], folder: Path | None = None
+) -> Observations:
+    """One run, ended in order also by SIGINT and SIGTERM."""
+    task = asyncio.current_task()
+    assert task is not None
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        with contextlib.suppress(NotImplementedError, RuntimeError, ValueError):
+            loop.add_signal_handler(number, task.cancel)
+    return await Soak(seed, gateways, seconds, troubles, folder).play()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -20,8 +20,8 @@
 from basaltspread.control import picture
 from basaltspread.core import Ending, Place
 from basaltspread.rules import Router
+from soak.overload_judge import EngineArrival, Window, windows, worst_breach
 from tests.helpers import MS, SECOND, settings
-from tests.overload_judge import EngineArrival, Window, windows, worst_breach
 
 SLACK = 50 * MS  # on every time limit
 HELD_SLACK = 300 * MS  # and on what is held
--- a/tests/slow_start_days.py
+++ b/tests/slow_start_days.py
@@ -13,9 +13,9 @@
 from dataclasses import dataclass, field
 from itertools import combinations
 
+from soak.overload_judge import EngineArrival, Window
 from tests.fleet import READER, WRITER, Engine, World
 from tests.helpers import MS, SECOND
-from tests.overload_judge import EngineArrival, Window
 
 LENGTH = 12.0  # seconds in which clients come
 COLD_AT = 4 * SECOND  # until then the gateways learn what warm engines do
--- a/tests/test_overload_judge.py
+++ b/tests/test_overload_judge.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from soak.overload_judge import EngineArrival, overload_limit, windows, worst_breach
 from tests.helpers import MS, SECOND
-from tests.overload_judge import EngineArrival, overload_limit, windows, worst_breach
 
 ALLOWED = 4.0  # N: the limit is 4 + 2 * 2 + 2 = 10
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -22,8 +22,8 @@
 from basaltspread.rules import Router
 from basaltspread.structures.averages import Rate, Recent
 from basaltspread.structures.prefixes import PrefixTable
+from soak.overload_judge import EngineArrival, worst_breach
 from tests.helpers import FLEET, MS, SECOND, Drive, entry, random_day, settings
-from tests.overload_judge import EngineArrival, worst_breach
 
 ROOT = Path(__file__).resolve().parent.parent
 POLICY = [ROOT / path for path in tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]]
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -18,8 +18,8 @@
     SLOTS_OF_SENDS,
     SlowStart,
 )
+from soak.overload_judge import EngineArrival, overload_limit, worst_breach
 from tests.helpers import MS, SECOND, Drive, entry, settings
-from tests.overload_judge import EngineArrival, overload_limit, worst_breach
 from tests.test_rules import WIDE, many_routers
 
 START = 20_000_000 * SECOND
