Show that a request that waited at the door has its time counted from accept (failing)

The stand-in engine now stops to work as its connection closes: it went on, and held states for reads that had been given up.

--- a/soak/engines.py
+++ b/soak/engines.py
@@ -10,8 +10,10 @@
 import json
 import random
 import time
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 
 from soak.observations import Held, Observations, Sent, Work
 
@@ -166,13 +168,28 @@
                     raw = await reader.readuntil(b"\r\n\r\n")
                 head = Head.parse(raw[:-4])
                 await reader.readexactly(int(head.fields.get("content-length", 0)))
-                await self._answer(head, reader, writer)
+                await self._unless_closed(self._answer(head, writer), reader)
         except (asyncio.IncompleteReadError, ConnectionError, TimeoutError, asyncio.CancelledError):
             writer.transport.abort()
         finally:
             self._tasks.discard(task)
 
-    async def _answer(self, head: Head, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    @staticmethod
+    async def _unless_closed(work: Coroutine[Any, Any, None], reader: asyncio.StreamReader) -> None:
+        """An engine stops to work as its connection closes: one request at a time travels on it, so that
+        nothing else comes meanwhile."""
+        working, closed = asyncio.create_task(work), asyncio.create_task(reader.read(1))
+        try:
+            await asyncio.wait({working, closed}, return_when=asyncio.FIRST_COMPLETED)
+            if not working.done():
+                raise ConnectionResetError
+            await working
+        finally:
+            for task in (working, closed):
+                task.cancel()
+            await asyncio.wait({working, closed})
+
+    async def _answer(self, head: Head, writer: asyncio.StreamWriter) -> None:
         request, call = head.request, head.call
         if call == "release":
             self.fleet.let_go(request)
--- a/tests/test_request_time.py
+++ b/tests/test_request_time.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import struct
 import time
 import unittest
 from typing import Any
@@ -25,7 +26,7 @@
 class Door:
     """A front whose inputs to the core are kept, and a client connection whose bytes the test writes."""
 
-    def __init__(self) -> None:
+    def __init__(self, tcp_info: bytes = bytes(104)) -> None:
         self.fed = list[Any]()
         runtime = mock.MagicMock(body_room=1 << 30)
         runtime.feed = self.fed.append
@@ -36,6 +37,7 @@
         self.reader = Ear(limit=READ_SIZE)
         writer = mock.MagicMock()
         writer.transport.get_write_buffer_size.return_value = 0
+        writer.get_extra_info.return_value.getsockopt = lambda level, name, size: tcp_info[:size]
         self.client = Client(self.front, self.reader, writer)
 
     def taken(self) -> core.Taken | None:
@@ -75,6 +77,24 @@
             left = await self.arrive(first, rest, used)
             self.assertLessEqual(left, 5000 - LATE_MS, (first[:10], used))
 
+    async def test_a_request_that_waited_at_the_door_has_less_left(self) -> None:
+        """Found by the soak: a gateway was killed, or accept failed, while connections waited for it."""
+        info = bytearray(104)  # tcp_info: state, ..., ms since data was last sent, since it was received
+        info[0] = 1
+        struct.pack_into("<I", info, 44, LATE_MS)
+        for whole in (True, False):
+            door = Door(bytes(info))
+            door.reader.feed_data(HEAD % b"q" + b"{}" if whole else b"")
+            serving = asyncio.ensure_future(door.client._one())
+            for _ in range(5):
+                await asyncio.sleep(0)
+            door.reader.feed_data(b"" if whole else HEAD % b"q" + b"{}")
+            while (taken := door.taken()) is None:
+                await asyncio.sleep(0)
+            serving.cancel()
+            await asyncio.wait({serving})
+            self.assertLessEqual(taken.arrival.time_left // core.MS, 5000 - LATE_MS)
+
     async def test_a_rest_between_two_requests_costs_the_next_nothing(self) -> None:
         self.assertGreater(await self.arrive(b"", HEAD % b"q" + b"{}", True), 5000 - LATE_MS)
 
