Count a new connection's time from its opening, as the system knows it

Cause: Client took its own construction for the connection's opening, but a connection may wait in the system's queue while accept fails, or for the process that follows. Change: net/tcp_info.py reads from TCP_INFO how long nothing has been sent on the connection, which until the first answer is its age (checked on this kernel: 800 ms for one opened 800 ms before). Where that can't be told, as before.

--- a/basaltspread/net/clients.py
+++ b/basaltspread/net/clients.py
@@ -10,7 +10,6 @@
 import contextlib
 import json
 import logging
-import socket
 import time
 from enum import Enum
 from typing import TYPE_CHECKING, Any
@@ -19,6 +18,7 @@
 
 from basaltspread import core
 from basaltspread.core import Ending, guards, invariants
+from basaltspread.net import tcp_info
 from basaltspread.net.links import BODY_LIMIT, HEAD_LIMIT, READ_SIZE, Ear, Headers, LinkError
 from basaltspread.net.parsing import BadRequest, check_head
 from basaltspread.net.runtime import CLIENT_BUFFER
@@ -117,8 +117,6 @@
 
 GONE = frozenset((CloseReason.CLIENT_LEFT, CloseReason.TOO_SLOW))
 BROKEN = frozenset((CloseReason.STREAM_BROKEN, CloseReason.HANDED_ON))
-# States of a TCP socket whose other side has closed it, as tcp(7) numbers them.
-CLOSED_BY_PEER = frozenset((6, 7, 8, 9, 11))
 
 
 class WaitEnd(Enum):
@@ -156,6 +154,8 @@
         self.idle = True  # not a byte of a next request has come
         self.spoke = False  # a byte has come at all
         self.rests_since = self._opened = time.monotonic()
+        # By its client: it may have waited long in the system's queue, also for an earlier process.
+        self._connected_at = self._opened - tcp_info.age(writer.get_extra_info("socket"))
         self._received_at = self._opened  # when the last bytes were handed to the parser
         self.refused = False  # over the budget, or this process ends: its request is refused
         self._wait: asyncio.Timeout | None = None  # for a first byte, while one is waited for
@@ -231,11 +231,7 @@
 
     def _closed_by_peer(self) -> bool:
         """Whether the system knows of the close, though it has not been read here."""
-        connection = self._writer.get_extra_info("socket")
-        try:
-            return connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in CLOSED_BY_PEER
-        except (OSError, AttributeError):  # it has no such state, or is closed here
-            return False
+        return tcp_info.closed_by_peer(self._writer.get_extra_info("socket"))
 
     def abort(self, reason: CloseReason | None = None) -> None:
         """Closes without waiting for what was written to go out; with no reason, what is closed already."""
@@ -277,7 +273,7 @@
         request: h11.Request | None = None
         body = bytearray()
         by = self._opened + FIRST_BYTE_PATIENCE if not self.spoke else self.rests_since + REST_PATIENCE
-        began_at = self._received_at if self.spoke else self._opened
+        began_at = self._received_at if self.spoke else self._connected_at
         if self._http.trailing_data[0]:  # it came with the bytes of the request before
             self._begins()
             by = time.monotonic() + REQUEST_PATIENCE
@@ -300,7 +296,7 @@
                             self._ends_for = CloseReason.CLIENT_LEFT
                         return None
                 if self.idle:
-                    began_at = came_at if self.spoke else self._opened
+                    began_at = came_at if self.spoke else self._connected_at
                     by = (time.monotonic() if self.spoke else self._opened) + REQUEST_PATIENCE
                     self._begins()
                 self._received_at = came_at
