--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -113,7 +113,7 @@
         log.info("reloaded%s", f"; only a restart changes {', '.join(later)}" if later else "")
 
     if config.peer_listen is not None and picture.talks(config.settings):
-        runtime.spawn(share(runtime, config), "share")
+        runtime.spawn_lasting(lambda: share(runtime, config), "share")
     runtime.watch_signals(reload)
     runtime.look_at_other()  # before a list can name an engine that was left out
     runtime.spawn_lasting(runtime.watch_other, "other")
--- a/basaltspread/net/eureka.py
+++ b/basaltspread/net/eureka.py
@@ -125,8 +125,8 @@
 
     def _begin(self) -> None:
         self._tasks = [
-            self.runtime.spawn(self._every(self._registry.renew_s, self._renew), "renew"),
-            self.runtime.spawn(self._every(self._registry.fetch_s, self._fetch), "fetch"),
+            self.runtime.spawn_lasting(lambda: self._every(self._registry.renew_s, self._renew), "renew"),
+            self.runtime.spawn_lasting(lambda: self._every(self._registry.fetch_s, self._fetch), "fetch"),
         ]
 
     def _terminate(self) -> None:
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -9,9 +9,9 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
-from math import sqrt
 
 from soak.observations import ClientKind, ClientRequest, GatewayEnd, Observations, Sent, Work
+from soak.overload_judge import TOLD_SHARE, page_limit
 from soak.schedule import TroubleKind
 
 BASE_SLACK = 0.05  # s that the page gives every time limit
@@ -24,10 +24,12 @@
 READY_WITHIN = 10.0  # s
 MOST_LINES = 4000  # of one process's log
 CROSSING = 0.1  # s: a close that comes so soon after a request on a used connection may have crossed it
-TOLD_SHARE = 2 / 3  # of the work in a window, from gateways that knew of the start
-SMALL_BUDGET = 30.0  # N under which a cold engine survives more by chance
 READS_PER_S = 100.0  # that a warm reader of this soak can do
 FAULT_COUNTERS = ("task_faults", "core_faults", "module_faults", "effect_faults", "attempt_faults")
+# Rules whose verdict does not hang on how busy the machine is.
+TIMELESS = frozenset(
+    ("stream_altered", "stream_cut", "run_twice", "crashed", "ban_lost", "log_flood", *FAULT_COUNTERS)
+)
 LOCAL = (TroubleKind.CONNECT_FAILS.value, TroubleKind.SOCKET_FAILS.value)
 
 
@@ -253,18 +255,12 @@
             allowed = rules["multiple"] * share * rate * rules["window"]
             window = [w for w in arrived if opening.at <= w.at < opening.at + rules["window"]]
             knew = sum(told.get(w.gateway, w.at + 1) <= w.at for w in window)
-            if len(window) > budget(allowed) and knew > TOLD_SHARE * len(window):
-                text = f"{len(window)} in a window, {budget(allowed):.1f} allowed"
+            if len(window) > page_limit(allowed) and knew > TOLD_SHARE * len(window):
+                text = f"{len(window)} in a window, {page_limit(allowed):.1f} allowed"
                 yield Violation("cold_engine_overloaded", start.engine, opening.at, text)
                 break
 
 
-def budget(allowed: float) -> float:
-    """What the page lets an engine in slow start get in a window in which the settings allow it so much."""
-    roots = 3.0 if allowed < SMALL_BUDGET else 2.0
-    return allowed + roots * sqrt(allowed) + roots
-
-
 def bad_clients(case: Case) -> Iterator[Violation]:
     """A client that stops in the middle of a request and stays gets its error or the close."""
     for request in case.seen.requests:
--- a/soak/overload_judge.py
+++ b/soak/overload_judge.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass
 from math import sqrt
 
+SMALL_ALLOWANCE = 30.0  # N under which the page allows for more chance,
+ROOTS_OF_SMALL = 3  # so many roots of N, and requests
 TOLD_SHARE = 2 / 3  # share of the work in the window above which the rule is broken
 
 
@@ -50,12 +52,23 @@
     def breaks_rule(self) -> bool:
         return self.work > self.limit and self.told_work > TOLD_SHARE * self.work
 
+    @property
+    def breaches_page(self) -> bool:
+        return self.work > page_limit(self.allowed) and self.told_work > TOLD_SHARE * self.work
+
 
 def overload_limit(allowed: float) -> float:
-    """What an engine survives in a window in which the settings allow it `allowed` mean requests."""
+    """What an engine survives in a window in which the settings allow it `allowed` mean requests, as this
+    project has it: more is a warning."""
     return allowed + 2 * sqrt(allowed) + 2
 
 
+def page_limit(allowed: float) -> float:
+    """The same as the operators' page has it: more is a breach."""
+    roots = ROOTS_OF_SMALL if allowed < SMALL_ALLOWANCE else 2
+    return allowed + roots * sqrt(allowed) + roots
+
+
 def windows(
     arrivals: Sequence[EngineArrival], allowed_at: Callable[[int], float], length: int
 ) -> list[Window]:
