Give each soak's gateways a loopback address of their own, and let troubles overlap more

Gateway n14 of one could not bind 35175 ('Address already in use'): an engine of the other listened there, and the clients of the one talked to it. A fault of the test, not of the gateway.

--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -65,9 +65,9 @@
         self._readers: set[asyncio.Task[None]] = set()
         self.lock = asyncio.Lock()  # one thing at a time is done to its process
 
-    def inherit(self) -> None:
+    def inherit(self, host: str) -> None:
         """Its address outlives its processes: a new version can take over."""
-        self.door = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self.door = socket.create_server((host, 0), backlog=512)
         self.config["listen"] = "{}:{}".format(*self.door.getsockname()[:2])
 
     @property
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -56,11 +56,18 @@
 }  # fmt: skip
 
 
-def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
-    """A port that nobody holds now."""
+def own_host() -> str:
+    """A loopback address for this runner's gateways alone: elsewhere a stand-in, or another runner, could
+    take a gateway's port between two of its processes."""
+    number = os.getpid()
+    return f"127.{64 + number % 128}.{number // 128 % 256}.1"
+
+
+def free_address(host: str, kind: socket.SocketKind = socket.SOCK_STREAM) -> str:
+    """One that nobody holds now."""
     with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+        probe.bind((host, 0))
+        return "{}:{}".format(*probe.getsockname())
 
 
 class Soak:
@@ -71,6 +78,7 @@
     ) -> None:
         self.seen = Observations(seed)
         self._seed, self._count, self._seconds, self._troubles = seed, gateways, seconds, troubles
+        self._host = own_host()
         self._keep = folder is not None
         self._folder = folder or Path(tempfile.mkdtemp(prefix="soak-"))
         self._fleet = Fleet(self.seen)
@@ -122,8 +130,7 @@
             engine = Engine(self._fleet, f"e{number}", role, ZONES[number % len(ZONES)], self._seed)
             await engine.start()
             await self._discovery.tell(engine)
-        ports = [free_port(socket.SOCK_DGRAM) for _ in range(self._count)]
-        peers = [f"127.0.0.1:{port}" for port in ports]
+        peers = [free_address(self._host, socket.SOCK_DGRAM) for _ in range(self._count)]
         for number in range(self._count):
             self._gateways.append(await self._gateway(number, peers))
         starting = asyncio.Semaphore(STARTED_AT_ONCE)
@@ -139,14 +146,14 @@
             **SETTINGS, "balancers": self._count, "me": number, "zone": number % len(ZONES),
         }  # fmt: skip
         config = {
-            "name": f"n{number}", "listen": f"127.0.0.1:{free_port()}", "seed": f"{self._seed + number:x}",
+            "name": f"n{number}", "listen": free_address(self._host), "seed": f"{self._seed + number:x}",
             "discovery": await self._discovery.address_for(number), "known": self._discovery.whole(),
             "settings": settings, "limits": {"sockets": 512, "memory_mb": 128},
             "management": "127.0.0.1:0", "peers": peers, "peer_listen": peers[number],
         }  # fmt: skip
         gateway = GatewayProcess(self.seen, number, self._folder / f"n{number}", config)
         if number % 3 == 0:
-            gateway.inherit()
+            gateway.inherit(self._host)
         return gateway
 
     async def _load(self) -> None:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -64,7 +64,7 @@
     TroubleKind.CLIENTS_SLOW: (1.0, 4.0),
 }  # fmt: skip
 QUIET_START = 3.0  # s before the first trouble: all is learnt by then
-GROUP_PAUSE = (1.0, 3.0)  # s between two groups of troubles
+GROUP_STEP = (2.0, 5.0)  # s from the start of one group of troubles to that of the next
 MOST_TARGETS = 4  # gateways or engines that one trouble concerns
 
 
@@ -83,15 +83,14 @@
 
 
 def draw(seed: int, gateways: int, engines: int, seconds: float, only: Sequence[str] = ()) -> list[Trouble]:
-    """Groups of two or three troubles that overlap, each group well after the one before. `only` names the
-    kinds to draw from, by the whole value or the part before the colon; none: all."""
+    """Groups of two to four troubles that begin within a second; the next group may come while they last.
+    `only` names the kinds to draw from, by the whole value or the part before the colon; none: all."""
     lot = random.Random(seed)
     kinds = [k for k in TroubleKind if not only or k.value in only or k.target in only]
     out, at = list[Trouble](), QUIET_START
     while at < seconds - 2.0:
-        group = [_draw_one(lot, kind, at, gateways, engines) for kind in _pick(lot, kinds)]
-        out += group
-        at = max(trouble.start + trouble.length for trouble in group) + lot.uniform(*GROUP_PAUSE)
+        out += [_draw_one(lot, kind, at, gateways, engines) for kind in _pick(lot, kinds)]
+        at += lot.uniform(*GROUP_STEP)
     return out
 
 
