--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -65,10 +65,10 @@
         self._readers: set[asyncio.Task[None]] = set()
         self.lock = asyncio.Lock()  # one thing at a time is done to its process
 
-    def inherit(self, host: str) -> None:
+    def inherit(self) -> None:
         """Its address outlives its processes: a new version can take over."""
-        self.door = socket.create_server((host, 0), backlog=512)
-        self.config["listen"] = "{}:{}".format(*self.door.getsockname()[:2])
+        host, _, port = self.address.rpartition(":")
+        self.door = socket.create_server((host, int(port)), backlog=512)
 
     @property
     def address(self) -> str:
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -63,11 +63,13 @@
     return f"127.{64 + number % 128}.{number // 128 % 256}.1"
 
 
-def free_address(host: str, kind: socket.SocketKind = socket.SOCK_STREAM) -> str:
-    """One that nobody holds now."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((host, 0))
-        return "{}:{}".format(*probe.getsockname())
+def free_addresses(host: str, count: int, kind: socket.SocketKind) -> list[str]:
+    """So many different ones that nobody holds now."""
+    with contextlib.ExitStack() as held:
+        probes = [held.enter_context(socket.socket(socket.AF_INET, kind)) for _ in range(count)]
+        for probe in probes:
+            probe.bind((host, 0))
+        return ["{}:{}".format(*probe.getsockname()) for probe in probes]
 
 
 class Soak:
@@ -130,9 +132,10 @@
             engine = Engine(self._fleet, f"e{number}", role, ZONES[number % len(ZONES)], self._seed)
             await engine.start()
             await self._discovery.tell(engine)
-        peers = [free_address(self._host, socket.SOCK_DGRAM) for _ in range(self._count)]
+        peers = free_addresses(self._host, self._count, socket.SOCK_DGRAM)
+        listen = free_addresses(self._host, self._count, socket.SOCK_STREAM)
         for number in range(self._count):
-            self._gateways.append(await self._gateway(number, peers))
+            self._gateways.append(await self._gateway(number, listen[number], peers))
         starting = asyncio.Semaphore(STARTED_AT_ONCE)
 
         async def start(gateway: GatewayProcess) -> None:
@@ -141,19 +144,19 @@
 
         await asyncio.gather(*(start(gateway) for gateway in self._gateways))
 
-    async def _gateway(self, number: int, peers: list[str]) -> GatewayProcess:
+    async def _gateway(self, number: int, listen: str, peers: list[str]) -> GatewayProcess:
         settings = {
             **SETTINGS, "balancers": self._count, "me": number, "zone": number % len(ZONES),
         }  # fmt: skip
         config = {
-            "name": f"n{number}", "listen": free_address(self._host), "seed": f"{self._seed + number:x}",
+            "name": f"n{number}", "listen": listen, "seed": f"{self._seed + number:x}",
             "discovery": await self._discovery.address_for(number), "known": self._discovery.whole(),
             "settings": settings, "limits": {"sockets": 512, "memory_mb": 128},
             "management": "127.0.0.1:0", "peers": peers, "peer_listen": peers[number],
         }  # fmt: skip
         gateway = GatewayProcess(self.seen, number, self._folder / f"n{number}", config)
         if number % 3 == 0:
-            gateway.inherit(self._host)
+            gateway.inherit()
         return gateway
 
     async def _load(self) -> None:
--- a/tests/test_request_time.py
+++ b/tests/test_request_time.py
@@ -12,7 +12,7 @@
 from basaltspread import core
 from basaltspread.adapter import settings_from
 from basaltspread.net.clients import REQUEST_PATIENCE, Client, Exchange, WaitEnd
-from basaltspread.net.links import BODY_LIMIT, READ_SIZE, Ear
+from basaltspread.net.links import BODY_LIMIT, READ_SIZE, Ear, LinkError
 from basaltspread.net.platform import Front
 from tests.standins import SETTINGS
 
@@ -131,6 +131,27 @@
             self.assertIs(await door.client.wait_for(exchange), WaitEnd.CLIENT_LEFT)
         self.assertEqual(later.call_args_list, [])
 
+    async def test_nothing_is_taken_before_all_that_a_client_has_sent_is_read(self) -> None:
+        """Found by the soak: while a gateway was killed, a client flooded the inherited door and left. The
+        new process sent its request on, 1.9 s after the close that stood behind the flood."""
+        door = Door()
+        loop = asyncio.get_running_loop()
+        serving = asyncio.ensure_future(door.client._one())
+        door.reader.feed_data(HEAD % b"q" + b"{}" + b"x" * READ_SIZE)
+
+        def more(left: int) -> None:
+            """As a transport does, a turn after some room has been made."""
+            if left:
+                door.reader.feed_data(b"x" * READ_SIZE)
+                loop.call_soon(more, left - 1)
+            else:
+                door.reader.feed_eof()
+
+        loop.call_soon(more, 30)
+        with self.assertRaises(LinkError):
+            await serving
+        self.assertIsNone(door.taken())
+
     async def test_a_client_that_sends_without_end_is_given_its_answer(self) -> None:
         door = Door()
         exchange = Exchange(door.client, mock.MagicMock(headers=[], method=b"POST", target=b"/"), b"")
