Read all that a client has sent before its request is taken

Cause: a close is known once what stands before it has been read, and the socket holds no more than its buffer: the rest waits at the client. Who sends nothing ahead waits for nothing.

--- a/basaltspread/net/clients.py
+++ b/basaltspread/net/clients.py
@@ -151,6 +151,7 @@
         self._early = b""  # what came while the answer was awaited
         self._early_since = 0.0  # when the first of it came
         self._dropped = 0  # bytes that came ahead past what is kept
+        self._consumed = 0  # bytes taken out of the reader
         self.idle = True  # not a byte of a next request has come
         self.spoke = False  # a byte has come at all
         self.rests_since = self._opened = time.monotonic()
@@ -323,7 +324,7 @@
         """Of a next request; none if the connection has rested too long, or is let go."""
         try:
             async with asyncio.timeout(by - time.monotonic()) as self._wait:
-                return await self._reader.read(READ_SIZE)
+                return await self._piece()
         except TimeoutError:
             self._front.runtime.count("clients_rested_out" if self.spoke else "clients_silent")
             self._ends_for = CloseReason.RESTED if self.spoke else CloseReason.SAID_NOTHING
@@ -331,13 +332,31 @@
             self._wait = None
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(LAST_LOOK):
-                return await self._reader.read(READ_SIZE)
+                return await self._piece()
         return b""
 
+    async def _piece(self) -> bytes:
+        data = await self._reader.read(READ_SIZE)
+        self._consumed += len(data)
+        return data
+
+    async def read_ahead(self) -> WaitEnd | None:
+        """Read all that the client has sent behind its request so far, before anything is begun for it: its
+        close may stand behind that. None if it is still there."""
+        while self._reader.heard > self._consumed and not self.has_left():
+            data = await self._piece()  # it is there
+            if not self._keeps(data):
+                self._dropped += len(data)
+            if self._dropped > DROPPED_LIMIT:
+                return WaitEnd.CLIENT_FLOODS
+            if self._reader.heard == self._consumed:  # more may be under way, now that there is room
+                await asyncio.sleep(LAST_LOOK)
+        return WaitEnd.CLIENT_LEFT if self.has_left() else None
+
     async def _more_bytes(self, by: float) -> bytes:
         try:
             async with asyncio.timeout(by - time.monotonic()):
-                return await self._reader.read(READ_SIZE)
+                return await self._piece()
         except TimeoutError as error:
             raise BadRequest(408, "the request did not arrive whole") from error
 
@@ -397,7 +416,7 @@
         while not done.done():
             if self.has_left():
                 return WaitEnd.CLIENT_LEFT
-            read: asyncio.Future[Any] = asyncio.ensure_future(self._reader.read(READ_SIZE))
+            read: asyncio.Future[Any] = asyncio.ensure_future(self._piece())
             await asyncio.wait({read, done}, return_when=asyncio.FIRST_COMPLETED)
             if not read.done():
                 # Until the cancelled read is over, the stream refuses another: the connection would be lost.
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -243,9 +243,13 @@
         arrival = arrival_from(fields, self._config.settings)
         rid = arrival.request
         await asyncio.sleep(0)  # a close that came with the request's last bytes is read by then
-        if client.has_left():
+        ahead = await client.read_ahead()
+        if ahead is WaitEnd.CLIENT_LEFT:
             self.runtime.count("clients_gone_before")
             raise LinkError(Ending.CLIENT_LEFT)
+        if ahead is WaitEnd.CLIENT_FLOODS:
+            self.runtime.count("clients_flooding")
+            client.refused = True
         if client.refused:
             self.runtime.feed(core.TurnedAway(arrival.request_class))
             client.answer_last(503, "ask elsewhere, or later", [(b"Retry-After", b"1")])
