--- a/basaltspread/net/clients.py
+++ b/basaltspread/net/clients.py
@@ -19,7 +19,7 @@
 from basaltspread import core
 from basaltspread.core import Ending, guards, invariants
 from basaltspread.net import tcp_info
-from basaltspread.net.links import BODY_LIMIT, HEAD_LIMIT, READ_SIZE, Ear, Headers, LinkError
+from basaltspread.net.links import BODY_LIMIT, HEAD_LIMIT, READ_SIZE, Headers, LinkError, TimedReader
 from basaltspread.net.parsing import BadRequest, check_head
 from basaltspread.net.runtime import CLIENT_BUFFER
 from basaltspread.records import record
@@ -52,7 +52,7 @@
 }  # fmt: skip
 
 
-class Seats:
+class ClientTable:
     """The clients' connections that are open, and which idle one makes room first: one that was opened and
     said nothing, then the one that rests longest; one just opened only after these, as its first bytes may be
     under way. Every step costs the same however many there are."""
@@ -145,7 +145,7 @@
 class Client:
     """One client connection: one request at a time, its answer, and the watch for the client's leaving."""
 
-    def __init__(self, front: Front, reader: Ear, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, front: Front, reader: TimedReader, writer: asyncio.StreamWriter) -> None:
         self._front, self._reader, self._writer = front, reader, writer
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
         self._early = b""  # what came while the answer was awaited
@@ -169,7 +169,7 @@
         try:
             while await self._one():
                 self.idle, self.rests_since = True, time.monotonic()
-                self._front.seats.rests(self, self.rests_since)
+                self._front.client_table.rests(self, self.rests_since)
                 if core.leaving(self._front.runtime.state):  # a head that went out before could not say so
                     if not self._early and not self._http.trailing_data[0]:
                         self._ends_for = CloseReason.LET_GO
@@ -184,7 +184,7 @@
     def close(self, reason: CloseReason) -> None:
         """The one way in which this side closes. What was written still goes out; a stream not ended stays
         without its last chunk."""
-        self._front.seats.left(self)
+        self._front.client_table.left(self)
         if self._writer.transport.is_closing():
             return
         self._note_close(reason)
@@ -236,7 +236,7 @@
 
     def abort(self, reason: CloseReason | None = None) -> None:
         """Closes without waiting for what was written to go out; with no reason, what is closed already."""
-        self._front.seats.left(self)
+        self._front.client_table.left(self)
         if reason is not None:
             self._note_close(reason)
         self._writer.transport.abort()
@@ -318,7 +318,7 @@
     def _begins(self) -> None:
         """The first bytes of a next request are here."""
         self.idle, self.spoke = False, True
-        self._front.seats.busy(self)
+        self._front.client_table.busy(self)
 
     async def _first_bytes(self, by: float) -> bytes:
         """Of a next request; none if the connection has rested too long, or is let go."""
--- a/basaltspread/net/links.py
+++ b/basaltspread/net/links.py
@@ -94,7 +94,7 @@
     body: bytes
 
 
-class Ear(asyncio.StreamReader):
+class TimedReader(asyncio.StreamReader):
     """Counts what comes in, so that bytes that nobody asked for are noticed, and bounds the waits for it by
     one alarm: that is put off, not set anew, by each piece that comes. A stream of many pieces would else
     spend more on the loop's timers than on passing its pieces on."""
@@ -165,10 +165,10 @@
             self._alarm = None
 
 
-async def connect(**where: Any) -> tuple[Ear, asyncio.StreamWriter]:
+async def connect(**where: Any) -> tuple[TimedReader, asyncio.StreamWriter]:
     """asyncio.open_connection with that reader."""
     loop = asyncio.get_running_loop()
-    reader = Ear(limit=READ_SIZE, loop=loop)
+    reader = TimedReader(limit=READ_SIZE, loop=loop)
     protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
     transport, _ = await loop.create_connection(lambda: protocol, **where)
     return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
@@ -180,7 +180,7 @@
     def __init__(
         self,
         address: str,
-        reader: Ear,
+        reader: TimedReader,
         writer: asyncio.StreamWriter,
         free: Callable[[], None],
     ) -> None:
@@ -285,7 +285,7 @@
 
     @classmethod
     def running(
-        cls, address: str, reader: Ear, writer: asyncio.StreamWriter, free: Callable[[], None]
+        cls, address: str, reader: TimedReader, writer: asyncio.StreamWriter, free: Callable[[], None]
     ) -> Link:
         """A link whose answer another process has read up to the end of a chunk."""
         link = cls(address, reader, writer, free)
@@ -382,7 +382,7 @@
         self._counters["links_opened"] += 1
         return Link(address, reader, writer, self._descriptors.free)
 
-    async def _connect(self, address: str) -> tuple[Ear, asyncio.StreamWriter]:
+    async def _connect(self, address: str) -> tuple[TimedReader, asyncio.StreamWriter]:
         """A new connection. While this machine itself can't make one, it is tried again: that says nothing of
         the other side, and each attempt given up would be one less that the request has."""
         host, _, port = address.rpartition(":")
--- a/basaltspread/net/door.py
+++ b/basaltspread/net/listener.py
@@ -15,7 +15,7 @@
 
 from basaltspread.config import split_address
 from basaltspread.net import faults
-from basaltspread.net.links import READ_SIZE, Ear
+from basaltspread.net.links import READ_SIZE, TimedReader
 
 log = logging.getLogger("basaltspread")
 ACCEPT_PAUSE = 0.005  # s without a try after accept failed, at first
@@ -25,7 +25,7 @@
 Accept = Callable[[Any, asyncio.StreamWriter], Coroutine[Any, Any, None]]
 
 
-class Door:
+class Listener:
     """A listening socket of which each connection goes to `accept`.
 
     At most `at_once` are accepted in one turn of the loop: before any budget is asked, nothing else bounds
@@ -127,11 +127,11 @@
             self._note(error)  # it broke as it was taken
 
     def _protocol(self) -> asyncio.StreamReaderProtocol:
-        reader = Ear(limit=READ_SIZE, loop=self._loop)
+        reader = TimedReader(limit=READ_SIZE, loop=self._loop)
         return asyncio.StreamReaderProtocol(reader, self._accept, loop=self._loop)
 
 
-async def open_door(
+async def open_listener(
     key: str,
     listen: str,
     accept: Accept,
@@ -139,7 +139,7 @@
     at_once: int,
     inherited: int | None = None,
     counters: Counter[str] | None = None,
-) -> Door:
+) -> Listener:
     """Serve what connects to an address (named `key` in errors), or to a socket that listens there already.
     `queue` connections may wait in the kernel. Raises ConfigError, or OSError where the address is taken."""
     host, port = split_address(key, listen)
@@ -151,4 +151,4 @@
     listener.setblocking(False)
     listener.listen(queue)
     counted = counters if counters is not None else Counter[str]()
-    return Door(listener, accept, at_once, counted, inherited is not None)
+    return Listener(listener, accept, at_once, counted, inherited is not None)
--- a/basaltspread/net/management.py
+++ b/basaltspread/net/management.py
@@ -20,8 +20,8 @@
 from basaltspread import core
 from basaltspread.core import Order, Verdict
 from basaltspread.net.clients import REASONS
-from basaltspread.net.door import open_door
 from basaltspread.net.links import READ_SIZE
+from basaltspread.net.listener import open_listener
 from basaltspread.net.parsing import BadRequest
 from basaltspread.net.runtime import MANAGEMENT_DESCRIPTORS, Runtime
 
@@ -50,7 +50,7 @@
 
     async def start(self) -> None:
         counters = self._runtime.counters
-        door = await open_door(
+        door = await open_listener(
             "management", self._listen, self._accept, QUEUE, ACCEPTED_AT_ONCE, counters=counters
         )
         log.info("operators call %s", door.address)
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -32,14 +32,14 @@
     CLIENT_PATIENCE,
     LAST_LOOK,
     Client,
+    ClientTable,
     CloseReason,
     Exchange,
     ReceivedRequest,
-    Seats,
     WaitEnd,
 )
-from basaltspread.net.door import Door, open_door
-from basaltspread.net.links import PART_PATIENCE, Ear, Link, LinkError, connect, load_json
+from basaltspread.net.links import PART_PATIENCE, Link, LinkError, TimedReader, connect, load_json
+from basaltspread.net.listener import Listener, open_listener
 from basaltspread.net.parsing import BadRequest, NoRoom, arrival_from, parse_list, parse_report
 from basaltspread.net.runtime import Runtime
 from basaltspread.net.sse import END, TooLong
@@ -86,12 +86,12 @@
         self._splitters: dict[tuple[str, int], Splitter] = {}  # of their streams, where tools may be called
         self._places: dict[tuple[str, str], PlaceCall] = {}
         self._clients: dict[Client, asyncio.Task[None]] = {}
-        self.seats = Seats()
+        self.client_table = ClientTable()
         self._used: dict[str, float] = {}  # ids of requests that are over: until when known
         self._used_for = max((c.deadline for c in config.settings.classes), default=0) / 1e6
         self._bodies = self.read_ahead = 0  # bytes: of requests under way, and of what came meanwhile
         self._bad_second = self._bad_lines = self._odd_report_second = self._full_second = 0
-        self._door: Door | None = None
+        self._listener: Listener | None = None
         self._watching: dict[str, asyncio.Task[None]] = {}  # by discovery's address; two while it moves
         self._told_by: str | None = None  # whose answer came last
         self._asked = asyncio.Event()  # set by discovery's first answer
@@ -130,7 +130,7 @@
         facts = StartFacts(list_awaited=True, bans_read=self.runtime.looked_at_files)
         if guards.may_serve(facts) is not None:
             self.runtime.feed(core.Violated(Invariant.SERVED_TOO_EARLY.value))
-        self._door = await open_door(
+        self._listener = await open_listener(
             "listen",
             self._config.listen,
             self._accept,
@@ -139,7 +139,7 @@
             self._config.door,
             self.runtime.counters,
         )
-        self.address = self._door.address
+        self.address = self._listener.address
         self.runtime.take_over_streams(self._take_over)
         self.runtime.feed(core.Serving())
         log.info("serving %s on %s", self._config.name, self.address)
@@ -152,8 +152,8 @@
             await asyncio.wait(busy, timeout=2.0)
 
     def _stop_listening(self) -> None:
-        if self._door is not None:
-            self._door.close()
+        if self._listener is not None:
+            self._listener.close()
 
     def _stop_accepting(self) -> None:
         self._stop_listening()
@@ -167,24 +167,24 @@
             if client.idle and client.rests_since <= before:
                 client.let_go()
 
-    async def _accept(self, reader: Ear, writer: asyncio.StreamWriter) -> None:
+    async def _accept(self, reader: TimedReader, writer: asyncio.StreamWriter) -> None:
         client = Client(self, reader, writer)
         client.refused = not self.runtime.state.accepting  # it waited at the door as that was shut
         # Engines need descriptors too, or each request taken would fail: an idle client goes, else this
         # one is refused in words, as an accepted connection may carry a request already.
         most = self.runtime.descriptors.limit * CLIENT_SHARE
-        if len(self.seats) >= most:
+        if len(self.client_table) >= most:
             if int(time.monotonic()) != self._full_second:
                 self._full_second = int(time.monotonic())
                 log.warning("clients fill %d descriptors: idle ones make room, or it is refused", most)
-            idle = self.seats.idlest(time.monotonic())
+            idle = self.client_table.idlest(time.monotonic())
             if idle is not None:
                 self.runtime.count("clients_made_room")
                 idle.abort(CloseReason.MADE_ROOM)
             else:
                 self.runtime.count("clients_over_budget")
                 client.refused = True
-                if len(self.seats) >= most + MOST_REFUSED:
+                if len(self.client_table) >= most + MOST_REFUSED:
                     client.abort(CloseReason.NO_ROOM)
         self.runtime.count("clients_accepted")
         await self._keep(client, writer, client.serve())
@@ -198,9 +198,9 @@
         assert task is not None
         self._clients[client] = task
         if not client.leaving():
-            self.seats.opened(client, client.rests_since)
+            self.client_table.opened(client, client.rests_since)
             if not client.idle:  # taken over in the middle of an answer
-                self.seats.busy(client)
+                self.client_table.busy(client)
         try:
             await work
             async with asyncio.timeout(CLIENT_PATIENCE):
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -35,7 +35,7 @@
 BODY_BUDGET = 0.2  # share of the memory limit that request bodies may take
 
 
-class Wheel:
+class TimerWheel:
     """Coarse timers: what is due within a tick fires together, and the loop wakes only for ticks that hold
     something. A timer in a tick that holds others costs an append, a first one a push on a heap of ticks."""
 
@@ -97,7 +97,7 @@
         self.descriptors = Descriptors(sockets)
         self.pool = Pool(self.descriptors, connect_timeout, idle, self.counters)
         self.reconfigure(sockets, memory_mb)
-        self.wheel = Wheel(lambda token: self.feed(core.Woken(token)), self.clock.now)
+        self.wheel = TimerWheel(lambda token: self.feed(core.Woken(token)), self.clock.now)
         self.over = asyncio.Event()
         self.on_terminate: list[Callable[[], None]] = []
         self._queue: deque[core.Input] = deque()
--- a/tests/test_local_faults.py
+++ b/tests/test_local_faults.py
@@ -11,8 +11,8 @@
 from typing import Any
 from unittest import mock
 
-from basaltspread.net.door import LONGEST_ACCEPT_PAUSE, open_door
 from basaltspread.net.links import Descriptors, Pool
+from basaltspread.net.listener import LONGEST_ACCEPT_PAUSE, open_listener
 
 MOMENTARY = (
     errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENETDOWN, errno.ENOBUFS, errno.ENFILE, errno.ENOMEM,
@@ -80,7 +80,7 @@
         with mock.patch.object(socket.socket, "accept", failing):
             with mock.patch.object(loop, "call_later", wraps=loop.call_later) as later:
                 counters = Counter[str]()
-                door = await open_door("listen", "127.0.0.1:0", accept, 16, 4, counters=counters)
+                door = await open_listener("listen", "127.0.0.1:0", accept, 16, 4, counters=counters)
                 host, _, port = door.address.rpartition(":")
                 clients = [await asyncio.open_connection(host, int(port)) for _ in range(WAITING)]
                 if ends:
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -17,7 +17,7 @@
 
 from basaltspread import core
 from basaltspread.net.clients import Client
-from basaltspread.net.links import Ear, Link
+from basaltspread.net.links import Link, TimedReader
 from basaltspread.net.shared_files import BanFile
 from tests.standins import (
     DONE,
@@ -221,7 +221,7 @@
             (b"5\r\nhello\r\n3\r\nyou\r\n", True), (b"3\r\n1\n\n", False), (b"3\r\n1\n\n\r\n", True),
             (b"2\r\n\r\n", False), (b"4\r\nx\r\n\n", False), (b"0\r\n", False),
         ):  # fmt: skip
-            reader, writer = Ear(limit=65536), mock.MagicMock()
+            reader, writer = TimedReader(limit=65536), mock.MagicMock()
             writer.transport.is_closing.return_value = False
             writer.transport.get_write_buffer_size.return_value = 0
             link = Link("x:1", reader, writer, mock.MagicMock())
@@ -239,7 +239,7 @@
 class LetGoTest(unittest.IsolatedAsyncioTestCase):
     async def test_bytes_under_way_keep_a_connection_that_is_let_go(self) -> None:
         for under_way in (b"", b"POST"):
-            reader = Ear()
+            reader = TimedReader()
             client = Client(mock.MagicMock(), reader, mock.MagicMock())
             first = asyncio.ensure_future(client._first_bytes(time.monotonic() + PATIENCE))
             await asyncio.sleep(0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,7 +19,7 @@
 from basaltspread.adapter import settings_from
 from basaltspread.control.asking import TOLD_WITHIN, retry_pause
 from basaltspread.core import AskPlace, Ending
-from basaltspread.net.clients import Client, Seats
+from basaltspread.net.clients import Client, ClientTable
 from basaltspread.net.links import LinkError
 from basaltspread.net.parsing import BadRequest, arrival_from, parse_facts, parse_list, parse_report
 from basaltspread.net.platform import Front, PlaceCall
@@ -91,7 +91,7 @@
             self.assertEqual(found, (least, most), failures)
 
     def test_which_idle_connection_makes_room(self) -> None:
-        seats, now = Seats(), 100.0
+        seats, now = ClientTable(), 100.0
         silent, early, late, busy, fresh = (cast(Client, name) for name in ("s", "e", "l", "b", "f"))
         for client, opened in ((early, 10.0), (late, 20.0), (busy, 30.0), (silent, 99.0), (fresh, 99.9)):
             seats.opened(client, opened)
@@ -269,7 +269,7 @@
             return mock.MagicMock(address="here")
 
         front._discover("127.0.0.1:1", 5)
-        with mock.patch("basaltspread.net.platform.open_door", door):
+        with mock.patch("basaltspread.net.platform.open_listener", door):
             await front.start()
         self.assertEqual(order, ["door after 2 calls"])
         self.assertEqual([c.partition("?")[2] for c in calls], ["from=5&hold_ms=1", "from=7&hold_ms=2000"])
--- a/tests/test_request_time.py
+++ b/tests/test_request_time.py
@@ -12,7 +12,7 @@
 from basaltspread import core
 from basaltspread.adapter import settings_from
 from basaltspread.net.clients import REQUEST_PATIENCE, Client, Exchange, WaitEnd
-from basaltspread.net.links import BODY_LIMIT, READ_SIZE, Ear, LinkError
+from basaltspread.net.links import BODY_LIMIT, READ_SIZE, LinkError, TimedReader
 from basaltspread.net.platform import Front
 from tests.standins import SETTINGS
 
@@ -34,7 +34,7 @@
         runtime.state.draining_since = None
         config = mock.MagicMock(settings=settings_from(SETTINGS))
         self.front = Front(runtime, config)
-        self.reader = Ear(limit=READ_SIZE)
+        self.reader = TimedReader(limit=READ_SIZE)
         writer = mock.MagicMock()
         writer.transport.get_write_buffer_size.return_value = 0
         writer.get_extra_info.return_value.getsockopt = lambda level, name, size: tcp_info[:size]
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -12,8 +12,8 @@
 import pytest
 
 from basaltspread.endings import Ending
-from basaltspread.net.links import Descriptors, Ear, Link, LinkError, Pool
-from basaltspread.net.runtime import Wheel
+from basaltspread.net.links import Descriptors, Link, LinkError, Pool, TimedReader
+from basaltspread.net.runtime import TimerWheel
 
 
 class Loop:
@@ -36,7 +36,7 @@
 
 def test_the_wheel_wakes_only_for_what_is_due() -> None:
     loop, fired = Loop(), list[tuple[Any, ...]]()
-    wheel = Wheel(lambda token: fired.append((loop.now, *token)), lambda: loop.now)
+    wheel = TimerWheel(lambda token: fired.append((loop.now, *token)), lambda: loop.now)
     with mock.patch("asyncio.get_running_loop", return_value=loop):
         wheel.set(loop.now + 60_000_000, ("far",))
         wheel.set(loop.now + 1_000, ("near",))
@@ -52,7 +52,7 @@
 
 def test_a_timer_set_by_one_that_fires_is_kept() -> None:
     loop, fired = Loop(), list[str]()
-    wheel = Wheel(lambda token: again(*token), lambda: loop.now)
+    wheel = TimerWheel(lambda token: again(*token), lambda: loop.now)
 
     def again(left: int) -> None:
         fired.append(f"{loop.now // 1000}")
@@ -68,7 +68,7 @@
 
 def test_a_stream_of_many_pieces_sets_one_alarm() -> None:
     async def run() -> int:
-        loop, ear, taken = asyncio.get_running_loop(), Ear(), 0
+        loop, ear, taken = asyncio.get_running_loop(), TimedReader(), 0
         with mock.patch.object(loop, "call_at", wraps=loop.call_at) as alarms:
             for _ in range(100):
                 loop.call_soon(ear.feed_data, b"piece")
@@ -81,7 +81,7 @@
 
 def test_a_silence_ends_a_wait_and_what_is_there_does_not_wait() -> None:
     async def run() -> None:
-        ear = Ear()
+        ear = TimedReader()
         with pytest.raises(TimeoutError):
             await ear.piece(0, 0.0)
         ear.feed_data(b"late")
@@ -100,7 +100,7 @@
 
 def test_a_break_ends_a_wait() -> None:
     async def run() -> None:
-        ear = Ear()
+        ear = TimedReader()
         asyncio.get_running_loop().call_soon(ear.set_exception, ConnectionResetError())
         with pytest.raises(ConnectionResetError):
             await ear.piece(0, 600.0)
@@ -115,7 +115,7 @@
     for a tool, and the whole gateway stood still."""
 
     async def run() -> Ending:
-        ear, writer = Ear(), mock.MagicMock()
+        ear, writer = TimedReader(), mock.MagicMock()
         writer.transport.is_closing.return_value = False
         writer.transport.get_write_buffer_size.return_value = 0
         link = Link("127.0.0.1:1", ear, writer, lambda: None)
