--- a/basaltspread/net/clients.py
+++ b/basaltspread/net/clients.py
@@ -298,7 +298,7 @@
                         return None
                 if self.idle:
                     began_at = came_at if self.spoke else self._connected_at
-                    by = (time.monotonic() if self.spoke else self._opened) + REQUEST_PATIENCE
+                    by = self._rest_by()
                     self._begins()
                 self._received_at = came_at
                 self._http.receive_data(data)
@@ -315,6 +315,14 @@
                 self._ends_for = CloseReason.CLIENT_LEFT
                 return None
 
+    def _rest_by(self) -> float:
+        """By when the rest of a request has to come whose first bytes are here. A first one may have waited in
+        the system's queue; what else lies there is read at once."""
+        now = time.monotonic()
+        if self.spoke:
+            return now + REQUEST_PATIENCE
+        return max(self._connected_at + REQUEST_PATIENCE, now + FIRST_BYTES_UNDER_WAY)
+
     def _begins(self) -> None:
         """The first bytes of a next request are here."""
         self.idle, self.spoke = False, True
