--- a/basaltspread/conformance/mutants.py
+++ b/basaltspread/conformance/mutants.py
@@ -70,7 +70,7 @@
     ),
     _mutant(
         "answers-repeats", "each id gets one reply", "ids/repeated-* batch/one-unsafe-and-one-repeated-id",
-        Edit(STEPS, "if wanted.call in q.calls:", "if False:"),
+        Edit(STEPS, "if wanted.call in request.calls:", "if False:"),
         Edit(DISPATCH, "if key in self.jobs:\n            raise", "if False:\n            raise"),
     ),
     _mutant(
@@ -149,7 +149,7 @@
     ),
     _mutant(
         "resumed-may-order", "no unsafe call in a resumed stream", "requests/unsafe-in-a-resumed-stream killed/*",
-        Edit(STEPS, "(not q.unsafe or q.resumed)", "not q.unsafe"),
+        Edit(STEPS, "(not request.unsafe or request.resumed)", "not request.unsafe"),
     ),
     _mutant(
         "forgets-ids-in-upgrade", "each id one reply, through an upgrade", "upgrade/stream-is-handed-on",
@@ -161,7 +161,7 @@
     ),
     _mutant(
         "hands-on-with-calls-open", "no call is lost in an upgrade", "upgrade/open-call-ends-first",
-        Edit(REDUCER, "if not (q.ended or q.open or q.bundles))", "if not q.ended)"),
+        Edit(REDUCER, "if not (r.ended or r.open or r.bundles))", "if not r.ended)"),
     ),
     _mutant(
         "session-ids-clash", "ids are unique in a session", "mcp/initialize-first",
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -143,19 +143,19 @@
     def fault(self, event: Input, trace: str) -> None:
         self.count("core_faults")
         self.do(Say(f"core fault on {type(event).__name__}: {trace}"))
-        q = self.state.requests.pop(getattr(event, "request", ""), None)
-        if q is None:
+        request = self.state.requests.pop(getattr(event, "request", ""), None)
+        if request is None:
             return
-        if not q.ended:
-            self._end(q, Verdict.FAILED)
-            self.do(Answer(q.id, Verdict.FAILED) if q.stream is None else BreakClient(q.id))
-        elif q.owed:
-            self.do(Answer(q.id, Verdict.FAILED))
-        for attempt in q.out():
-            self.do(AbandonAttempt(q.id, attempt.number))
-        self.orphan_calls(q)
-        if q.may_hold or q.asking:
-            self._release(q.id, q)
+        if not request.ended:
+            self._end(request, Verdict.FAILED)
+            self.do(Answer(request.id, Verdict.FAILED) if request.stream is None else BreakClient(request.id))
+        elif request.owed:
+            self.do(Answer(request.id, Verdict.FAILED))
+        for attempt in request.out():
+            self.do(AbandonAttempt(request.id, attempt.number))
+        self.orphan_calls(request)
+        if request.may_hold or request.asking:
+            self._release(request.id, request)
 
     def _ask_module(self, event: api.Event) -> None:
         try:
@@ -163,11 +163,11 @@
         except Exception as error:  # a fault in one decision must not take the other requests with it
             self.count("module_faults")
             self.do(Say(f"module fault on {type(event).__name__}: {type(error).__name__}: {error}"))
-            q = self.state.requests.get(getattr(event, "request", ""))
-            if q is not None:
-                self._answer(q, Verdict.FAILED)
-                for attempt in q.out():  # told of each, so that the module's counts fall
-                    self._close(q, attempt, Ending.GATEWAY_FAULT, abandon=True)
+            request = self.state.requests.get(getattr(event, "request", ""))
+            if request is not None:
+                self._answer(request, Verdict.FAILED)
+                for attempt in request.out():  # told of each, so that the module's counts fall
+                    self._close(request, attempt, Ending.GATEWAY_FAULT, abandon=True)
             return
         for action in actions:
             self.ACTIONS[type(action)](self, action)
@@ -176,27 +176,27 @@
         """After all that an input led to: a request with nothing in flight that is over lets go and is
         dropped. Guards against what the module can't know of: a read that ended well just as its connection
         was closed or broke leaves a state behind."""
-        q = self.state.requests.get(name)
-        if q is None or not q.ended or q.out():
+        request = self.state.requests.get(name)
+        if request is None or not request.ended or request.out():
             return
-        self.orphan_calls(q)
-        if q.may_hold:
+        self.orphan_calls(request)
+        if request.may_hold:
             self._release(name)
-        if not (q.asking or q.owed):
-            self._check(invariants.of_dropped(q))
+        if not (request.asking or request.owed):
+            self._check(invariants.of_dropped(request))
             del self.state.requests[name]
 
     # --- requests ---------------------------------------------------------------------------------------
 
-    def _find(self, request: str, number: int) -> tuple[Request, Attempt] | None:
-        q = self.state.requests.get(request)
-        if q is None or number >= len(q.attempts) or q.attempts[number].over:
+    def _find(self, name: str, number: int) -> tuple[Request, Attempt] | None:
+        request = self.state.requests.get(name)
+        if request is None or number >= len(request.attempts) or request.attempts[number].over:
             return None
-        return q, q.attempts[number]
+        return request, request.attempts[number]
 
-    def _unseen(self, q: Request) -> int:
+    def _unseen(self, request: Request) -> int:
         """How long yet an engine may not have seen that an attempt there was given up."""
-        return q.gave_up_at + GIVE_UP_PAUSE - self.now
+        return request.gave_up_at + GIVE_UP_PAUSE - self.now
 
     def taken(self, event: Taken) -> None:
         a = event.arrival
@@ -207,15 +207,15 @@
         )  # fmt: skip
         cls = self.state.settings.classes[a.request_class]
         unsafe = cls.effect is api.Effect.UNSAFE
-        q = Request(
+        request = Request(
             a.request, a.request_class, self.now + left, unsafe, a.is_resumed,
             tenant=a.tenant, prompt=a.prompt_tokens,
         )  # fmt: skip
-        self.state.requests[q.id] = q
-        self.touched[q.id] = None
-        q.note(self.now, "taken")
+        self.state.requests[request.id] = request
+        self.touched[request.id] = None
+        request.note(self.now, "taken")
         self.count("requests_taken")
-        self.do(Wake(q.deadline + DEADLINE_GUARD, ("deadline", q.id)))
+        self.do(Wake(request.deadline + DEADLINE_GUARD, ("deadline", request.id)))
         self.told.append(a)
         picture = self.state.picture
         due = picture.due(self.now) if picture is not None else None
@@ -223,28 +223,28 @@
             self.probe(api.Probe(due))
 
     def client_left(self, event: ClientLeft) -> None:
-        q = self.state.requests.get(event.request)
-        if q is None or q.ended:
+        request = self.state.requests.get(event.request)
+        if request is None or request.ended:
             return
         self.count("clients_gone")
-        self._end(q, None)
-        if q.stream is not None:
-            self._close(q, q.stream, event.ending, abandon=True)
+        self._end(request, None)
+        if request.stream is not None:
+            self._close(request, request.stream, event.ending, abandon=True)
         else:
-            self.told.append(api.ClientGone(q.id))
-            for attempt in q.out():  # also where the settings allow no cancel
+            self.told.append(api.ClientGone(request.id))
+            for attempt in request.out():  # also where the settings allow no cancel
                 if not attempt.begun:
-                    self._close(q, attempt, Ending.CALLED_BACK_UNSENT, abandon=True)
+                    self._close(request, attempt, Ending.CALLED_BACK_UNSENT, abandon=True)
 
     def violated(self, event: Violated) -> None:
         request = self.state.requests.get(event.request)
         self._check(invariants.Breach(invariants.Invariant(event.invariant), request))
 
     def client_floods(self, event: ClientFloods) -> None:
-        q = self.state.requests.get(event.request)
-        if q is not None and not q.ended and q.stream is None:
+        request = self.state.requests.get(event.request)
+        if request is not None and not request.ended and request.stream is None:
             self.count("clients_flooding")
-            self._give_up(q)
+            self._give_up(request)
 
     def turned_away(self, event: TurnedAway) -> None:
         self.state.replies[event.request_class, Verdict.REFUSED] += 1
@@ -252,75 +252,77 @@
     def serving(self, event: Serving) -> None:
         self.state.serving = True
 
-    def _end(self, q: Request, verdict: Verdict | None) -> None:
+    def _end(self, request: Request, verdict: Verdict | None) -> None:
         """The one place where a request ends for its client; with None, the client went away."""
-        if verdict is not None and q.stream is None:
-            self._check(invariants.of_answer(self.now, q))
-        q.ended = True
-        q.note(self.now, verdict.value if verdict is not None else "over without an answer")
-        self.touched[q.id] = None
+        if verdict is not None and request.stream is None:
+            self._check(invariants.of_answer(self.now, request))
+        request.ended = True
+        request.note(self.now, verdict.value if verdict is not None else "over without an answer")
+        self.touched[request.id] = None
         if verdict is not None:
-            self.state.replies[q.request_class, verdict] += 1
+            self.state.replies[request.request_class, verdict] += 1
 
-    def _answer(self, q: Request, verdict: Verdict, retry_after: int = 0) -> None:
-        if q.ended or q.stream is not None:
+    def _answer(self, request: Request, verdict: Verdict, retry_after: int = 0) -> None:
+        if request.ended or request.stream is not None:
             return
-        self._end(q, verdict)
+        self._end(request, verdict)
         self.count(f"answers_{verdict.value}")
-        pause = self._unseen(q)
-        safe = self.state.settings.classes[q.request_class].effect is api.Effect.SAFE
+        pause = self._unseen(request)
+        safe = self.state.settings.classes[request.request_class].effect is api.Effect.SAFE
         if verdict is Verdict.REFUSED and not safe and pause > 0:
             # As for a next send: the refusal may reach the client before an engine in another zone has seen
             # that the attempt was given up, and what may still run must not be asked for again.
-            q.owed = True
-            self.do(Wake(self.now + pause, ("answer", q.id, retry_after)))
+            request.owed = True
+            self.do(Wake(self.now + pause, ("answer", request.id, retry_after)))
         else:
-            self.do(Answer(q.id, verdict, retry_after))
+            self.do(Answer(request.id, verdict, retry_after))
 
     # --- attempts ---------------------------------------------------------------------------------------
 
     def send(self, action: api.Send) -> None:
-        q = self.state.requests.get(action.request)
+        request = self.state.requests.get(action.request)
         listed = self.state.workers.get(action.worker)
-        if q is None:
+        if request is None:
             return
-        self.touched[q.id] = None
+        self.touched[request.id] = None
         role = self._role(listed)
-        attempt = Attempt(len(q.attempts), action.worker, role is Role.READER, self.now)
+        attempt = Attempt(len(request.attempts), action.worker, role is Role.READER, self.now)
         if listed is not None:
             attempt.zone, attempt.cell = listed.entry.zone, listed.entry.cell
-        q.attempts.append(attempt)
-        q.note(self.now, f"attempt {attempt.number} at {action.worker}")
-        left = q.deadline - self.now
+        request.attempts.append(attempt)
+        request.note(self.now, f"attempt {attempt.number} at {action.worker}")
+        left = request.deadline - self.now
         limit = self.state.settings.limits.max_attempts
-        if q.ended or q.stream is not None or left <= 0 or len(q.attempts) > limit > 0:
-            self._close(q, attempt, Ending.NOT_SENT)
+        if request.ended or request.stream is not None or left <= 0 or len(request.attempts) > limit > 0:
+            self._close(request, attempt, Ending.NOT_SENT)
             return
         if listed is None or listed.entry.state is not WorkerState.UP:
-            self._close(q, attempt, Ending.WITHDRAWN)
+            self._close(request, attempt, Ending.WITHDRAWN)
             return
         if self._starts(listed):
             self.count("sends_in_slow_start")
         left = min(left, action.timeout) if action.timeout > 0 else left
-        self.do(Wake(self.now + left, ("attempt", q.id, attempt.number)))
+        self.do(Wake(self.now + left, ("attempt", request.id, attempt.number)))
         attempt.until = self.now + left
-        pause = self._unseen(q)
-        if (q.unsafe or not self.state.settings.limits.duplicates) and pause > 0:
+        pause = self._unseen(request)
+        if (request.unsafe or not self.state.settings.limits.duplicates) and pause > 0:
             # Two connections keep no order between them: a close and the next send reach two engines in any
             # order, and what must not run twice would be out twice.
-            self.do(Wake(self.now + pause, ("start", q.id, attempt.number)))
+            self.do(Wake(self.now + pause, ("start", request.id, attempt.number)))
         else:
-            self._start(q, attempt, listed)
+            self._start(request, attempt, listed)
 
     def _starts(self, listed: Listed) -> bool:
         """Whether this engine is in slow start, by the list and the settings."""
         started = listed.entry.started
         return started > 0 and self.now - started < self.state.settings.rules.warm_within
 
-    def _start(self, q: Request, attempt: Attempt, listed: Listed) -> None:
+    def _start(self, request: Request, attempt: Attempt, listed: Listed) -> None:
         self.count("sends_read" if attempt.reading else "sends_write")
         left = attempt.until - self.now
-        self.do(StartAttempt(q.id, attempt.number, attempt.worker, listed.address, attempt.reading, left))
+        self.do(
+            StartAttempt(request.id, attempt.number, attempt.worker, listed.address, attempt.reading, left)
+        )
 
     def _role(self, listed: Listed | None) -> Role:
         kinds = self.state.settings.kinds
@@ -353,48 +355,50 @@
         found = self._find(event.request, event.number)
         if found is None:
             return
-        q, attempt = found
+        request, attempt = found
         attempt.written = True
         self.state.dispatches += 1
         if attempt.reading:
-            q.may_hold = True
-            if q.place is not None:
-                self._ask_place(q, attempt)
+            request.may_hold = True
+            if request.place is not None:
+                self._ask_place(request, attempt)
 
     def first_event(self, event: FirstEvent) -> None:
         found = self._find(event.request, event.number)
         if found is None or found[0].ended or found[0].stream is not None:
             return
-        q, attempt = found
-        q.stream = attempt
-        q.may_hold = bool(q.asking)  # all else that is held goes by itself, but for what is asked for now
-        self.touched[q.id] = None
-        self._check(invariants.of_answer(self.now, q))
-        q.note(self.now, f"stream of attempt {attempt.number}")
+        request, attempt = found
+        request.stream = attempt
+        request.may_hold = bool(
+            request.asking
+        )  # all else that is held goes by itself, but for what is asked for now
+        self.touched[request.id] = None
+        self._check(invariants.of_answer(self.now, request))
+        request.note(self.now, f"stream of attempt {attempt.number}")
         self._noted(attempt.worker, True)
         self.count("streams_started")
-        self.do(PassOn(q.id, attempt.number))
-        for other in q.out():
+        self.do(PassOn(request.id, attempt.number))
+        for other in request.out():
             if other is not attempt:
-                self._close(q, other, Ending.CANCELLED, abandon=True)
+                self._close(request, other, Ending.CANCELLED, abandon=True)
         elapsed = self.now - attempt.sent_at
-        self.told.append(api.FirstToken(q.id, attempt.number, attempt.worker, elapsed))
+        self.told.append(api.FirstToken(request.id, attempt.number, attempt.worker, elapsed))
 
     def ended(self, event: Ended) -> None:
         found = self._find(event.request, event.number)
         if found is not None:
             self._close(*found, event.ending, detail=event.detail, report=event.report)
 
-    def _abandon(self, q: Request, attempt: Attempt) -> None:
+    def _abandon(self, request: Request, attempt: Attempt) -> None:
         if attempt.reading and attempt.begun:
-            q.may_hold = True
+            request.may_hold = True
         attempt.over = True
-        self.touched[q.id] = None
-        self.do(AbandonAttempt(q.id, attempt.number))
+        self.touched[request.id] = None
+        self.do(AbandonAttempt(request.id, attempt.number))
 
     def _close(
         self,
-        q: Request,
+        request: Request,
         attempt: Attempt,
         ending: Ending,
         detail: int = 0,
@@ -403,121 +407,128 @@
     ) -> None:
         """The one way in which an attempt ends, whoever ended it."""
         if abandon:
-            self._abandon(q, attempt)
+            self._abandon(request, attempt)
         if attempt.begun and (abandon or ending in CLOSED_HERE):
-            q.gave_up_at = self.now
+            request.gave_up_at = self.now
         attempt.over, attempt.ending = True, ending
-        self.touched[q.id] = None
-        q.note(self.now, f"attempt {attempt.number} {ending.name.lower()}")
+        self.touched[request.id] = None
+        request.note(self.now, f"attempt {attempt.number} {ending.name.lower()}")
         outcome = OUTCOMES[ending]
         self.count(f"ended_{ending.name.lower()}")
         if ending not in QUIET:
             what = "read" if attempt.reading else "write"
-            self.do(Say(f"attempt {q.id}/{attempt.number} {what} at {attempt.worker}: {ending.value}"))
+            self.do(Say(f"attempt {request.id}/{attempt.number} {what} at {attempt.worker}: {ending.value}"))
         if ending in WORDS and self.state.picture is not None:
             self._tell(self.state.picture.fault(self.now, attempt.worker, WORDS[ending]))
         if ending not in SAYS_NOTHING:
             heard = outcome in (Outcome.READ, Outcome.SERVED, Outcome.FULL, Outcome.ERROR)
             self._noted(attempt.worker, heard)
         if attempt.reading and (ending is Ending.READ or attempt.written):
-            q.may_hold = True
+            request.may_hold = True
         if attempt.reading:
-            if q.place is not None:
-                q.place = None
-            for worker in q.asking:
-                self.do(DropPlace(q.id, worker))
-        if q.stream is attempt and not q.ended and ending is Ending.HANDED_ON:
-            self._end(q, None)  # its end is counted where it will be seen
+            if request.place is not None:
+                request.place = None
+            for worker in request.asking:
+                self.do(DropPlace(request.id, worker))
+        if request.stream is attempt and not request.ended and ending is Ending.HANDED_ON:
+            self._end(request, None)  # its end is counted where it will be seen
             self.count("streams_handed_on")
-        elif q.stream is attempt and not q.ended:
-            self._end(q, Verdict.SERVED if ending is Ending.SERVED else Verdict.FAILED)
+        elif request.stream is attempt and not request.ended:
+            self._end(request, Verdict.SERVED if ending is Ending.SERVED else Verdict.FAILED)
             if ending is Ending.SERVED:
                 self.count("answers_served")
-                self.do(EndStream(q.id))
+                self.do(EndStream(request.id))
             else:
                 self.count("streams_moved" if ending is Ending.MOVED else "streams_broken")
-                self.do(BreakClient(q.id))
+                self.do(BreakClient(request.id))
         if ending in (Ending.STATE_GONE, Ending.REFUSED):
             detail = 1  # the engine itself has said so
         elapsed = self.now - attempt.sent_at
         self.told.append(
             api.AttemptEnded(
-                q.id, attempt.number, attempt.worker, outcome, elapsed, q.ended, detail, report or {}
+                request.id,
+                attempt.number,
+                attempt.worker,
+                outcome,
+                elapsed,
+                request.ended,
+                detail,
+                report or {},
             )
         )
 
     def refuse(self, action: api.Refuse) -> None:
-        q = self.state.requests.get(action.request)
-        if q is not None:
-            self._answer(q, Verdict.REFUSED, action.retry_after)
+        request = self.state.requests.get(action.request)
+        if request is not None:
+            self._answer(request, Verdict.REFUSED, action.retry_after)
 
     def fail(self, action: api.Fail) -> None:
-        q = self.state.requests.get(action.request)
-        if q is not None:
-            self._answer(q, Verdict.FAILED)
+        request = self.state.requests.get(action.request)
+        if request is not None:
+            self._answer(request, Verdict.FAILED)
 
     def move(self, action: api.Move) -> None:
         """End a running stream; its client asks for the rest."""
-        q = self.state.requests.get(action.request)
-        if q is not None and q.stream is not None and not q.stream.over:
-            self._close(q, q.stream, Ending.CANCELLED, abandon=True)
+        request = self.state.requests.get(action.request)
+        if request is not None and request.stream is not None and not request.stream.over:
+            self._close(request, request.stream, Ending.CANCELLED, abandon=True)
 
     # --- what is held at the engines ------------------------------------------------------------------
 
     def hold_place(self, action: api.HoldPlace) -> None:
-        q = self.state.requests.get(action.request)
-        reads = [a for a in q.out() if a.reading] if q is not None else []
-        if q is None or not reads:
+        request = self.state.requests.get(action.request)
+        reads = [a for a in request.out() if a.reading] if request is not None else []
+        if request is None or not reads:
             return
-        q.place = action.worker
+        request.place = action.worker
         if reads[-1].written:
-            self._ask_place(q, reads[-1])
+            self._ask_place(request, reads[-1])
 
-    def _ask_place(self, q: Request, read: Attempt) -> None:
-        worker, q.place = q.place, None
+    def _ask_place(self, request: Request, read: Attempt) -> None:
+        worker, request.place = request.place, None
         listed = self.state.workers.get(worker or "")
         if worker is None or listed is None or listed.entry.state is not WorkerState.UP:
             return
-        if worker in q.asking:
+        if worker in request.asking:
             return
-        q.may_hold = True
-        q.asking.add(worker)
+        request.may_hold = True
+        request.asking.add(worker)
         self.count("places_asked")
         if self._starts(listed):
             self.count("places_in_slow_start")
-        self.do(AskPlace(q.id, read.number, worker, listed.address))
+        self.do(AskPlace(request.id, read.number, worker, listed.address))
 
     def place_ended(self, event: PlaceEnded) -> None:
         self.count("places_" + event.place.name.lower())
-        q = self.state.requests.get(event.request)
-        if q is None or event.worker not in q.asking:
+        request = self.state.requests.get(event.request)
+        if request is None or event.worker not in request.asking:
             return
-        overtaken = event.worker in q.let_go
-        q.asking.discard(event.worker)
-        q.let_go.discard(event.worker)
-        self.touched[q.id] = None
-        if event.place is not Place.NOT_HELD and (q.ended or q.stream is not None or overtaken):
+        overtaken = event.worker in request.let_go
+        request.asking.discard(event.worker)
+        request.let_go.discard(event.worker)
+        self.touched[request.id] = None
+        if event.place is not Place.NOT_HELD and (request.ended or request.stream is not None or overtaken):
             # The question may have overtaken nothing: what it left is let go, whatever was before.
-            q.may_hold = True
-            if not q.ended:
-                self._release(q.id)
-        read = q.attempts[event.number]
+            request.may_hold = True
+            if not request.ended:
+                self._release(request.id)
+        read = request.attempts[event.number]
         if event.place is Place.UNKNOWN or read.over:
             return
         held = event.place is Place.HELD
-        self.told.append(api.PlaceAnswer(q.id, event.number, event.worker, held))
+        self.told.append(api.PlaceAnswer(request.id, event.number, event.worker, held))
 
     def release(self, action: api.Release) -> None:
         self._release(action.request)
 
-    def _release(self, name: str, q: Request | None = None) -> None:
-        q = q or self.state.requests.get(name)
+    def _release(self, name: str, request: Request | None = None) -> None:
+        request = request or self.state.requests.get(name)
         pause = 0
-        if q is not None:
-            q.may_hold, q.let_go = False, q.let_go | q.asking
+        if request is not None:
+            request.may_hold, request.let_go = False, request.let_go | request.asking
             # A read that is given up may end well until its engine has seen it: what it leaves after the word
             # has gone round would be held for nobody.
-            pause = self._unseen(q)
+            pause = self._unseen(request)
         until = self.now + RELEASE_PATIENCE * self.state.settings.rules.release_within
         duty = self.state.releases.setdefault(name, Release())
         duty.until, duty.tries, duty.tried = until, 0, []
@@ -684,12 +695,12 @@
         if not stopped:
             return
         # What waits for a connection would go out whenever that comes up, long after the drain was told.
-        for q in self.state.requests.values():
-            for worker in q.asking & stopped:
-                self.do(DropPlace(q.id, worker))
-            for attempt in q.out():
+        for request in self.state.requests.values():
+            for worker in request.asking & stopped:
+                self.do(DropPlace(request.id, worker))
+            for attempt in request.out():
                 if attempt.worker in stopped and not attempt.begun:
-                    self._close(q, attempt, Ending.WITHDRAWN, abandon=True)
+                    self._close(request, attempt, Ending.WITHDRAWN, abandon=True)
 
     def probe(self, action: api.Probe) -> None:
         listed = self.state.workers.get(action.worker)
@@ -840,15 +851,15 @@
                 if found is not None and listed is not None:
                     self._start(*found, listed)
             case ("deadline", str(name)):
-                q = self.state.requests.get(name)
-                if q is not None and not q.ended and q.stream is None and self.now >= q.deadline:
+                request = self.state.requests.get(name)
+                if request is not None and request.waits() and self.now >= request.deadline:
                     self.count("deadline_backstops")
                     self.told.append(api.ClientGone(name))  # the module takes it as over
-                    self._answer(q, Verdict.FAILED)
+                    self._answer(request, Verdict.FAILED)
             case ("answer", str(name), int(retry_after)):
-                q = self.state.requests.get(name)
-                if q is not None and q.owed:
-                    q.owed = False
+                request = self.state.requests.get(name)
+                if request is not None and request.owed:
+                    request.owed = False
                     self.touched[name] = None
                     self.do(Answer(name, Verdict.REFUSED, retry_after))
             case ("release", str(name), int(number)):
@@ -900,41 +911,41 @@
 
     def _answer_the_rest(self) -> None:
         """The kill would find them unanswered, and what is held for them would stay at the engines."""
-        for q in [q for q in self.state.requests.values() if not q.ended and q.stream is None]:
-            what = "the rest of a stream" if q.resumed else "a request"
-            self.do(Say(f"{q.id}, {what}, is given up: this process has to end"))
-            self._give_up(q)
+        for request in [request for request in self.state.requests.values() if request.waits()]:
+            what = "the rest of a stream" if request.resumed else "a request"
+            self.do(Say(f"{request.id}, {what}, is given up: this process has to end"))
+            self._give_up(request)
         if self.state.requests:
             self.do(Wake(self.now + MOVE_STEP, ("last",)))
 
-    def _give_up(self, q: Request) -> None:
+    def _give_up(self, request: Request) -> None:
         """Answer a request that has no stream yet. What can't have run, or may run twice, is refused: it can
         be asked for again at once."""
-        ran = any(a.written and not a.reading for a in q.attempts)
-        self.told.append(api.ClientGone(q.id))  # the module takes it as over
+        ran = any(a.written and not a.reading for a in request.attempts)
+        self.told.append(api.ClientGone(request.id))  # the module takes it as over
         # Given up first: what is still out may run yet, and of an order that may run nothing is refused.
-        for attempt in q.out():
-            self._close(q, attempt, Ending.CANCELLED, abandon=True)
-        may_have_run = ran or q.resumed  # of what is resumed, a part was answered
-        cls = self.state.settings.classes[q.request_class]
+        for attempt in request.out():
+            self._close(request, attempt, Ending.CANCELLED, abandon=True)
+        may_have_run = ran or request.resumed  # of what is resumed, a part was answered
+        cls = self.state.settings.classes[request.request_class]
         everywhere = cls.effect is api.Effect.KEYED and cls.key_scope is api.KeyScope.ALL
         again = cls.effect is api.Effect.SAFE or everywhere or not may_have_run
-        self._answer(q, Verdict.REFUSED if again else Verdict.FAILED)
+        self._answer(request, Verdict.REFUSED if again else Verdict.FAILED)
 
     def _running(self) -> list[tuple[Request, Attempt]]:
         """The streams that may leave this process, oldest first; one with a tool call open stays."""
-        free = (q for q in self.state.requests.values() if not (q.ended or q.open or q.bundles))
-        running = [(q, q.stream) for q in free]
-        return [(q, stream) for q, stream in running if stream is not None]
+        free = (r for r in self.state.requests.values() if not (r.ended or r.open or r.bundles))
+        running = [(request, request.stream) for request in free]
+        return [(request, stream) for request, stream in running if stream is not None]
 
     def _hand_on_streams(self) -> None:
         """Tried again and again until each is between two chunks, and for those that begin yet."""
-        for q, stream in self._running():
+        for request, stream in self._running():
             listed = self.state.workers.get(stream.worker)
             address = listed.address if listed is not None else ""
             self.do(HandOn(
-                q.id, stream.number, q.request_class, stream.worker, address,
-                q.resumed, q.tenant, tuple(q.calls),
+                request.id, stream.number, request.request_class, stream.worker, address,
+                request.resumed, request.tenant, tuple(request.calls),
             ))  # fmt: skip
         if self.state.requests:
             self.do(Wake(self.now + MOVE_STEP, ("hand",)))
@@ -947,11 +958,11 @@
     def adopted(self, event: Adopted) -> None:
         stream = Attempt(0, event.worker, False, self.now, begun=True, written=True)
         unsafe = self.state.settings.classes[event.request_class].effect is api.Effect.UNSAFE
-        q = Request(
+        request = Request(
             event.request, event.request_class, self.now, unsafe, event.resumed, attempts=[stream],
             stream=stream, tenant=event.tenant, calls=dict.fromkeys(event.calls),
         )  # fmt: skip
-        self.state.requests[q.id] = q
+        self.state.requests[request.id] = request
         self.count("streams_adopted")
 
     def _move_streams(self) -> None:
@@ -961,8 +972,8 @@
         state, streams = self.state, self._running()[::-1]
         left = state.stop_by - self.now
         steps = max(1, left // MOVE_STEP)
-        for q, stream in streams[: -(-len(streams) // steps)]:
-            self._close(q, stream, Ending.MOVED, abandon=True)
+        for request, stream in streams[: -(-len(streams) // steps)]:
+            self._close(request, stream, Ending.MOVED, abandon=True)
         if state.requests:
             pause = max(MOVE_STEP, left // (len(streams) + 1))  # few: one at a time, evenly
             self.do(Wake(self.now + pause, ("move",)))
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -89,6 +89,10 @@
         first = self.history[0][0] if self.history else 0
         return ", ".join(f"{(at - first) / 1000:.0f} ms {change}" for at, change in self.history)
 
+    def waits(self) -> bool:
+        """Whether its client has neither a final answer nor the beginning of a stream."""
+        return not self.ended and self.stream is None
+
     def out(self) -> list[Attempt]:
         return [a for a in self.attempts if not a.over]
 
--- a/basaltspread/core/toolcalls.py
+++ b/basaltspread/core/toolcalls.py
@@ -72,43 +72,43 @@
         if found is None or found[0].stream is not found[1]:
             self.count("tool_calls_strayed")
             return
-        q, attempt = found
+        request, attempt = found
         fresh: dict[str, Wanted] = {}
         for wanted in event.calls:
             self.count("tool_calls")
             # Answering would give this id a second reply; the first, or the one to come, is its only one.
-            if wanted.call in q.calls:
+            if wanted.call in request.calls:
                 self.count("tool_calls_repeated")
             else:
-                q.calls[wanted.call] = None
+                request.calls[wanted.call] = None
                 fresh[wanted.call] = wanted
-        q.errors += event.errors
-        if q.errors > MOST_ERRORS or len(q.calls) > MOST_IDS:
+        request.errors += event.errors
+        if request.errors > MOST_ERRORS or len(request.calls) > MOST_IDS:
             self.count("tool_streams_babbling")
-            self.do(Say(f"the stream of {q.id} carries too many tool messages; it is ended"))
-            self._close(q, attempt, Ending.MALFORMED, abandon=True)
+            self.do(Say(f"the stream of {request.id} carries too many tool messages; it is ended"))
+            self._close(request, attempt, Ending.MALFORMED, abandon=True)
             return
         if not fresh and not event.errors:
             return
         bundle = Bundle(attempt.number, attempt.worker, dict.fromkeys(fresh), set(fresh), event.errors)
-        self.state.bundles[q.id, event.bundle] = bundle
-        q.bundles.add(event.bundle)
+        self.state.bundles[request.id, event.bundle] = bundle
+        request.bundles.add(event.bundle)
         for wanted in fresh.values():
-            self._open(q, attempt, event.bundle, wanted)
+            self._open(request, attempt, event.bundle, wanted)
         if not fresh:
-            self._return(q.id, event.bundle, bundle)
+            self._return(request.id, event.bundle, bundle)
 
-    def _open(self, q: Request, attempt: Attempt, bundle: int, wanted: Wanted) -> None:
-        key = (q.id, wanted.call)
+    def _open(self, request: Request, attempt: Attempt, bundle: int, wanted: Wanted) -> None:
+        key = (request.id, wanted.call)
         unsafe = wanted.effect is not api.Effect.SAFE and not wanted.local
         call = ToolCall(attempt.number, attempt.worker, bundle, unsafe)
-        crowded = len(q.open) >= MOST_CALLS
+        crowded = len(request.open) >= MOST_CALLS
         self.state.calls[key] = call
-        q.open.add(wanted.call)
+        request.open.add(wanted.call)
         fault = wanted.fault
         if fault is None and crowded:
             fault = ToolFault.TOO_MANY
-        if fault is None and unsafe and (not q.unsafe or q.resumed):
+        if fault is None and unsafe and (not request.unsafe or request.resumed):
             # After a crash a safe request is sent again by its client, and a resumed one has had a stream
             # that may have made this very call.
             fault = ToolFault.NOT_PERMITTED
@@ -120,7 +120,9 @@
         else:
             assert self.state.tools is not None
             deadline = self.now + wanted.time_left
-            self.decided(self.state.tools.submit(self.now, key, wanted.tool, q.tenant, unsafe, deadline))
+            self.decided(
+                self.state.tools.submit(self.now, key, wanted.tool, request.tenant, unsafe, deadline)
+            )
 
     def tool_cancelled(self, event: ToolCancelled) -> None:
         """A cancel may cross the reply: what is on its way then is not called back."""
@@ -142,9 +144,9 @@
     def _let_go(self, key: tuple[str, str], call: ToolCall) -> None:
         """Nobody waits for its reply. A safe call is called off; an unsafe one that has begun is heard out,
         as its reply, however late, tells the operator what was done."""
-        q = self.state.requests.get(key[0])
-        if q is not None:
-            q.open.discard(key[1])
+        request = self.state.requests.get(key[0])
+        if request is not None:
+            request.open.discard(key[1])
         tools = self.state.tools
         if tools is not None and not call.settled:
             self.decided(tools.call_off(self.now, key))
@@ -156,15 +158,15 @@
                 return
         self._forget_call(key)
 
-    def orphan_calls(self, q: Request) -> None:
+    def orphan_calls(self, request: Request) -> None:
         """The stream is over."""
-        for ident in [i for i in q.calls if i in q.open]:
-            key = (q.id, ident)
+        for ident in [i for i in request.calls if i in request.open]:
+            key = (request.id, ident)
             self._let_go(key, self.state.calls[key])
-        for number in sorted(q.bundles):
-            del self.state.bundles[q.id, number]
-            self.do(ForgetBundle(q.id, number))
-        q.bundles.clear()
+        for number in sorted(request.bundles):
+            del self.state.bundles[request.id, number]
+            self.do(ForgetBundle(request.id, number))
+        request.bundles.clear()
 
     # --- from the tool servers --------------------------------------------------------------------------
 
@@ -268,20 +270,20 @@
         if bundle is not None:
             self._is_settled(key[0], call.bundle, bundle, key[1])
 
-    def _is_settled(self, request: str, number: int, bundle: Bundle, ident: str) -> None:
+    def _is_settled(self, name: str, number: int, bundle: Bundle, ident: str) -> None:
         bundle.waiting.discard(ident)
         if bundle.waiting:
             return
         if bundle.calls or bundle.errors:
-            self._return(request, number, bundle)
+            self._return(name, number, bundle)
         else:  # all were cancelled: a message without content would be none
-            self._forget_bundle(request, number, bundle)
+            self._forget_bundle(name, number, bundle)
 
-    def _return(self, request: str, number: int, bundle: Bundle) -> None:
+    def _return(self, name: str, number: int, bundle: Bundle) -> None:
         """To the engine that holds the stream: it has this request already, so no drain forbids it."""
         bundle.returns += 1
-        replies = tuple((ident, self.state.calls[request, ident].fault) for ident in bundle.calls)
-        self.do(ReturnReply(request, number, bundle.worker, self._address(bundle.worker), replies))
+        replies = tuple((ident, self.state.calls[name, ident].fault) for ident in bundle.calls)
+        self.do(ReturnReply(name, number, bundle.worker, self._address(bundle.worker), replies))
 
     def _address(self, worker: str) -> str:
         listed = self.state.workers.get(worker)
@@ -302,22 +304,22 @@
         if not served and found is not None:  # the engine would wait for ever: the stream ends as if broken
             self._close(*found, event.ending, abandon=True)
 
-    def _forget_bundle(self, request: str, number: int, bundle: Bundle) -> None:
+    def _forget_bundle(self, name: str, number: int, bundle: Bundle) -> None:
         for ident in bundle.calls:
-            self._forget_call((request, ident))
-        del self.state.bundles[request, number]
-        self.do(ForgetBundle(request, number))
-        q = self.state.requests.get(request)
-        if q is not None:
-            q.bundles.discard(number)
-            q.replied_at = self.now
+            self._forget_call((name, ident))
+        del self.state.bundles[name, number]
+        self.do(ForgetBundle(name, number))
+        request = self.state.requests.get(name)
+        if request is not None:
+            request.bundles.discard(number)
+            request.replied_at = self.now
 
     def _forget_call(self, key: tuple[str, str]) -> None:
         del self.state.calls[key]
         self.do(ForgetCall(*key))
-        q = self.state.requests.get(key[0])
-        if q is not None:
-            q.open.discard(key[1])
+        request = self.state.requests.get(key[0])
+        if request is not None:
+            request.open.discard(key[1])
 
     TOOL_HANDLERS: ClassVar[dict[type, Callable[..., None]]] = {
         ToolCalled: tool_called, ToolCancelled: tool_cancelled, ToolBegun: tool_begun,
@@ -332,10 +334,10 @@
     breaches = []
     jobs = state.tools.jobs if state.tools is not None else {}
     for key, call in state.calls.items():
-        q = state.requests.get(key[0])
-        if call.orphan != (key in jobs and (q is None or key[1] not in q.open)):
+        request = state.requests.get(key[0])
+        if call.orphan != (key in jobs and (request is None or key[1] not in request.open)):
             breaches.append(f"{key}: orphan {call.orphan}, a job {key in jobs}")
-        if not call.orphan and (q is None or key[1] not in q.open):
+        if not call.orphan and (request is None or key[1] not in request.open):
             breaches.append(f"{key}: no request has it open")
         if call.settled and key in jobs:
             breaches.append(f"{key}: settled, and still a job")
@@ -344,12 +346,12 @@
     for key in jobs:
         if key not in state.calls:
             breaches.append(f"{key}: a job without a call")
-    for (request, number), bundle in state.bundles.items():
-        if request not in state.requests or number not in state.requests[request].bundles:
-            breaches.append(f"{request}: bundle {number} is nobody's")
+    for (name, number), bundle in state.bundles.items():
+        if name not in state.requests or number not in state.requests[name].bundles:
+            breaches.append(f"{name}: bundle {number} is nobody's")
         for ident in bundle.calls:
-            if (request, ident) not in state.calls:
-                breaches.append(f"{request}: bundle {number} waits for {ident}, which is no call")
-            elif state.calls[request, ident].settled == (ident in bundle.waiting):
-                breaches.append(f"{request}: {ident} settled and waited for, or neither")
+            if (name, ident) not in state.calls:
+                breaches.append(f"{name}: bundle {number} waits for {ident}, which is no call")
+            elif state.calls[name, ident].settled == (ident in bundle.waiting):
+                breaches.append(f"{name}: {ident} settled and waited for, or neither")
     return breaches
