--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -5,12 +5,14 @@
 
 import ast
 import asyncio
+import errno
 import json
 import random
 import unittest
 from collections import Counter
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 import pytest
 from hypothesis import Phase
@@ -372,6 +374,29 @@
         cls = "order" if unsafe else "ask"
         return await client.ask(MESSAGES, request_class=cls, unsafe=unsafe, timeout=timeout)
 
+    async def test_a_dial_that_fails_on_this_machine_for_a_moment_is_tried_again(self) -> None:
+        """It was taken for a gateway that can't be reached, and all tries were spent in some milliseconds."""
+
+        async def serve(asked: Asked) -> None:
+            asked.begin()
+            asked.event(piece("here"))
+            asked.chunk(b"data: [DONE]\n\n")
+            asked.end()
+
+        peer = await self.gateway(serve)
+        real, failures = asyncio.open_connection, 8
+
+        async def failing(*where: Any, **more: Any) -> Any:
+            nonlocal failures
+            if failures:
+                failures -= 1
+                raise OSError(errno.EADDRNOTAVAIL, "Cannot assign requested address")
+            return await real(*where, **more)
+
+        with mock.patch("basaltspread.client.aio.asyncio.open_connection", failing):
+            answer = await self.ask(self.client(peer))
+        self.assertEqual((answer.text, len(peer.seen)), ("here", 1))
+
     async def test_an_answer_and_its_headers(self) -> None:
         async def serve(asked: Asked) -> None:
             asked.begin()
