--- a/basaltspread/core/__init__.py
+++ b/basaltspread/core/__init__.py
@@ -1,5 +1,7 @@
 """The core: one reducer over requests, attempts and tool calls. It knows no wire and does no I/O."""
 
+from basaltspread.core.fleet import DRAIN_DOOR, MOST_BANS
+from basaltspread.core.holding import RELEASE_STEP, RELEASE_TRIES
 from basaltspread.core.messages import (
     AbandonAttempt,
     AbandonTool,
@@ -76,18 +78,14 @@
 from basaltspread.core.reducer import (
     ANSWER_EARLY,
     DEADLINE_GUARD,
-    DRAIN_DOOR,
     DRAIN_STEP,
     GIVE_UP_PAUSE,
     LAST_ANSWERS,
     LEAST_DOOR,
     LONGEST_GRACE,
-    MOST_BANS,
     MOVE_STEP,
     MOVE_TIME,
     MS,
-    RELEASE_STEP,
-    RELEASE_TRIES,
     reduce,
 )
 from basaltspread.core.state import (
--- /dev/null
+++ b/basaltspread/core/holding.py
@@ -0,0 +1,185 @@
+"""The steps of the reducer that concern what is held for requests at engines: places that are asked for, and
+the release of all that is held, which is tried until an engine has heard it.
+
+It never decides that something is held or let go: that is the module's part, or follows from a request's end.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any, ClassVar
+from zlib import crc32
+
+from basaltspread import interface as api
+from basaltspread.core.messages import (
+    AskPlace,
+    Effect,
+    Listed,
+    Place,
+    PlaceEnded,
+    ReleaseEnded,
+    Say,
+    SendRelease,
+    Wake,
+)
+from basaltspread.core.state import Attempt, Release, Request, State
+from basaltspread.endings import SAYS_NOTHING
+from basaltspread.interface import WorkerState
+
+MS = 1000
+RELEASE_STEP = 100 * MS  # a release not acknowledged by then is sent to one more engine
+RELEASE_TRIES = 6  # so many as fast as they fail, and in that step; later ones ever more slowly
+LONGEST_RELEASE_STEP = 1000 * MS
+RELEASE_PATIENCE = 20  # times the limit of the rule: what is still unheard then is given up
+
+
+class HoldingSteps:
+    """The part of a step that asks for places and lets go."""
+
+    state: State
+    now: int
+    touched: dict[str, None]
+    told: deque[api.Event]
+    do: Callable[[Effect], None]
+    count: Callable[[str], None]
+    _starts: Callable[[Listed], bool]
+    _unseen: Callable[[Request], int]
+
+    def hold_place(self, action: api.HoldPlace) -> None:
+        request = self.state.requests.get(action.request)
+        reads = [a for a in request.out() if a.reading] if request is not None else []
+        if request is None or not reads:
+            return
+        request.place = action.worker
+        if reads[-1].written:
+            self._ask_place(request, reads[-1])
+
+    def _ask_place(self, request: Request, read: Attempt) -> None:
+        worker, request.place = request.place, None
+        listed = self.state.workers.get(worker or "")
+        if worker is None or listed is None or listed.entry.state is not WorkerState.UP:
+            return
+        if worker in request.asking:
+            return
+        request.may_hold = True
+        request.asking.add(worker)
+        self.count("places_asked")
+        if self._starts(listed):
+            self.count("places_in_slow_start")
+        self.do(AskPlace(request.id, read.number, worker, listed.address))
+
+    def place_ended(self, event: PlaceEnded) -> None:
+        self.count("places_" + event.place.name.lower())
+        request = self.state.requests.get(event.request)
+        if request is None or event.worker not in request.asking:
+            return
+        overtaken = event.worker in request.let_go
+        request.asking.discard(event.worker)
+        request.let_go.discard(event.worker)
+        self.touched[request.id] = None
+        if event.place is not Place.NOT_HELD and (request.ended or request.stream is not None or overtaken):
+            # The question may have overtaken nothing: what it left is let go, whatever was before.
+            request.may_hold = True
+            if not request.ended:
+                self._release(request.id)
+        read = request.attempts[event.number]
+        if event.place is Place.UNKNOWN or read.over:
+            return
+        held = event.place is Place.HELD
+        self.told.append(api.PlaceAnswer(request.id, event.number, event.worker, held))
+
+    def release(self, action: api.Release) -> None:
+        self._release(action.request)
+
+    def _release(self, name: str, request: Request | None = None) -> None:
+        request = request or self.state.requests.get(name)
+        pause = 0
+        if request is not None:
+            request.may_hold, request.let_go = False, request.let_go | request.asking
+            # A read that is given up may end well until its engine has seen it: what it leaves after the word
+            # has gone round would be held for nobody.
+            pause = self._unseen(request)
+        until = self.now + RELEASE_PATIENCE * self.state.settings.rules.release_within
+        duty = self.state.releases.setdefault(name, Release())
+        duty.until, duty.tries, duty.tried = until, 0, []
+        self.count("releases")
+        if pause > 0:
+            self.do(Wake(self.now + pause, ("release", name, 0)))
+        else:
+            self._try_release(name)
+
+    def _try_release(self, name: str) -> None:
+        """One more engine gets the word, and every engine passes it on. Guards against a word that no engine
+        ever heard: whoever is cut off from a part of the fleet reaches only the rest."""
+        duty = self.state.releases[name]
+        if self._give_up_release(name, duty):
+            return
+        step = RELEASE_STEP << max(0, min(duty.tries - RELEASE_TRIES, 8))
+        duty.tries += 1
+        self.do(Wake(self.now + min(step, LONGEST_RELEASE_STEP), ("release", name, duty.tries)))
+        workers = self.state.workers
+        duty.tried = [n for n in duty.tried if n in workers]
+        if len(duty.tried) == len(workers):
+            duty.tried = []  # all again
+        fit = [n for n in workers if n not in duty.tried and n not in duty.open]
+        if fit:
+            best = min(fit, key=lambda n: self._release_rank(name, duty, n))
+            duty.tried.append(best)
+            duty.open.add(best)
+            self.do(SendRelease(name, best, workers[best].address))
+
+    def _release_rank(self, name: str, duty: Release, worker: str) -> tuple[Any, ...]:
+        """Which engine gets the word first. What fails at once is mostly one zone, or the way to it: so each
+        next try goes to another. Within one the engine that was heard last, if it has not failed since, and
+        else a different one for each request: one picked by name alone would get them from all gateways."""
+        state, entry = self.state, self.state.workers[worker].entry
+        tried = sum(state.workers[n].entry.zone == entry.zone for n in duty.tried)
+        lot = crc32(f"{name} {worker}".encode())
+        heard, near = state.heard.get(worker, 0), entry.zone == state.settings.zone
+        return tried, entry.state is not WorkerState.UP, worker in state.unreached, not near, -heard, lot
+
+    def _give_up_release(self, name: str, duty: Release) -> bool:
+        """After long enough; a process that has to end does not wait past its own time for it."""
+        until = min(duty.until, self.state.stop_by) if self.state.stopping else duty.until
+        if duty.tries < RELEASE_TRIES or self.now < until:
+            return False
+        if not duty.open:
+            self.count("releases_unheard")
+            self.do(Say(f"release of {name} reached no engine in {duty.tries} tries"))
+            del self.state.releases[name]
+        return True
+
+    def release_ended(self, event: ReleaseEnded) -> None:
+        if event.ending not in SAYS_NOTHING:
+            self._noted(event.worker, event.done)
+        duty = self.state.releases.get(event.request)
+        if duty is None:
+            return
+        duty.open.discard(event.worker)
+        if event.done:
+            del self.state.releases[event.request]
+        elif duty.tries < RELEASE_TRIES:
+            self._try_release(event.request)
+        else:  # the next is due by the clock
+            self._give_up_release(event.request, duty)
+
+    def _noted(self, worker: str, heard: bool) -> None:
+        """What one exchange says of an engine and of the way to it."""
+        state = self.state
+        if heard:
+            state.heard[worker] = self.now
+            state.unreached.discard(worker)
+        else:
+            state.heard.pop(worker, None)
+            if worker in state.listed:
+                state.unreached.add(worker)
+
+    HANDLERS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {
+        PlaceEnded: place_ended,
+        ReleaseEnded: release_ended,
+    }
+    ACTIONS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {
+        api.HoldPlace: hold_place,
+        api.Release: release,
+    }
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -10,21 +10,18 @@
 
 import traceback
 from collections import deque
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import replace
+from collections.abc import Callable
 from typing import Any, ClassVar
-from zlib import crc32
 
 from basaltspread import interface as api
-from basaltspread.control import list_check
-from basaltspread.control.picture import BadWord, Word
+from basaltspread.control.picture import Word
 from basaltspread.core import invariants
+from basaltspread.core.fleet import FleetSteps
+from basaltspread.core.holding import HoldingSteps
 from basaltspread.core.messages import (
     AbandonAttempt,
     Adopted,
     Answer,
-    AskPlace,
-    BansTold,
     Begun,
     BreakClient,
     ClientFloods,
@@ -36,34 +33,18 @@
     Ended,
     EndStream,
     Exit,
-    FetchWholeList,
     FirstEvent,
     HandedOn,
     HandOn,
     Input,
-    KeepBans,
     Listed,
-    ListTold,
-    Operate,
-    OperatorAnswer,
-    Order,
     PassOn,
-    PeerTold,
-    Place,
-    PlaceEnded,
-    Probed,
-    Recalled,
-    ReleaseEnded,
     Say,
-    SendRelease,
     Serving,
-    Sharing,
     StartAttempt,
-    StartProbe,
     StopAccepting,
     StopListening,
     Taken,
-    TellPeers,
     Terminate,
     TurnedAway,
     Verdict,
@@ -72,7 +53,7 @@
     Woken,
     Written,
 )
-from basaltspread.core.state import Attempt, Release, Request, State
+from basaltspread.core.state import Attempt, Request, State
 from basaltspread.core.toolcalls import ToolSteps
 from basaltspread.endings import CLOSED_HERE, OUTCOMES, QUIET, SAYS_NOTHING, Ending
 from basaltspread.interface import Outcome, Role, WorkerState
@@ -81,21 +62,11 @@
 ANSWER_EARLY = 15 * MS  # a deadline is met this much early: the loop may lag, and the answer takes a moment
 DEADLINE_GUARD = 10 * MS  # past its deadline by this, a request that the module forgot is failed here
 GIVE_UP_PAUSE = 10 * MS  # by then the engine has surely seen that an attempt was given up
-RELEASE_STEP = 100 * MS  # a release not acknowledged by then is sent to one more engine
-RELEASE_TRIES = 6  # so many as fast as they fail, and in that step; later ones ever more slowly
-LONGEST_RELEASE_STEP = 1000 * MS
-RELEASE_PATIENCE = 20  # times the limit of the rule: what is still unheard then is given up
 LONGEST_GRACE = 3000 * MS  # after SIGTERM; less where every class has a shorter deadline
 LEAST_DOOR = 550 * MS  # clients may still come for 400 ms after SIGTERM
 MOVE_TIME = 1000 * MS  # the last of the grace: the door is shut, and streams still running go elsewhere
 MOVE_STEP = 50 * MS
 LAST_ANSWERS = 250 * MS  # past the grace: who has had nothing by then is told to ask elsewhere
-LEFT_KEPT = 60_000 * MS  # for which an older list can't bring back an engine that was told to have left
-ODD_WORDS_STEP = 1000 * MS  # between two log lines about peers' messages that can't be read; all are counted
-ODD_LIST_STEP = 10_000 * MS  # the same about odd entries of the list, which may come with each list
-ODD_SAID = 5  # odd entries that such a line names
-MOST_BANS = 1024  # engines left out at once, listed or not
-DRAIN_DOOR = 1000 * MS  # after an operator's drain, idle clients stay so long: a front learns of it by asking
 DRAIN_STEP = 200 * MS  # between two looks for idle clients from then on
 # What is told to the other gateways at once, as each would else spend a request on finding it.
 WORDS = {Ending.REFUSED: Word.REFUSES, Ending.SERVER_ERROR: Word.FAILED}
@@ -112,7 +83,7 @@
     return step.effects
 
 
-class _Step(ToolSteps):
+class _Step(ToolSteps, HoldingSteps, FleetSteps):
     """One call of the reducer: the state, the time, and the effects gathered so far."""
 
     def __init__(self, state: State, now: int) -> None:
@@ -473,366 +444,6 @@
         if request is not None and request.stream is not None and not request.stream.over:
             self._close(request, request.stream, Ending.CANCELLED, abandon=True)
 
-    # --- what is held at the engines ------------------------------------------------------------------
-
-    def hold_place(self, action: api.HoldPlace) -> None:
-        request = self.state.requests.get(action.request)
-        reads = [a for a in request.out() if a.reading] if request is not None else []
-        if request is None or not reads:
-            return
-        request.place = action.worker
-        if reads[-1].written:
-            self._ask_place(request, reads[-1])
-
-    def _ask_place(self, request: Request, read: Attempt) -> None:
-        worker, request.place = request.place, None
-        listed = self.state.workers.get(worker or "")
-        if worker is None or listed is None or listed.entry.state is not WorkerState.UP:
-            return
-        if worker in request.asking:
-            return
-        request.may_hold = True
-        request.asking.add(worker)
-        self.count("places_asked")
-        if self._starts(listed):
-            self.count("places_in_slow_start")
-        self.do(AskPlace(request.id, read.number, worker, listed.address))
-
-    def place_ended(self, event: PlaceEnded) -> None:
-        self.count("places_" + event.place.name.lower())
-        request = self.state.requests.get(event.request)
-        if request is None or event.worker not in request.asking:
-            return
-        overtaken = event.worker in request.let_go
-        request.asking.discard(event.worker)
-        request.let_go.discard(event.worker)
-        self.touched[request.id] = None
-        if event.place is not Place.NOT_HELD and (request.ended or request.stream is not None or overtaken):
-            # The question may have overtaken nothing: what it left is let go, whatever was before.
-            request.may_hold = True
-            if not request.ended:
-                self._release(request.id)
-        read = request.attempts[event.number]
-        if event.place is Place.UNKNOWN or read.over:
-            return
-        held = event.place is Place.HELD
-        self.told.append(api.PlaceAnswer(request.id, event.number, event.worker, held))
-
-    def release(self, action: api.Release) -> None:
-        self._release(action.request)
-
-    def _release(self, name: str, request: Request | None = None) -> None:
-        request = request or self.state.requests.get(name)
-        pause = 0
-        if request is not None:
-            request.may_hold, request.let_go = False, request.let_go | request.asking
-            # A read that is given up may end well until its engine has seen it: what it leaves after the word
-            # has gone round would be held for nobody.
-            pause = self._unseen(request)
-        until = self.now + RELEASE_PATIENCE * self.state.settings.rules.release_within
-        duty = self.state.releases.setdefault(name, Release())
-        duty.until, duty.tries, duty.tried = until, 0, []
-        self.count("releases")
-        if pause > 0:
-            self.do(Wake(self.now + pause, ("release", name, 0)))
-        else:
-            self._try_release(name)
-
-    def _try_release(self, name: str) -> None:
-        """One more engine gets the word, and every engine passes it on. Guards against a word that no engine
-        ever heard: whoever is cut off from a part of the fleet reaches only the rest."""
-        duty = self.state.releases[name]
-        if self._give_up_release(name, duty):
-            return
-        step = RELEASE_STEP << max(0, min(duty.tries - RELEASE_TRIES, 8))
-        duty.tries += 1
-        self.do(Wake(self.now + min(step, LONGEST_RELEASE_STEP), ("release", name, duty.tries)))
-        workers = self.state.workers
-        duty.tried = [n for n in duty.tried if n in workers]
-        if len(duty.tried) == len(workers):
-            duty.tried = []  # all again
-        fit = [n for n in workers if n not in duty.tried and n not in duty.open]
-        if fit:
-            best = min(fit, key=lambda n: self._release_rank(name, duty, n))
-            duty.tried.append(best)
-            duty.open.add(best)
-            self.do(SendRelease(name, best, workers[best].address))
-
-    def _release_rank(self, name: str, duty: Release, worker: str) -> tuple[Any, ...]:
-        """Which engine gets the word first. What fails at once is mostly one zone, or the way to it: so each
-        next try goes to another. Within one the engine that was heard last, if it has not failed since, and
-        else a different one for each request: one picked by name alone would get them from all gateways."""
-        state, entry = self.state, self.state.workers[worker].entry
-        tried = sum(state.workers[n].entry.zone == entry.zone for n in duty.tried)
-        lot = crc32(f"{name} {worker}".encode())
-        heard, near = state.heard.get(worker, 0), entry.zone == state.settings.zone
-        return tried, entry.state is not WorkerState.UP, worker in state.unreached, not near, -heard, lot
-
-    def _give_up_release(self, name: str, duty: Release) -> bool:
-        """After long enough; a process that has to end does not wait past its own time for it."""
-        until = min(duty.until, self.state.stop_by) if self.state.stopping else duty.until
-        if duty.tries < RELEASE_TRIES or self.now < until:
-            return False
-        if not duty.open:
-            self.count("releases_unheard")
-            self.do(Say(f"release of {name} reached no engine in {duty.tries} tries"))
-            del self.state.releases[name]
-        return True
-
-    def release_ended(self, event: ReleaseEnded) -> None:
-        if event.ending not in SAYS_NOTHING:
-            self._noted(event.worker, event.done)
-        duty = self.state.releases.get(event.request)
-        if duty is None:
-            return
-        duty.open.discard(event.worker)
-        if event.done:
-            del self.state.releases[event.request]
-        elif duty.tries < RELEASE_TRIES:
-            self._try_release(event.request)
-        else:  # the next is due by the clock
-            self._give_up_release(event.request, duty)
-
-    def _noted(self, worker: str, heard: bool) -> None:
-        """What one exchange says of an engine and of the way to it."""
-        state = self.state
-        if heard:
-            state.heard[worker] = self.now
-            state.unreached.discard(worker)
-        else:
-            state.heard.pop(worker, None)
-            if worker in state.listed:
-                state.unreached.add(worker)
-
-    # --- the fleet ------------------------------------------------------------------------------------
-
-    def list_told(self, event: ListTold) -> None:
-        self.count("lists_" + event.kind.value)
-        state = self.state
-        entries = self._believed(self._in_order(event), event.wall_shifts)
-        if event.kind is not api.ListKind.CACHED:  # that one was kept, and may be of any time
-            state.starts.list_ended(self.now)
-        if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
-            state.listed.clear()
-        for listed in entries:
-            if listed.entry.state is WorkerState.REMOVED:
-                state.listed.pop(listed.entry.name, None)
-            else:
-                state.listed[listed.entry.name] = listed
-        state.version = max(state.version, event.version)
-        state.heard = {name: at for name, at in state.heard.items() if name in state.listed}
-        state.unreached &= state.listed.keys()
-        state.returned = {name: at for name, at in state.returned.items() if name in state.listed}
-        self._fleet_changed(event.kind, event.version, entries)
-
-    def _in_order(self, event: ListTold) -> tuple[Listed, ...]:
-        """The entries, less what is older than what was told before. Guards against a discovery that goes
-        back, as one may to which a reload moves: an engine told to drain or to go would count as up again."""
-        state, now = self.state, self.now
-        gone: dict[str, Listed] = {}
-        if event.kind is not api.ListKind.DELTA:  # who is not in a whole list has gone
-            named = {w.entry.name for w in event.entries}
-            gone = {n: w for n, w in state.listed.items() if n not in named}
-        out, back = list[Listed](), 0
-        for listed in event.entries:
-            entry = listed.entry
-            started, version, at = state.left.get(entry.name, (0, 0, -LEFT_KEPT))
-            if entry.state is not WorkerState.UP:
-                gone[entry.name] = state.listed.get(entry.name, listed)
-            elif event.version < version and entry.started == started and now < at + LEFT_KEPT:
-                listed, back = Listed(replace(entry, state=WorkerState.DRAINING), listed.address), back + 1
-            out.append(listed)
-        for name, known in gone.items():
-            if name not in state.left or event.version >= state.left[name][1]:
-                state.left[name] = (known.entry.started, event.version, now)
-        state.left = {n: told for n, told in state.left.items() if now < told[2] + LEFT_KEPT}
-        if back:
-            self.count("lists_gone_back")
-            self.do(Say(f"the list went back to version {event.version}; {back} engines still drain"))
-        return tuple(out)
-
-    def _believed(self, entries: Iterable[Listed], wall_shifts: tuple[int, ...]) -> tuple[Listed, ...]:
-        """The entries, with what can't be true put right. Guards slow start against a list that would make
-        an engine look warm, or larger than any."""
-        state, out, odd = self.state, list[Listed](), list[str]()
-        latest = self.now + max(wall_shifts)
-        for listed in entries:
-            known = state.listed.get(listed.entry.name)
-            entry, wrong = list_check.checked(
-                listed.entry, known.entry if known else None, latest, len(state.settings.kinds)
-            )
-            for oddity in wrong:
-                self.count("list_oddity_" + oddity.name.lower())
-                odd.append(f"{entry.name} {oddity.value}")
-            if entry.state is not WorkerState.REMOVED:
-                state.starts.listed(entry.name, entry.started, self.now, wall_shifts)
-            out.append(Listed(entry, listed.address))
-        said = state.odd_list_said_at
-        if odd and (said is None or self.now >= said + ODD_LIST_STEP):
-            state.odd_list_said_at = self.now
-            self.do(Say(f"{len(odd)} odd entries in the list: " + "; ".join(odd[:ODD_SAID])))
-        return tuple(out)
-
-    def _treated(self, listed: Listed) -> Listed:
-        """An engine that is left out counts as draining, and one let in again as started just then: it may
-        have been restarted meanwhile, and discovery may tell of that late."""
-        entry, state = listed.entry, self.state
-        if entry.name in state.disabled and entry.state is WorkerState.UP:
-            entry = replace(entry, state=WorkerState.DRAINING)
-        started = max(state.starts.since(entry.name), state.returned.get(entry.name, 0))
-        return Listed(replace(entry, started=started), listed.address)
-
-    def _fleet_changed(self, kind: api.ListKind, version: int, changed: Iterable[Listed]) -> None:
-        """The one path by which engines come and go, on discovery's word or an operator's."""
-        state = self.state
-        before = {n for n, w in state.workers.items() if w.entry.state is WorkerState.UP}
-        state.workers = {name: self._treated(listed) for name, listed in state.listed.items()}
-        stopped = before - {n for n, w in state.workers.items() if w.entry.state is WorkerState.UP}
-        entries = tuple(self._treated(listed).entry for listed in changed)
-        self.told.append(api.WorkerList(kind, version, entries))
-        if state.picture is not None:
-            state.picture.listed(w.entry for w in state.workers.values())
-        if not stopped:
-            return
-        # What waits for a connection would go out whenever that comes up, long after the drain was told.
-        for request in self.state.requests.values():
-            for worker in request.asking & stopped:
-                self.do(DropPlace(request.id, worker))
-            for attempt in request.out():
-                if attempt.worker in stopped and not attempt.begun:
-                    self._close(request, attempt, Ending.WITHDRAWN, abandon=True)
-
-    def probe(self, action: api.Probe) -> None:
-        listed = self.state.workers.get(action.worker)
-        if listed is not None:
-            self.count("probes")
-            self.do(StartProbe(action.worker, listed.address))
-
-    def probed(self, event: Probed) -> None:
-        outcome, refused = OUTCOMES[event.ending], event.ending is Ending.REFUSED
-        self.told.append(api.ProbeEnded(event.worker, outcome, event.elapsed, event.report, int(refused)))
-        picture = self.state.picture
-        if picture is not None and event.ending is Ending.SERVED:
-            self._tell(picture.report(self.now, event.worker, event.report))
-        elif picture is not None and refused:
-            self._tell(picture.fault(self.now, event.worker, Word.REFUSES))
-
-    def long_read(self, action: api.LongRead) -> None:
-        if self.state.picture is not None:
-            self._tell(self.state.picture.reading(action.worker, action.time))
-
-    def _tell(self, message: bytes | None) -> None:
-        if message is not None:
-            self.count("peers_told")
-            self.do(TellPeers(message))
-
-    def peer_told(self, event: PeerTold) -> None:
-        """Another gateway's word on an engine: the module hears it as if this one had asked."""
-        picture = self.state.picture
-        if picture is None:
-            return
-        try:
-            told = picture.read(event.payload)
-        except BadWord as error:
-            self.count("peers_unreadable")
-            said = self.state.odd_words_said_at
-            if said is None or self.now >= said + ODD_WORDS_STEP:  # a flood of them is not one of lines
-                self.state.odd_words_said_at = self.now
-                self.do(Say(f"a peer's message can't be read: {error}"))
-            return
-        heard = picture.take(self.now, told)
-        self.count("peers_heard" if heard is not None else "peers_of_no_use")
-        if heard is not None:
-            self.told.append(heard)
-
-    def fetch_list(self, action: api.FetchList) -> None:
-        self.do(FetchWholeList())
-
-    # --- operators --------------------------------------------------------------------------------------
-
-    def operate(self, event: Operate) -> None:
-        """Each call may come twice, and cross another or SIGTERM."""
-        state = self.state
-        known = event.engine in state.listed or event.engine in state.disabled
-        match event.order:
-            case Order.DISABLE | Order.ENABLE if not known:
-                self.do(OperatorAnswer(event.call, False, "no such engine", unknown=True))
-                return
-            case Order.DISABLE if event.engine not in state.disabled:
-                if len(state.disabled) >= MOST_BANS:
-                    self.do(OperatorAnswer(event.call, False, f"{MOST_BANS} engines are left out already"))
-                    return
-                state.disabled.add(event.engine)
-                state.returned.pop(event.engine, None)
-                self._ban_changed(event.engine)
-            case Order.ENABLE if event.engine in state.disabled:
-                state.disabled.discard(event.engine)
-                state.returned[event.engine] = self.now
-                self._ban_changed(event.engine)
-            case Order.DRAIN:
-                if state.draining_since is None:
-                    state.draining_since = self.now
-                    self.do(Wake(self.now + DRAIN_DOOR, ("drain", self.now)))
-            case Order.DRAIN_SERVER | Order.RESUME_SERVER:
-                if state.tools is None or event.engine not in state.tools.stations:
-                    self.do(OperatorAnswer(event.call, False, "no such tool server", unknown=True))
-                    return
-                on = event.order is Order.DRAIN_SERVER
-                self.decided(state.tools.drain(self.now, event.engine, on))
-            case Order.RESUME if state.stopping:
-                self.do(OperatorAnswer(event.call, False, "this process has been told to stop"))
-                return
-            case Order.RESUME:
-                state.draining_since = None
-        self.count(f"operator_{event.order.value.replace(' ', '_')}")
-        self.do(OperatorAnswer(event.call, True))
-
-    def _ban_changed(self, engine: str) -> None:
-        state = self.state
-        self.do(KeepBans(engine, frozenset(state.disabled), dict(state.returned)))
-        self._treat_anew({engine})
-
-    def _treat_anew(self, names: set[str]) -> None:
-        entries = [listed for name, listed in self.state.listed.items() if name in names]
-        if entries:
-            self._fleet_changed(api.ListKind.DELTA, self.state.version, entries)
-
-    def bans_told(self, event: BansTold) -> None:
-        state = self.state
-        changed = state.disabled ^ event.disabled
-        changed |= {n for n, at in event.returned.items() if at > state.returned.get(n, 0)}
-        state.disabled = set(event.disabled)
-        for name in changed - state.disabled:
-            state.returned[name] = max(event.returned.get(name, 0), state.returned.get(name, 0))
-        if changed:
-            self.count("bans_told")
-            self._treat_anew(changed)
-
-    def sharing(self, event: Sharing) -> None:
-        self.state.module.share_with(event.processes)
-
-    def recalled(self, event: Recalled) -> None:
-        try:
-            tools = event.knowledge.pop("tools", None)
-            if tools is not None and self.state.tools is not None:
-                self.decided(self.state.tools.recall(self.now, tools))
-            self._recall_starts(event.knowledge.pop("starts", {}))
-            self.state.module.recall(self.now, event.knowledge)
-            self.count("knowledge_recalled")
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
-            self.do(Say(f"what the other process knew can't be used: {error!r}"))
-
-    def _recall_starts(self, ages: Mapping[str, tuple[int, int]]) -> None:
-        """The other process has seen starts that this one knows by their stamps alone."""
-        changed = set()
-        for name, (stamp, age) in ages.items():
-            if self.state.starts.recall(self.now, name, int(stamp), int(age)):
-                changed.add(name)
-        if changed:
-            self._treat_anew(changed)
-            while self.told:  # before the module hears what was known of these starts
-                self._ask_module(self.told.popleft())
-
     # --- time and the end ------------------------------------------------------------------------------
 
     def woken(self, event: Woken) -> None:
@@ -978,18 +589,14 @@
             pause = max(MOVE_STEP, left // (len(streams) + 1))  # few: one at a time, evenly
             self.do(Wake(self.now + pause, ("move",)))
 
-    HANDLERS: ClassVar[dict[type, Callable[[_Step, Any], None]]] = {
-        Taken: taken, TurnedAway: turned_away, ClientLeft: client_left,
-        ClientFloods: client_floods, Violated: violated, Serving: serving,
-        Begun: begun, Written: written, FirstEvent: first_event,
-        Ended: ended, PlaceEnded: place_ended, ReleaseEnded: release_ended, Probed: probed,
-        PeerTold: peer_told,
-        ListTold: list_told, **ToolSteps.TOOL_HANDLERS, Woken: woken, Operate: operate,
-        BansTold: bans_told, Recalled: recalled, Sharing: sharing,
-        HandedOn: handed_on, Adopted: adopted, Terminate: terminate,
+    HANDLERS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {
+        Taken: taken, TurnedAway: turned_away, ClientLeft: client_left, ClientFloods: client_floods,
+        Violated: violated, Serving: serving, Begun: begun, Written: written, FirstEvent: first_event,
+        Ended: ended, Woken: woken, HandedOn: handed_on, Adopted: adopted, Terminate: terminate,
+        **HoldingSteps.HANDLERS, **FleetSteps.HANDLERS, **ToolSteps.TOOL_HANDLERS,
     }  # fmt: skip
-    ACTIONS: ClassVar[dict[type, Callable[[_Step, Any], None]]] = {
-        api.Send: send, api.LongRead: long_read, api.HoldPlace: hold_place, api.Release: release,
-        api.Cancel: cancel, api.Refuse: refuse, api.Fail: fail, api.Move: move, api.SetTimer: set_timer,
-        api.Probe: probe, api.WatchList: watch_list, api.FetchList: fetch_list, api.Log: say,
+    ACTIONS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {
+        api.Send: send, api.Cancel: cancel, api.Refuse: refuse, api.Fail: fail, api.Move: move,
+        api.SetTimer: set_timer, api.WatchList: watch_list, api.Log: say,
+        **HoldingSteps.ACTIONS, **FleetSteps.ACTIONS,
     }  # fmt: skip
