--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -28,6 +28,7 @@
 
 TOOL_SHARE = 0.15  # of the descriptors, for tries at tool servers
 SHARE_STEP = 1.0  # s between two tries for the address at which other gateways are heard
+TRACE = "BASALTSPREAD_TRACE"  # set to anything: each request's state changes are logged as it ends
 IDLE_SHARE = 0.6  # of the time after which engines close an idle connection: ours are closed by then
 log = logging.getLogger("basaltspread")
 Load = Callable[[bool], tuple[Gateway | None, list[ConfigError]]]
@@ -70,6 +71,7 @@
 async def serve(config: Gateway, load: Load) -> None:
     inherited = config.door is not None
     state = core.State(config.settings, Router(config.settings, config.seed), inherited=inherited)
+    state.traces = bool(os.environ.get(TRACE))
     if config.tools is not None:
         state.tools = dispatcher(config, config.tools)
     timeout = config.settings.limits.connect_timeout or 250_000
--- a/basaltspread/core/holding.py
+++ b/basaltspread/core/holding.py
@@ -65,6 +65,7 @@
         request.may_hold = True
         request.asking.add(worker)
         self.count("places_asked")
+        request.note(self.now, f"asks {worker} for a place")
         if self._starts(listed):
             self.count("places_in_slow_start")
         self.do(AskPlace(request.id, read.number, worker, listed.address))
@@ -87,6 +88,7 @@
         if event.place is Place.UNKNOWN or read.over:
             return
         held = event.place is Place.HELD
+        request.note(self.now, f"place at {event.worker} {event.place.name.lower()}")
         self.told.append(api.PlaceAnswer(request.id, event.number, event.worker, held))
 
     def release(self, action: api.Release) -> None:
@@ -103,6 +105,9 @@
         until = self.now + RELEASE_PATIENCE * self.state.settings.rules.release_within
         duty = self.state.releases.setdefault(name, Release())
         duty.until, duty.tries, duty.tried = until, 0, []
+        duty.began = self.now
+        if request is not None:
+            request.note(self.now, f"release, {pause // MS} ms later")
         self.count("releases")
         if pause > 0:
             self.do(Wake(self.now + pause, ("release", name, 0)))
@@ -158,6 +163,9 @@
             return
         duty.open.discard(event.worker)
         if event.done:
+            if self.state.traces:
+                taken = (self.now - duty.began) // MS
+                self.do(Say(f"trace of {event.request}: release heard by {event.worker} after {taken} ms"))
             del self.state.releases[event.request]
         elif duty.tries < RELEASE_TRIES:
             self._try_release(event.request)
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -155,6 +155,8 @@
             self._release(name)
         if not (request.asking or request.owed):
             self._check(invariants.of_dropped(request))
+            if self.state.traces:
+                self.do(Say(f"trace of {name}: {request.changes()}"))
             del self.state.requests[name]
 
     # --- requests ---------------------------------------------------------------------------------------
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -21,7 +21,7 @@
     from basaltspread.control.picture import Picture
 
 
-CHANGES_KEPT = 12  # of a request's state changes
+CHANGES_KEPT = 16  # of a request's state changes
 
 
 class Module(Protocol):
@@ -103,6 +103,7 @@
     open: set[str] = field(default_factory=set)
     tries: int = 0
     until: int = 0
+    began: int = 0
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -164,6 +165,7 @@
     stop_by: int = 0
     accepting: bool = True
     exited: bool = False
+    traces: bool = False  # each request's state changes and each release are logged
 
 
 @record
