--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -348,6 +348,8 @@
         self.touched[request.id] = None
         self._check(invariants.of_answer(self.now, request))
         request.note(self.now, f"stream of attempt {attempt.number}")
+        if self.state.traces:
+            self.do(Say(f"trace of {request.id}: so far {request.changes()}"))
         self._noted(attempt.worker, True)
         self.count("streams_started")
         self.do(PassOn(request.id, attempt.number))
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -140,11 +140,15 @@
 
     async def stop(self) -> None:
         """SIGTERM, its grace, and SIGKILL for what is left."""
-        process, life = self.process, self.life
-        if process is None or life is None or process.returncode is not None:
+        if self.process is not None and self.life is not None:
+            await self._tell_to_end(self.process, self.life)
+
+    async def _tell_to_end(self, process: asyncio.subprocess.Process, life: GatewayEnd) -> None:
+        if process.returncode is not None:
             return
         life.told_to_end_at = time.monotonic()
-        self.signal(signal.SIGTERM)
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGTERM)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(GRACE):
                 await process.wait()
@@ -162,16 +166,8 @@
         """A new process starts beside the old one, which is then told to end."""
         old, old_life = self.process, self.life
         await self.start()
-        if old is None or old_life is None or old.returncode is not None:
-            return
-        old_life.told_to_end_at = time.monotonic()
-        with contextlib.suppress(ProcessLookupError):
-            old.send_signal(signal.SIGTERM)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(GRACE):
-                await old.wait()
-                return
-        await self.kill(old, old_life)
+        if old is not None and old_life is not None:
+            await self._tell_to_end(old, old_life)
 
     async def hold_up(self) -> None:
         self.signal(signal.SIGSTOP)
