--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 from typing import Any
 
-from soak.observations import GatewayEnd, Observations
+from soak.observations import GatewayEnd, Observations, Told
 
 ROOT = Path(__file__).resolve().parent.parent
 SHIM = ROOT / "soak" / "shim"
@@ -62,6 +62,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.life: GatewayEnd | None = None
         self._count = 0
+        self.known_is_new = True  # the list in its configuration is discovery's of now
         self._readers: set[asyncio.Task[None]] = set()
         self.lock = asyncio.Lock()  # one thing at a time is done to its process
 
@@ -92,6 +93,11 @@
         self._count += 1
         life = GatewayEnd(self.number, time.monotonic())
         self._seen.processes.append(life)
+        if self.known_is_new:  # its configuration tells it as well; one left as it was tells nothing anew
+            for entry in self.config["known"]["instances"]:
+                told = entry["instanceId"], entry["lifecycle"], entry["startedAtMs"]
+                self._seen.told.append(Told(self.number, *told, life.started_at))
+        self.known_is_new = False
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-B", "-m", "basaltspread", cwd=ROOT, env=environment,
             stdin=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE, limit=1 << 20,
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -215,7 +215,7 @@
     async def _restart(self, trouble: Trouble) -> None:
         async def act(gateway: GatewayProcess) -> None:
             await gateway.stop()
-            gateway.config["known"] = self._discovery.whole()
+            gateway.config["known"], gateway.known_is_new = self._discovery.whole(), True
             await gateway.start()
 
         await self._at_each(trouble, act)
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -74,6 +74,13 @@
     assert rules(seen(requests=[request_seen])) == found
 
 
+def test_an_answer_that_waited_for_a_killed_gateway_is_not_late() -> None:
+    request = asked(answered_at=17.0, status=503, whole=True)
+    killed = replace(seen().processes[0], killed_at=12.0, exit_code=-9)
+    assert rules(seen(requests=[request], processes=[killed])) == set()
+    assert rules(seen(requests=[request], processes=[replace(killed, killed_at=30.0)])) == {"answered_late"}
+
+
 def test_a_killed_gateway_owes_nothing_and_a_broken_connection_of_its_own_neither() -> None:
     killed = replace(seen().processes[0], killed_at=10.4, exit_code=-9)
     assert rules(seen(requests=[asked(ended_at=10.4)], processes=[killed])) == set()
