--- a/basaltspread/control/engine_starts.py
+++ b/basaltspread/control/engine_starts.py
@@ -12,7 +12,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 
 from basaltspread.control.list_check import CLOCKS_DIFFER
 
@@ -20,13 +19,15 @@
 FORGOTTEN_AFTER = 600_000_000  # us after an engine was listed last
 
 
-@dataclass(slots=True)
 class _Engine:
     """What was told of one engine: the stamps of its starts, and when these were by this process's clock."""
 
-    starts: dict[int, int] = field(default_factory=dict)
-    latest: int = 0  # us of this process's clock; 0: long ago
-    listed_at: int = 0
+    __slots__ = ("latest", "listed_at", "starts")
+
+    def __init__(self) -> None:
+        self.starts: dict[int, int] = {}
+        self.latest = 0  # us of this process's clock; 0: long ago
+        self.listed_at = 0
 
 
 def age_by_stamp(stamp: int, now: int, wall_shifts: Iterable[int]) -> int | None:
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -16,7 +16,7 @@
 import socket
 import time
 from collections.abc import Coroutine
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -65,13 +65,15 @@
 CACHED = re.compile(rb'"cached_tokens"\s*:\s*(\d{1,9})')
 
 
-@dataclass(slots=True)
 class PlaceCall:
     """A question whether a writer holds a place, under way."""
 
-    task: asyncio.Task[None] | None = None
-    begun: bool = False  # its first byte has gone out
-    heard: Place = Place.UNKNOWN
+    __slots__ = ("begun", "heard", "task")
+
+    def __init__(self) -> None:
+        self.task: asyncio.Task[None] | None = None
+        self.begun = False  # its first byte has gone out
+        self.heard = Place.UNKNOWN
 
 
 class Front:
--- a/soak/engines.py
+++ b/soak/engines.py
@@ -216,7 +216,8 @@
             await asyncio.sleep(0.02)
         if reading:
             await asyncio.sleep(self._lot.uniform(*READ_TIME))
-            if any(way.request == request and way.gateway_has_closed() for way in self._ways):
+            ways = [way for way in self._ways if way.request == request]
+            if not any(not way.gateway_has_closed() for way in ways):
                 raise ConnectionResetError  # as soon as the system knows, however busy this runner is
             self.fleet.hold(self, request)
             work.ended_at = time.monotonic()
