--- a/soak/judge.py
+++ b/soak/judge.py
@@ -65,6 +65,16 @@
         ends = [life.killed_at for life in self.lives[gateway]]
         return any(at is not None and start - 0.1 <= at <= end + 0.1 for at in ends)
 
+    def was_down(self, gateway: int, start: float, end: float) -> bool:
+        """Whether nobody was there for a while within these times, after a kill and before the next process
+        served: what waits at an inherited socket then can't be answered."""
+        lives = self.lives[gateway]
+        for life, after in zip(lives, [*lives[1:], None], strict=True):
+            back_at = after.ready_at if after is not None else None
+            if life.killed_at is not None and life.killed_at <= end and (back_at is None or back_at >= start):
+                return True
+        return False
+
     def troubled(self, kinds: tuple[str, ...], target: str, start: float, end: float) -> bool:
         """Whether one of these troubles was with this target within these times."""
         return any(
@@ -87,7 +97,7 @@
         by = request.began_at + request.time_left + LATE + case.slack
         target = f"n{request.gateway}"
         if request.answered_at is not None:
-            down = case.killed(request.gateway, request.began_at, request.answered_at)  # nobody was there
+            down = case.was_down(request.gateway, request.began_at, request.answered_at)
             if request.answered_at > by and not down:
                 late = request.answered_at - by
                 yield Violation(
