--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -201,10 +201,6 @@
         except (StopIteration, OSError, ValueError, KeyError):
             return []
 
-    def litter(self) -> list[str]:
-        """Drafts of files that nobody writes any more."""
-        return [path.name for path in self._folder.glob("*.json.*")]
-
     async def end(self) -> None:
         """At the end of the soak, whatever became of it: nothing of it goes on."""
         if self.process is not None and self.life is not None:
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from soak.observations import ClientKind, ClientRequest, GatewayEnd, Observations, Sent, Work
+from soak.observations import ClientKind, ClientRequest, GatewayEnd, Observations, Work
 from soak.overload_judge import TOLD_SHARE, page_limit
 from soak.schedule import TroubleKind
 
@@ -326,8 +326,3 @@
 
 def by_rule(violations: list[Violation]) -> Counter[str]:
     return Counter(violation.rule for violation in violations)
-
-
-def sends_of(seen: Observations, request: str) -> list[Sent]:
-    """For the trace of a violation."""
-    return [sent for sent in seen.sent if sent.request == request]
