Say in one place that a log line comes once a second, and derive what a start knew

That discovery was awaited is noted where it is, not claimed. A wrapper and a doubled block of a test are gone.

--- a/basaltspread/net/clients.py
+++ b/basaltspread/net/clients.py
@@ -228,11 +228,7 @@
 
     def has_left(self) -> bool:
         """Its close or a break has come. What it sent before may still be unread; nothing of that counts."""
-        return self._reader.ended or self._closed_by_peer()
-
-    def _closed_by_peer(self) -> bool:
-        """Whether the system knows of the close, though it has not been read here."""
-        return tcp_info.closed_by_peer(self._writer.get_extra_info("socket"))
+        return self._reader.ended or tcp_info.closed_by_peer(self._writer.get_extra_info("socket"))
 
     def abort(self, reason: CloseReason | None = None) -> None:
         """Closes without waiting for what was written to go out; with no reason, what is closed already."""
--- a/basaltspread/net/links.py
+++ b/basaltspread/net/links.py
@@ -19,6 +19,7 @@
 import h11
 
 from basaltspread.endings import Ending
+from basaltspread.net.log_limit import OnceASecond
 from basaltspread.records import record
 from basaltspread.structures import system_faults as faults
 
@@ -348,7 +349,7 @@
         self._idle: dict[str, list[Link]] = {}
         self._distrusted: dict[str, float] = {}  # by address: until when
         self._counters = counters
-        self._local_fault_second = -1  # in which one was logged last
+        self._local_fault_lines = OnceASecond()
 
     def _trusted(self, address: str) -> bool:
         return address not in self._distrusted and len(self._distrusted) < MOST_DISTRUSTED
@@ -408,9 +409,7 @@
     def _note_local_fault(self, address: str, error: Exception) -> None:
         """Counted always, logged once a second."""
         self._counters["local_connect_faults"] += 1
-        second = int(time.monotonic())
-        if second != self._local_fault_second:
-            self._local_fault_second = second
+        if self._local_fault_lines.due():
             log.warning("this machine can't connect to %s for now: %s", address, error)
 
     async def adopt(self, address: str, running: socket.socket) -> Link:
--- a/basaltspread/net/listener.py
+++ b/basaltspread/net/listener.py
@@ -8,13 +8,13 @@
 import asyncio
 import logging
 import socket
-import time
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 from basaltspread.config import split_address
 from basaltspread.net.links import READ_SIZE, TimedReader
+from basaltspread.net.log_limit import OnceASecond
 from basaltspread.structures import system_faults as faults
 
 log = logging.getLogger("basaltspread")
@@ -43,7 +43,7 @@
         self._retry: asyncio.TimerHandle | None = None
         self._close_by: float | None = None  # the door is closing
         self._closed = False
-        self._logged_second = -1
+        self._fault_lines = OnceASecond()
         self._opening: set[asyncio.Task[Any]] = set()
         self.address = "{}:{}".format(*listener.getsockname()[:2])
         self._loop.add_reader(listener, self._ready)
@@ -111,9 +111,7 @@
         """Counted always, logged once a second."""
         self._counters["accept_faults"] += 1
         self._pause = self._pause or ACCEPT_PAUSE / 2
-        second = int(time.monotonic())
-        if second != self._logged_second:
-            self._logged_second = second
+        if self._fault_lines.due():
             log.warning("accept failed at %s: %s", self.address, error)
 
     def _open(self, connection: socket.socket) -> None:
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -40,6 +40,7 @@
 )
 from basaltspread.net.links import PART_PATIENCE, Link, LinkError, TimedReader, connect, load_json
 from basaltspread.net.listener import Listener, open_listener
+from basaltspread.net.log_limit import OnceASecond
 from basaltspread.net.parsing import BadRequest, NoRoom, arrival_from, parse_list, parse_report
 from basaltspread.net.runtime import Runtime
 from basaltspread.net.sse import END, TooLong
@@ -92,7 +93,9 @@
         self._used: dict[str, float] = {}  # ids of requests that are over: until when known
         self._used_for = max((c.deadline for c in config.settings.classes), default=0) / 1e6
         self._bodies = self.read_ahead = 0  # bytes: of requests under way, and of what came meanwhile
-        self._bad_second = self._bad_lines = self._odd_report_second = self._full_second = 0
+        self._bad_second = self._bad_lines = 0
+        self._odd_report_lines, self._full_lines = OnceASecond(), OnceASecond()
+        self._list_awaited = False  # discovery has answered, or had its time to
         self._listener: Listener | None = None
         self._watching: dict[str, asyncio.Task[None]] = {}  # by discovery's address; two while it moves
         self._told_by: str | None = None  # whose answer came last
@@ -129,7 +132,8 @@
         if self._watching:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._asked.wait(), FIRST_LIST_WAIT)
-        facts = StartFacts(list_awaited=True, bans_read=self.runtime.looked_at_files)
+        self._list_awaited = True
+        facts = StartFacts(list_awaited=self._list_awaited, bans_read=self.runtime.looked_at_files)
         if guards.may_serve(facts) is not None:
             self.runtime.feed(core.Violated(Invariant.SERVED_TOO_EARLY.value))
         self._listener = await open_listener(
@@ -176,8 +180,7 @@
         # one is refused in words, as an accepted connection may carry a request already.
         most = self.runtime.descriptors.limit * CLIENT_SHARE
         if len(self.client_table) >= most:
-            if int(time.monotonic()) != self._full_second:
-                self._full_second = int(time.monotonic())
+            if self._full_lines.due():
                 log.warning("clients fill %d descriptors: idle ones make room, or it is refused", most)
             idle = self.client_table.idlest(time.monotonic())
             if idle is not None:
@@ -617,9 +620,7 @@
         report = parse_report(text.decode("latin-1"))
         if text and not report:
             self.runtime.count("reports_unreadable")
-            second = int(time.monotonic())
-            if second != self._odd_report_second:
-                self._odd_report_second = second
+            if self._odd_report_lines.due():
                 log.warning("load report of %s can't be read: %r", worker, text[:64])
         return report
 
--- a/tests/test_request_time.py
+++ b/tests/test_request_time.py
@@ -40,6 +40,14 @@
         writer.get_extra_info.return_value.getsockopt = lambda level, name, size: tcp_info[:size]
         self.client = Client(self.front, self.reader, writer)
 
+    async def look(self) -> None:
+        """Let it read what is there, and call it off as it waits for more."""
+        waiting = asyncio.ensure_future(self.client._one())
+        for _ in range(5):
+            await asyncio.sleep(0)
+        waiting.cancel()
+        await asyncio.wait({waiting})
+
     def taken(self) -> core.Taken | None:
         return next((event for event in self.fed if isinstance(event, core.Taken)), None)
 
@@ -109,11 +117,7 @@
         self.assertFalse(door.client.idle)
         loop = asyncio.get_running_loop()
         with mock.patch.object(loop, "call_at", wraps=loop.call_at) as alarms:
-            waiting = asyncio.ensure_future(door.client._one())
-            for _ in range(5):
-                await asyncio.sleep(0)
-            waiting.cancel()
-            await asyncio.wait({waiting})
+            await door.look()
         wait = max(call.args[0] for call in alarms.call_args_list) - loop.time()
         self.assertLessEqual(wait, REQUEST_PATIENCE)
 
@@ -126,11 +130,7 @@
         door, loop = Door(bytes(info)), asyncio.get_running_loop()
         door.reader.feed_data(HEAD[:30])
         with mock.patch.object(loop, "call_at", wraps=loop.call_at) as alarms:
-            waiting = asyncio.ensure_future(door.client._one())
-            for _ in range(5):
-                await asyncio.sleep(0)
-            waiting.cancel()
-            await asyncio.wait({waiting})
+            await door.look()
         wait = alarms.call_args_list[-1].args[0] - loop.time()  # the wait in force
         self.assertLessEqual(wait, REQUEST_PATIENCE - LATE_MS / 1000)
         self.assertGreater(wait, 0.0)
