--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -105,6 +105,16 @@
             await process.tell(started, *process.instances[1:], whole=True)
             self.assertFalse(process.is_cold("r1"), step)
 
+    async def test_a_start_is_known_for_as_long_as_its_engine_is_listed(self) -> None:
+        """After a quiet time the next news of another engine made it forgotten."""
+        process = Process()
+        await process.tell(process.starts("r1"), *process.instances[1:], whole=True)
+        since = process.runtime.state.starts.since("r1")
+        process.passed = 700.0
+        await process.tell(process.starts("r9"))
+        self.assertEqual(process.runtime.state.starts.since("r1"), since)
+        self.assertGreater(since, 0)
+
     async def test_what_a_predecessor_knew_holds_for_as_long_as_it_would_have(self) -> None:
         """An ejection of 1 s became one of an hour: instants of one process's clock were handed on."""
         for step in STEPS:
