Keep an engine's start for as long as the engine is listed

Cause: what was mentioned last over 600 s ago was forgotten at the next news of any engine. Change: the reducer says which engines are listed now, after the list has been taken in; only others are forgotten.

--- a/basaltspread/control/engine_starts.py
+++ b/basaltspread/control/engine_starts.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 from basaltspread.control.list_check import CLOCKS_DIFFER
 
@@ -39,7 +39,8 @@
 
 
 class EngineStarts:
-    """The starts of one gateway's engines. An entry takes some 300 bytes; each call costs a few steps."""
+    """The starts of one gateway's engines. An entry takes some 300 bytes; a call costs a few steps for each
+    engine that it names."""
 
     def __init__(self) -> None:
         self._engines: dict[str, _Engine] = {}
@@ -53,26 +54,28 @@
     def listed(self, name: str, stamp: int, now: int, wall_shifts: Iterable[int]) -> None:
         """A list names this engine with this stamp."""
         engine = self._engines.get(name)
-        known_before = engine is not None and self._listed_at is not None
+        not_before = self._listed_at if engine is not None else None
         if engine is None:
             engine = self._engines[name] = _Engine()
         engine.listed_at = now
         if stamp <= 0 or stamp in engine.starts:
             return
         start = now - (age_by_stamp(stamp, now, wall_shifts) or 0)
-        if known_before and self._listed_at is not None:  # it was listed with another start then
-            start = max(start, self._listed_at)
+        if not_before is not None:  # it was listed with another start then
+            start = max(start, not_before)
         engine.starts[stamp] = start
         engine.latest = max(engine.latest, start)
         while len(engine.starts) > STAMPS_KEPT:
             del engine.starts[next(iter(engine.starts))]
 
-    def list_ended(self, now: int) -> None:
-        """All entries of a list have been told."""
+    def list_ended(self, now: int, names: Container[str]) -> None:
+        """All entries of a list have been told; these engines are listed now. Costs a look at each engine."""
         self._listed_at = now
-        old = [n for n, e in self._engines.items() if now - e.listed_at > FORGOTTEN_AFTER]
-        for name in old:
-            del self._engines[name]
+        for name, engine in list(self._engines.items()):
+            if name in names:
+                engine.listed_at = now
+            elif now - engine.listed_at > FORGOTTEN_AFTER:
+                del self._engines[name]
 
     def ages(self, now: int, names: Iterable[str]) -> dict[str, tuple[int, int]]:
         """By engine, the stamp of its latest start and how long ago that was, in us: for another process."""
--- a/basaltspread/core/fleet.py
+++ b/basaltspread/core/fleet.py
@@ -64,8 +64,6 @@
         self.count("lists_" + event.kind.value)
         state = self.state
         entries = self._believed(self._in_order(event), event.wall_shifts)
-        if event.kind is not api.ListKind.CACHED:  # that one was kept, and may be of any time
-            state.starts.list_ended(self.now)
         if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
             state.listed.clear()
         for listed in entries:
@@ -73,6 +71,8 @@
                 state.listed.pop(listed.entry.name, None)
             else:
                 state.listed[listed.entry.name] = listed
+        if event.kind is not api.ListKind.CACHED:  # that one was kept, and may be of any time
+            state.starts.list_ended(self.now, state.listed)
         state.version = max(state.version, event.version)
         state.heard = {name: at for name, at in state.heard.items() if name in state.listed}
         state.unreached &= state.listed.keys()
