Measure the loop's lag, decisions, accept waits and held state; say what waits

Added: one line for each attempt that waits past the usual time (connection kept or new, bytes written and acknowledged, silence of the engine), gauges by SIGUSR1 and at the operators' address, invariant_held_too_long. The once-a-second guard and the one of bad requests are one type now; the scripted core of the tests moved to a module of its own, its assertions as they were.

--- a/basaltspread/core/holding.py
+++ b/basaltspread/core/holding.py
@@ -12,6 +12,7 @@
 from zlib import crc32
 
 from basaltspread import interface as api
+from basaltspread.core import invariants
 from basaltspread.core.messages import (
     AskPlace,
     Effect,
@@ -24,7 +25,7 @@
     Wake,
 )
 from basaltspread.core.state import Attempt, Release, Request, State
-from basaltspread.endings import SAYS_NOTHING
+from basaltspread.endings import ANSWERED, SAYS_NOTHING, Ending
 from basaltspread.interface import WorkerState
 
 MS = 1000
@@ -45,6 +46,26 @@
     count: Callable[[str], None]
     _starts: Callable[[Listed], bool]
     _unseen: Callable[[Request], int]
+    _check: Callable[[invariants.Breach | None], None]
+
+    def _hold(self, request: Request) -> None:
+        """Something may be held for it from now on, or still: the last outcome or question is of now."""
+        request.may_hold, request.held_since = True, self.now
+
+    def _nothing_held(self, request: Request) -> None:
+        """Nothing is held for it any more, or a release is on its way."""
+        self._check(invariants.of_held(self.now, request, self.state.settings.rules.release_within))
+        request.may_hold, request.held_since = False, None
+
+    def _hold_after(self, request: Request, attempt: Attempt, ending: Ending) -> None:
+        """An attempt has ended. A read that was written may have left a state, even where its connection was
+        closed or broke. A write that its engine answered had arrived, and the clock begins anew; of any other
+        it can't be told whether it had."""
+        if attempt.reading:
+            if ending is Ending.READ or attempt.written:
+                self._hold(request)
+        elif request.may_hold and ending in ANSWERED:
+            self._hold(request)
 
     def hold_place(self, action: api.HoldPlace) -> None:
         request = self.state.requests.get(action.request)
@@ -62,7 +83,7 @@
             return
         if worker in request.asking:
             return
-        request.may_hold = True
+        self._hold(request)
         request.asking.add(worker)
         self.count("places_asked")
         request.note(self.now, f"asks {worker} for a place")
@@ -81,13 +102,15 @@
         self.touched[request.id] = None
         if event.place is not Place.NOT_HELD and (request.ended or request.stream is not None or overtaken):
             # The question may have overtaken nothing: what it left is let go, whatever was before.
-            request.may_hold = True
+            self._hold(request)
             if not request.ended:
                 self._release(request.id)
         read = request.attempts[event.number]
         if event.place is Place.UNKNOWN or read.over:
             return
         held = event.place is Place.HELD
+        if held:  # it says so only while the read is out
+            read.acknowledged = True
         request.note(self.now, f"place at {event.worker} {event.place.name.lower()}")
         self.told.append(api.PlaceAnswer(request.id, event.number, event.worker, held))
 
@@ -98,7 +121,8 @@
         request = request or self.state.requests.get(name)
         pause = 0
         if request is not None:
-            request.may_hold, request.let_go = False, request.let_go | request.asking
+            request.let_go = request.let_go | request.asking
+            self._nothing_held(request)
             # A read that is given up may end well until its engine has seen it: what it leaves after the word
             # has gone round would be held for nobody.
             pause = self._unseen(request)
--- a/basaltspread/core/invariants.py
+++ b/basaltspread/core/invariants.py
@@ -15,6 +15,7 @@
 from basaltspread.records import record
 
 LATE = 500_000  # us past a client's time by which its answer is lost
+HELD_SLACK = 300_000  # us that what is held has more than the settings say
 ENDED_KEPT = 60_000_000  # us after which nothing of a request that has ended may still be here
 
 
@@ -34,6 +35,7 @@
     UNANSWERED = "unanswered"
     EXITED_OWING = "exited_owing"
     NOT_RELEASED = "not_released"
+    HELD_TOO_LONG = "held_too_long"
     SERVED_TOO_EARLY = "served_too_early"
 
 
@@ -78,6 +80,13 @@
     return Breach(Invariant.ANSWERED_LATE, request) if now > request.deadline + LATE else None
 
 
+def of_held(now: int, request: Request, release_within: int) -> Breach | None:
+    """What is held for a request is taken or let go now; `release_within` us are allowed."""
+    if request.held_since is None or now <= request.held_since + release_within + HELD_SLACK:
+        return None
+    return Breach(Invariant.HELD_TOO_LONG, request)
+
+
 def of_dropped(request: Request) -> Breach | None:
     """Nothing of a request is known any more."""
     return Breach(Invariant.NOT_RELEASED, request) if request.may_hold else None
--- a/basaltspread/core/messages.py
+++ b/basaltspread/core/messages.py
@@ -441,6 +441,18 @@
     payload: bytes
 
 
+@record
+class SayUnanswered:
+    """An attempt has waited past the usual time for anything from its engine: one line for the log."""
+
+    request: str
+    number: int
+    worker: str
+    reading: bool
+    waited: int  # us since its last byte was written
+    silent_for: int | None  # us since the engine last answered anything; None: it never has
+
+
 @record
 class FetchWholeList:
     pass
@@ -584,7 +596,7 @@
 
 Effect = (
     StartAttempt | AbandonAttempt | PassOn | HandOn | EndStream | BreakClient | Answer | AskPlace | DropPlace
-    | SendRelease | StartProbe | TellPeers | FetchWholeList | CallTool | AbandonTool
+    | SendRelease | StartProbe | TellPeers | SayUnanswered | FetchWholeList | CallTool | AbandonTool
     | TellCancelled | AnswerLocally | ReturnReply | ReturnProgress | ForgetCall | ForgetBundle | TryServer
     | Wake | Count | Say | OperatorAnswer | KeepBans | CloseIdle | StopListening | StopAccepting
     | Exit
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -55,6 +55,7 @@
 )
 from basaltspread.core.state import Attempt, Request, State
 from basaltspread.core.toolcalls import ToolSteps
+from basaltspread.core.watching import WatchSteps
 from basaltspread.endings import CLOSED_HERE, OUTCOMES, QUIET, SAYS_NOTHING, Ending
 from basaltspread.interface import Outcome, Role, WorkerState
 
@@ -83,7 +84,7 @@
     return step.effects
 
 
-class _Step(ToolSteps, HoldingSteps, FleetSteps):
+class _Step(ToolSteps, HoldingSteps, FleetSteps, WatchSteps):
     """One call of the reducer: the state, the time, and the effects gathered so far."""
 
     def __init__(self, state: State, now: int) -> None:
@@ -331,6 +332,7 @@
         request, attempt = found
         attempt.written = True
         self.state.dispatches += 1
+        self._watch_attempt(request, attempt)
         if attempt.reading:
             request.may_hold = True
             if request.place is not None:
@@ -342,15 +344,15 @@
             return
         request, attempt = found
         request.stream = attempt
-        request.may_hold = bool(
-            request.asking
-        )  # all else that is held goes by itself, but for what is asked for now
+        self._nothing_held(request)  # the engine lets all go by itself, but for what is asked for now
+        request.may_hold = bool(request.asking)
         self.touched[request.id] = None
         self._check(invariants.of_answer(self.now, request))
         request.note(self.now, f"stream of attempt {attempt.number}")
         if self.state.traces:
             self.do(Say(f"trace of {request.id}: so far {request.changes()}"))
         self._noted(attempt.worker, True)
+        self._note_answer(attempt)
         self.count("streams_started")
         self.do(PassOn(request.id, attempt.number))
         for other in request.out():
@@ -398,8 +400,9 @@
         if ending not in SAYS_NOTHING:
             heard = outcome in (Outcome.READ, Outcome.SERVED, Outcome.FULL, Outcome.ERROR)
             self._noted(attempt.worker, heard)
-        if attempt.reading and (ending is Ending.READ or attempt.written):
-            request.may_hold = True
+        if ending is Ending.READ:
+            self._note_answer(attempt)
+        self._hold_after(request, attempt, ending)
         if attempt.reading:
             if request.place is not None:
                 request.place = None
@@ -465,6 +468,10 @@
                 listed = self.state.workers.get(found[1].worker) if found is not None else None
                 if found is not None and listed is not None:
                     self._start(*found, listed)
+            case ("unanswered", str(name), int(number)):
+                found = self._find(name, number)
+                if found is not None:
+                    self._unanswered(*found)
             case ("deadline", str(name)):
                 request = self.state.requests.get(name)
                 if request is not None and request.waits() and self.now >= request.deadline:
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -15,6 +15,7 @@
 from basaltspread.core.messages import Listed, Verdict
 from basaltspread.endings import Ending, ToolFault
 from basaltspread.records import record
+from basaltspread.structures.averages import Usual
 
 if TYPE_CHECKING:
     from basaltspread.control.dispatch import Dispatcher
@@ -45,6 +46,8 @@
     until: int = 0
     begun: bool = False
     written: bool = False
+    written_at: int = 0
+    acknowledged: bool = False  # the engine has shown that it has the call, which has not ended yet
     over: bool = False
     ending: Ending | None = None  # once it is over
     zone: int = -1  # of its worker, as it was listed then
@@ -67,6 +70,7 @@
     asking: set[str] = field(default_factory=set)  # writers whose answer is awaited
     let_go: set[str] = field(default_factory=set)  # of these, asked before all that is held was let go
     may_hold: bool = False  # a state or a place may be held for it at some engine
+    held_since: int | None = None  # the clock of the rule on that, as long as it runs
 
     tenant: int = 0
     prompt: int = 0  # tokens
@@ -147,6 +151,8 @@
     returned: dict[str, int] = field(default_factory=dict)  # when one was let in again
     workers: dict[str, Listed] = field(default_factory=dict)  # as it is treated: the list, less the bans
     heard: dict[str, int] = field(default_factory=dict)  # when an engine last said anything
+    read_times: Usual = field(default_factory=Usual)  # from a read's sending to its answer
+    first_event_times: Usual = field(default_factory=Usual)  # the same of a write, to its first event
     unreached: set[str] = field(default_factory=set)  # engines whose last exchange brought no answer
     requests: dict[str, Request] = field(default_factory=dict)
     releases: dict[str, Release] = field(default_factory=dict)
@@ -177,6 +183,7 @@
     concurrent: int  # requests taken and not ended
     targets: int  # engines in the list
     targets_disabled: int  # those of them that are avoided now
+    oldest_held: int  # us: the longest for which something has been held that no engine has shown to take
 
 
 def figures(state: State, now: int) -> Figures:
@@ -187,9 +194,16 @@
         sum(not q.ended for q in state.requests.values()),
         len(state.workers),
         len(avoided.intersection(state.workers)),
+        oldest_held(state, now),
     )
 
 
+def oldest_held(state: State, now: int) -> int:
+    """Age of the oldest clock of held state that runs, in us; 0 for none. Costs a look at each request."""
+    ages = [now - r.held_since for r in state.requests.values() if r.held_since is not None]
+    return max(ages, default=0)
+
+
 def silent_since(state: State, request: str) -> int | None:
     """From when on an engine's silence counts, at the earliest; None while it waits for a tool's reply. A
     pause for a tool is no silence, and ends when the reply has been taken."""
--- a/basaltspread/endings.py
+++ b/basaltspread/endings.py
@@ -83,6 +83,12 @@
 # learns of that a moment later.
 CLOSED_HERE = frozenset((Ending.MALFORMED, Ending.STALLED))
 
+# The endings that show that the engine's process had the request: it has said something itself.
+ANSWERED = frozenset((
+    Ending.SERVED, Ending.READ, Ending.SERVER_ERROR, Ending.STRANGE_STATUS, Ending.MALFORMED,
+    Ending.TURNED_AWAY, Ending.STATE_GONE, Ending.CUT_SHORT, Ending.STALLED,
+))  # fmt: skip
+
 # The endings of an ordinary day, which are counted but not logged.
 QUIET = frozenset((
     Ending.SERVED, Ending.READ, Ending.TURNED_AWAY, Ending.CLIENT_LEFT, Ending.NOT_SENT, Ending.MOVED,
--- a/basaltspread/net/clients.py
+++ b/basaltspread/net/clients.py
@@ -156,7 +156,9 @@
         self.spoke = False  # a byte has come at all
         self.rests_since = self._opened = time.monotonic()
         # By its client: it may have waited long in the system's queue, also for an earlier process.
-        self._connected_at = self._opened - tcp_info.age(writer.get_extra_info("socket"))
+        waited = tcp_info.age(writer.get_extra_info("socket"))
+        self._connected_at = self._opened - waited
+        front.runtime.load.accepted(int(waited * 1_000_000))
         self._received_at = self._opened  # when the last bytes were handed to the parser
         self.refused = False  # over the budget, or this process ends: its request is refused
         self._wait: asyncio.Timeout | None = None  # for a first byte, while one is waited for
--- a/basaltspread/net/links.py
+++ b/basaltspread/net/links.py
@@ -19,7 +19,8 @@
 import h11
 
 from basaltspread.endings import Ending
-from basaltspread.net.log_limit import OnceASecond
+from basaltspread.net import tcp_info
+from basaltspread.net.log_limit import LineLimit
 from basaltspread.records import record
 from basaltspread.structures import system_faults as faults
 
@@ -196,6 +197,7 @@
         self.idle_since = 0.0
         self.reused = False
         self.written = False  # the last byte of the present request has gone out
+        self._sent = 0  # bytes of the present request
         writer.transport.set_write_buffer_limits(high=0)  # so that drain means: all of it is written
 
     async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
@@ -209,6 +211,7 @@
         out += self._http.send(h11.EndOfMessage()) or b""
         # What the kernel has taken may reach the other side, whatever becomes of the connection: only bytes
         # that stay in the transport's buffer are certainly unsent.
+        self._sent = len(out)
         self._writer.write(out)
         if self._writer.transport.is_closing():
             raise LinkError(Ending.BROKE_UNSENT)
@@ -314,6 +317,13 @@
         self._writer.transport.abort()
         self._free()
 
+    def progress(self) -> str:
+        """For the log: on what kind of connection the present request went out, and how far it got."""
+        kind = "kept" if self.reused else "new"
+        open_bytes = tcp_info.unacknowledged(self._writer.get_extra_info("socket"))
+        arrived = "?" if open_bytes is None else str(max(0, self._sent - open_bytes))
+        return f"{kind} connection, {self._sent} bytes written, {arrived} acknowledged"
+
     def done(self) -> bool:
         """Whether the exchange is over and the link can carry another; readies it for that."""
         both = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
@@ -349,7 +359,7 @@
         self._idle: dict[str, list[Link]] = {}
         self._distrusted: dict[str, float] = {}  # by address: until when
         self._counters = counters
-        self._local_fault_lines = OnceASecond()
+        self._local_fault_lines = LineLimit()
 
     def _trusted(self, address: str) -> bool:
         return address not in self._distrusted and len(self._distrusted) < MOST_DISTRUSTED
--- a/basaltspread/net/listener.py
+++ b/basaltspread/net/listener.py
@@ -14,7 +14,7 @@
 
 from basaltspread.config import split_address
 from basaltspread.net.links import READ_SIZE, TimedReader
-from basaltspread.net.log_limit import OnceASecond
+from basaltspread.net.log_limit import LineLimit
 from basaltspread.structures import system_faults as faults
 
 log = logging.getLogger("basaltspread")
@@ -43,7 +43,7 @@
         self._retry: asyncio.TimerHandle | None = None
         self._close_by: float | None = None  # the door is closing
         self._closed = False
-        self._fault_lines = OnceASecond()
+        self._fault_lines = LineLimit()
         self._opening: set[asyncio.Task[Any]] = set()
         self.address = "{}:{}".format(*listener.getsockname()[:2])
         self._loop.add_reader(listener, self._ready)
--- a/basaltspread/net/log_limit.py
+++ b/basaltspread/net/log_limit.py
@@ -1,20 +1,21 @@
-"""Log lines that come once a second at most; what they are about is counted each time."""
+"""Log lines that come a bounded number of times a second; what they are about is counted each time."""
 
 from __future__ import annotations
 
 import time
 
 
-class OnceASecond:
-    """Says whether a line may be written now."""
+class LineLimit:
+    """Says whether a line may be written now: the first `most` of each second of the monotonic clock."""
 
-    def __init__(self) -> None:
+    def __init__(self, most: int = 1) -> None:
+        self._most = most
         self._second = -1
+        self._written = 0
 
     def due(self) -> bool:
-        """True for the first call in each second of the monotonic clock."""
         second = int(time.monotonic())
-        if second == self._second:
-            return False
-        self._second = second
-        return True
+        if second != self._second:
+            self._second, self._written = second, 0
+        self._written += 1
+        return self._written <= self._most
--- a/basaltspread/net/management.py
+++ b/basaltspread/net/management.py
@@ -184,4 +184,6 @@
             "targets_disabled": found.targets_disabled,
             "reload_success": counters["reloads"],
             "reload_failure": counters["reloads_refused"],
+            "oldest_held_us": found.oldest_held,
+            **self._runtime.load.figures(self._runtime.clock.now()),
         }
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -40,7 +40,7 @@
 )
 from basaltspread.net.links import PART_PATIENCE, Link, LinkError, TimedReader, connect, load_json
 from basaltspread.net.listener import Listener, open_listener
-from basaltspread.net.log_limit import OnceASecond
+from basaltspread.net.log_limit import LineLimit
 from basaltspread.net.parsing import BadRequest, NoRoom, arrival_from, parse_list, parse_report
 from basaltspread.net.runtime import Runtime
 from basaltspread.net.sse import END, TooLong
@@ -59,6 +59,7 @@
 ACCEPTED_AT_ONCE = 8  # connections
 MOST_REFUSED = 16  # connections past the budget that are refused in words; more are closed
 BAD_REQUEST_LINES = 10  # log lines about them in a second; the counters hold them all
+UNANSWERED_LINES = 10  # the same of attempts that wait past the usual time
 CALL_WAIT = 1.0  # s for an answer about a place, a release or a probe
 ERROR_BODY_WAIT = 0.5  # s for the rest of an answer whose status has settled it
 STREAM_SILENCE = 4.0  # s between two pieces of a stream; the protocol lets a client wait for 5
@@ -93,8 +94,9 @@
         self._used: dict[str, float] = {}  # ids of requests that are over: until when known
         self._used_for = max((c.deadline for c in config.settings.classes), default=0) / 1e6
         self._bodies = self.read_ahead = 0  # bytes: of requests under way, and of what came meanwhile
-        self._bad_second = self._bad_lines = 0
-        self._odd_report_lines, self._full_lines = OnceASecond(), OnceASecond()
+        self._odd_report_lines, self._full_lines = LineLimit(), LineLimit()
+        self._bad_request_lines = LineLimit(BAD_REQUEST_LINES)
+        self._unanswered_lines = LineLimit(UNANSWERED_LINES)
         self._list_awaited = False  # discovery has answered, or had its time to
         self._listener: Listener | None = None
         self._watching: dict[str, asyncio.Task[None]] = {}  # by discovery's address; two while it moves
@@ -108,6 +110,7 @@
             core.AskPlace: self._ask_place, core.DropPlace: self._drop_place,
             core.SendRelease: self._send_release, core.StartProbe: self._start_probe,
             core.FetchWholeList: self._fetch_list,
+            core.SayUnanswered: self._say_unanswered,
             core.CloseIdle: lambda e: self._close_idle(CLOSE_AFTER),
             core.StopListening: lambda e: self._stop_listening(),
             core.StopAccepting: lambda e: self._stop_accepting(),
@@ -223,11 +226,7 @@
     def note_bad_request(self, error: BadRequest) -> None:
         """Counted always, logged a few times a second: a flood of them must not become a flood of lines."""
         self.runtime.count(f"bad_requests_{error.status}")
-        second = int(time.monotonic())
-        if second != self._bad_second:
-            self._bad_second, self._bad_lines = second, 0
-        self._bad_lines += 1
-        if self._bad_lines <= BAD_REQUEST_LINES:
+        if self._bad_request_lines.due():
             log.info("bad request: %d %s", error.status, error.why)
 
     async def route(self, client: Client, received: ReceivedRequest) -> None:
@@ -409,6 +408,25 @@
         if key in self._attempts:
             self._attempts[key].cancel()
 
+    def _say_unanswered(self, effect: core.SayUnanswered) -> None:
+        """One line about an attempt that waits past the usual time: what is known of its way."""
+        link = self._links.get((effect.request, effect.number))
+        if link is None or not self._unanswered_lines.due():
+            return
+        engine = (
+            "never heard" if effect.silent_for is None else f"silent for {effect.silent_for // core.MS} ms"
+        )
+        log.info(
+            "attempt %s/%d %s at %s unanswered for %d ms: %s; engine %s",
+            effect.request,
+            effect.number,
+            "read" if effect.reading else "write",
+            effect.worker,
+            effect.waited // core.MS,
+            link.progress(),
+            engine,
+        )
+
     async def _attempt(
         self, effect: core.StartAttempt, exchange: Exchange, running: Link | None = None
     ) -> None:
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -19,11 +19,13 @@
 from typing import Any
 
 from basaltspread import core
+from basaltspread.control.loop_load import LoopLoad
 from basaltspread.core import guards, invariants
 from basaltspread.core.guards import Denial
 from basaltspread.net.clock import Clock, ClockFile
 from basaltspread.net.links import Descriptors, Pool
 from basaltspread.net.shared_files import BanFile, Overlap
+from basaltspread.net.timed_module import TimedModule
 
 log = logging.getLogger("basaltspread")
 TICK = 0.005  # s, of the timer wheel
@@ -39,8 +41,14 @@
     """Coarse timers: what is due within a tick fires together, and the loop wakes only for ticks that hold
     something. A timer in a tick that holds others costs an append, a first one a push on a heap of ticks."""
 
-    def __init__(self, fire: Callable[[tuple[Any, ...]], None], now: Callable[[], int]) -> None:
-        self._fire, self._now = fire, now
+    def __init__(
+        self,
+        fire: Callable[[tuple[Any, ...]], None],
+        now: Callable[[], int],
+        late: Callable[[int, int], None],
+    ) -> None:
+        """`late` is told the time and the lag of each turn, in us."""
+        self._fire, self._now, self._late = fire, now, late
         self._slots: dict[int, list[tuple[Any, ...]]] = {}
         self._ticks: list[int] = []  # those of the slots, a heap
         self._alarm: asyncio.TimerHandle | None = None  # for the first of them
@@ -68,6 +76,8 @@
         self._alarm = None
         due: list[tuple[Any, ...]] = []
         now = self._now()
+        if self._ticks:
+            self._late(now, max(0, now - self._ticks[0] * self._tick_us))
         while self._ticks and self._ticks[0] * self._tick_us <= now:
             due += self._slots.pop(heapq.heappop(self._ticks))
         for token in due:
@@ -94,10 +104,12 @@
         self._tell_owed = False  # the other process has not been told yet what is known here
         self._file_faults: set[str] = set()  # what failed when last tried: each is logged once
         self.counters: Counter[str] = Counter()
+        self.load = LoopLoad()
+        state.module = TimedModule(state.module, self.load, self.clock.now, lambda: len(state.workers))
         self.descriptors = Descriptors(sockets)
         self.pool = Pool(self.descriptors, connect_timeout, idle, self.counters)
         self.reconfigure(sockets, memory_mb)
-        self.wheel = TimerWheel(lambda token: self.feed(core.Woken(token)), self.clock.now)
+        self.wheel = TimerWheel(lambda token: self.feed(core.Woken(token)), self.clock.now, self.load.late)
         self.over = asyncio.Event()
         self.on_terminate: list[Callable[[], None]] = []
         self._queue: deque[core.Input] = deque()
@@ -204,9 +216,20 @@
         self.counters["now_releases"] = len(state.releases)
         self.counters["now_descriptors"] = self.descriptors.used
         self.counters["most_descriptors"] = self.descriptors.most
+        for name, figure in self._gauges().items():
+            self.counters[name] = figure
         line = " ".join(f"{name}={value}" for name, value in sorted(self.counters.items()))
         print(f"counters {line}", file=sys.stderr, flush=True)
 
+    def _gauges(self) -> dict[str, int]:
+        now = self.clock.now()
+        oldest = core.oldest_held(self.state, now)
+        return {
+            "now_oldest_held_us": oldest,
+            "now_engines": len(self.state.workers),
+            **self.load.figures(now),
+        }
+
     def watch_signals(self, reload: Callable[[], None]) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._terminate)
--- a/basaltspread/net/tcp_info.py
+++ b/basaltspread/net/tcp_info.py
@@ -5,14 +5,18 @@
 
 from __future__ import annotations
 
+import contextlib
+import fcntl
 import socket
 import struct
+import termios
 from typing import Any
 
 CLOSED_BY_PEER = frozenset((6, 7, 8, 9, 11))  # TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING
 _LAST_DATA_SENT = struct.Struct("<I")
 _LAST_DATA_SENT_AT = 44  # bytes into tcp_info
 _SIZE = 48
+_COUNT = struct.Struct("i")
 
 
 def closed_by_peer(connection: Any) -> bool:
@@ -31,3 +35,11 @@
         return float(_LAST_DATA_SENT.unpack_from(info, _LAST_DATA_SENT_AT)[0]) / 1000
     except (OSError, AttributeError, struct.error, TypeError):
         return 0.0
+
+
+def unacknowledged(connection: Any) -> int | None:
+    """Bytes written to a connection that the other side's system has not acknowledged; None where this
+    system does not tell."""
+    with contextlib.suppress(OSError, AttributeError, TypeError, ValueError):
+        return int(_COUNT.unpack(fcntl.ioctl(connection, termios.TIOCOUTQ, bytes(_COUNT.size)))[0])
+    return None
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -5,7 +5,6 @@
 import socket
 import tempfile
 import unittest
-from collections.abc import Callable
 from dataclasses import replace
 from itertools import permutations
 from typing import Any
@@ -15,60 +14,11 @@
 from basaltspread.core import Ending, Order, Place, Verdict
 from basaltspread.net.shared_files import Overlap
 from basaltspread.rules import Router
+from tests.core_drive import ARRIVAL, CoreDrive, send
 from tests.helpers import FLEET, MS, SECOND, settings
 
-ARRIVAL = api.Arrival("q", "s", "p", 100, 200, 50, 0, 0, SECOND, 0, False, False)
-
-
-class Script:
-    """A module that answers each kind of event with the actions written for it."""
-
-    def __init__(self, **answers: Callable[[Any], list[api.Action]]) -> None:
-        self.answers, self.told, self.processes = answers, list[api.Event](), 1
-
-    def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
-        self.told += events
-        return [a for e in events for a in self.answers.get(type(e).__name__, lambda _: [])(e)]
-
-    def resting(self, now: int) -> set[str]:
-        return {"r3", "unlisted"}
-
-    def share_with(self, processes: int) -> None:
-        self.processes = processes
-
-    def knowledge(self, now: int) -> dict[str, Any]:
-        return {}
-
-    def recall(self, now: int, told: dict[str, Any]) -> None:
-        raise KeyError("rates")
-
-
-def send(worker: str, timeout: int = 0) -> Callable[[Any], list[api.Action]]:
-    return lambda e: [api.Send(e.request, worker, timeout)]
-
-
-class CoreTest(unittest.TestCase):
-    def begin(self, **answers: Callable[[Any], list[api.Action]]) -> None:
-        self.module, self.now = Script(**answers), 100 * SECOND
-        self.state = core.State(settings(), self.module)
-        listed = tuple(core.Listed(e, f"{e.name}:1") for e in FLEET)
-        self.feed(core.ListTold(api.ListKind.CACHED, 1, listed))
-
-    def feed(self, event: core.Input, after: int = 0) -> list[core.Effect]:
-        """The effects of one input, less timers and counters."""
-        self.now += after
-        effects = core.reduce(self.state, self.now, event)
-        self.wakes = [e for e in effects if isinstance(e, core.Wake)]
-        return [e for e in effects if not isinstance(e, (core.Wake, core.Count, core.Say))]
-
-    def kinds(self, event: core.Input, after: int = 0) -> list[str]:
-        return [type(e).__name__ for e in self.feed(event, after)]
-
-    def drained(self, name: str) -> core.ListTold:
-        entry = next(e for e in FLEET if e.name == name)
-        gone = api.WorkerEntry(name, api.WorkerState.DRAINING, entry.cell, entry.zone, entry.kind, 1.0, 0)
-        return core.ListTold(api.ListKind.DELTA, 2, (core.Listed(gone, f"{name}:1"),))
 
+class CoreTest(CoreDrive):
     def test_every_ending_has_its_outcome(self) -> None:
         self.assertEqual(set(core.OUTCOMES), set(Ending))
         self.assertEqual(set(core.OUTCOMES.values()), set(api.Outcome))
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -25,8 +25,8 @@
 from basaltspread.endings import Ending, ToolFault
 from basaltspread.structures.deadlines import Ranked
 from basaltspread.structures.sketch import RATIO, Sketch
+from tests.core_drive import Script
 from tests.helpers import FLEET, Clocked, settings
-from tests.test_core import Script
 
 MS, SECOND = 1000, 1_000_000
 ENDINGS = [
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -16,8 +16,8 @@
 from basaltspread.net.clients import Exchange
 from basaltspread.net.platform import Front
 from basaltspread.net.runtime import Runtime
+from tests.core_drive import ARRIVAL, Script
 from tests.helpers import FLEET, MS, SECOND, settings
-from tests.test_core import ARRIVAL, Script
 
 WINDOW = 2 * SECOND
 
--- a/tests/test_shared_files.py
+++ b/tests/test_shared_files.py
@@ -14,8 +14,8 @@
 from basaltspread import interface as api
 from basaltspread.net.runtime import Runtime
 from basaltspread.net.shared_files import BanFile, Overlap
+from tests.core_drive import Script
 from tests.helpers import FLEET, settings
-from tests.test_core import Script
 
 
 class FolderFaultTest(unittest.IsolatedAsyncioTestCase):
