Show that state behind a silent writer is held to the deadline (failing)

Seen, 2026-12-02: on real sockets the write to a writer that takes bytes and does nothing is given up before any release (ask), or stays to the deadline (order).

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -115,6 +115,9 @@
         self.late_connects = 0.0  # share of connections that take up to a second to come up
         self.places_refused, self.places_lost = 0.2, 0.0
         self.clients_repeat = False
+        self.keeps_connections = (
+            False  # a silent engine's machine takes what is written, its process does not
+        )
         self.late_lists = dict[int, int]()  # gateway -> how much later than others it hears of changes
         self.first_tokens: list[int] = []  # from a request's arrival
         self.count_sends = count_sends
@@ -334,7 +337,9 @@
             if not self._open(g, effect, life):
                 return
             engine = self.engines[effect.worker]
-            if not self.reaches(g, effect.worker):
+            if not self.reaches(g, effect.worker) and self.keeps_connections:
+                self._written_only(g, effect)
+            elif not self.reaches(g, effect.worker):
                 self._end_later(g, effect, CONNECT, Ending.CONNECT_TIMED_OUT)
             elif not engine.alive:
                 self.costs["refused"] += 1
@@ -349,6 +354,11 @@
         else:
             self.after(time, came_up)
 
+    def _written_only(self, g: Gateway, effect: core.StartAttempt) -> None:
+        """On a connection that was open: the system takes the bytes, and the engine never does."""
+        self.feed(g, core.Begun(effect.request, effect.number))
+        self.feed(g, core.Written(effect.request, effect.number))
+
     def _probe(self, g: Gateway, name: str) -> None:
         engine = self.engines[name]
         self.costs["probes"] += 1
