Let held state go near its limit unless an engine shows that it took it

Cause: 'written' was taken for 'arrived'. State.may_hold had no clock of its own; the module's (Request.idle_since) stops while an attempt is out. Class: what the local system took is taken for what the peer has. Change: one clock in the core (HoldingSteps), from the last outcome, answer or question for a place, until an engine answers; at seven tenths of the limit all is let go for every class, the attempt stays out, the module is told (StateLetGo). Places behind a read that may not have arrived, writes that wait for a connection, and what a late arrival kept when its attempt ends go the same way. Releases pass over engines that owe an answer.

--- a/basaltspread/control/load_view.py
+++ b/basaltspread/control/load_view.py
@@ -63,6 +63,7 @@
     def __init__(self, number: int, worker: Worker, reading: bool, sent_at: int, need: int):
         self.number, self.worker, self.reading, self.sent_at = number, worker, reading, sent_at
         self.need, self.cancelled = need, False
+        self.source: Worker | None = None  # the reader whose state a write fetches
         self.promised = self.tell_again_at = 0  # tokens there, by the table; of a long read
 
 
--- a/basaltspread/core/fleet.py
+++ b/basaltspread/core/fleet.py
@@ -76,6 +76,7 @@
         state.version = max(state.version, event.version)
         state.heard = {name: at for name, at in state.heard.items() if name in state.listed}
         state.unreached &= state.listed.keys()
+        state.awaited_since = {n: at for n, at in state.awaited_since.items() if n in state.listed}
         state.returned = {name: at for name, at in state.returned.items() if name in state.listed}
         self._fleet_changed(event.kind, event.version, entries)
 
--- a/basaltspread/core/holding.py
+++ b/basaltspread/core/holding.py
@@ -29,9 +29,15 @@
 from basaltspread.interface import WorkerState
 
 MS = 1000
+HELD_SHARE = (
+    0.7  # of the limit on held state, after which it is let go: the rest is for a process that is held
+)
+# up before it writes, and for a first engine that does not hear the release
 RELEASE_STEP = 100 * MS  # a release not acknowledged by then is sent to one more engine
 RELEASE_TRIES = 6  # so many as fast as they fail, and in that step; later ones ever more slowly
 LONGEST_RELEASE_STEP = 1000 * MS
+# The endings after which no state waits for the request that a write was to take.
+STATE_TAKEN = frozenset((Ending.SERVED, Ending.STATE_GONE))
 RELEASE_PATIENCE = 20  # times the limit of the rule: what is still unheard then is given up
 
 
@@ -47,10 +53,38 @@
     _starts: Callable[[Listed], bool]
     _unseen: Callable[[Request], int]
     _check: Callable[[invariants.Breach | None], None]
+    _close: Callable[..., None]
 
     def _hold(self, request: Request) -> None:
         """Something may be held for it from now on, or still: the last outcome or question is of now."""
         request.may_hold, request.held_since = True, self.now
+        if self.state.settings.rules.release_within > 0:
+            self.do(Wake(self.now + self._held_limit(), ("held", request.id)))
+
+    def _held_limit(self) -> int:
+        return int(HELD_SHARE * self.state.settings.rules.release_within)
+
+    def _held_due(self, request: Request) -> None:
+        """The clock of what is held runs until an engine shows that it has the call. That the system took a
+        write shows nothing: the engine may hang, or its connection lead nowhere. So near the limit all is let
+        go, whatever is out. An attempt that did arrive keeps its state (a release passes over what an attempt
+        waits for); one that arrives later finds none, and has not run."""
+        if request.held_since is None or self.now < request.held_since + self._held_limit():
+            return
+        out = request.out()
+        if any(attempt.acknowledged for attempt in out):
+            return
+        held_for = (self.now - request.held_since) // MS
+        waiting = ", ".join(f"attempt {a.number} at {a.worker}" for a in out) or "no attempt out"
+        self.count("held_let_go_at_limit")
+        self.do(Say(f"{request.id}: what is held is let go after {held_for} ms; {waiting}"))
+        self.told.append(api.StateLetGo(request.id))
+        for attempt in out:
+            if attempt.begun:
+                attempt.outlived_release = True
+            elif not attempt.reading:  # it would only be told that there is no state
+                self._close(request, attempt, Ending.CALLED_BACK_UNSENT, abandon=True)
+        self._release(request.id)
 
     def _nothing_held(self, request: Request) -> None:
         """Nothing is held for it any more, or a release is on its way."""
@@ -64,6 +98,10 @@
         if attempt.reading:
             if ending is Ending.READ or attempt.written:
                 self._hold(request)
+            if ending is Ending.READ:  # a new state: an earlier release that is still tried would take it
+                self.state.releases.pop(request.id, None)
+        elif attempt.outlived_release and ending not in STATE_TAKEN:
+            self._hold(request)  # had it arrived, its engine has kept the state for it, and does so no more
         elif request.may_hold and ending in ANSWERED:
             self._hold(request)
 
@@ -111,6 +149,8 @@
         held = event.place is Place.HELD
         if held:  # it says so only while the read is out
             read.acknowledged = True
+        elif not request.asking:
+            request.held_since = None  # a read that is out holds nothing yet
         request.note(self.now, f"place at {event.worker} {event.place.name.lower()}")
         self.told.append(api.PlaceAnswer(request.id, event.number, event.worker, held))
 
@@ -156,6 +196,7 @@
             best = min(fit, key=lambda n: self._release_rank(name, duty, n))
             duty.tried.append(best)
             duty.open.add(best)
+            self._await_answer(best)
             self.do(SendRelease(name, best, workers[best].address))
 
     def _release_rank(self, name: str, duty: Release, worker: str) -> tuple[Any, ...]:
@@ -166,7 +207,17 @@
         tried = sum(state.workers[n].entry.zone == entry.zone for n in duty.tried)
         lot = crc32(f"{name} {worker}".encode())
         heard, near = state.heard.get(worker, 0), entry.zone == state.settings.zone
-        return tried, entry.state is not WorkerState.UP, worker in state.unreached, not near, -heard, lot
+        silent = worker in state.unreached or self._seems_silent(worker)
+        return tried, entry.state is not WorkerState.UP, silent, not near, -heard, lot
+
+    def _await_answer(self, worker: str) -> None:
+        """An exchange with this engine has begun."""
+        self.state.awaited_since.setdefault(worker, self.now)
+
+    def _seems_silent(self, worker: str) -> bool:
+        """Whether an exchange with it has waited for long, and nothing at all was heard since it began."""
+        since = self.state.awaited_since.get(worker)
+        return since is not None and self.now - since > RELEASE_STEP
 
     def _give_up_release(self, name: str, duty: Release) -> bool:
         """After long enough; a process that has to end does not wait past its own time for it."""
@@ -199,6 +250,7 @@
     def _noted(self, worker: str, heard: bool) -> None:
         """What one exchange says of an engine and of the way to it."""
         state = self.state
+        state.awaited_since.pop(worker, None)
         if heard:
             state.heard[worker] = self.now
             state.unreached.discard(worker)
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -317,6 +317,7 @@
         if found is not None:
             self._check(invariants.of_send(self.state, self.now, *found))
             found[1].begun = True
+            self._await_answer(found[1].worker)
             found[0].note(self.now, f"attempt {event.number} begun")
 
     def _check(self, breach: invariants.Breach | None) -> None:
@@ -468,6 +469,10 @@
                 listed = self.state.workers.get(found[1].worker) if found is not None else None
                 if found is not None and listed is not None:
                     self._start(*found, listed)
+            case ("held", str(name)):
+                request = self.state.requests.get(name)
+                if request is not None:
+                    self._held_due(request)
             case ("unanswered", str(name), int(number)):
                 found = self._find(name, number)
                 if found is not None:
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -48,6 +48,7 @@
     written: bool = False
     written_at: int = 0
     acknowledged: bool = False  # the engine has shown that it has the call, which has not ended yet
+    outlived_release: bool = False  # all that was held was let go while it was out, and had not answered
     over: bool = False
     ending: Ending | None = None  # once it is over
     zone: int = -1  # of its worker, as it was listed then
@@ -154,6 +155,9 @@
     read_times: Usual = field(default_factory=Usual)  # from a read's sending to its answer
     first_event_times: Usual = field(default_factory=Usual)  # the same of a write, to its first event
     unreached: set[str] = field(default_factory=set)  # engines whose last exchange brought no answer
+    awaited_since: dict[str, int] = field(
+        default_factory=dict
+    )  # first exchange with an engine since it was heard
     requests: dict[str, Request] = field(default_factory=dict)
     releases: dict[str, Release] = field(default_factory=dict)
     picture: Picture | None = None  # only where many gateways tell each other of the engines
--- a/basaltspread/interface.py
+++ b/basaltspread/interface.py
@@ -218,6 +218,14 @@
     request: str
 
 
+@record
+class StateLetGo:
+    """All that is held for a request is let go, as no engine has shown in time that it takes it. An attempt
+    that is out stays out: it may have arrived."""
+
+    request: str
+
+
 @record
 class TimerFired:
     timer: int
@@ -247,6 +255,7 @@
     | PlaceAnswer
     | AttemptEnded
     | ClientGone
+    | StateLetGo
     | TimerFired
     | ProbeEnded
     | PeerMessage
--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -93,6 +93,7 @@
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.Arrival: self._arrived, api.AttemptEnded: self._ended, api.FirstToken: self._first_token,
             api.PlaceAnswer: self._place_answer, api.ClientGone: self._client_gone,
+            api.StateLetGo: self._state_let_go,
             api.WorkerList: self._listed, api.TimerFired: self._timer, api.ProbeEnded: self._probed,
         }  # fmt: skip
         self.many, self.tightest = settings.many, min((c.aim for c in settings.classes), default=SECOND)
@@ -540,7 +541,7 @@
         if w is None:
             return False
         tokens = q.a.prompt_tokens
-        self._send(q, w, False, tokens, self.first_time.of(tokens))
+        self._send(q, w, False, tokens, self.first_time.of(tokens)).source = reader
         w.writes[q.id] = w.sent[q.id] = tokens
         return True
 
@@ -594,11 +595,12 @@
             self.stage_wait[w.role].add(self.now, event.elapsed)
             self.first_time.add(event.elapsed, q.a.prompt_tokens)
             per_token = event.elapsed / max(BLOCK, q.a.prompt_tokens)
-            if q.reader is not None and q.reader.cell == w.cell:
+            source = q.out.source
+            if source is not None and source.cell == w.cell:
                 self.near_time += LEARN_LINK * (per_token - self.near_time)
-            elif q.reader is not None:
-                far = self.far_time.get(self._link(q.reader), self.near_time)
-                self.far_time[self._link(q.reader)] = far + LEARN_LINK * (per_token - far)
+            elif source is not None:
+                far = self.far_time.get(self._link(source), self.near_time)
+                self.far_time[self._link(source)] = far + LEARN_LINK * (per_token - far)
             took = max(1.0, self.now - q.arrived)  # a running median: one late straggler moves it one step
             last, self.first_at = self.latency or took, self.now
             self.latency = min(max(took, last / MEDIAN_STEP), last * MEDIAN_STEP)
@@ -692,6 +694,14 @@
             self._cancel(q)
         self._advance(q)
 
+    def _state_let_go(self, event: api.StateLetGo) -> None:
+        """Nothing is held for it any more: what goes on has to be read again."""
+        q = self.requests.get(event.request)
+        if q is None:
+            return
+        q.holds, q.reader, q.place, q.placed, q.reservation = False, None, None, False, None
+        self._advance(q)
+
     def _give_up(self, q: Request) -> None:
         """The final answer, at once: refused where that is truthful, else failed."""
         safe = q.cls.effect is Effect.SAFE or (q.ran is None and not q.a.is_resumed)
