Decide over indexes and bounded choices, and split the policy by job

Cause: six passes over all workers three times a request, a quadratic cap, sums over all for slow start, homes by a sort of all; lists and the picture of peers were rebuilt for each change. Class: a decision walks the fleet. Change: EngineIndex (roles, zones, cells, ring, weights, who is cold) and IndexedSet change by one worker at a time; policy/candidates.py looks at 128 workers of a role at the most: all where there are no more, else the text's arc of the ring, holders, workers used lately, cold ones and random ones. The cap on busy readers is O(1). Lists, peers' picture, starts and releases go by what changed. rules.py leads a request; the decisions are modules of policy/. Tests: the index against scans (hypothesis), samples, ring, the cap against its scan, decisions over 3,200 workers.

--- a/basaltspread/control/engine_starts.py
+++ b/basaltspread/control/engine_starts.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Iterable
+from collections.abc import Iterable
 
 from basaltspread.control.list_check import CLOCKS_DIFFER
 
@@ -22,12 +22,11 @@
 class _Engine:
     """What was told of one engine: the stamps of its starts, and when these were by this process's clock."""
 
-    __slots__ = ("latest", "listed_at", "starts")
+    __slots__ = ("latest", "starts")
 
     def __init__(self) -> None:
         self.starts: dict[int, int] = {}
         self.latest = 0  # us of this process's clock; 0: long ago
-        self.listed_at = 0
 
 
 def age_by_stamp(stamp: int, now: int, wall_shifts: Iterable[int]) -> int | None:
@@ -44,6 +43,7 @@
 
     def __init__(self) -> None:
         self._engines: dict[str, _Engine] = {}
+        self._unlisted: dict[str, int] = {}  # engines that have left the list, and when: the oldest first
         self._listed_at: int | None = None  # when the list was told last, if it ever was
 
     def since(self, name: str) -> int:
@@ -57,7 +57,7 @@
         not_before = self._listed_at if engine is not None else None
         if engine is None:
             engine = self._engines[name] = _Engine()
-        engine.listed_at = now
+        self._unlisted.pop(name, None)
         if stamp <= 0 or stamp in engine.starts:
             return
         start = now - (age_by_stamp(stamp, now, wall_shifts) or 0)
@@ -68,14 +68,20 @@
         while len(engine.starts) > STAMPS_KEPT:
             del engine.starts[next(iter(engine.starts))]
 
-    def list_ended(self, now: int, names: Container[str]) -> None:
-        """All entries of a list have been told; these engines are listed now. Costs a look at each engine."""
+    def list_ended(self, now: int) -> None:
+        """All entries of a list have been told."""
         self._listed_at = now
-        for name, engine in list(self._engines.items()):
-            if name in names:
-                engine.listed_at = now
-            elif now - engine.listed_at > FORGOTTEN_AFTER:
-                del self._engines[name]
+
+    def unlisted(self, now: int, names: Iterable[str]) -> None:
+        """These engines are not listed any more. Costs a step for each, and for each that is forgotten."""
+        for name in names:
+            if name in self._engines:
+                self._unlisted.pop(name, None)
+                self._unlisted[name] = now
+        while self._unlisted and now - next(iter(self._unlisted.values())) > FORGOTTEN_AFTER:
+            name = next(iter(self._unlisted))
+            del self._unlisted[name]
+            self._engines.pop(name, None)
 
     def ages(self, now: int, names: Iterable[str]) -> dict[str, tuple[int, int]]:
         """By engine, the stamp of its latest start and how long ago that was, in us: for another process."""
--- a/basaltspread/control/held_prefixes.py
+++ b/basaltspread/control/held_prefixes.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from basaltspread import interface as api
 from basaltspread.control.load_view import Worker
 from basaltspread.structures.prefixes import PrefixTable
@@ -32,6 +34,22 @@
         in_text = self.match("p" + arrival.prefix, worker, shared, now)
         return max(in_text, self.match("s" + arrival.session, worker, arrival.prompt_tokens, now))
 
+    def tokens_by_worker(self, arrival: api.Arrival, workers: Iterable[Worker], now: int) -> dict[str, int]:
+        """The same for each of these workers; costs two looks at the table and one for each worker."""
+        found = {worker.name: (0, worker) for worker in workers}
+        shared = min(arrival.prefix_tokens, arrival.prompt_tokens)
+        keys = (("p" + arrival.prefix, shared), ("s" + arrival.session, arrival.prompt_tokens))
+        for key, limit in keys:
+            for name in self.table.holders_among(key, found):
+                tokens, worker = found[name]
+                found[name] = max(tokens, self.match(key, worker, limit, now)), worker
+        return {name: tokens for name, (tokens, _) in found.items()}
+
+    def holders(self, arrival: api.Arrival, count: int) -> list[str]:
+        """Workers that were sent this text or session last, so many of each at the most."""
+        keys = ["p" + arrival.prefix, "s" + arrival.session]
+        return [name for key in keys if len(key) > 1 for name in self.table.holders(key, count)]
+
     def record(self, key: str, worker: Worker, tokens: int, now: int) -> None:
         if key and tokens >= BLOCK:
             self.table.record(key, worker.name, tokens // BLOCK, now)
--- a/basaltspread/control/picture.py
+++ b/basaltspread/control/picture.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+import heapq
 from collections.abc import Iterable
 from enum import IntEnum
 from hashlib import blake2b
@@ -28,6 +28,7 @@
 FAULT_AGE = 1_000_000  # us in which the same fault is not told again, whoever told it
 ID_BYTES = 3  # of an engine's name in a message: every byte is paid for once for each gateway
 MOST_BYTES = 256  # of a datagram
+MOST_OUTDATED = 4  # times the engines asked from here that turns may be queued
 SCALE = 16  # steps for each doubling of a figure: about 4%
 
 
@@ -83,28 +84,66 @@
 
 
 class Picture:
-    """One gateway's part in it. An entry takes some 200 bytes, a turn looks at this gateway's own engines."""
+    """One gateway's part in it. An entry takes some 400 bytes; a change of the list and a turn cost O(log n)
+    of this gateway's own engines."""
 
     def __init__(self, settings: api.Settings) -> None:
         self._fields, self._router = settings.report_fields, settings.router
         self._routers, self._asks = settings.routers, asks(settings)
-        self._mine: list[str] = []  # up, and this gateway is one of those that ask it
-        self._names: dict[bytes, str] = {}  # short -> name; two engines with one short name have none
+        # By name, the engines that are up and that this gateway asks, with their rank among equally old ones:
+        # each gateway has an order of its own, else all that ask an engine would turn to it at once.
+        self._mine: dict[str, int] = {}
+        self._turns: list[tuple[int, int, str]] = []  # a heap of (age class, rank, name)
+        self._names: dict[bytes, set[str]] = {}  # short -> names; two engines with one short name have none
+        self._up: dict[str, bytes] = {}  # name -> short
         self._known_at: dict[str, int] = {}  # when it was last told of, or is not to be asked before
-        self._fault_at: dict[tuple[str, Word], int] = {}
+        self._fault_at: dict[str, dict[Word, int]] = {}
 
     def listed(self, entries: Iterable[api.WorkerEntry]) -> None:
         """The engines of the list as it is now."""
-        up = [e.name for e in entries if e.state is WorkerState.UP]
-        shorts = [short(name) for name in up]
-        times = Counter(shorts)
-        self._names = {s: n for s, n in zip(shorts, up, strict=True) if times[s] == 1}
-        mine = [n for n in up if self._asks and self._router in self.askers(n)]
-        # Each gateway in an order of its own: else all that ask an engine would turn to it at once.
-        self._mine = sorted(mine, key=lambda n: rank(self._router, hashed(n)))
-        known = set(up)
-        self._known_at = {n: at for n, at in self._known_at.items() if n in known}
-        self._fault_at = {key: at for key, at in self._fault_at.items() if key[0] in known}
+        up = {entry.name: entry for entry in entries if entry.state is WorkerState.UP}
+        for name in [name for name in self._up if name not in up]:
+            self._gone(name)
+        for entry in up.values():
+            self.changed(entry)
+
+    def changed(self, entry: api.WorkerEntry) -> None:
+        """One entry of the list as it is now."""
+        name = entry.name
+        if entry.state is not WorkerState.UP:
+            self._gone(name)
+        elif name not in self._up:
+            self._up[name] = short(name)
+            self._names.setdefault(self._up[name], set()).add(name)
+            if self._asks and self._router in self.askers(name):
+                self._mine[name] = rank(self._router, hashed(name))
+                self._queue(name)
+
+    def _gone(self, name: str) -> None:
+        shortened = self._up.pop(name, None)
+        if shortened is None:
+            return
+        self._names[shortened].discard(name)
+        if not self._names[shortened]:
+            del self._names[shortened]
+        for known in (self._mine, self._known_at, self._fault_at):
+            known.pop(name, None)
+
+    def _queue(self, name: str) -> None:
+        """Its turn comes by when it was last told of."""
+        heapq.heappush(self._turns, self._turn(name))
+        if len(self._turns) > MOST_OUTDATED * (1 + len(self._mine)):
+            self._turns = [self._turn(mine) for mine in self._mine]
+            heapq.heapify(self._turns)
+
+    def _turn(self, name: str) -> tuple[int, int, str]:
+        return self._known_at.get(name, 0) // LEAST_AGE, self._mine[name], name
+
+    def _known(self, name: str, at: int) -> None:
+        same = at // LEAST_AGE == self._known_at.get(name, 0) // LEAST_AGE
+        self._known_at[name] = at
+        if name in self._mine and not same:
+            self._queue(name)
 
     def askers(self, name: str) -> set[int]:
         """The gateways that ask this engine, as all of them see it. In a ring from a point of its own, each
@@ -116,15 +155,20 @@
     def due(self, now: int) -> str | None:
         """The engine to ask now, if one is due: of its own the one that was not told of for longest. Asked
         for once with each request taken, so that the asking costs in proportion to the traffic."""
-        oldest = min(self._mine, key=lambda n: self._known_at.get(n, 0) // LEAST_AGE, default=None)
-        if oldest is None or now - self._known_at.get(oldest, 0) < LEAST_AGE:
-            return None
-        self._known_at[oldest] = now  # asked: its answer is under way
-        return oldest
+        while self._turns:
+            name = self._turns[0][2]
+            if name not in self._mine or self._turns[0] != self._turn(name):
+                heapq.heappop(self._turns)
+                continue
+            if now - self._known_at.get(name, 0) < LEAST_AGE:
+                return None
+            self._known(name, now)  # asked: its answer is under way
+            return name
+        return None
 
     def report(self, now: int, name: str, report: dict[str, float]) -> bytes | None:
         """The message to all others on a report that this gateway was given."""
-        self._known_at[name] = now
+        self._known(name, now)
         if not any(field in report for field in self._fields):
             return None
         figures = bytes(packed(report.get(field, 0.0)) for field in self._fields)
@@ -142,11 +186,11 @@
         return bytes((word,)) + short(name)
 
     def _fault(self, now: int, name: str, word: Word) -> bool:
-        if now - self._fault_at.get((name, word), -FAULT_AGE) < FAULT_AGE:
+        if now - self._fault_at.get(name, {}).get(word, -FAULT_AGE) < FAULT_AGE:
             return False
-        self._fault_at[name, word] = now
+        self._fault_at.setdefault(name, {})[word] = now
         if word is Word.REFUSES:
-            self._known_at[name] = now + GONE_AGE - LEAST_AGE
+            self._known(name, now + GONE_AGE - LEAST_AGE)
         return True
 
     def read(self, message: bytes) -> Told:
@@ -162,11 +206,12 @@
 
     def take(self, now: int, told: Told) -> api.ProbeEnded | None:
         """What a peer's word means to the module; nothing for an engine that is not on this list."""
-        name = self._names.get(told.engine)
-        if name is None:
+        names = self._names.get(told.engine, ())
+        if len(names) != 1:
             return None
+        (name,) = names
         if told.word is Word.REPORT:
-            self._known_at[name] = max(now, self._known_at.get(name, 0))
+            self._known(name, max(now, self._known_at.get(name, 0)))
         if told.report:
             return api.ProbeEnded(name, Outcome.SERVED, 0, told.report)
         if not self._fault(now, name, told.word):
--- a/basaltspread/core/fleet.py
+++ b/basaltspread/core/fleet.py
@@ -63,21 +63,28 @@
         self.count("lists_" + event.kind.value)
         state = self.state
         entries = self._believed(self._in_order(event), event.wall_shifts)
-        if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
-            state.listed.clear()
+        whole = event.kind in (api.ListKind.FULL, api.ListKind.CACHED)
+        named = {listed.entry.name for listed in entries}
+        gone = [name for name in state.listed if name not in named] if whole else []
         for listed in entries:
             if listed.entry.state is WorkerState.REMOVED:
-                state.listed.pop(listed.entry.name, None)
+                gone.append(listed.entry.name)
             else:
                 state.listed[listed.entry.name] = listed
+        for name in gone:
+            self._forget_engine(name)
+        state.starts.unlisted(self.now, gone)
         if event.kind is not api.ListKind.CACHED:  # that one was kept, and may be of any time
-            state.starts.list_ended(self.now, state.listed)
+            state.starts.list_ended(self.now)
         state.version = max(state.version, event.version)
-        state.heard = {name: at for name, at in state.heard.items() if name in state.listed}
-        state.unreached &= state.listed.keys()
-        state.awaited_since = {n: at for n, at in state.awaited_since.items() if n in state.listed}
-        state.returned = {name: at for name, at in state.returned.items() if name in state.listed}
-        self._fleet_changed(event.kind, event.version, entries)
+        self._fleet_changed(event.kind, event.version, entries, gone)
+
+    def _forget_engine(self, name: str) -> None:
+        """It is not listed any more."""
+        state = self.state
+        for known in (state.listed, state.heard, state.awaited_since, state.returned):
+            known.pop(name, None)
+        state.unreached.discard(name)
 
     def _in_order(self, event: ListTold) -> tuple[Listed, ...]:
         """The entries, less what is older than what was told before. Guards against a discovery that goes
@@ -136,16 +143,30 @@
         started = max(state.starts.since(entry.name), state.returned.get(entry.name, 0))
         return Listed(replace(entry, started=started), listed.address)
 
-    def _fleet_changed(self, kind: api.ListKind, version: int, changed: Iterable[Listed]) -> None:
-        """The one path by which engines come and go, on discovery's word or an operator's."""
-        state = self.state
-        before = {n for n, w in state.workers.items() if w.entry.state is WorkerState.UP}
-        state.workers = {name: self._treated(listed) for name, listed in state.listed.items()}
-        stopped = before - {n for n, w in state.workers.items() if w.entry.state is WorkerState.UP}
-        entries = tuple(self._treated(listed).entry for listed in changed)
-        self.tell(api.WorkerList(kind, version, entries))
-        if state.picture is not None:
-            state.picture.listed(w.entry for w in state.workers.values())
+    def _fleet_changed(
+        self, kind: api.ListKind, version: int, changed: Iterable[Listed], gone: Iterable[str] = ()
+    ) -> None:
+        """The one path by which engines come and go, on discovery's word or an operator's. Costs a few steps
+        for each engine that has changed or is not listed any more."""
+        state, stopped, entries = self.state, set[str](), list[api.WorkerEntry]()
+        for listed in changed:
+            treated, name = self._treated(listed), listed.entry.name
+            entries.append(treated.entry)
+            if treated.entry.state is not WorkerState.UP and self._is_up(name):
+                stopped.add(name)
+            if name in state.listed:
+                state.workers[name] = treated
+                state.engine_names.add(name)
+            if state.picture is not None:
+                state.picture.changed(treated.entry)
+        for name in gone:
+            if self._is_up(name):
+                stopped.add(name)
+            left = state.workers.pop(name, None)
+            state.engine_names.discard(name)
+            if left is not None and state.picture is not None:
+                state.picture.changed(replace(left.entry, state=WorkerState.REMOVED))
+        self.tell(api.WorkerList(kind, version, tuple(entries)))
         if not stopped:
             return
         # What waits for a connection would go out whenever that comes up, long after the drain was told.
@@ -156,6 +177,10 @@
                 if attempt.worker in stopped and not attempt.begun:
                     self._close(request, attempt, Ending.WITHDRAWN, abandon=True)
 
+    def _is_up(self, name: str) -> bool:
+        listed = self.state.workers.get(name)
+        return listed is not None and listed.entry.state is WorkerState.UP
+
     def probe(self, action: api.Probe) -> None:
         listed = self.state.workers.get(action.worker)
         if listed is not None:
--- a/basaltspread/core/holding.py
+++ b/basaltspread/core/holding.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from itertools import islice
 from typing import Any, ClassVar
 from zlib import crc32
 
@@ -26,6 +27,7 @@
 from basaltspread.core.state import Attempt, Release, Request, State
 from basaltspread.endings import ANSWERED, SAYS_NOTHING, Ending
 from basaltspread.interface import WorkerState
+from basaltspread.structures.hashing import hashed
 
 MS = 1000
 HELD_SHARE = (
@@ -33,6 +35,8 @@
 )
 # up before it writes, and for a first engine that does not hear the release
 RELEASE_STEP = 100 * MS  # a release not acknowledged by then is sent to one more engine
+RELEASES_LOOK_AT = 48  # engines among which a try chooses
+MOST_TRIED = 32  # engines that are passed by as tried, until all may be tried again
 RELEASE_TRIES = 6  # so many as fast as they fail, and in that step; later ones ever more slowly
 LONGEST_RELEASE_STEP = 1000 * MS
 # The endings after which no state waits for the request that a write was to take.
@@ -188,9 +192,10 @@
         self.do(Wake(self.now + min(step, LONGEST_RELEASE_STEP), ("release", name, duty.tries)))
         workers = self.state.workers
         duty.tried = [n for n in duty.tried if n in workers]
-        if len(duty.tried) == len(workers):
+        if len(duty.tried) >= min(len(workers), MOST_TRIED):
             duty.tried = []  # all again
-        fit = [n for n in workers if n not in duty.tried and n not in duty.open]
+        known = self._release_candidates(name, duty)
+        fit = [n for n in known if n not in duty.tried and n not in duty.open]
         if fit:
             best = min(fit, key=lambda n: self._release_rank(name, duty, n))
             duty.tried.append(best)
@@ -198,6 +203,15 @@
             self._await_answer(best)
             self.do(SendRelease(name, best, workers[best].address))
 
+    def _release_candidates(self, name: str, duty: Release) -> list[str]:
+        """Of a large fleet, the engines heard last and some at random, others for each try."""
+        state = self.state
+        if len(state.workers) <= RELEASES_LOOK_AT:
+            return list(state.workers)
+        heard = islice(reversed(state.heard), RELEASES_LOOK_AT // 2)
+        drawn = state.engine_names.sample(hashed(f"{name} {duty.tries}"), RELEASES_LOOK_AT // 2)
+        return [engine for engine in dict.fromkeys([*heard, *drawn]) if engine in state.workers]
+
     def _release_rank(self, name: str, duty: Release, worker: str) -> tuple[Any, ...]:
         """Which engine gets the word first. What fails at once is mostly one zone, or the way to it: so each
         next try goes to another. Within one the engine that was heard last, if it has not failed since, and
@@ -251,6 +265,7 @@
         state = self.state
         state.awaited_since.pop(worker, None)
         if heard:
+            state.heard.pop(worker, None)
             state.heard[worker] = self.now
             state.unreached.discard(worker)
         else:
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -18,6 +18,7 @@
 from basaltspread.endings import Ending, ToolFault
 from basaltspread.records import record
 from basaltspread.structures.averages import Usual
+from basaltspread.structures.indexed_set import IndexedSet
 
 if TYPE_CHECKING:
     from basaltspread.control.dispatch import Dispatcher
@@ -153,7 +154,8 @@
     disabled: set[str] = field(default_factory=set)  # engines that operators left out, listed or not
     returned: dict[str, int] = field(default_factory=dict)  # when one was let in again
     workers: dict[str, Listed] = field(default_factory=dict)  # as it is treated: the list, less the bans
-    heard: dict[str, int] = field(default_factory=dict)  # when an engine last said anything
+    engine_names: IndexedSet[str] = field(default_factory=IndexedSet)  # those of `workers`
+    heard: dict[str, int] = field(default_factory=dict)  # when an engine last said anything; the latest last
     read_times: Usual = field(default_factory=Usual)  # from a read's sending to its answer
     first_event_times: Usual = field(default_factory=Usual)  # the same of a write, to its first event
     unreached: set[str] = field(default_factory=set)  # engines whose last exchange brought no answer
--- a/basaltspread/policy/slow_start.py
+++ b/basaltspread/policy/slow_start.py
@@ -16,10 +16,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from math import gcd, sqrt
 
 from basaltspread import interface as api
+from basaltspread.control.engine_index import EngineIndex
 from basaltspread.control.load_view import Request, Reservation, Worker
 from basaltspread.control.request_sizes import RequestSizes
 from basaltspread.interface import Role
@@ -36,10 +36,10 @@
 
 class SlowStart:
     """One router's part of what workers in slow start may be sent; each allowance is kept with its worker.
-    `admits` costs O(1), and for a cold worker the listing of its role."""
+    Each call costs O(1)."""
 
-    def __init__(self, settings: api.Settings, available: Mapping[Role, list[Worker]]) -> None:
-        """`available` is the router's own list of workers by role, kept up to date by it."""
+    def __init__(self, settings: api.Settings, available: EngineIndex) -> None:
+        """`available` are the workers that are up, kept up to date by the router."""
         self._settings, self._rules, self._available = settings, settings.rules, available
         self._slot_length = max(1, settings.rules.cold_window + settings.limits.connect_timeout)
         self._began = -1
@@ -63,7 +63,8 @@
         """A worker completed so many mean requests; counts by how many were warm then: the few that are left
         later have not done what all did before."""
         if not self.is_cold(now, worker):
-            self.completed_rate[worker.role].add(now, work / max(1.0, self._warm_weight(now, worker.role)))
+            warm_weight = self._available.warm_weight(now, worker.role)
+            self.completed_rate[worker.role].add(now, work / max(1.0, warm_weight))
 
     def admits(self, now: int, request: Request, worker: Worker) -> bool:
         """Whether this request may go to this worker now."""
@@ -101,10 +102,6 @@
     def _slot(self, now: int, worker: Worker) -> int:
         return (now - worker.warming_since) // self._slot_length
 
-    def _warm_weight(self, now: int, role: Role) -> float:
-        warm = [worker for worker in self._available[role] if not self.is_cold(now, worker)]
-        return sum(self._weight(worker) for worker in warm)
-
     def warmth(self, now: int, worker: Worker) -> float:
         """The part of a warm worker's capacity that the settings grant it at the least."""
         grown = min(1.0, max(0, now - worker.warming_since) / self._rules.warm_within)
@@ -126,23 +123,22 @@
         least = REQUESTS_OF_SLACK if unit <= LEAST_UNIT else 0.0  # for a worker of unknown capacity
         return max(total, least) / slots / routers / self.processes
 
-    def _weight(self, worker: Worker) -> float:
-        return worker.weight if self._settings.weights_mean_size else 1.0
-
     def _reading_rate(self, worker: Worker) -> float:
         """Typical prompts a microsecond that it reads when warm; a token's time is that of the largest."""
         if self.token_time <= 0 or (prompt := self.sizes.typical_prompt()) is None:
             return 0.0
-        largest = max(self._weight(reader) for reader in [worker, *self._available[Role.READER]])
-        return self._weight(worker) / largest / (self.token_time * prompt)
+        own = self._available.weight(worker)
+        largest = max(own, self._available.largest_weight(Role.READER))
+        return own / largest / (self.token_time * prompt)
 
     def _completed_rate(self, now: int, worker: Worker) -> float:
         """Mean requests a microsecond that a warm worker like this one completes for this router. With none
         left nothing can be completed: what was known then goes on to hold."""
         rate = self.completed_rate[worker.role]
-        known_at = now if self._warm_weight(now, worker.role) > 0 else rate.when
-        others = [self._weight(other) for other in self._available[worker.role] if other is not worker]
-        like = min(self._weight(worker), max(others, default=self._weight(worker)))  # as large as any known
+        known_at = now if self._available.warm_weight(now, worker.role) > 0 else rate.when
+        own = self._available.weight(worker)
+        largest = self._available.largest_weight(worker.role, besides=worker)
+        like = min(own, largest) if largest > 0 else own  # as large as any known
         return rate.over(known_at, self._slot_length) * like
 
     def _offset(self, worker: Worker, slot: int) -> float:
--- /dev/null
+++ b/basaltspread/policy/writer_choice.py
@@ -0,0 +1,81 @@
+"""Which writer gets a request, and which is asked to hold a place for it: the roomiest near its reader."""
+
+from __future__ import annotations
+
+from math import exp2
+
+from basaltspread import interface as api
+from basaltspread.control.load_view import Request, Worker
+from basaltspread.policy.candidates import Candidates
+from basaltspread.policy.health import Health
+from basaltspread.policy.router_state import SECOND
+from basaltspread.policy.waits import Waits
+from basaltspread.structures.hashing import hashed, rank
+
+NEAR_MARGIN = 0.10  # share of a writer's memory that a nearer one may be fuller and still be preferred
+ROOM_MEMORY = 4 * SECOND  # half-life of a reported memory share: answers come and go in about that time
+EQUAL_ROOM = 0.05  # share of memory within which writers are drawn by lot: else all rush to the same one
+PLACE_TRIES = 2  # writers asked to hold a place, a request
+ALL_CELLS = -1  # stands for them where link times are pooled
+
+
+class WriterChoice(Health, Waits):
+    """The choice of a writer, and of the place that is held ahead."""
+
+    candidates: Candidates
+
+    def _room(self, worker: Worker, average: float) -> float:
+        """Free share of memory: as told, fading to the pool's average, less own sends; else own streams."""
+        if "memory_share" not in self.s.report_fields or not worker.memory:
+            return -sum(worker.writes.values()) / worker.weight
+        told = 1 - worker.report["memory_share"] if "memory_share" in worker.report else average
+        fresh = exp2((worker.told_at - self.now) / ROOM_MEMORY)
+        return average + (told - average) * fresh - sum(worker.sent.values()) / worker.memory
+
+    def _writer_pool(self, request: Request, near: Worker | None) -> list[Worker]:
+        """The writers that may get this request now."""
+        return self._pool(request, self.candidates.writers(request, near))
+
+    def _choose_writer(self, request: Request, near: Worker | None, pool: list[Worker]) -> Worker | None:
+        """The roomiest of the reader's cell, else of its zone, else of all, where nearer ones are fuller."""
+        pool = [w for w in pool if w.name not in request.asked] or pool
+        if not pool:
+            return None
+        heard = [1 - w.report["memory_share"] for w in pool if "memory_share" in w.report]
+        average = sum(heard) / len(heard) if heard else 1.0
+        rooms, key = {w.name: self._room(w, average) for w in pool}, hashed(request.id)
+        unseen = self._unseen(pool) * self.first_time.size / (pool[0].memory or 1e18)
+        top, alike = max(rooms.values()), EQUAL_ROOM + unseen
+        spread = NEAR_MARGIN * (1 if "memory_share" in self.s.report_fields else abs(min(rooms.values())))
+        if self._link(near) in self.far_time and self.near_time > 0:
+            # Slow links: a nearer writer may be fuller by as much as answers leaving this cell begin later.
+            spread *= max(1.0, self.far_time[self._link(near)] / self.near_time)
+        cell = [w for w in pool if near is not None and w.cell == near.cell]
+        zone = [w for w in pool if near is not None and w.zone == near.zone]
+        for group in (cell, zone, pool):
+            best = max((rooms[w.name] for w in group), default=top - spread - 1)
+            if best >= top - spread:
+                equal = [w for w in group if rooms[w.name] >= best - alike]
+                return max(equal, key=lambda w: rank(key, w.hash))
+        return None
+
+    def _link(self, worker: Worker | None) -> int:
+        # One of many routers rarely sees one cell's link.
+        return ALL_CELLS if self.many or worker is None else worker.cell
+
+    def _hold_place(self, request: Request) -> None:
+        """Hold a place ahead at the roomiest near writer; one further try if the first refuses."""
+        if not self.s.places_ahead or request.out is None or len(request.asked) >= PLACE_TRIES:
+            return
+        reader = request.out.worker
+        worker = self._choose_writer(request, reader, self._writer_pool(request, reader))
+        if worker is not None and worker.name not in request.asked:
+            request.place, request.holds = worker, True
+            request.asked.append(worker.name)
+            self.slow_start.reserve(self.now, request, worker)
+            self.out.append(api.HoldPlace(request.id, worker.name))
+
+    def _move_place(self, request: Request) -> None:
+        """What was reserved at a cold worker was not used in time: another may have room."""
+        request.reservation, request.place, request.placed = None, None, False
+        self._hold_place(request)
--- a/basaltspread/structures/prefixes.py
+++ b/basaltspread/structures/prefixes.py
@@ -6,7 +6,8 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
+from itertools import islice
 
 Runs = dict[str, tuple[int, int]]  # holder -> blocks of the beginning, last use
 
@@ -24,6 +25,7 @@
         runs = self._runs.setdefault(key, {})
         self._runs.move_to_end(key)
         self.blocks += blocks - runs.get(holder, (0, 0))[0]
+        runs.pop(holder, None)  # the newest stand last
         runs[holder] = (blocks, now)
         while self.blocks > self.most:
             self.blocks -= sum(run for run, _ in self._runs.popitem(last=False)[1].values())
@@ -31,6 +33,18 @@
     def run(self, key: str, holder: str) -> tuple[int, int]:
         return self._runs.get(key, {}).get(holder, (0, 0))
 
+    def holders_among(self, key: str, names: Collection[str]) -> list[str]:
+        """Those of these names that hold something of a key; costs O(the fewer of both)."""
+        runs = self._runs.get(key)
+        if not runs:
+            return []
+        fewer, other = (runs, names) if len(runs) < len(names) else (names, runs)
+        return [name for name in fewer if name in other]
+
+    def holders(self, key: str, most: int) -> list[str]:
+        """Those that were recorded last for a key, the newest first; costs O(most)."""
+        return list(islice(reversed(self._runs.get(key, {})), most))
+
     def newest(self, most: int) -> list[tuple[str, Runs]]:
         """The keys used last, the newest at the end."""
         return list(self._runs.items())[-most:]
--- a/tests/test_picture.py
+++ b/tests/test_picture.py
@@ -26,6 +26,7 @@
 from basaltspread.core import Ending
 from basaltspread.interface import Outcome
 from basaltspread.net.peers import MOST_HEARD, Peers
+from basaltspread.policy import health, router_state
 from basaltspread.rules import Router
 from tests.helpers import FLEET, MS, SECOND, Drive, entry, settings
 
@@ -224,7 +225,7 @@
     own.token_time = 50.0
     fleet.take(7, "early", tokens=30_000)
     assert not fleet.words[Word.READING], "a gateway that has just started may have seen nothing but queues"
-    own.read_time.count = rules.TAUGHT
+    own.read_time.count = router_state.TAUGHT
     for n in range(12):
         fleet.take(7, f"q{n}")
     assert not fleet.words[Word.READING], "short ones are not worth a word"
@@ -243,7 +244,7 @@
     assert wait() == 0.0, "it is read"
     for _ in range(9):  # whatever a peer says
         fleet.feed(8, core.PeerTold(bytes((Word.READING,)) + picture.short(reader) + b"\xff"))
-    assert wait() == rules.LONGEST_REST
+    assert wait() == health.LONGEST_REST
 
 
 def test_a_long_read_that_is_still_out_when_it_should_be_over_is_told_again() -> None:
@@ -251,7 +252,7 @@
     # prompt. From the middle on the reader looked idle to all others.
     d = Drive(many(routers=200))
     d.router.token_time = 50.0
-    for _ in range(rules.TAUGHT):
+    for _ in range(router_state.TAUGHT):
         d.router.read_time.add(1500 * MS, 30_000)
     d.arrive("long", "s", "", prompt=30_000)
     told = [a for a in d.actions if isinstance(a, api.LongRead)]
@@ -270,7 +271,7 @@
     # By its own table a router takes most texts for new: words went out on most reads, and all readers
     # looked busy (peer price 0.017, 3,228 refusals in a play of 3,881 requests).
     d = Drive(many(routers=200))
-    d.router.token_time, d.router.read_time.count = 50.0, rules.TAUGHT
+    d.router.token_time, d.router.read_time.count = 50.0, router_state.TAUGHT
     d.arrive("a", "s", "p", prompt=13_000, shared=12_000)
     assert not [a for a in d.actions if isinstance(a, api.LongRead)]
     d.arrive("b", "t", "q", prompt=13_000, shared=1000)
@@ -327,7 +328,7 @@
     """All gateways see the same picture: the roomiest writer in it would get what all of them send."""
     d = Drive(many())
     d.warm(60)
-    pool = d.router.up[api.Role.WRITER]
+    pool = d.router.index.group(api.Role.WRITER).members
     for held, w in zip((0.30, 0.36, 0.60), pool, strict=True):
         d.feed(api.ProbeEnded(w.name, Outcome.SERVED, 0, {"memory_share": held}))
     assert d.router._unseen(pool) == pytest.approx(9 * 40 / 3, rel=0.1)  # 9 a second here
@@ -350,14 +351,14 @@
     for _ in range(8):
         d.feed(api.ProbeEnded("r3", Outcome.CONNECT_FAILED, 250 * MS), after=10 * MS)
     before = dark[1][0]
-    assert before == d.now + rules.LONGEST_REST
+    assert before == d.now + health.LONGEST_REST
     d.feed(api.ProbeEnded("w3", Outcome.SERVED, 0, {"memory_share": 0.1}))
     assert dark[1][0] == before, "another gateway was answered, which says nothing of the way from here"
     d.feed(api.ProbeEnded("w3", Outcome.TIMEOUT, SECOND))
     assert dark[1][0] == before, "nothing came"
     for _ in range(3):
         d.feed(api.ProbeEnded("w3", Outcome.SERVED, 3 * MS, {"memory_share": 0.1}))
-        assert dark[1][0] == d.now + rules.LIST_LATE, "it may be cold: the list says so by then"
+        assert dark[1][0] == d.now + health.LIST_LATE, "it may be cold: the list says so by then"
     d.listed(entry("w3", 1, 2, 1, started=d.now))
     assert 1 not in dark, "its machines start again"
 
@@ -379,8 +380,8 @@
     """A jam that is over, or at one reader alone, must neither turn requests away nor pin texts to it."""
     d = Drive(many())
     d.warm(40)
-    readers = [w.name for w in d.router.up[api.Role.READER]]
-    for _ in range(rules.SEEN_WAITS):
+    readers = [w.name for w in d.router.index.group(api.Role.READER).members]
+    for _ in range(router_state.SEEN_WAITS):
         d.router.stage_wait[api.Role.READER].add(d.now, 3 * SECOND)
     assert d.router._pool_wait(api.Role.READER) > 500 * MS
     waits = dict.fromkeys(readers, 0.0)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -19,6 +19,7 @@
 from basaltspread.control.load_view import Request
 from basaltspread.control.snapshot import BadSnapshot
 from basaltspread.interface import Effect, KeyScope, Outcome
+from basaltspread.policy import admission, health, reader_choice, router_state, silence, waits
 from basaltspread.rules import Router
 from basaltspread.structures.averages import Rate, Recent
 from basaltspread.structures.prefixes import PrefixTable
@@ -204,14 +205,15 @@
     d.arrive("c", "s", "p", tenant=1)
     assert d.sent_to("c") == worker
     d.serve("c")
-    d.arrive("d", "s", "p", tenant=0, after=rules.FULL_REST)
+    d.arrive("d", "s", "p", tenant=0, after=health.FULL_REST)
     assert d.sent_to("d") != worker
     d.serve("d")
-    d.arrive("e", "s", "p", tenant=0, after=rules.REST)
+    d.arrive("e", "s", "p", tenant=0, after=health.REST)
     d.arrive("f", "s", "p", tenant=1)
     d.end("f", Outcome.READ)
     w = d.router.fleet[worker]
-    assert worker in {x.name for x in d.router._pool(d.router.requests["e"], (api.Role.READER,))}
+    readers = d.router.index.group(api.Role.READER).members
+    assert worker in {x.name for x in d.router._pool(d.router.requests["e"], readers)}
     assert set(w.turned) <= {0} and set(w.served) <= {0, 1}
 
 
@@ -283,7 +285,7 @@
         d.arrive(f"b{i}", f"t{i}", f"q{i}", after=100 * MS)
         d.serve(f"b{i}", after=5 * MS)
     d.now += 150 * MS
-    assert d.router._expected_wait() < rules.ADMIT * SECOND
+    assert d.router._expected_wait() < admission.ADMIT * SECOND
     d.now += 3 * SECOND
     assert d.router._expected_wait() > 0 and not d.answered
 
@@ -314,7 +316,7 @@
     d.arrive("a", left=100 * MS)
     for _ in range(10):
         if "a" not in d.answered:
-            d.feed(api.TimerFired(rules.WATCH_TIMER), after=rules.WATCH_STEP)
+            d.feed(api.TimerFired(rules.WATCH_TIMER), after=admission.WATCH_STEP)
     assert isinstance(d.answered["a"], api.Refuse) and d.now < 100 * SECOND + 100 * MS
 
 
@@ -442,7 +444,7 @@
     d = Drive(fleet=tuple(replace(e, started=100 * SECOND) for e in FLEET))
     d.arrive("a", "s", "p")
     for _ in range(30):
-        d.feed(api.TimerFired(rules.WATCH_TIMER), after=rules.WATCH_STEP)
+        d.feed(api.TimerFired(rules.WATCH_TIMER), after=admission.WATCH_STEP)
     assert "a" in d.out or "a" in d.answered
 
 
@@ -522,8 +524,8 @@
     sent = d.now
     while not any(isinstance(a, api.Cancel) for a in d.actions):
         assert d.now - sent < 8 * SECOND
-        d.feed(api.TimerFired(rules.WATCH_TIMER), after=rules.WATCH_STEP)
-    assert d.now - sent >= max(rules.FIRST_PATIENCE, int(rules.PATIENCE * seen))
+        d.feed(api.TimerFired(rules.WATCH_TIMER), after=admission.WATCH_STEP)
+    assert d.now - sent >= max(silence.FIRST_PATIENCE, int(silence.PATIENCE * seen))
 
 
 def test_no_session_is_refused_for_its_name_while_others_are_let_in() -> None:
@@ -560,7 +562,7 @@
     d.end("a", Outcome.READ)
     held_since = d.now
     while "a" not in d.answered:
-        d.feed(api.TimerFired(rules.WATCH_TIMER), after=rules.WATCH_STEP)
+        d.feed(api.TimerFired(rules.WATCH_TIMER), after=admission.WATCH_STEP)
     assert api.Release("a") in d.log and d.now - held_since < 250 * MS
 
 
@@ -603,13 +605,13 @@
         d.arrive(f"b{i}", f"s{i}", f"p{i}")
         assert d.sent_to(f"b{i}") != dead
         d.serve(f"b{i}", after=1 * MS)
-    assert w.rest_until - d.now <= rules.REST
+    assert w.rest_until - d.now <= health.REST
     d.router._strike(w)
     assert w.strikes == 1  # more bad news of the same moment is not a second fault
     d.now = w.rest_until
     d.router.now = d.now
     d.router._strike(w)
-    assert w.rest_until - d.now == 2 * rules.REST
+    assert w.rest_until - d.now == 2 * health.REST
 
 
 def test_silent_worker_is_struck_and_its_reads_go_elsewhere() -> None:
@@ -618,7 +620,7 @@
     d.arrive("a", "s", "p")
     silent = d.sent_to("a")
     for _ in range(100):
-        d.feed(api.TimerFired(rules.WATCH_TIMER), after=rules.WATCH_STEP)
+        d.feed(api.TimerFired(rules.WATCH_TIMER), after=admission.WATCH_STEP)
         if api.Cancel("a", 0) in d.actions:
             break
     else:
@@ -641,9 +643,9 @@
     d.end("first", Outcome.READ, after=10 * MS)
     waited = 0
     while not d.router.fleet[reader].strikes:
-        d.feed(api.TimerFired(rules.WATCH_TIMER), after=rules.WATCH_STEP)
-        waited += rules.WATCH_STEP
-        assert waited < 2 * rules.LEAST_PATIENCE + SECOND // 2
+        d.feed(api.TimerFired(rules.WATCH_TIMER), after=admission.WATCH_STEP)
+        waited += admission.WATCH_STEP
+        assert waited < 2 * silence.LEAST_PATIENCE + SECOND // 2
     called_back = {a.request for a in d.actions if isinstance(a, api.Cancel)}
     assert called_back & set(names)
 
@@ -674,7 +676,7 @@
         d.arrive(f"b{i}", "s", "p", after=20 * MS)
         assert d.sent_to(f"b{i}") != slow
         d.serve(f"b{i}", after=5 * MS)
-    d.arrive("later", "s", "p", after=8 * rules.LAG_MEMORY)
+    d.arrive("later", "s", "p", after=8 * waits.LAG_MEMORY)
     assert d.sent_to("later") == slow
 
 
@@ -750,7 +752,7 @@
     d.warm(60)
     for i in range(200):
         d.arrive(f"b{i}", f"s{i}", f"p{i}", after=5 * MS)
-        if d.router._expected_wait() > rules.ADMIT_LESSER * 1.1 * SECOND:
+        if d.router._expected_wait() > admission.ADMIT_LESSER * 1.1 * SECOND:
             break
     d.router.quotas[1].level = 0.5
     d.arrive("over1", tenant=1, after=0)
@@ -794,7 +796,7 @@
     for _ in range(40):
         if "a" in d.out and d.out["a"][1].startswith("r"):
             d.end("a", Outcome.READ)
-        d.feed(api.TimerFired(rules.WATCH_TIMER), after=rules.WATCH_STEP)
+        d.feed(api.TimerFired(rules.WATCH_TIMER), after=admission.WATCH_STEP)
     assert "a" in d.answered or not d.out["a"][1].startswith("r")
 
 
@@ -889,9 +891,9 @@
     d = Drive()
     d.warm()
     d.arrive("a", "s", "p")
-    q, saved = d.router.requests["a"], 1600 * d.router.token_time + rules.LAG_SLACK
+    q, saved = d.router.requests["a"], 1600 * d.router.token_time + reader_choice.LAG_SLACK
     assert d.router._saves(q, 1600) >= saved
-    assert d.router._saves(q, 1600) <= max(saved, rules.AFFINITY_AIM * q.aim)
+    assert d.router._saves(q, 1600) <= max(saved, reader_choice.AFFINITY_AIM * q.aim)
     assert d.router._saves(q, 1600) > d.router._saves(q, 16)
 
 
@@ -924,7 +926,7 @@
 
 def test_a_refused_place_is_news_of_a_full_writer() -> None:
     d = Drive()
-    for w in d.router.up[api.Role.WRITER]:
+    for w in d.router.index.group(api.Role.WRITER).members:
         w.told(d.now, {"memory_share": 0.3}, 1000.0)
     held = next(a for a in d.arrive("a", "s", "p") if isinstance(a, api.HoldPlace)).worker
     d.feed(api.PlaceAnswer("a", 0, held, False))
@@ -958,7 +960,7 @@
 
 def told_of_idle_readers(d: Drive) -> None:
     """As peers' words tell it, or own probes."""
-    for w in d.router.up[api.Role.READER]:
+    for w in d.router.index.group(api.Role.READER).members:
         w.report, w.lag, w.lag_at = {"memory_share": 0.3}, 0.0, d.now
 
 
@@ -967,7 +969,7 @@
     reads: dict[str, int] = {}
     places: dict[str, int] = {}
     for i, d in enumerate(drives):
-        for k, w in enumerate(d.router.up[api.Role.WRITER]):
+        for k, w in enumerate(d.router.index.group(api.Role.WRITER).members):
             w.told(d.now, {"memory_share": 0.30 + k / 1000}, 1000.0)
         d.arrive(f"a{i}", f"s{i}", after=SECOND)
         reads[d.sent_to(f"a{i}")] = reads.get(d.sent_to(f"a{i}"), 0) + 1
@@ -998,7 +1000,7 @@
         d.arrive(f"q{i}", f"s{i}", f"t{i}", after=SECOND)
         d.serve(f"q{i}")
     d.now += SECOND
-    for w in d.router.up[api.Role.READER]:
+    for w in d.router.index.group(api.Role.READER).members:
         w.lag, w.lag_at = (2.0 * SECOND if w.zone == 0 else 0.0), d.now
     d.arrive("late", "s", "text")
     assert d.router.fleet[d.sent_to("late")].zone != 0
@@ -1009,7 +1011,7 @@
     and all sent to the one reader with the fewest."""
     drives, chosen = many_routers(100, WIDE), set()
     for i, d in enumerate(drives):
-        for k, w in enumerate(d.router.up[api.Role.READER]):
+        for k, w in enumerate(d.router.index.group(api.Role.READER).members):
             told = {"prompt_k_waiting": 0.05 * k if k else 9.4}
             d.feed(api.ProbeEnded(w.name, api.Outcome.SERVED, 0, told))
         d.arrive(f"a{i}", f"s{i}", f"text-{i % 20}", after=MS)
@@ -1049,7 +1051,7 @@
     """Both pools lately let requests wait; nothing is known of single readers but that."""
     for _ in range(20):
         d.router.stage_wait[api.Role.READER].add(d.now, wait)
-    for w in d.router.up[api.Role.READER]:
+    for w in d.router.index.group(api.Role.READER).members:
         w.lag, w.lag_at = wait, d.now
 
 
@@ -1068,7 +1070,7 @@
         d.arrive(f"b{i}", f"t{i}", f"q{i}", after=100 * MS)
         assert f"b{i}" not in d.answered and d.sent_to(f"b{i}") != straggler
         d.serve(f"b{i}")
-    for _ in range(rules.SEEN_WAITS):
+    for _ in range(router_state.SEEN_WAITS):
         d.router.stage_wait[api.Role.READER].add(d.now, 3 * SECOND)
     refused = 0
     for i in range(20):
@@ -1210,7 +1212,7 @@
         d.arrive(f"a{i}", f"s{i}", f"p{i}", after=50 * MS)
         sent.append(f"a{i}" in d.out)
         while f"a{i}" in d.out:
-            for w in d.router.up[api.Role.READER]:
+            for w in d.router.index.group(api.Role.READER).members:
                 w.heard_at = d.now + 10 * SECOND  # they live: nobody is struck
             d.end(f"a{i}", outcome, after=0 if outcome is Outcome.FULL else SECOND)
         assert d.router._pool_wait(api.Role.READER) > SECOND / 10
@@ -1226,7 +1228,7 @@
     d = many_routers(100, cells)[1]
 
     def tell(shares: dict[str, float]) -> None:
-        for w in d.router.up[api.Role.WRITER]:
+        for w in d.router.index.group(api.Role.WRITER).members:
             w.told(d.now, {"memory_share": shares.get(w.name, 0.30), "tick": d.now}, 1000.0)
 
     for i in range(60):
@@ -1241,15 +1243,17 @@
         d.end(f"a{i}", Outcome.SERVED, after=1 * MS)
     tell({"w7": 0.50})
     d.arrive("b", "sb", "pb")
-    d.router.requests["b"].asked.clear()
-    assert d.router._choose_writer(d.router.requests["b"], d.router.fleet["r7"]) is d.router.fleet["w7"]
+    request, reader = d.router.requests["b"], d.router.fleet["r7"]
+    request.asked.clear()
+    pool = d.router._writer_pool(request, reader)
+    assert d.router._choose_writer(request, reader, pool) is d.router.fleet["w7"]
 
 
 def test_in_a_jam_what_goes_to_an_idle_reader_is_taken() -> None:
     d = many_routers(100, WIDE)[3]
     d.warm(60)
     jammed(d, 4 * SECOND)
-    for w in d.router.up[api.Role.READER]:
+    for w in d.router.index.group(api.Role.READER).members:
         w.lag = 8.0 * SECOND
     taken = 0
     for i in range(40):
@@ -1261,7 +1265,7 @@
             d.end(f"a{i}", Outcome.SERVED, after=0)
     assert taken < 10
     jammed(d, 4 * SECOND)
-    for w in d.router.up[api.Role.READER]:
+    for w in d.router.index.group(api.Role.READER).members:
         w.lag, w.lag_at = 0.0, d.now
     d.arrive("b", "sb", "pb")
     assert "b" in d.out
@@ -1291,9 +1295,9 @@
     see_traffic(drives)
     chosen: dict[str, int] = {}
     for i, d in enumerate(drives):
-        readers = d.router.up[api.Role.READER]
+        readers = d.router.index.group(api.Role.READER).members
         unseen = d.router._unseen(readers) * d.router.read_time.size * d.router.token_time
-        assert unseen > 2 * rules.LAG_SLACK
+        assert unseen > 2 * reader_choice.LAG_SLACK
         for k, w in enumerate(readers):  # uneven, so that the fewest running decide; one is idle
             w.others, w.told_at = (20.0 * len(readers) * 2 if k == 0 else 0.0), d.now
             w.lag, w.lag_at = (0.0 if k == 1 else unseen / 2), d.now
@@ -1389,7 +1393,10 @@
     d.listed(replace(FLEET[0], kind=1, cell=2, zone=1))
     w = d.router.fleet["r1"]
     assert w.role is api.Role.WRITER and (w.cell, w.zone) == (2, 1)
-    assert w not in d.router.up[api.Role.READER] and w in d.router.up[api.Role.WRITER]
+    assert (
+        w not in d.router.index.group(api.Role.READER).members
+        and w in d.router.index.group(api.Role.WRITER).members
+    )
     for i in range(12):
         d.arrive(f"b{i}", f"s{i}", f"p{i}")
         assert d.sent_to(f"b{i}") != "r1"
@@ -1401,7 +1408,7 @@
     d.listed(kind=api.ListKind.FULL)
     d.arrive("a", "s", "p")
     for _ in range(20):
-        d.feed(api.TimerFired(rules.WATCH_TIMER), after=rules.WATCH_STEP)
+        d.feed(api.TimerFired(rules.WATCH_TIMER), after=admission.WATCH_STEP)
     assert isinstance(d.answered["a"], api.Refuse)
     d.listed(*FLEET, kind=api.ListKind.FULL)
     d.arrive("b", "s", "p")
@@ -1420,7 +1427,7 @@
         d.arrive(f"c{i}", f"s{i}", f"p{i}", after=100 * MS)
         for _ in range(10):
             if f"c{i}" not in d.out and f"c{i}" not in d.answered:
-                d.feed(api.TimerFired(rules.WATCH_TIMER), after=rules.WATCH_STEP)
+                d.feed(api.TimerFired(rules.WATCH_TIMER), after=admission.WATCH_STEP)
         if f"c{i}" in d.out:
             sent += 1
             d.serve(f"c{i}", after=2 * MS)
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -10,8 +10,10 @@
 
 from basaltspread import interface as api
 from basaltspread import rules
+from basaltspread.control.engine_index import EngineIndex
 from basaltspread.control.load_view import Request, Worker
 from basaltspread.interface import Outcome, Role
+from basaltspread.policy import admission
 from basaltspread.policy.slow_start import (
     LARGEST_UNIT,
     SLOTS_OF_RESERVATIONS,
@@ -46,8 +48,7 @@
         self.role, self.routers, self.workers = role, list[SlowStart](), list[Worker]()
         warm_rate = allowed / MULTIPLE / LEAST_WARMTH / SECOND
         for number in range(routers):
-            available: dict[Role, list[Worker]] = {each: [] for each in Role}
-            one = SlowStart(replace(base, router=number, rules=figures), available)
+            one = SlowStart(replace(base, router=number, rules=figures), EngineIndex(WARM_TIME, True))
             one.begin(START - 100 * WARM_TIME)
             one.sizes.prompts.extend([PROMPT] * 5)
             one.token_time = 1 / warm_rate / PROMPT if role is Role.READER else 0.0
@@ -202,7 +203,7 @@
 
 def test_a_writers_request_counts_by_its_prompt_or_its_classs_answers_whichever_is_larger() -> None:
     classes = settings().classes * 2
-    router = SlowStart(replace(settings(), classes=classes), {role: [] for role in Role})
+    router = SlowStart(replace(settings(), classes=classes), EngineIndex(SECOND, True))
     router.sizes.prompts.extend([PROMPT] * 5)
     slow = replace(asked(PROMPT).a, request_class=1)
     for _ in range(400):
@@ -267,7 +268,7 @@
     """Guards against reads that end together after a hang, and bring several slots' allowances at once."""
     d, name = reserved_at_cold_writer()
     while d.now < d.router.fleet["w1"].started + 4 * SLOT:
-        d.feed(api.TimerFired(rules.WATCH_TIMER), after=rules.WATCH_STEP)
+        d.feed(api.TimerFired(rules.WATCH_TIMER), after=admission.WATCH_STEP)
     places = [a.worker for a in d.log if isinstance(a, api.HoldPlace) and a.request == name]
     assert places == ["w1", "w2"]
     d.feed(api.PlaceAnswer(name, 0, "w1", False))  # the old place's answer says nothing of the new one
@@ -356,9 +357,9 @@
     for name in ("a", "b"):
         peer = cold_worker(role)
         peer.name, peer.started = name, 0
-        router._available[role].append(peer)
-    router._available[role].append(worker)
+        router._available.put(peer)
     worker.update(replace(worker.entry, weight=weight))
+    router._available.put(worker)
     for i in range(20):
         assert spend(router, worker, START + i * SLOT) <= overload_limit(4.0) / 2
 
