--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,21 +8,43 @@
 import sys
 from collections import Counter
 from collections.abc import Sequence
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import click
 
+from soak.gateways import ROOT
 from soak.judge import Violation, by_rule, judge
 from soak.observations import ClientRequest, Observations
-from soak.runner import READERS, WRITERS, play
+from soak.runner import PROXIED, WORKERS, play
 from soak.schedule import Trouble, cut_down, draw
 
 
-def _run(
-    seed: int, processes: int, seconds: float, troubles: Sequence[Trouble], folder: Path | None
-) -> Observations:
-    return asyncio.run(play(seed, processes, seconds, troubles, folder))
+@dataclass(frozen=True)
+class Shape:
+    """What is the same for all seeds of a call."""
+
+    processes: int
+    seconds: float
+    engines: int
+    program: Path
+    workers: int
+
+
+def _run(shape: Shape, seed: int, troubles: Sequence[Trouble], folder: Path | None) -> Observations:
+    return asyncio.run(
+        play(
+            seed,
+            shape.processes,
+            shape.seconds,
+            troubles,
+            folder,
+            shape.engines,
+            shape.program,
+            shape.workers,
+        )
+    )
 
 
 def _summary(seen: Observations, violations: list[Violation]) -> dict[str, Any]:
@@ -64,28 +86,45 @@
 @click.option("--seed", type=int, required=True, help="What the schedule and the load are drawn from.")
 @click.option("--seeds", type=int, default=1, show_default=True, help="How many seeds, one after the other.")
 @click.option("--processes", type=click.IntRange(1, 40), default=24, show_default=True, help="Gateways.")
+@click.option(
+    "--engines",
+    type=click.IntRange(PROXIED, 3200),
+    default=PROXIED,
+    show_default=True,
+    help="Engines that are listed.",
+)
+@click.option(
+    "--clients", type=click.IntRange(1, 40), default=WORKERS, show_default=True, help="Of each gateway."
+)
+@click.option(
+    "--program",
+    type=click.Path(exists=True, file_okay=False, path_type=Path),
+    default=ROOT,
+    help="A checkout whose gateway is played in place of this one.",
+)
 @click.option("--seconds", type=click.FloatRange(1.0, 600.0), default=30.0, show_default=True, help="Load.")
 @click.option("--troubles", default="", help="Kinds to draw from, e.g. gateway,engine:hang; all if empty.")
 @click.option("--cut", is_flag=True, help="Cut a failing schedule down to the troubles that matter.")
 @click.option("--logs", type=click.Path(path_type=Path), help="A folder that keeps the gateways' logs.")
 @click.option("--json", "report", type=click.Path(path_type=Path), help="Where to write the results.")
 def main(
-    seed: int, seeds: int, processes: int, seconds: float, troubles: str, cut: bool, logs: Path | None,
-    report: Path | None,
+    seed: int, seeds: int, processes: int, clients: int, engines: int, program: Path, seconds: float,
+    troubles: str, cut: bool, logs: Path | None, report: Path | None,
 ) -> None:  # fmt: skip
     """Play many real gateways under overlapping troubles, and judge them. Exit status 1 on a violation."""
     only = [kind for kind in troubles.split(",") if kind]
+    shape = Shape(processes, seconds, engines, program, clients)
     found, results = 0, list[dict[str, Any]]()
     for number in range(seed, seed + seeds):
-        schedule = draw(number, processes, READERS + WRITERS, seconds, only)
+        schedule = draw(number, processes, PROXIED, seconds, only)
         folder = logs / str(number) if logs is not None else None
-        seen = _run(number, processes, seconds, schedule, folder)
+        seen = _run(shape, number, schedule, folder)
         violations = judge(seen)
         found += len(violations)
         results.append(_summary(seen, violations))
         _show(seen, violations, results[-1])
         if violations and cut:
-            _cut(number, processes, seconds, schedule, violations[0].rule)
+            _cut(shape, number, schedule, violations[0].rule)
     if report is not None:
         report.write_text(json.dumps(results, indent=1))
     sys.stdout.flush()
@@ -102,9 +141,9 @@
         click.echo(f"{len(violations)} violations; load {os.getloadavg()[0]:.1f}")
 
 
-def _cut(seed: int, processes: int, seconds: float, schedule: Sequence[Trouble], rule: str) -> None:
+def _cut(shape: Shape, seed: int, schedule: Sequence[Trouble], rule: str) -> None:
     def still_fails(fewer: Sequence[Trouble]) -> bool:
-        fails = rule in by_rule(judge(_run(seed, processes, seconds, fewer, None)))
+        fails = rule in by_rule(judge(_run(shape, seed, fewer, None)))
         click.echo(f"{len(fewer)} troubles: {'still' if fails else 'no'} {rule}")
         return fails
 
--- a/soak/engines.py
+++ b/soak/engines.py
@@ -105,8 +105,13 @@
 class Engine:
     """One engine behind its proxy."""
 
-    def __init__(self, fleet: Fleet, name: str, role: Role, zone: str, seed: int) -> None:
+    def __init__(
+        self, fleet: Fleet, name: str, role: Role, zone: str, seed: int, host: str = "127.0.0.1",
+        direct: bool = False,
+    ) -> None:  # fmt: skip
+        """With `direct` there is no proxy on the way: thousands of them fit in one process."""
         self.fleet, self.name, self.role, self.zone = fleet, name, role, zone
+        self._host, self._direct = host, direct
         self.mood, self.started_ms = Mood(), 0
         self.lifecycle = "up"
         self._lot = random.Random(f"{seed} {name}")
@@ -119,8 +124,14 @@
 
     async def start(self) -> None:
         """At the same address as before, if there was one."""
-        self._own = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         host, _, port = self.address.rpartition(":")
+        if self._direct:
+            self._own = await asyncio.start_server(
+                self._serve, host or self._host, int(port or 0), backlog=64
+            )
+            self.address = "{}:{}".format(*self._own.sockets[0].getsockname()[:2])
+            return
+        self._own = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self._server = await asyncio.start_server(
             self._proxy, host or "127.0.0.1", int(port or 0), backlog=512
         )
@@ -167,9 +178,15 @@
                 patience = 0.2 if self.mood.closes_idle else 30.0
                 async with asyncio.timeout(patience):
                     raw = await reader.readuntil(b"\r\n\r\n")
+                while self.mood.cut and self._direct:
+                    await asyncio.sleep(0.02)
                 head = Head.parse(raw[:-4])
+                if self._direct:
+                    self.note_sent(head, time.monotonic())
                 await reader.readexactly(int(head.fields.get("content-length", 0)))
                 await self._unless_closed(self._answer(head, writer), reader)
+                while self.mood.cut and self._direct:
+                    await asyncio.sleep(0.02)
         except (asyncio.IncompleteReadError, ConnectionError, TimeoutError, asyncio.CancelledError):
             writer.transport.abort()
         finally:
@@ -216,8 +233,7 @@
             await asyncio.sleep(0.02)
         if reading:
             await asyncio.sleep(self._lot.uniform(*READ_TIME))
-            ways = [way for way in self._ways if way.request == request]
-            if not any(not way.gateway_has_closed() for way in ways):
+            if not self._gateway_waits(request, writer):
                 raise ConnectionResetError  # as soon as the system knows, however busy this runner is
             self.fleet.hold(self, request)
             work.ended_at = time.monotonic()
@@ -226,6 +242,24 @@
         self.fleet.let_go(request)  # the state moves here with its first token
         await self._stream(work, writer)
 
+    def _gateway_waits(self, request: str, writer: asyncio.StreamWriter) -> bool:
+        """Whether the connection on which a request came is open, as the system knows it."""
+        if self._direct:
+            return not tcp_info.closed_by_peer(writer.get_extra_info("socket"))
+        ways = [way for way in self._ways if way.request == request]
+        return any(not way.gateway_has_closed() for way in ways)
+
+    def note_sent(self, head: Head, first_byte_at: float) -> None:
+        """A gateway's request has come to the way here."""
+        call = head.call
+        if call == "generate":
+            call = "read" if self.role is Role.READER else "write"
+        left = head.fields.get("x-time-left-ms")
+        self.fleet.seen.sent.append(Sent(
+            gateway_of(head.request), self.name, call, head.request, first_byte_at,
+            int(left) if left is not None else None,
+        ))  # fmt: skip
+
     async def _stream(self, work: Work, writer: asyncio.StreamWriter) -> None:
         writer.write(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -313,11 +347,4 @@
             return
         self._head, head = None, Head.parse(raw)
         self.request = head.request
-        call = head.call
-        if call == "generate":
-            call = "read" if self._engine.role is Role.READER else "write"
-        left = head.fields.get("x-time-left-ms")
-        self._engine.fleet.seen.sent.append(Sent(
-            gateway_of(head.request), self._engine.name, call, head.request, self._first_byte_at,
-            int(left) if left is not None else None,
-        ))  # fmt: skip
+        self._engine.note_sent(head, self._first_byte_at)
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -14,6 +14,7 @@
 import struct
 import sys
 import time
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -25,6 +26,7 @@
 READY_PATIENCE = 30.0  # s
 GRACE = 3.7  # s from SIGTERM to SIGKILL
 HOLD_UP = 0.15  # s
+Step = tuple[signal.Signals, float]  # a signal, and s until the next
 SUSPICIOUS = ("fault", "Traceback", "invariant", "Error")
 MOST_SUSPICIOUS = 20  # lines kept of one process
 
@@ -52,13 +54,18 @@
 class GatewayProcess:
     """One gateway, and the process or two that it is at a time."""
 
-    def __init__(self, seen: Observations, number: int, folder: Path, config: dict[str, Any]) -> None:
+    def __init__(
+        self, seen: Observations, number: int, folder: Path, config: dict[str, Any], program: Path = ROOT
+    ) -> None:
+        """`program`: the checkout whose gateway is run."""
+        self._program = program
         self.number, self._seen, self._folder, self.config = number, seen, folder, config
         folder.mkdir()
         self.shim = Shim(folder / "shim")
         self.file = folder / "config.json"
         self.door: socket.socket | None = None
         self.management = ""
+        self.serving = ""  # the address that its newest process serves
         self.process: asyncio.subprocess.Process | None = None
         self.life: GatewayEnd | None = None
         self._count = 0
@@ -99,7 +106,7 @@
                 self._seen.told.append(Told(self.number, *told, life.started_at))
         self.known_is_new = False
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-B", "-m", "basaltspread", cwd=ROOT, env=environment,
+            sys.executable, "-B", "-m", "basaltspread", cwd=self._program, env=environment,
             stdin=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE, limit=1 << 20,
             pass_fds=() if self.door is None else (self.door.fileno(),),
         )  # fmt: skip
@@ -130,6 +137,7 @@
         if " operators call " in line:
             self.management = line.split()[-1]
         if " serving " in line:
+            self.serving = line.split()[-1]
             life.ready_at = time.monotonic()
             ready.set()
         if "counters " in line:
@@ -144,23 +152,34 @@
             with contextlib.suppress(ProcessLookupError):
                 self.process.send_signal(number)
 
-    async def stop(self) -> None:
-        """SIGTERM, its grace, and SIGKILL for what is left."""
+    async def stop(self, before: Sequence[Step] = (), after: Sequence[Step] = ()) -> None:
+        """SIGTERM, its grace, and SIGKILL for what is left; other signals may come before and after it."""
         if self.process is not None and self.life is not None:
-            await self._tell_to_end(self.process, self.life)
+            await self._tell_to_end(self.process, self.life, before, after)
 
-    async def _tell_to_end(self, process: asyncio.subprocess.Process, life: GatewayEnd) -> None:
+    async def _tell_to_end(
+        self, process: asyncio.subprocess.Process, life: GatewayEnd, before: Sequence[Step] = (),
+        after: Sequence[Step] = (),
+    ) -> None:  # fmt: skip
         if process.returncode is not None:
             return
+        await self._steps(process, before)
         life.told_to_end_at = time.monotonic()
-        with contextlib.suppress(ProcessLookupError):
-            process.send_signal(signal.SIGTERM)
+        await self._steps(process, ((signal.SIGTERM, 0.0), *after))
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(GRACE):
+            async with asyncio.timeout(life.told_to_end_at + GRACE - time.monotonic()):
                 await process.wait()
                 return
         await self.kill(process, life)
 
+    @staticmethod
+    async def _steps(process: asyncio.subprocess.Process, steps: Sequence[Step]) -> None:
+        for number, pause in steps:
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(number)
+            if pause:
+                await asyncio.sleep(pause)
+
     async def kill(self, process: asyncio.subprocess.Process, life: GatewayEnd) -> None:
         if process.returncode is None:
             life.killed_at = time.monotonic()
@@ -175,9 +194,9 @@
         if old is not None and old_life is not None:
             await self._tell_to_end(old, old_life)
 
-    async def hold_up(self) -> None:
+    async def hold_up(self, time: float = HOLD_UP) -> None:
         self.signal(signal.SIGSTOP)
-        await asyncio.sleep(HOLD_UP)
+        await asyncio.sleep(time)
         self.signal(signal.SIGCONT)
 
     async def operate(self, call: str) -> bool:
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -129,6 +129,7 @@
     ended_at: float = 0.0
     slack: float = 0.0  # s by which this runner itself was held up at most
     rules: dict[str, float] = field(default_factory=dict)
+    zones: dict[str, str] = field(default_factory=dict)  # by engine
     requests: list[ClientRequest] = field(default_factory=list)
     sent: list[Sent] = field(default_factory=list)
     work: list[Work] = field(default_factory=list)
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -12,6 +12,7 @@
 import shutil
 import signal
 import socket
+import sys
 import tempfile
 import time
 from collections.abc import Awaitable, Callable, Sequence
@@ -21,14 +22,20 @@
 from soak.clients import Clients
 from soak.discovery import Discovery, DiscoveryMood
 from soak.engines import Engine, Fleet, Role
-from soak.gateways import GatewayProcess
+from soak.gateways import ROOT, GatewayProcess, Step
 from soak.observations import ClientKind, Observations, Span
 from soak.schedule import Trouble, TroubleKind
 
 ZONES = ("a", "b")
 READERS, WRITERS = 8, 6
+PROXIED = READERS + WRITERS  # engines that troubles single out
+SILENT_SHARE = 0.8  # of a role, in the trouble that is about a role
+CROWD_SIZE = (100, 250)  # idle connections to one gateway
+THROTTLE = (0.02, 0.06)  # s that a throttled process runs, and stands still, in turn
+BUSY = 3  # processes of a load beside
 WORKERS = 3  # clients of one gateway
 STARTED_AT_ONCE = 6  # gateways
+LONGEST_DEADLINE = 3_000_000  # us: a kill may come so long, and 0.7 s, after SIGTERM
 LAG_STEP = 0.02  # s between two looks at how far this runner is held up
 LAST_ANSWERS = 6.0  # s for what is under way as the load ends
 WARM_WITHIN = 14.0  # s
@@ -41,8 +48,8 @@
 SETTINGS: dict[str, Any] = {
     "azs": list(ZONES), "registry_mode": "push", "round": 2000,
     "classes": [
-        {"name": name, "effect": effect, "key_scope": "zone", "deadline": 5_000_000, "promise": 1_000_000,
-         "points": 2.0, "late_value": 0.3, "streaming": True, "window": 2_000_000}
+        {"name": name, "effect": effect, "key_scope": "zone", "deadline": LONGEST_DEADLINE,
+         "promise": 1_000_000, "points": 2.0, "late_value": 0.3, "streaming": True, "window": 2_000_000}
         for name, effect in (("ask", "safe"), ("order", "unsafe"), ("draft", "keyed"))
     ],
     "limits": {"cancel": True, "max_attempts": 5, "retry_after": True, "max_retry_after": 1_000_000,
@@ -76,9 +83,11 @@
     """One run. `folder` keeps the gateways' logs; with none, they go with the run."""
 
     def __init__(
-        self, seed: int, gateways: int, seconds: float, troubles: Sequence[Trouble], folder: Path | None
-    ) -> None:
+        self, seed: int, gateways: int, seconds: float, troubles: Sequence[Trouble], folder: Path | None,
+        engines: int = PROXIED, program: Path = ROOT, workers: int = WORKERS,
+    ) -> None:  # fmt: skip
         self.seen = Observations(seed)
+        self._engine_count, self._program, self._workers = engines, program, workers
         self._seed, self._count, self._seconds, self._troubles = seed, gateways, seconds, troubles
         self._host = own_host()
         self._keep = folder is not None
@@ -87,6 +96,7 @@
         self._discovery = Discovery(self.seen)
         self._gateways = list[GatewayProcess]()
         self._clients = list[Clients]()
+        self._beside = set[asyncio.subprocess.Process]()  # busy processes
         self._steps = 0  # ms that all wall clocks have been stepped by
         self._calls: dict[TroubleKind, Callable[[Trouble], Awaitable[None]]] = {
             TroubleKind.RESTART: self._restart, TroubleKind.KILL: self._kill,
@@ -94,6 +104,9 @@
             TroubleKind.HELD_UP: self._held_up, TroubleKind.FOLDER_FAILS: self._folder_fails,
             TroubleKind.CLOCK_STEPS: self._clock_steps, TroubleKind.DRAIN: self._drain,
             TroubleKind.COLD_RESTART: self._cold_restart, TroubleKind.RESET: self._reset,
+            TroubleKind.SIGNALS: self._signals, TroubleKind.THROTTLED: self._throttled,
+            TroubleKind.ROLE_SILENT: self._role_silent, TroubleKind.CROWD: self._crowd,
+            TroubleKind.LOAD: self._load_beside,
         }  # fmt: skip
 
     async def play(self) -> Observations:
@@ -105,6 +118,8 @@
             await self._load()
         finally:
             lag.cancel()
+            for process in self._beside:
+                process.kill()
             await asyncio.gather(*(gateway.end() for gateway in self._gateways))
             for engine in self._fleet.engines:
                 engine.die()
@@ -127,11 +142,8 @@
             "warm": WARM_WITHIN, "window": limits["fall"] / 1e6, "multiple": limits["tip_multiple"],
             "start": limits["start_capacity"],
         }  # fmt: skip
-        roles = [Role.READER] * READERS + [Role.WRITER] * WRITERS
-        for number, role in enumerate(roles):
-            engine = Engine(self._fleet, f"e{number}", role, ZONES[number % len(ZONES)], self._seed)
-            await engine.start()
-            await self._discovery.tell(engine)
+        for number in range(self._engine_count):
+            await self._start_engine(number)
         peers = free_addresses(self._host, self._count, socket.SOCK_DGRAM)
         listen = free_addresses(self._host, self._count, socket.SOCK_STREAM)
         for number in range(self._count):
@@ -144,6 +156,18 @@
 
         await asyncio.gather(*(start(gateway) for gateway in self._gateways))
 
+    async def _start_engine(self, number: int) -> None:
+        """The first ones stand behind proxies and meet troubles of their own; all further ones are direct."""
+        few = [Role.READER] * READERS + [Role.WRITER] * WRITERS
+        role = few[number] if number < PROXIED else (Role.READER, Role.WRITER)[number % 2]
+        zone, direct = ZONES[number // 2 % len(ZONES)], number >= PROXIED
+        if not direct:
+            zone = ZONES[number % len(ZONES)]
+        self.seen.zones[f"e{number}"] = zone
+        engine = Engine(self._fleet, f"e{number}", role, zone, self._seed, self._host, direct)
+        await engine.start()
+        await self._discovery.tell(engine)
+
     async def _gateway(self, number: int, listen: str, peers: list[str]) -> GatewayProcess:
         settings = {
             **SETTINGS, "balancers": self._count, "me": number, "zone": number % len(ZONES),
@@ -154,7 +178,7 @@
             "settings": settings, "limits": {"sockets": 512, "memory_mb": 128},
             "management": "127.0.0.1:0", "peers": peers, "peer_listen": peers[number],
         }  # fmt: skip
-        gateway = GatewayProcess(self.seen, number, self._folder / f"n{number}", config)
+        gateway = GatewayProcess(self.seen, number, self._folder / f"n{number}", config, self._program)
         if number % 3 == 0:
             gateway.inherit()
         return gateway
@@ -165,7 +189,7 @@
         for gateway in self._gateways:
             clients = Clients(self.seen, gateway.number, self._address_of(gateway), self._seed)
             self._clients.append(clients)
-            workers += [asyncio.create_task(clients.work()) for _ in range(WORKERS)]
+            workers += [asyncio.create_task(clients.work()) for _ in range(self._workers)]
         troubles = [asyncio.create_task(self._apply(trouble)) for trouble in self._troubles]
         await asyncio.sleep(self._seconds)
         if troubles:
@@ -198,12 +222,14 @@
             self.seen.troubles.append(span)
 
     def _name(self, trouble: Trouble, target: int) -> str:
+        if trouble.kind is TroubleKind.ROLE_SILENT:
+            return "role"  # the engines concerned are noted one by one
         if trouble.kind.target in ("engine", "network"):
             return self._engine(target).name
         return f"n{target}"
 
     def _engine(self, target: int) -> Engine:
-        return self._fleet.engines[target % len(self._fleet.engines)]
+        return self._fleet.engines[target % PROXIED]
 
     async def _at_each(self, trouble: Trouble, act: Callable[[GatewayProcess], Awaitable[None]]) -> None:
         async def one(gateway: GatewayProcess) -> None:
@@ -250,6 +276,73 @@
 
         await self._at_each(trouble, act)
 
+    async def _signals(self, trouble: Trouble) -> None:
+        """SIGTERM twice, SIGHUP then SIGTERM, or a stop and its end round SIGTERM; then a new process."""
+        pause = 0.02 + 0.4 * (trouble.figure * 4 % 1)
+        series: list[tuple[list[Step], list[Step]]] = [
+            ([], [(signal.SIGTERM, 0.0)]),
+            ([], [(signal.SIGCONT, pause), (signal.SIGTERM, 0.0)]),
+            ([(signal.SIGHUP, 0.0)], []),
+            ([(signal.SIGHUP, pause)], [(signal.SIGHUP, 0.0)]),
+            ([(signal.SIGSTOP, 0.1)], [(signal.SIGCONT, 0.0)]),
+            ([], [(signal.SIGSTOP, 0.15), (signal.SIGCONT, 0.0), (signal.SIGTERM, 0.0)]),
+        ]
+        before, after = series[int(trouble.figure * len(series))]
+
+        async def act(gateway: GatewayProcess) -> None:
+            await gateway.stop(before, after)
+            gateway.config["known"], gateway.known_is_new = self._discovery.whole(), True
+            await gateway.start()
+
+        await self._at_each(trouble, act)
+
+    async def _throttled(self, trouble: Trouble) -> None:
+        runs, stands = THROTTLE
+
+        async def act(gateway: GatewayProcess) -> None:
+            until = time.monotonic() + trouble.length
+            while time.monotonic() < until:
+                await gateway.hold_up(stands)
+                await asyncio.sleep(runs)
+
+        await self._at_each(trouble, act)
+
+    async def _role_silent(self, trouble: Trouble) -> None:
+        role = Role.READER if trouble.figure < 0.3 else Role.WRITER
+        engines = [engine for engine in self._fleet.engines if engine.role is role]
+        silent = engines[: int(SILENT_SHARE * len(engines))]
+        began = time.monotonic()
+        for engine in silent:
+            engine.mood.cut = True
+        await asyncio.sleep(trouble.length)
+        for engine in silent:
+            engine.mood.cut = False
+            self.seen.troubles.append(Span(trouble.kind.value, engine.name, began, time.monotonic()))
+
+    async def _crowd(self, trouble: Trouble) -> None:
+        """Idle connections, which their gateway may close as it likes."""
+        size = int(CROWD_SIZE[0] + trouble.figure * (CROWD_SIZE[1] - CROWD_SIZE[0]))
+        host, _, port = self._gateways[trouble.targets[0]].address.rpartition(":")
+        writers = list[asyncio.StreamWriter]()
+        for _ in range(size):
+            with contextlib.suppress(OSError):
+                writers.append((await asyncio.open_connection(host, int(port)))[1])
+        await asyncio.sleep(trouble.length)
+        for writer in writers:
+            writer.transport.abort()
+
+    async def _load_beside(self, trouble: Trouble) -> None:
+        busy = [
+            await asyncio.create_subprocess_exec(sys.executable, "-c", "while True: pass")
+            for _ in range(BUSY)
+        ]
+        self._beside.update(busy)
+        await asyncio.sleep(trouble.length)
+        for process in busy:
+            process.kill()
+            await process.wait()
+            self._beside.discard(process)
+
     async def _held_up(self, trouble: Trouble) -> None:
         async def act(gateway: GatewayProcess) -> None:
             until = time.monotonic() + trouble.length
@@ -385,8 +478,9 @@
 
 
 async def play(
-    seed: int, gateways: int, seconds: float, troubles: Sequence[Trouble], folder: Path | None = None
-) -> Observations:
+    seed: int, gateways: int, seconds: float, troubles: Sequence[Trouble], folder: Path | None = None,
+    engines: int = PROXIED, program: Path = ROOT, workers: int = WORKERS,
+) -> Observations:  # fmt: skip
     """One run, ended in order also by SIGINT and SIGTERM."""
     task = asyncio.current_task()
     assert task is not None
@@ -394,4 +488,4 @@
     for number in (signal.SIGINT, signal.SIGTERM):
         with contextlib.suppress(NotImplementedError, RuntimeError, ValueError):
             loop.add_signal_handler(number, task.cancel)
-    return await Soak(seed, gateways, seconds, troubles, folder).play()
+    return await Soak(seed, gateways, seconds, troubles, folder, engines, program, workers).play()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -18,6 +18,8 @@
     KILL = "gateway:kill"  # SIGKILL, then a new process
     RELOAD = "gateway:reload"  # SIGHUP; discovery moves
     HAND_OVER = "gateway:hand_over"  # a new process beside the old one, which then gets SIGTERM
+    SIGNALS = "gateway:signals"  # a series of them, of which SIGTERM is one; then a new process
+    THROTTLED = "gateway:throttled"  # held to a fraction of a core
     HELD_UP = "gateway:held_up"  # stands still for 0.15 s, again and again
     ACCEPT_FAILS = "gateway:accept_fails"
     CONNECT_FAILS = "gateway:connect_fails"
@@ -34,10 +36,13 @@
     COLD_RESTART = "engine:cold_restart"
     CLOSES_IDLE = "engine:closes_idle"
     TURNS_AWAY = "engine:turns_away"
+    ROLE_SILENT = "engine:role_silent"  # four in five of one role: their systems take bytes, they do nothing
     DELAY = "network:delay"
     CUT = "network:cut"  # silent both ways
     RESET = "network:reset"
     FRAGMENT = "network:fragment"
+    CROWD = "clients:crowd"  # idle connections
+    LOAD = "machine:load"  # busy processes beside
     CLIENTS_LEAVE = "clients:leave"
     CLIENTS_STOP = "clients:stop"
     CLIENTS_FLOOD = "clients:flood"
@@ -59,7 +64,9 @@
     TroubleKind.DISCOVERY_CROWDED: (1.0, 4.0), TroubleKind.DRAIN: (3.0, 6.0), TroubleKind.HANG: (1.0, 5.0),
     TroubleKind.COLD_RESTART: (0.5, 2.0), TroubleKind.CLOSES_IDLE: (1.0, 3.0),
     TroubleKind.TURNS_AWAY: (0.5, 2.0), TroubleKind.DELAY: (0.5, 3.0), TroubleKind.CUT: (0.5, 4.0),
-    TroubleKind.RESET: (0.1, 1.0), TroubleKind.FRAGMENT: (0.5, 2.0), TroubleKind.CLIENTS_LEAVE: (1.0, 4.0),
+    TroubleKind.SIGNALS: (4.0, 4.0), TroubleKind.THROTTLED: (1.0, 3.0), TroubleKind.ROLE_SILENT: (1.0, 5.0),
+    TroubleKind.CROWD: (2.0, 5.0), TroubleKind.LOAD: (1.0, 4.0), TroubleKind.RESET: (0.1, 1.0),
+    TroubleKind.FRAGMENT: (0.5, 2.0), TroubleKind.CLIENTS_LEAVE: (1.0, 4.0),
     TroubleKind.CLIENTS_STOP: (1.0, 3.0), TroubleKind.CLIENTS_FLOOD: (0.5, 2.0),
     TroubleKind.CLIENTS_SLOW: (1.0, 4.0),
 }  # fmt: skip
