Try a listening socket again, end clients in order at the exit, and judge the soak's own delays

Cause: only connect and accept are tried again where this machine is short of something. Change: listening sockets too, for 2 s, but for addresses that can't be had. A client that is half-way through a request at the end of a process is closed by name in place of a cancelled task's traceback.

--- a/basaltspread/net/listener.py
+++ b/basaltspread/net/listener.py
@@ -6,20 +6,25 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import socket
+import time
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 from basaltspread.config import split_address
-from basaltspread.net.links import READ_SIZE, TimedReader
+from basaltspread.net.links import LOCAL_FAULT_PATIENCE, READ_SIZE, TimedReader
 from basaltspread.net.log_limit import LineLimit
 from basaltspread.structures import system_faults as faults
 
 log = logging.getLogger("basaltspread")
 ACCEPT_PAUSE = 0.005  # s without a try after accept failed, at first
 LONGEST_ACCEPT_PAUSE = 0.05  # s
+LONGEST_CREATE_PAUSE = 0.5  # s between two tries to make a listening socket
+# What says of an address that it can't be had: it is not this machine's, or not this user's.
+PERMANENT = frozenset((errno.EADDRNOTAVAIL, errno.EACCES, errno.EPERM))
 CLOSE_PATIENCE = 1.0  # s in which a closing door tries to accept what waits at it
 
 Accept = Callable[[Any, asyncio.StreamWriter], Coroutine[Any, Any, None]]
@@ -129,6 +134,24 @@
         return asyncio.StreamReaderProtocol(reader, self._accept, loop=self._loop)
 
 
+async def _create(
+    key: str, address: tuple[str, int], family: socket.AddressFamily, queue: int
+) -> socket.socket:
+    """A listening socket. Where this machine is short of something it is tried again for a while: else a
+    moment of that would end a process as it starts."""
+    give_up_at, pause = time.monotonic() + LOCAL_FAULT_PATIENCE, ACCEPT_PAUSE
+    while True:
+        try:
+            return socket.create_server(address, family=family, backlog=queue)
+        except OSError as error:
+            momentary = faults.of_connect(error) is faults.FaultScope.LOCAL_MOMENTARY
+            if error.errno in PERMANENT or not momentary or time.monotonic() >= give_up_at:
+                raise
+            log.warning("no socket for %s yet: %s", key, error)
+        await asyncio.sleep(pause)
+        pause = min(2 * pause, LONGEST_CREATE_PAUSE)
+
+
 async def open_listener(
     key: str,
     listen: str,
@@ -139,11 +162,12 @@
     counters: Counter[str] | None = None,
 ) -> Listener:
     """Serve what connects to an address (named `key` in errors), or to a socket that listens there already.
-    `queue` connections may wait in the kernel. Raises ConfigError, or OSError where the address is taken."""
+    `queue` connections may wait in the kernel. Raises ConfigError, or OSError where the address is taken, or
+    where this machine can't make a socket for longer than a moment."""
     host, port = split_address(key, listen)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     if inherited is None:
-        listener = socket.create_server((host.strip("[]"), port), family=family, backlog=queue)
+        listener = await _create(key, (host.strip("[]"), port), family, queue)
     else:
         listener = socket.socket(fileno=inherited)
     listener.setblocking(False)
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -60,6 +60,7 @@
 MOST_REFUSED = 16  # connections past the budget that are refused in words; more are closed
 BAD_REQUEST_LINES = 10  # log lines about them in a second; the counters hold them all
 UNANSWERED_LINES = 10  # the same of attempts that wait past the usual time
+HALF_READ_PATIENCE = 2.0  # s at the end for clients in the middle of a request or of taking an answer
 CALL_WAIT = 1.0  # s for an answer about a place, a release or a probe
 ERROR_BODY_WAIT = 0.5  # s for the rest of an answer whose status has settled it
 STREAM_SILENCE = 4.0  # s between two pieces of a stream; the protocol lets a client wait for 5
@@ -158,7 +159,12 @@
         await asyncio.sleep(2 * LAST_LOOK)
         busy = [task for client, task in self._clients.items() if not client.idle]
         if busy:
-            await asyncio.wait(busy, timeout=2.0)
+            await asyncio.wait(busy, timeout=HALF_READ_PATIENCE)
+        left = list(self._clients.items())
+        for client, _ in left:
+            client.abort(CloseReason.LET_GO)
+        if left:
+            await asyncio.wait([task for _, task in left], timeout=HALF_READ_PATIENCE)
 
     def _stop_listening(self) -> None:
         if self._listener is not None:
--- a/soak/engines.py
+++ b/soak/engines.py
@@ -178,20 +178,23 @@
                 patience = 0.2 if self.mood.closes_idle else 30.0
                 async with asyncio.timeout(patience):
                     raw = await reader.readuntil(b"\r\n\r\n")
-                while self.mood.cut and self._direct:
-                    await asyncio.sleep(0.02)
                 head = Head.parse(raw[:-4])
                 if self._direct:
                     self.note_sent(head, time.monotonic())
+                    await self._while_cut()
                 await reader.readexactly(int(head.fields.get("content-length", 0)))
                 await self._unless_closed(self._answer(head, writer), reader)
-                while self.mood.cut and self._direct:
-                    await asyncio.sleep(0.02)
+                if self._direct:
+                    await self._while_cut()
         except (asyncio.IncompleteReadError, ConnectionError, TimeoutError, asyncio.CancelledError):
             writer.transport.abort()
         finally:
             self._tasks.discard(task)
 
+    async def _while_cut(self) -> None:
+        while self.mood.cut:
+            await asyncio.sleep(0.02)
+
     @staticmethod
     async def _unless_closed(work: Coroutine[Any, Any, None], reader: asyncio.StreamReader) -> None:
         """An engine stops to work as its connection closes: one request at a time travels on it, so that
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -98,7 +98,7 @@
         if self.door is not None:
             environment["RELAY_FD"] = str(self.door.fileno())
         self._count += 1
-        life = GatewayEnd(self.number, time.monotonic())
+        life = GatewayEnd(self.number, time.monotonic(), inherits=self.door is not None)
         self._seen.processes.append(life)
         if self.known_is_new:  # its configuration tells it as well; one left as it was tells nothing anew
             for entry in self.config["known"]["instances"]:
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -111,6 +111,7 @@
     gateway: int
     started_at: float
     ready_at: float | None = None
+    inherits: bool = False  # its socket outlives it: what comes there waits for the next process
     told_to_end_at: float | None = None
     killed_at: float | None = None
     ended_at: float | None = None
--- a/tests/test_local_faults.py
+++ b/tests/test_local_faults.py
@@ -108,3 +108,35 @@
         for code in (errno.ENFILE, errno.ECONNABORTED):
             accepted, _ = await self.accepted_after(*[code] * 6, ends=True)
             self.assertEqual(accepted, WAITING, errno.errorcode[code])
+
+
+class ListenFaultTest(unittest.IsolatedAsyncioTestCase):
+    """A process that starts while this machine is short of something for a moment."""
+
+    async def opened(self, *codes: int) -> int:
+        """How many tries it took; raises what open_listener does."""
+        real = socket.create_server
+        made: list[Any] = [OSError(code, os.strerror(code)) for code in codes]
+
+        def create(*where: Any, **more: Any) -> socket.socket:
+            if made:
+                raise made.pop(0)
+            return real(*where, **more)
+
+        async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.close()
+
+        with mock.patch("socket.create_server", side_effect=create) as tries:
+            door = await open_listener("listen", "127.0.0.1:0", accept, 16, 4)
+            door.close()
+        return tries.call_count
+
+    async def test_a_socket_that_can_not_be_made_for_a_moment_is_tried_again(self) -> None:
+        for code in (errno.ENOBUFS, errno.ENOMEM, errno.ENFILE, errno.EINTR):
+            self.assertEqual(await self.opened(code, code), 3, errno.errorcode[code])
+
+    async def test_an_address_that_can_not_be_had_is_said_at_once(self) -> None:
+        for code in (errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EACCES):
+            with self.assertRaises(OSError) as caught:
+                await self.opened(code)
+            self.assertEqual(caught.exception.errno, code)
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -84,6 +84,10 @@
     for ready_at, late in ((16.5, False), (9.8, True)):  # it came as nobody was there, or as somebody was
         lives = [earlier, replace(back, ready_at=ready_at)]
         assert ("answered_late" in rules(seen(requests=[request], processes=lives))) is late
+    ended = replace(seen().processes[0], told_to_end_at=9.0, ended_at=12.0)
+    for inherits, late in ((True, False), (False, True)):  # its socket waits for the next process, or is shut
+        lives = [replace(ended, inherits=inherits), replace(back, ready_at=16.5)]
+        assert ("answered_late" in rules(seen(requests=[request], processes=lives))) is late
 
 
 def test_a_killed_gateway_owes_nothing_and_a_broken_connection_of_its_own_neither() -> None:
