--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,16 +7,24 @@
 import sys
 from pathlib import Path
 
+import pytest
+
 from soak.judge import TIMELESS
 from tests.standins import ROOT
 
-SEED, PROCESSES, SECONDS = 17, 6, 8
+SHAPES = {
+    "few engines, any trouble": ("--seed", "17", "--processes", "6", "--seconds", "8"),
+    "hundreds of engines, silent roles, signals, throttled processes": (
+        "--seed", "402", "--processes", "3", "--seconds", "8", "--clients", "6", "--engines", "400",
+        "--troubles", "engine:role_silent,gateway:signals,gateway:throttled",
+    ),
+}  # fmt: skip
 
 
-def test_a_bounded_soak_breaks_none_of_its_rules(tmp_path: Path) -> None:
+@pytest.mark.parametrize("shape", SHAPES.values(), ids=list(SHAPES))
+def test_a_bounded_soak_breaks_none_of_its_rules(shape: tuple[str, ...], tmp_path: Path) -> None:
     report = tmp_path / "soak.json"
-    command = [sys.executable, "-m", "soak", "--seed", str(SEED), "--processes", str(PROCESSES)]
-    command += ["--seconds", str(SECONDS), "--json", str(report)]
+    command = [sys.executable, "-m", "soak", *shape, "--json", str(report)]
     ran = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=False)
     assert ran.returncode in (0, 1), ran.stderr
     (result,) = json.loads(report.read_text())
