Let an old lag fade in a tenth of a second, and leave lists out of decisions' cost

Found by reading: after a pause of the whole process the largest lag refused requests for a second and more though the loop had caught up, and one whole list raised the mean cost of a decision. Each turn measures the lag anew.

--- a/basaltspread/control/loop_load.py
+++ b/basaltspread/control/loop_load.py
@@ -8,7 +8,7 @@
 
 from math import exp2
 
-LAG_HALF_LIFE = 250_000  # us in which an old lag counts half
+LAG_HALF_LIFE = 100_000  # us in which an old lag counts half: a loop that stays late shows it with each turn
 LEARN = 0.1  # weight of a new sample in a running mean
 
 
@@ -33,8 +33,12 @@
         """The largest lag of late in us, fading."""
         return self._lag * exp2((self._lag_at - now) / LAG_HALF_LIFE)
 
+    def listed(self, took: int) -> None:
+        """The decision module has taken in a list, maybe a whole one: no figure for what comes next."""
+        self.most_decision_time = max(self.most_decision_time, took)
+
     def decided(self, took: int, engines: int) -> None:
-        """The decision module has handled one event in `took` us, with so many engines listed."""
+        """The decision module has handled one other event in `took` us, with so many engines listed."""
         self.most_decision_time = max(self.most_decision_time, took)
         self.decision_time += LEARN * (took - self.decision_time)
         size = 1 << max(0, engines - 1).bit_length()
--- a/basaltspread/net/timed_module.py
+++ b/basaltspread/net/timed_module.py
@@ -27,7 +27,11 @@
         try:
             return self._module.handle(now, events)
         finally:
-            self._load.decided(self._now() - began, self._engines())
+            took = self._now() - began
+            if any(isinstance(event, api.WorkerList) for event in events):
+                self._load.listed(took)
+            else:
+                self._load.decided(took, self._engines())
 
     def resting(self, now: int) -> set[str]:
         return self._module.resting(now)
--- a/tests/test_loop_load.py
+++ b/tests/test_loop_load.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from basaltspread import core
+from basaltspread import interface as api
 from basaltspread.control.loop_load import LAG_HALF_LIFE, LoopLoad
 from basaltspread.core import Ending, invariants
 from basaltspread.net.log_limit import LineLimit
@@ -44,9 +45,9 @@
 
 
 def test_the_decision_module_is_timed_also_where_it_fails() -> None:
-    clock, load = iter((1_000, 4_000, 5_000, 15_000)), LoopLoad()
+    clock, load = iter((1_000, 4_000, 5_000, 15_000, 20_000, 70_000)), LoopLoad()
     module = mock.Mock()
-    module.handle.side_effect = ([], ValueError)
+    module.handle.side_effect = ([], ValueError, [])
     timed = TimedModule(module, load, lambda: next(clock), lambda: 12)
     assert timed.handle(0, []) == []
     try:
@@ -54,6 +55,9 @@
     except ValueError:
         assert load.most_decision_time == 10_000
     assert load.figures(0)["decision_us_up_to_16"] == 3_700
+    timed.handle(0, [api.WorkerList(api.ListKind.FULL, 1, ())])  # a whole list says nothing of requests
+    assert load.figures(0)["decision_us_up_to_16"] == 3_700
+    assert load.most_decision_time == 50_000
 
 
 def test_lines_of_one_second_are_limited() -> None:
