--- a/basaltspread/net/peers.py
+++ b/basaltspread/net/peers.py
@@ -34,14 +34,16 @@
 
     async def start(self) -> bool:
         """Whether the fleet can be heard now; the gateway serves without it as well."""
-        door = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        door.setblocking(False)
+        door: socket.socket | None = None
         try:
+            door = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            door.setblocking(False)
             door.bind(self._listen)
             loop = asyncio.get_running_loop()
             self._transport, _ = await loop.create_datagram_endpoint(lambda: self, sock=door)
         except OSError as error:
-            door.close()
+            if door is not None:
+                door.close()
             self._runtime.count("peers_unbound")
             if not self._refused:
                 log.warning("other gateways can't be heard at %s:%d: %s", *self._listen, error)
--- a/soak/engines.py
+++ b/soak/engines.py
@@ -184,8 +184,6 @@
                     await self._while_cut()
                 await reader.readexactly(int(head.fields.get("content-length", 0)))
                 await self._unless_closed(self._answer(head, writer), reader)
-                if self._direct:
-                    await self._while_cut()
         except (asyncio.IncompleteReadError, ConnectionError, TimeoutError, asyncio.CancelledError):
             writer.transport.abort()
         finally:
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -78,7 +78,8 @@
         lives = self.lives[gateway]
         for life, after in zip(lives, [*lives[1:], None], strict=True):
             back_at = after.ready_at if after is not None else None
-            left_at = life.told_to_end_at if life.inherits else life.killed_at
+            left = [life.killed_at, life.told_to_end_at if life.inherits else None]
+            left_at = min((at for at in left if at is not None), default=None)
             if left_at is not None and left_at <= end and (back_at is None or back_at >= start):
                 return True
         return False
--- a/tests/test_picture.py
+++ b/tests/test_picture.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import heapq
 import random
 import socket
@@ -483,6 +484,19 @@
         self.assertEqual(runtime.feed.call_count, MOST_HEARD)
         self.assertEqual(runtime.count.call_args_list, [mock.call("peers_dropped")] * 5)
 
+    async def test_a_socket_that_can_not_be_made_now_is_no_fault_and_is_tried_again(self) -> None:
+        (port,) = free_ports(1)
+        address = f"127.0.0.1:{port}"
+        config = Gateway("g", "127.0.0.1:0", 1, 64, 64, 0, many(0), peers=(address,), peer_listen=address)
+        runtime = mock.MagicMock(carry={})
+        peers = Peers(runtime, config)
+        short = OSError(errno.ENOMEM, "no memory")
+        with mock.patch("basaltspread.net.peers.socket.socket", side_effect=short):
+            self.assertFalse(await peers.start())
+        runtime.count.assert_called_once_with("peers_unbound")
+        self.assertTrue(await peers.start())
+        peers.stop()
+
 
 class ShareTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_gateway_joins_once_its_old_version_lets_go_of_the_address(self) -> None:
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -81,6 +81,8 @@
     assert rules(seen(requests=[request], processes=[killed])) == set()
     assert rules(seen(requests=[request], processes=[replace(killed, killed_at=30.0)])) == {"answered_late"}
     earlier, back = replace(killed, killed_at=9.0), replace(seen().processes[0], started_at=9.5)
+    waited = [replace(earlier, inherits=True, told_to_end_at=None), replace(back, ready_at=16.5)]
+    assert rules(seen(requests=[request], processes=waited)) == set()
     for ready_at, late in ((16.5, False), (9.8, True)):  # it came as nobody was there, or as somebody was
         lives = [earlier, replace(back, ready_at=ready_at)]
         assert ("answered_late" in rules(seen(requests=[request], processes=lives))) is late
