--- a/tests/test_loop_load.py
+++ b/tests/test_loop_load.py
@@ -13,7 +13,7 @@
 from basaltspread.net.timed_module import TimedModule
 from tests.core_drive import ARRIVAL, CoreDrive, send
 from tests.helpers import MS, SECOND
-from tests.standins import Asked, FleetTest, answer_plainly, reading, writing
+from tests.standins import SETTINGS, Asked, FleetTest, answer_plainly, reading, writing
 
 
 def test_a_lag_fades_and_a_smaller_one_does_not_hide_it() -> None:
@@ -128,9 +128,10 @@
                 await answer_plainly(asked)
 
         writer = await self.standin(writing(silent))
-        gateway = await self.fleet(
-            r1=await self.standin(reading()), w1=writer, more={"management": "127.0.0.1:0"}
-        )
+        # Without places each write finds the connection of the one before at rest.
+        specifics = {**SETTINGS["specifics"], "early_pairing": False}
+        more = {"management": "127.0.0.1:0", "settings": {**SETTINGS, "specifics": specifics}}
+        gateway = await self.fleet(r1=await self.standin(reading()), w1=writer, more=more)
         client = await self.client(gateway)
         await client.ask("a0")
         client.send("a1", cls="order")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -280,7 +280,14 @@
     """A gateway between stand-ins, r* readers and w* writers."""
 
     async def test_a_request_reads_then_writes_and_its_events_come_unchanged(self) -> None:
-        reader, writer = await self.standin(reading()), await self.standin(writing(answer_plainly))
+        writer = await self.standin(writing(answer_plainly))
+
+        async def read_once_the_place_was_asked(asked: Asked) -> None:
+            if asked.method == "POST":  # else a quick reader is done first, and the place is not asked for
+                await writer.until("POST", target="/state/q1")
+            await reading()(asked)
+
+        reader = await self.standin(read_once_the_place_was_asked)
         gateway = await self.fleet(r1=reader, w1=writer)
         client = await self.client(gateway)
         status, headers, body, whole = await client.ask("q1", body=b'{"model":"chat"}', X_Extra="kept")
