--- a/tests/test_loop_load.py
+++ b/tests/test_loop_load.py
@@ -119,6 +119,7 @@
         breach = invariants.of_held(limit + invariants.HELD_SLACK + 1, request, limit)
         assert breach is not None
         self.assertIs(breach.invariant, invariants.Invariant.HELD_TOO_LONG)
+        self.assertIsNone(invariants.of_held(60 * SECOND, request, 0))  # settings that name no limit
 
 
 class FiguresTest(FleetTest):
