--- a/basaltspread/core/fleet.py
+++ b/basaltspread/core/fleet.py
@@ -34,7 +34,7 @@
     TellPeers,
     Wake,
 )
-from basaltspread.core.state import State
+from basaltspread.core.state import State, is_up
 from basaltspread.endings import OUTCOMES, Ending
 from basaltspread.interface import WorkerState
 
@@ -152,7 +152,7 @@
         for listed in changed:
             treated, name = self._treated(listed), listed.entry.name
             entries.append(treated.entry)
-            if treated.entry.state is not WorkerState.UP and self._is_up(name):
+            if treated.entry.state is not WorkerState.UP and is_up(state, name):
                 stopped.add(name)
             if name in state.listed:
                 state.workers[name] = treated
@@ -160,7 +160,7 @@
             if state.picture is not None:
                 state.picture.changed(treated.entry)
         for name in gone:
-            if self._is_up(name):
+            if is_up(state, name):
                 stopped.add(name)
             left = state.workers.pop(name, None)
             state.engine_names.discard(name)
@@ -177,10 +177,6 @@
                 if attempt.worker in stopped and not attempt.begun:
                     self._close(request, attempt, Ending.WITHDRAWN, abandon=True)
 
-    def _is_up(self, name: str) -> bool:
-        listed = self.state.workers.get(name)
-        return listed is not None and listed.entry.state is WorkerState.UP
-
     def probe(self, action: api.Probe) -> None:
         listed = self.state.workers.get(action.worker)
         if listed is not None:
--- a/basaltspread/core/guards.py
+++ b/basaltspread/core/guards.py
@@ -10,7 +10,7 @@
 from enum import Enum
 
 from basaltspread import interface as api
-from basaltspread.core.state import Attempt, Request, State
+from basaltspread.core.state import Attempt, Request, State, is_up
 from basaltspread.endings import NEVER_RAN, Ending
 from basaltspread.interface import WorkerState
 from basaltspread.records import record
@@ -67,9 +67,7 @@
         return Denial.REQUEST_OVER
     if request.stream is not None:
         return Denial.STREAM_BEGUN
-    listed = state.workers.get(worker)
-    up = listed is not None and listed.entry.state is WorkerState.UP
-    return None if up else Denial.ENGINE_NOT_UP
+    return None if is_up(state, worker) else Denial.ENGINE_NOT_UP
 
 
 def may_repeat(
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -16,6 +16,7 @@
 from basaltspread.core.messages import Listed, Verdict
 from basaltspread.core.module_queue import ModuleQueue
 from basaltspread.endings import Ending, ToolFault
+from basaltspread.interface import WorkerState
 from basaltspread.records import record
 from basaltspread.structures.averages import Usual
 from basaltspread.structures.indexed_set import IndexedSet
@@ -208,6 +209,12 @@
     )
 
 
+def is_up(state: State, engine: str) -> bool:
+    """Whether this engine may be sent something new, as it is treated now."""
+    listed = state.workers.get(engine)
+    return listed is not None and listed.entry.state is WorkerState.UP
+
+
 def oldest_held(state: State, now: int) -> int:
     """Age of the oldest clock of held state that runs, in us; 0 for none. Costs a look at each request."""
     ages = [now - r.held_since for r in state.requests.values() if r.held_since is not None]
