Say which attempts wait behind a kept place, which questions fail, and which try was heard

All three stay: the line of an unanswered attempt, `place of ID at ENGINE: HOW` (ten a second at most), `release of ID heard by ENGINE after N tries and N ms` where the first try was not enough, and the gauges release_us, most_release_us. No decision changes. 70 tests of the core, held state and the loop pass.

--- a/basaltspread/core/holding.py
+++ b/basaltspread/core/holding.py
@@ -251,9 +251,12 @@
             return
         duty.open.discard(event.worker)
         if event.done:
-            if self.state.traces:
-                taken = (self.now - duty.began) // MS
-                self.do(Say(f"trace of {event.request}: release heard by {event.worker} after {taken} ms"))
+            taken = self.now - duty.began
+            self.state.release_times.add(taken, duty.tries)
+            self.state.longest_release = max(self.state.longest_release, taken)
+            if duty.tries > 1 or self.state.traces:
+                tries = f"{duty.tries} tries and {taken // MS} ms"
+                self.do(Say(f"release of {event.request} heard by {event.worker} after {tries}"))
             del self.state.releases[event.request]
         elif duty.tries < RELEASE_TRIES:
             self._try_release(event.request)
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -167,6 +167,8 @@
     undecided: ModuleQueue = field(default_factory=ModuleQueue)  # what the module has still to be told
     load: LoopLoad = field(default_factory=LoopLoad)  # measured by the host
     releases: dict[str, Release] = field(default_factory=dict)
+    release_times: Usual = field(default_factory=Usual)  # from a release's first try to its first answer
+    longest_release: int = 0  # us, of those
     picture: Picture | None = None  # only where many gateways tell each other of the engines
     odd_words_said_at: int | None = None  # when the log last told of a message that can't be read
     odd_list_said_at: int | None = None  # the same of odd entries in discovery's list
--- a/basaltspread/core/watching.py
+++ b/basaltspread/core/watching.py
@@ -39,7 +39,7 @@
 
     def _unanswered(self, request: Request, attempt: Attempt) -> None:
         """Says once of an attempt that is still out that it waits."""
-        if request.stream is attempt or attempt.acknowledged:
+        if request.stream is attempt:
             return
         heard = self.state.heard.get(attempt.worker)
         waited = self.now - attempt.written_at
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -98,6 +98,7 @@
         self._odd_report_lines, self._full_lines = LineLimit(), LineLimit()
         self._bad_request_lines = LineLimit(BAD_REQUEST_LINES)
         self._unanswered_lines = LineLimit(UNANSWERED_LINES)
+        self._place_lines = LineLimit(UNANSWERED_LINES)
         self._list_awaited = False  # discovery has answered, or had its time to
         self._listener: Listener | None = None
         self._watching: dict[str, asyncio.Task[None]] = {}  # by discovery's address; two while it moves
@@ -598,8 +599,10 @@
                 effect.address, "POST", f"/state/{effect.request}", wait=wait, permitted=permitted
             )
             call.heard = {200: Place.HELD, 409: Place.NOT_HELD}.get(reply.status, Place.UNKNOWN)
-        except LinkError:
+        except LinkError as error:
             self.runtime.count("place_calls_failed")
+            if call.begun and self._place_lines.due():
+                log.info("place of %s at %s: %s", effect.request, effect.worker, error)
 
     def _drop_place(self, effect: core.DropPlace) -> None:
         call = self._places.get((effect.request, effect.worker))
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -267,6 +267,8 @@
         oldest = core.oldest_held(self.state, now)
         return {
             "now_oldest_held_us": oldest,
+            "release_us": round(self.state.release_times.time),
+            "most_release_us": self.state.longest_release,
             "now_engines": len(self.state.workers),
             **self.load.figures(now),
         }
