Keep a ledger of what engines hold, and cover it only while their readers show that they run

Cause A: 200 of a writer to the question for a place set `acknowledged` on the read, another engine's, and for good; that stopped the clock of what is held and the line of an attempt that waits (core/holding.py place_ended, _held_due). Cause B: one clock for many holds: each question began it anew, heard or not, and a 409 of one writer cleared it though another kept a place. Class: a fact about one engine kept as a flag on another, or on the request. Change: core/held_ledger.py has an entry for each state and place (who, since when, what is known, left to which attempt); only evidence about an entry changes it. The clock is that of the oldest, restarted by outcomes of attempts whose engine showed that it had them. An attempt covers it for a lease from a sign of life of its own engine after the write, near whose end a reader is asked (a probe; where none is allowed, a release for a request that is over); a read that takes six times its usual time is covered no longer, as its connection may lead nowhere. core/holding.py is four modules; what exchanges show of engines is core/engine_contacts.py. Found by reading beside it, same class: an attempt that this side ended (a client left, called back) marked its engine as not reachable, and a writer's answer about a place was no sign of that writer. Places never asked, not answered and not telling are told apart.

--- a/basaltspread/core/__init__.py
+++ b/basaltspread/core/__init__.py
@@ -1,7 +1,6 @@
 """The core: one reducer over requests, attempts and tool calls. It knows no wire and does no I/O."""
 
 from basaltspread.core.fleet import DRAIN_DOOR, MOST_BANS
-from basaltspread.core.holding import RELEASE_STEP, RELEASE_TRIES
 from basaltspread.core.messages import (
     AbandonAttempt,
     AbandonTool,
@@ -91,6 +90,7 @@
     react,
     reduce,
 )
+from basaltspread.core.releases import RELEASE_STEP, RELEASE_TRIES
 from basaltspread.core.state import (
     Attempt,
     Bundle,
--- a/basaltspread/core/fleet.py
+++ b/basaltspread/core/fleet.py
@@ -58,6 +58,7 @@
     count: Callable[[str], None]
     decided: Callable[..., None]
     _close: Callable[..., None]
+    _noted: Callable[[str, Ending], None]
 
     def list_told(self, event: ListTold) -> None:
         self.count("lists_" + event.kind.value)
@@ -82,9 +83,9 @@
     def _forget_engine(self, name: str) -> None:
         """It is not listed any more."""
         state = self.state
-        for known in (state.listed, state.heard, state.awaited_since, state.returned):
+        for known in (state.listed, state.signs_asked, state.returned):
             known.pop(name, None)
-        state.unreached.discard(name)
+        state.contacts.forget(name)
 
     def _in_order(self, event: ListTold) -> tuple[Listed, ...]:
         """The entries, less what is older than what was told before. Guards against a discovery that goes
@@ -171,7 +172,7 @@
             return
         # What waits for a connection would go out whenever that comes up, long after the drain was told.
         for request in self.state.requests.values():
-            for worker in request.asking & stopped:
+            for worker in stopped.intersection(request.held.questions()):
                 self.do(DropPlace(request.id, worker))
             for attempt in request.out():
                 if attempt.worker in stopped and not attempt.begun:
@@ -181,9 +182,11 @@
         listed = self.state.workers.get(action.worker)
         if listed is not None:
             self.count("probes")
+            self.state.contacts.began(action.worker, self.now)
             self.do(StartProbe(action.worker, listed.address))
 
     def probed(self, event: Probed) -> None:
+        self._noted(event.worker, event.ending)
         outcome, refused = OUTCOMES[event.ending], event.ending is Ending.REFUSED
         self.tell(api.ProbeEnded(event.worker, outcome, event.elapsed, event.report, int(refused)))
         picture = self.state.picture
--- /dev/null
+++ b/basaltspread/core/held_clock.py
@@ -0,0 +1,183 @@
+"""The steps of the reducer that keep the limit on what is held for requests at engines.
+
+The clock of a request is that of its ledger. An attempt that is out stops it only while its engine shows that
+it runs: a sign of life after the attempt was written covers the request for a lease, and near the lease's end
+the engine of a read whose place is kept is asked for another. Unrenewed, all is released near the limit,
+whatever is out. It never chooses whom a release goes to.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from basaltspread import interface as api
+from basaltspread.core import invariants
+from basaltspread.core.held_ledger import HeldEntry, HeldKind, Knowledge
+from basaltspread.core.messages import Effect, Say, SendRelease, Wake
+from basaltspread.core.state import Attempt, Request, State
+from basaltspread.endings import ANSWERED, Ending
+
+MS = 1000
+# Share of the limit on held state after which it is released. The rest is for a process that stands still
+# before it writes, and for engines that don't hear the release.
+HELD_SHARE = 0.7
+ASK_AHEAD = 150 * MS  # before a lease ends, the engine is asked for a sign of life
+# An engine that answers others but not this read for so many times the usual time of its size has not got it:
+# the connection may lead nowhere.
+LEASE_TIMES = 6.0
+LEAST_READS = 10  # answered, before the usual time is relied on
+FIRST_LEASE = 1500 * MS  # the longest cover of a read until then
+# The endings after which no state waits for the request that a write was to take.
+STATE_TAKEN = frozenset((Ending.SERVED, Ending.STATE_GONE))
+
+
+class HeldClockSteps:
+    """The part of a step that releases in time what no engine shows to have taken."""
+
+    state: State
+    now: int
+    tell: Callable[[api.Event], None]
+    do: Callable[[Effect], None]
+    count: Callable[[str], None]
+    probe: Callable[[api.Probe], None]
+    _check: Callable[[invariants.Breach | None], None]
+    _close: Callable[..., None]
+    _release: Callable[..., None]
+
+    def _held_limit(self) -> int:
+        """How long something is held, in us, before it is released; 0 where the settings set no limit."""
+        return int(HELD_SHARE * self.state.settings.rules.release_within)
+
+    def _end_entry(self, request: Request, entry: HeldEntry, reason: str) -> None:
+        self.count(f"held_{entry.kind.value}_{reason}")
+        request.held.end(entry)
+
+    def _watch_held(self, request: Request) -> None:
+        """Something may be held for it from now on, or for longer than before."""
+        due = self._release_due(request)
+        if due is not None:
+            self._check_held_at(request, max(self.now, due - ASK_AHEAD))
+
+    def _check_held_at(self, request: Request, when: int) -> None:
+        if request.held_check_at is None or when < request.held_check_at:
+            request.held_check_at = when
+            self.do(Wake(when, ("held", request.id)))
+
+    def _release_due(self, request: Request) -> int | None:
+        """When all is released unless an engine gives a sign; None where nothing is held, or for ever."""
+        since, limit = request.held.since(), self._held_limit()
+        if since is None or limit <= 0 or request.stream is not None:
+            return None
+        return max(since + limit, self._covered_until(request))
+
+    def _covered_until(self, request: Request) -> int:
+        """Until when an attempt that is out is known to be at an engine that runs; 0 for none."""
+        return max((self._lease_end(request, attempt) for attempt in request.out()), default=0)
+
+    def _lease_end(self, request: Request, attempt: Attempt) -> int:
+        if not attempt.written:
+            return 0
+        sign = self.state.contacts.answered_since(attempt.worker, attempt.written_at)
+        if sign is None:
+            return 0
+        return min(sign + self._held_limit(), attempt.written_at + self._longest_lease(request, attempt))
+
+    def _longest_lease(self, request: Request, attempt: Attempt) -> int:
+        """For how long at the most signs of its engine on other exchanges speak for an attempt, in us."""
+        usual = self.state.read_times if attempt.reading else self.state.first_event_times
+        if usual.count < LEAST_READS:
+            return FIRST_LEASE
+        return max(self._held_limit(), int(LEASE_TIMES * usual.of(request.prompt)))
+
+    def _held_due(self, request: Request) -> None:
+        if request.held_check_at is None or self.now < request.held_check_at:
+            return  # an earlier look has been set since
+        request.held_check_at = None
+        due = self._release_due(request)
+        if due is None:
+            return
+        if self.now >= due:
+            self._release_at_limit(request)
+        elif self.now >= due - ASK_AHEAD:
+            self._ask_signs(request)
+            self._check_held_at(request, due)
+        else:
+            self._check_held_at(request, due - ASK_AHEAD)
+
+    def _ask_signs(self, request: Request) -> None:
+        """A place that is kept is worth a question to the reader that is to fill it."""
+        if not request.held.keeps_place():
+            return
+        for attempt in request.out():
+            if attempt.reading and attempt.written and self._lease_may_grow(request, attempt):
+                self._ask_sign(attempt.worker)
+
+    def _lease_may_grow(self, request: Request, attempt: Attempt) -> bool:
+        return self.now < attempt.written_at + self._longest_lease(request, attempt)
+
+    def _ask_sign(self, engine: str) -> None:
+        """Any answer will do: of a probe, or where the settings allow none, of a release for a request that
+        is long over."""
+        asked_at = self.state.signs_asked.get(engine)
+        listed = self.state.workers.get(engine)
+        if listed is None or (asked_at is not None and self.now < asked_at + ASK_AHEAD):
+            return
+        self.state.signs_asked.pop(engine, None)
+        self.state.signs_asked[engine] = self.now
+        self.count("signs_of_life_asked")
+        if self.state.settings.limits.probes:
+            self.probe(api.Probe(engine))
+        elif self.state.last_dropped is not None:
+            self.state.contacts.began(engine, self.now)
+            self.do(SendRelease(self.state.last_dropped, engine, listed.address))
+
+    def _release_at_limit(self, request: Request) -> None:
+        """What did arrive keeps its state, as a release passes over what an attempt waits for; what arrives
+        later finds none, and has not run."""
+        out = request.out()
+        held_for = (self.now - (request.held.since() or self.now)) // MS
+        what = ", ".join(f"{e.kind.value} {e.knowledge.value} at {e.engine}" for e in request.held)
+        waiting = ", ".join(f"attempt {a.number} at {a.worker}" for a in out) or "no attempt out"
+        self.count("held_let_go_at_limit")
+        self.do(Say(f"{request.id}: what is held is let go after {held_for} ms; {waiting}; {what}"))
+        self.tell(api.StateLetGo(request.id))
+        for attempt in out:
+            if not attempt.begun and not attempt.reading:  # it would only be told that there is no state
+                self._close(request, attempt, Ending.CALLED_BACK_UNSENT, abandon=True)
+        self._release(request.id)
+        for attempt in out:
+            if attempt.begun and not attempt.reading:
+                request.held.left_to(attempt.number, attempt.worker, self.now)
+
+    def _check_held(self, request: Request) -> None:
+        """What is held for it is taken or released now: the rule must not have been broken."""
+        due = self._release_due(request)
+        since = due - self._held_limit() if due is not None else None
+        self._check(invariants.of_held(self.now, request, since, self.state.settings.rules.release_within))
+
+    def _held_after(self, request: Request, attempt: Attempt, ending: Ending) -> None:
+        """An attempt has ended. A read that has begun may have left a state, even where its connection was
+        closed or broke. The clock begins anew only if the attempt's engine has shown that it had it."""
+        ledger = request.held
+        arrived = ending in ANSWERED or self._lease_end(request, attempt) > self.now
+        if ending is Ending.READ:
+            ledger.add(HeldKind.STATE, attempt.worker, self.now, Knowledge.KEPT)
+            self.state.releases.pop(request.id, None)  # one that is still tried would take the new state
+        elif attempt.reading and attempt.begun:
+            ledger.add(HeldKind.STATE, attempt.worker, self.now, Knowledge.POSSIBLE)
+        elif not attempt.reading:
+            ledger.attempt_over(attempt.number, self.now, ending in STATE_TAKEN)
+        if arrived and ledger.holds():
+            ledger.outcome(self.now)
+        self._watch_held(request)
+
+    def _held_until_stream(self, request: Request) -> None:
+        """Its stream begins: its engine frees all by itself, but for what is asked for now."""
+        self._check_held(request)
+        for entry in request.held.release():
+            self.count(f"held_{entry.kind.value}_taken")
+
+
+def any_held(request: Request) -> bool:
+    """Whether something may be held for it that nobody has been told to release."""
+    return request.held.holds() or any(a.reading and a.begun for a in request.out())
--- a/basaltspread/core/messages.py
+++ b/basaltspread/core/messages.py
@@ -22,7 +22,9 @@
 
     HELD = "held"
     NOT_HELD = "not held"
-    UNKNOWN = "unknown"  # also when nothing was heard
+    UNKNOWN = "unknown"  # it answered, but does not tell
+    UNANSWERED = "unanswered"  # the question was written, and no answer came: it may be taken yet
+    NOT_ASKED = "not asked"  # the question has certainly not arrived
 
 
 class Verdict(Enum):
@@ -124,10 +126,15 @@
 
 @record
 class ReleaseEnded:
+    """An engine has taken a release (SERVED), or the way to it ended otherwise."""
+
     request: str
     worker: str
-    done: bool
-    ending: Ending = Ending.SERVED  # of its connection
+    ending: Ending
+
+    @property
+    def done(self) -> bool:
+        return self.ending is Ending.SERVED
 
 
 @record
@@ -596,8 +603,9 @@
 
 Effect = (
     StartAttempt | AbandonAttempt | PassOn | HandOn | EndStream | BreakClient | Answer | AskPlace | DropPlace
-    | SendRelease | StartProbe | TellPeers | SayUnanswered | FetchWholeList | CallTool | AbandonTool
-    | TellCancelled | AnswerLocally | ReturnReply | ReturnProgress | ForgetCall | ForgetBundle | TryServer
+    | SendRelease | StartProbe | TellPeers | SayUnanswered | FetchWholeList | CallTool
+    | AbandonTool | TellCancelled | AnswerLocally | ReturnReply | ReturnProgress | ForgetCall | ForgetBundle
+    | TryServer
     | Wake | Count | Say | OperatorAnswer | KeepBans | CloseIdle | StopListening | StopAccepting
     | Exit
 )  # fmt: skip
--- /dev/null
+++ b/basaltspread/core/places.py
@@ -0,0 +1,104 @@
+"""The steps of the reducer that ask writers to keep a place for a request that is being read.
+
+They never choose a writer: that is the module's part.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, ClassVar
+
+from basaltspread import interface as api
+from basaltspread.core.held_ledger import HeldEntry, HeldKind, Knowledge
+from basaltspread.core.messages import AskPlace, Effect, Listed, Place, PlaceEnded, Say
+from basaltspread.core.state import Attempt, Request, State
+from basaltspread.interface import WorkerState
+
+MS = 1000
+# Answers that only a process that runs can give.
+SHOWS_LIFE = frozenset((Place.HELD, Place.NOT_HELD, Place.UNKNOWN))
+MAY_BE_HELD = frozenset((Place.HELD, Place.UNKNOWN, Place.UNANSWERED))
+
+
+class PlaceSteps:
+    """The part of a step that asks for places and hears of them."""
+
+    state: State
+    now: int
+    touched: dict[str, None]
+    tell: Callable[[api.Event], None]
+    do: Callable[[Effect], None]
+    count: Callable[[str], None]
+    _starts: Callable[[Listed], bool]
+    _release: Callable[..., None]
+    _watch_held: Callable[[Request], None]
+    _end_entry: Callable[[Request, HeldEntry, str], None]
+    _heard: Callable[[str], None]
+
+    def hold_place(self, action: api.HoldPlace) -> None:
+        request = self.state.requests.get(action.request)
+        reads = [a for a in request.out() if a.reading] if request is not None else []
+        if request is None or not reads:
+            return
+        request.place = action.worker
+        if reads[-1].written:
+            self._ask_place(request, reads[-1])
+
+    def _ask_place(self, request: Request, read: Attempt) -> None:
+        worker, request.place = request.place, None
+        listed = self.state.workers.get(worker or "")
+        if worker is None or listed is None or listed.entry.state is not WorkerState.UP:
+            return
+        if request.held.question(worker) is not None:
+            return
+        request.held.add(HeldKind.PLACE, worker, self.now, Knowledge.ASKED)
+        self._watch_held(request)
+        self.state.contacts.began(worker, self.now)
+        self.count("places_asked")
+        request.note(self.now, f"asks {worker} for a place")
+        if self._starts(listed):
+            self.count("places_in_slow_start")
+        self.do(AskPlace(request.id, read.number, worker, listed.address))
+
+    def place_ended(self, event: PlaceEnded) -> None:
+        self.count("places_" + event.place.name.lower())
+        if event.place in SHOWS_LIFE:
+            self._heard(event.worker)
+        request = self.state.requests.get(event.request)
+        entry = request.held.question(event.worker) if request is not None else None
+        if request is None or entry is None:
+            return
+        self.touched[request.id] = None
+        late = entry.released
+        if event.place not in MAY_BE_HELD:
+            self._end_entry(request, entry, "refused" if event.place is Place.NOT_HELD else "not_asked")
+        elif late and event.place is Place.UNANSWERED:
+            self._end_entry(request, entry, "unanswered")
+        else:
+            self._place_possible(request, entry, event.place)
+        if not late:
+            self._tell_place(request, event)
+
+    def _place_possible(self, request: Request, entry: HeldEntry, said: Place) -> None:
+        """Its engine has taken the question, or may have."""
+        entry.knowledge = Knowledge.KEPT if said is Place.HELD else Knowledge.POSSIBLE
+        if entry.released:  # it was taken after the release had gone round
+            self.do(Say(f"place of {request.id} at {entry.engine}: {said.value}, after its release"))
+            self.count("places_taken_late")
+        elif not (request.ended or request.stream is not None):
+            self._watch_held(request)
+            return
+        entry.released, entry.since = False, self.now
+        if not request.ended:
+            self._release(request.id)
+
+    def _tell_place(self, request: Request, event: PlaceEnded) -> None:
+        read = request.attempts[event.number]
+        if event.place in (Place.UNKNOWN, Place.UNANSWERED) or read.over:
+            return
+        held = event.place is Place.HELD
+        request.note(self.now, f"place at {event.worker} {event.place.name.lower()}")
+        self.tell(api.PlaceAnswer(request.id, event.number, event.worker, held))
+
+    HANDLERS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {PlaceEnded: place_ended}
+    ACTIONS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {api.HoldPlace: hold_place}
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -16,8 +16,9 @@
 from basaltspread.control import load_shedding
 from basaltspread.control.picture import Word
 from basaltspread.core import invariants
+from basaltspread.core.contacting import ContactSteps
 from basaltspread.core.fleet import FleetSteps
-from basaltspread.core.holding import HoldingSteps
+from basaltspread.core.held_clock import HeldClockSteps, any_held
 from basaltspread.core.messages import (
     AbandonAttempt,
     Adopted,
@@ -53,11 +54,13 @@
     Woken,
     Written,
 )
+from basaltspread.core.places import PlaceSteps
+from basaltspread.core.releases import ReleaseSteps
 from basaltspread.core.state import Attempt, Request, State
 from basaltspread.core.toolcalls import ToolSteps
 from basaltspread.core.watching import WatchSteps
-from basaltspread.endings import CLOSED_HERE, NEVER_RAN, OUTCOMES, QUIET, SAYS_NOTHING, Ending
-from basaltspread.interface import Outcome, Role, WorkerState
+from basaltspread.endings import CLOSED_HERE, NEVER_RAN, OUTCOMES, QUIET, Ending
+from basaltspread.interface import Role, WorkerState
 
 MS = 1000
 ANSWER_EARLY = 15 * MS  # a deadline is met this much early: the loop may lag, and the answer takes a moment
@@ -106,7 +109,7 @@
     return effects
 
 
-class _Step(ToolSteps, HoldingSteps, FleetSteps, WatchSteps):
+class _Step(ToolSteps, HeldClockSteps, PlaceSteps, ReleaseSteps, ContactSteps, FleetSteps, WatchSteps):
     """One call of the reducer: the state, the time, and the effects gathered so far."""
 
     def __init__(self, state: State, now: int) -> None:
@@ -153,7 +156,7 @@
         for attempt in request.out():
             self.do(AbandonAttempt(request.id, attempt.number))
         self.orphan_calls(request)
-        if request.may_hold or request.asking:
+        if any_held(request):
             self._release(request.id, request)
 
     def ask_module(self, event: api.Event) -> None:
@@ -183,13 +186,14 @@
         if request is None or not request.ended or request.out() or self.state.undecided.holds(name):
             return
         self.orphan_calls(request)
-        if request.may_hold:
+        if request.held.holds():
             self._release(name)
-        if not (request.asking or request.owed):
+        if not (request.held.questions() or request.owed):
             self._check(invariants.of_dropped(request))
             if self.state.traces:
                 self.do(Say(f"trace of {name}: {request.changes()}"))
             del self.state.requests[name]
+            self.state.last_dropped = name
 
     # --- requests ---------------------------------------------------------------------------------------
 
@@ -367,7 +371,7 @@
         if found is not None:
             self._check(invariants.of_send(self.state, self.now, *found))
             found[1].begun = True
-            self._await_answer(found[1].worker)
+            self.state.contacts.began(found[1].worker, self.now)
             found[0].note(self.now, f"attempt {event.number} begun")
 
     def _check(self, breach: invariants.Breach | None) -> None:
@@ -384,26 +388,23 @@
         attempt.written = True
         self.state.dispatches += 1
         self._watch_attempt(request, attempt)
-        if attempt.reading:
-            request.may_hold = True
-            if request.place is not None:
-                self._ask_place(request, attempt)
+        if attempt.reading and request.place is not None:
+            self._ask_place(request, attempt)
 
     def first_event(self, event: FirstEvent) -> None:
         found = self._find(event.request, event.number)
         if found is None or found[0].ended or found[0].stream is not None:
             return
         request, attempt = found
+        self._held_until_stream(request)
         request.stream = attempt
-        self._nothing_held(request)  # the engine lets all go by itself, but for what is asked for now
-        request.may_hold = bool(request.asking)
         self.touched[request.id] = None
         self._check(invariants.of_answer(self.now, request))
         request.note(self.now, f"stream of attempt {attempt.number}")
         if self.state.traces:
             self.do(Say(f"trace of {request.id}: so far {request.changes()}"))
-        self._noted(attempt.worker, True)
-        self._note_answer(attempt)
+        self._heard(attempt.worker)
+        self._note_answer(request, attempt)
         self.count("streams_started")
         self.do(PassOn(request.id, attempt.number))
         for other in request.out():
@@ -418,8 +419,6 @@
             self._close(*found, event.ending, detail=event.detail, report=event.report)
 
     def _abandon(self, request: Request, attempt: Attempt) -> None:
-        if attempt.reading and attempt.begun:
-            request.may_hold = True
         attempt.over = True
         self.touched[request.id] = None
         self.do(AbandonAttempt(request.id, attempt.number))
@@ -448,16 +447,13 @@
             self.do(Say(f"attempt {request.id}/{attempt.number} {what} at {attempt.worker}: {ending.value}"))
         if ending in WORDS and self.state.picture is not None:
             self._tell(self.state.picture.fault(self.now, attempt.worker, WORDS[ending]))
-        if ending not in SAYS_NOTHING:
-            heard = outcome in (Outcome.READ, Outcome.SERVED, Outcome.FULL, Outcome.ERROR)
-            self._noted(attempt.worker, heard)
+        self._noted(attempt.worker, ending)
         if ending is Ending.READ:
-            self._note_answer(attempt)
-        self._hold_after(request, attempt, ending)
+            self._note_answer(request, attempt)
+        self._held_after(request, attempt, ending)
         if attempt.reading:
-            if request.place is not None:
-                request.place = None
-            for worker in request.asking:
+            request.place = None
+            for worker in request.held.questions():
                 self.do(DropPlace(request.id, worker))
         if request.stream is attempt and not request.ended and ending is Ending.HANDED_ON:
             self._end(request, None)  # its end is counted where it will be seen
@@ -539,8 +535,8 @@
                     self.touched[name] = None
                     self.do(Answer(name, Verdict.REFUSED, retry_after))
             case ("release", str(name), int(number)):
-                duty = self.state.releases.get(name)
-                if duty is not None and duty.tries == number:
+                release = self.state.releases.get(name)
+                if release is not None and release.tries == number:
                     self._try_release(name)
             case (str(name), *_) if name.startswith("tool_"):
                 self.tool_woken(event.token)
@@ -659,10 +655,10 @@
         Taken: taken, TurnedAway: turned_away, ClientLeft: client_left, ClientFloods: client_floods,
         Violated: violated, Serving: serving, Begun: begun, Written: written, FirstEvent: first_event,
         Ended: ended, Woken: woken, HandedOn: handed_on, Adopted: adopted, Terminate: terminate,
-        **HoldingSteps.HANDLERS, **FleetSteps.HANDLERS, **ToolSteps.TOOL_HANDLERS,
+        **PlaceSteps.HANDLERS, **ReleaseSteps.HANDLERS, **FleetSteps.HANDLERS, **ToolSteps.TOOL_HANDLERS,
     }  # fmt: skip
     ACTIONS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {
         api.Send: send, api.Cancel: cancel, api.Refuse: refuse, api.Fail: fail, api.Move: move,
         api.SetTimer: set_timer, api.WatchList: watch_list, api.Log: say,
-        **HoldingSteps.ACTIONS, **FleetSteps.ACTIONS,
+        **PlaceSteps.ACTIONS, **ReleaseSteps.ACTIONS, **FleetSteps.ACTIONS,
     }  # fmt: skip
--- /dev/null
+++ b/basaltspread/core/releases.py
@@ -0,0 +1,147 @@
+"""The steps of the reducer that release all that is held for a request: one engine has to hear it, and passes
+it on to all others.
+
+Engines are tried one after the other, until one answers.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from itertools import islice
+from typing import Any, ClassVar
+from zlib import crc32
+
+from basaltspread import interface as api
+from basaltspread.core.messages import Effect, ReleaseEnded, Say, SendRelease, Wake
+from basaltspread.core.state import Release, Request, State
+from basaltspread.endings import Ending
+from basaltspread.interface import WorkerState
+from basaltspread.structures.hashing import hashed
+
+MS = 1000
+RELEASE_STEP = 100 * MS  # a release that nobody has answered by then goes to one more engine
+RELEASES_LOOK_AT = 48  # engines among which a try chooses
+MOST_TRIED = 32  # engines that are passed by as tried, until all may be tried again
+RELEASE_TRIES = 6  # tries as fast as they fail, and in that step; later ones ever more slowly
+LONGEST_RELEASE_STEP = 1000 * MS
+RELEASE_PATIENCE = 20  # times the limit of the rule: what is still unheard then is given up
+
+
+class ReleaseSteps:
+    """The part of a step that releases."""
+
+    state: State
+    now: int
+    do: Callable[[Effect], None]
+    count: Callable[[str], None]
+    _unseen: Callable[[Request], int]
+    _noted: Callable[[str, Ending], None]
+    _check_held: Callable[[Request], None]
+
+    def release(self, action: api.Release) -> None:
+        self._release(action.request)
+
+    def _release(self, name: str, request: Request | None = None) -> None:
+        request = request or self.state.requests.get(name)
+        pause = 0
+        if request is not None:
+            self._check_held(request)
+            for entry in request.held.release():
+                self.count(f"held_{entry.kind.value}_released")
+            # A read that is given up may end well until its engine has seen it: what it leaves after the
+            # release has gone round would be held for nobody.
+            pause = self._unseen(request)
+            request.note(self.now, f"release, {max(0, pause) // MS} ms later")
+        until = self.now + RELEASE_PATIENCE * self.state.settings.rules.release_within
+        release = self.state.releases.setdefault(name, Release())
+        release.until, release.tries, release.tried = until, 0, []
+        release.began = self.now
+        self.count("releases")
+        if pause > 0:
+            self.do(Wake(self.now + pause, ("release", name, 0)))
+        else:
+            self._try_release(name)
+
+    def _try_release(self, name: str) -> None:
+        """The next try. Guards against a release that no engine ever heard: whoever is cut off from a part
+        of the fleet reaches only the rest."""
+        release = self.state.releases[name]
+        if self._give_up_release(name, release):
+            return
+        step = RELEASE_STEP << max(0, min(release.tries - RELEASE_TRIES, 8))
+        release.tries += 1
+        self.do(Wake(self.now + min(step, LONGEST_RELEASE_STEP), ("release", name, release.tries)))
+        workers = self.state.workers
+        release.tried = [n for n in release.tried if n in workers]
+        if len(release.tried) >= min(len(workers), MOST_TRIED):
+            release.tried = []  # all again
+        candidates = self._release_candidates(name, release)
+        self._send_release(name, release, candidates)
+
+    def _send_release(self, name: str, release: Release, candidates: list[str]) -> None:
+        """To the best engine that has not been tried."""
+        fit = [n for n in candidates if n not in release.tried and n not in release.open]
+        if not fit:
+            return
+        best = min(fit, key=lambda n: self._release_rank(name, release, n))
+        release.tried.append(best)
+        release.open.add(best)
+        self.state.contacts.began(best, self.now)
+        self.count("release_calls")
+        self.do(SendRelease(name, best, self.state.workers[best].address))
+
+    def _release_candidates(self, name: str, release: Release) -> list[str]:
+        """Of a large fleet, the engines heard last and some at random, others for each try."""
+        state = self.state
+        if len(state.workers) <= RELEASES_LOOK_AT:
+            return list(state.workers)
+        heard = islice(state.contacts.latest(), RELEASES_LOOK_AT // 2)
+        drawn = state.engine_names.sample(hashed(f"{name} {release.tries}"), RELEASES_LOOK_AT // 2)
+        return [engine for engine in dict.fromkeys([*heard, *drawn]) if engine in state.workers]
+
+    def _release_rank(self, name: str, release: Release, worker: str) -> tuple[Any, ...]:
+        """Which engine gets the release first. What fails at once is mostly one zone, or the way to it: so
+        each next one is in another. Within one the engine that was heard last, if it does not seem silent,
+        and else a different one for each request: one picked by name alone would get them from all."""
+        state, entry = self.state, self.state.workers[worker].entry
+        tried = sum(state.workers[n].entry.zone == entry.zone for n in release.tried)
+        lot = crc32(f"{name} {worker}".encode())
+        heard, near = state.contacts.answered.get(worker, 0), entry.zone == state.settings.zone
+        silent = state.contacts.seems_silent(worker, self.now)
+        return tried, entry.state is not WorkerState.UP, silent, not near, -heard, lot
+
+    def _give_up_release(self, name: str, release: Release) -> bool:
+        """After long enough; a process that has to end does not wait past its own time for it."""
+        until = min(release.until, self.state.stop_by) if self.state.stopping else release.until
+        if release.tries < RELEASE_TRIES or self.now < until:
+            return False
+        if not release.open:
+            self.count("releases_unheard")
+            self.do(Say(f"release of {name} reached no engine in {release.tries} tries"))
+            del self.state.releases[name]
+        return True
+
+    def release_ended(self, event: ReleaseEnded) -> None:
+        self._noted(event.worker, event.ending)
+        release = self.state.releases.get(event.request)
+        if release is None:
+            return
+        release.open.discard(event.worker)
+        if event.done:
+            self._release_heard(event, release)
+        elif release.tries < RELEASE_TRIES:
+            self._try_release(event.request)
+        else:  # the next is due by the clock
+            self._give_up_release(event.request, release)
+
+    def _release_heard(self, event: ReleaseEnded, release: Release) -> None:
+        taken = self.now - release.began
+        self.state.release_times.add(taken, release.tries)
+        self.state.longest_release = max(self.state.longest_release, taken)
+        if release.tries > 1 or self.state.traces:
+            tries = f"{release.tries} tries and {taken // MS} ms"
+            self.do(Say(f"release of {event.request} heard by {event.worker} after {tries}"))
+        del self.state.releases[event.request]
+
+    HANDLERS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {ReleaseEnded: release_ended}
+    ACTIONS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {api.Release: release}
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -13,6 +13,8 @@
 from basaltspread import interface as api
 from basaltspread.control.engine_starts import EngineStarts
 from basaltspread.control.loop_load import LoopLoad
+from basaltspread.core.engine_contacts import EngineContacts
+from basaltspread.core.held_ledger import HeldLedger
 from basaltspread.core.messages import Listed, Verdict
 from basaltspread.core.module_queue import ModuleQueue
 from basaltspread.endings import Ending, ToolFault
@@ -51,8 +53,6 @@
     begun: bool = False
     written: bool = False
     written_at: int = 0
-    acknowledged: bool = False  # the engine has shown that it has the call, which has not ended yet
-    outlived_release: bool = False  # all that was held was let go while it was out, and had not answered
     over: bool = False
     ending: Ending | None = None  # once it is over
     zone: int = -1  # of its worker, as it was listed then
@@ -72,10 +72,8 @@
     ended: bool = False  # the client has had its final answer, or has gone
     owed: bool = False  # it has ended, and its answer goes out once what was given up is surely seen to be
     place: str | None = None  # a writer to be asked once the read's last byte is out
-    asking: set[str] = field(default_factory=set)  # writers whose answer is awaited
-    let_go: set[str] = field(default_factory=set)  # of these, asked before all that is held was let go
-    may_hold: bool = False  # a state or a place may be held for it at some engine
-    held_since: int | None = None  # the clock of the rule on that, as long as it runs
+    held: HeldLedger = field(default_factory=HeldLedger)  # what engines may hold for it
+    held_check_at: int | None = None  # when the clock of that is looked at next
 
     tenant: int = 0
     prompt: int = 0  # tokens
@@ -156,13 +154,11 @@
     returned: dict[str, int] = field(default_factory=dict)  # when one was let in again
     workers: dict[str, Listed] = field(default_factory=dict)  # as it is treated: the list, less the bans
     engine_names: IndexedSet[str] = field(default_factory=IndexedSet)  # those of `workers`
-    heard: dict[str, int] = field(default_factory=dict)  # when an engine last said anything; the latest last
+    contacts: EngineContacts = field(default_factory=EngineContacts)
+    signs_asked: dict[str, int] = field(default_factory=dict)  # when an engine was asked whether it runs
+    last_dropped: str | None = None  # the request that was forgotten last: nothing is held for it
     read_times: Usual = field(default_factory=Usual)  # from a read's sending to its answer
     first_event_times: Usual = field(default_factory=Usual)  # the same of a write, to its first event
-    unreached: set[str] = field(default_factory=set)  # engines whose last exchange brought no answer
-    awaited_since: dict[str, int] = field(
-        default_factory=dict
-    )  # first exchange with an engine since it was heard
     requests: dict[str, Request] = field(default_factory=dict)
     undecided: ModuleQueue = field(default_factory=ModuleQueue)  # what the module has still to be told
     load: LoopLoad = field(default_factory=LoopLoad)  # measured by the host
@@ -219,8 +215,8 @@
 
 def oldest_held(state: State, now: int) -> int:
     """Age of the oldest clock of held state that runs, in us; 0 for none. Costs a look at each request."""
-    ages = [now - r.held_since for r in state.requests.values() if r.held_since is not None]
-    return max(ages, default=0)
+    starts = (request.held.since() for request in state.requests.values())
+    return max((now - since for since in starts if since is not None), default=0)
 
 
 def silent_since(state: State, request: str) -> int | None:
--- a/basaltspread/core/watching.py
+++ b/basaltspread/core/watching.py
@@ -33,15 +33,15 @@
         patience = max(least, int(UNUSUAL * self._usual(attempt.reading).time))
         self.do(Wake(self.now + patience, ("unanswered", request.id, attempt.number)))
 
-    def _note_answer(self, attempt: Attempt) -> None:
+    def _note_answer(self, request: Request, attempt: Attempt) -> None:
         """Its engine has answered it."""
-        self._usual(attempt.reading).add(self.now - attempt.sent_at, 1)
+        self._usual(attempt.reading).add(self.now - attempt.sent_at, request.prompt)
 
     def _unanswered(self, request: Request, attempt: Attempt) -> None:
         """Says once of an attempt that is still out that it waits."""
         if request.stream is attempt:
             return
-        heard = self.state.heard.get(attempt.worker)
+        heard = self.state.contacts.answered.get(attempt.worker)
         waited = self.now - attempt.written_at
         silent_for = None if heard is None else self.now - heard
         self.count("attempts_unanswered")
--- a/basaltspread/endings.py
+++ b/basaltspread/endings.py
@@ -76,8 +76,12 @@
 )
 
 
-# The endings that are this side's alone, and say nothing of the other.
-SAYS_NOTHING = frozenset((Ending.NOT_SENT, Ending.NO_DESCRIPTOR, Ending.LOCAL_FAULT))
+# The endings that show that the other side could not be reached, or that nothing came from it. Those that
+# this side chose (a call back, a client that left, a fault of its own) say nothing of the other.
+UNREACHED = frozenset((
+    Ending.REFUSED, Ending.CONNECT_TIMED_OUT, Ending.BROKE_UNSENT, Ending.RESET, Ending.CUT_SHORT,
+    Ending.STALLED, Ending.TIMED_OUT,
+))  # fmt: skip
 
 # The endings by which this side closes the connection while the other may still be at work on the request; it
 # learns of that a moment later.
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -28,6 +28,7 @@
 from basaltspread.core import Ending, Place, Verdict, guards
 from basaltspread.core.guards import Denial, StartFacts
 from basaltspread.core.invariants import Invariant
+from basaltspread.endings import NEVER_RAN
 from basaltspread.net.clients import (
     CLIENT_PATIENCE,
     LAST_LOOK,
@@ -62,6 +63,7 @@
 UNANSWERED_LINES = 10  # the same of attempts that wait past the usual time
 HALF_READ_PATIENCE = 2.0  # s at the end for clients in the middle of a request or of taking an answer
 CALL_WAIT = 1.0  # s for an answer about a place, a release or a probe
+PLACE_ANSWERS = {200: Place.HELD, 409: Place.NOT_HELD, 404: Place.NOT_HELD}
 ERROR_BODY_WAIT = 0.5  # s for the rest of an answer whose status has settled it
 STREAM_SILENCE = 4.0  # s between two pieces of a stream; the protocol lets a client wait for 5
 EVENT_LIMIT = 64 * 1024  # bytes of a stream's first event
@@ -76,7 +78,7 @@
     def __init__(self) -> None:
         self.task: asyncio.Task[None] | None = None
         self.begun = False  # its first byte has gone out
-        self.heard = Place.UNKNOWN
+        self.heard = Place.UNANSWERED
 
 
 class Front:
@@ -577,7 +579,9 @@
         def over(task: asyncio.Task[None]) -> None:
             """Also for a task that was dropped before its first step: the core waits for this input."""
             del self._places[key]
-            place = Place.NOT_HELD if task.cancelled() else call.heard
+            place = call.heard
+            if task.cancelled():
+                place = Place.UNANSWERED if call.begun else Place.NOT_ASKED
             self.runtime.feed(core.PlaceEnded(effect.request, effect.number, effect.worker, place))
 
         call.task = self._spawn(self._place(effect, call), f"place {key}")
@@ -587,8 +591,6 @@
     async def _place(self, effect: core.AskPlace, call: PlaceCall) -> None:
         def permitted() -> bool:
             call.begun = not self.runtime.place_denied(effect.request, effect.worker)
-            if not call.begun:
-                call.heard = Place.NOT_HELD
             return call.begun
 
         # One whose answer is lost may be heard late, and hold a place for a request that has gone on: it is
@@ -598,8 +600,10 @@
             reply = await self.runtime.pool.call(
                 effect.address, "POST", f"/state/{effect.request}", wait=wait, permitted=permitted
             )
-            call.heard = {200: Place.HELD, 409: Place.NOT_HELD}.get(reply.status, Place.UNKNOWN)
+            call.heard = PLACE_ANSWERS.get(reply.status, Place.UNKNOWN)
         except LinkError as error:
+            never = not call.begun or error.ending in NEVER_RAN
+            call.heard = Place.NOT_ASKED if never else Place.UNANSWERED
             self.runtime.count("place_calls_failed")
             if call.begun and self._place_lines.due():
                 log.info("place of %s at %s: %s", effect.request, effect.worker, error)
@@ -613,18 +617,18 @@
         self._spawn(self._release(effect), f"release {effect.request}")
 
     async def _release(self, effect: core.SendRelease) -> None:
-        done, ending = False, Ending.GATEWAY_FAULT
+        ending = Ending.GATEWAY_FAULT
         try:
             await self.runtime.pool.call(
                 effect.address, "DELETE", f"/state/{effect.request}", wait=CALL_WAIT, duty=True
             )
-            done, ending = True, Ending.SERVED
+            ending = Ending.SERVED
         except LinkError as error:
             ending = error.ending
             self.runtime.count("release_calls_failed")
             log.info("release of %s by %s: %s", effect.request, effect.worker, error)
         finally:
-            self.runtime.feed(core.ReleaseEnded(effect.request, effect.worker, done, ending))
+            self.runtime.feed(core.ReleaseEnded(effect.request, effect.worker, ending))
 
     def _start_probe(self, effect: core.StartProbe) -> None:
         self._spawn(self._probe(effect), f"probe {effect.worker}")
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -269,6 +269,7 @@
             "now_oldest_held_us": oldest,
             "release_us": round(self.state.release_times.time),
             "most_release_us": self.state.longest_release,
+            "now_held_entries": sum(len(list(r.held)) for r in self.state.requests.values()),
             "now_engines": len(self.state.workers),
             **self.load.figures(now),
         }
--- /dev/null
+++ b/tests/test_hung_engines.py
@@ -0,0 +1,191 @@
+"""What is held for requests while engines hang: their systems take bytes, and their processes do nothing."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+from basaltspread import core
+from basaltspread import interface as api
+from basaltspread.core import Ending, Place
+from tests.core_drive import ARRIVAL, CoreDrive
+from tests.helpers import MS, SECOND, settings
+from tests.standins import Asked, FleetTest, Handler, Standin, answer_plainly, reading, writing
+
+LIMIT = 500 * MS  # of the rule on held state, in the tests' settings
+RULE = LIMIT + 300 * MS  # with its slack
+
+
+class HungEngineTest(FleetTest):
+    """The real program between stand-ins of which one stops to do anything once it has done one request."""
+
+    async def hung(self, handler: Handler) -> Standin:
+        async def answer(asked: Asked) -> None:
+            before = engine.seen[: engine.seen.index(asked)]
+            if any(a.target.startswith("/v1") for a in before):
+                await asyncio.Event().wait()
+            await handler(asked)
+
+        engine = await self.standin(answer)
+        return engine
+
+    async def test_a_place_kept_for_a_read_at_a_hung_reader_is_released_while_the_read_is_out(self) -> None:
+        for service_class in ("ask", "order"):
+            reader, writer = await self.hung(reading()), await self.standin(writing(answer_plainly))
+            gateway = await self.fleet(r1=reader, w1=writer)
+            client = await self.client(gateway)
+            await client.ask("a0")
+            client.send("a1", cls=service_class)
+            read = await reader.until("POST", 2, "/v1")
+            ended = asyncio.ensure_future(read.closed())
+            released = asyncio.ensure_future(writer.until("DELETE", target="/state/a1"))
+            await asyncio.wait({ended, released}, return_when=asyncio.FIRST_COMPLETED)
+            self.assertTrue(released.done(), f"{service_class}: the read was given up before the release")
+            self.assertEqual(writer.count("POST", "/state/a1"), 1)
+            for task in (ended, released):
+                task.cancel()
+            await gateway.kill()
+
+
+class PlaceBehindReadTest(CoreDrive):
+    """The clock of a place while its read is out, with a scripted module."""
+
+    def ask(self, *writers: str, probes: bool = True, release_within: int = LIMIT) -> None:
+        """A read is out at r1, and these writers are asked, one as the other has answered."""
+        self.writers = list(writers)
+
+        def next_writer(event: object) -> list[api.Action]:
+            return [api.HoldPlace("q", self.writers.pop(0))] if self.writers else []
+
+        self.begin(
+            Arrival=lambda e: [api.Send("q", "r1", 0), *next_writer(e)],
+            PlaceAnswer=lambda e: [] if e.held else next_writer(e),
+            ClientGone=lambda e: [api.Cancel(e.request, 0)],
+        )
+        plain = settings()
+        rules = replace(plain.rules, release_within=release_within)
+        self.state.settings = replace(plain, rules=rules, limits=replace(plain.limits, probes=probes))
+        self.checks = list[core.Wake]()
+        for event in (core.Taken(ARRIVAL), core.Begun("q", 0), core.Written("q", 0)):
+            self.seen(event)
+        self.asked_at = self.now
+
+    def seen(self, event: core.Input, after: int = 0) -> list[core.Effect]:
+        effects = self.feed(event, after)
+        self.checks += [wake for wake in self.wakes if wake.token[0] == "held"]
+        return effects
+
+    def until(self, when: int) -> list[core.Effect]:
+        """The effects of the looks at the clock up to this time after the question."""
+        effects = list[core.Effect]()
+        while due := [wake for wake in self.checks if wake.at <= self.asked_at + when]:
+            wake = min(due, key=lambda wake: wake.at)
+            self.checks.remove(wake)
+            self.now = max(self.now, wake.at)
+            effects += self.seen(core.Woken(wake.token))
+        self.now = self.asked_at + when
+        return effects
+
+    def releases(self, effects: list[core.Effect]) -> list[str]:
+        return [e.worker for e in effects if isinstance(e, core.SendRelease) and e.request == "q"]
+
+    def test_a_place_kept_is_no_sign_of_the_reader(self) -> None:
+        self.ask("w1")
+        self.seen(core.PlaceEnded("q", 0, "w1", Place.HELD), after=2 * MS)
+        self.assertEqual(len(self.releases(self.until(LIMIT))), 1)
+        self.assertFalse(self.state.requests["q"].attempts[0].over)
+        self.assertIn(api.StateLetGo("q"), self.module.told)
+
+    def test_the_reader_is_asked_for_a_sign_before_its_place_is_released(self) -> None:
+        self.ask("w1")
+        self.seen(core.PlaceEnded("q", 0, "w1", Place.HELD), after=2 * MS)
+        asked = [e for e in self.until(LIMIT // 2) if isinstance(e, core.StartProbe)]
+        self.assertEqual([e.worker for e in asked], ["r1"])
+
+    def test_where_no_probes_are_allowed_a_release_that_is_over_asks_for_the_sign(self) -> None:
+        self.ask("w1", probes=False)
+        self.state.last_dropped = "p"
+        self.seen(core.PlaceEnded("q", 0, "w1", Place.HELD), after=2 * MS)
+        asked = [e for e in self.until(LIMIT // 2) if isinstance(e, core.SendRelease)]
+        self.assertEqual([(e.request, e.worker) for e in asked], [("p", "r1")])
+
+    def test_a_reader_that_runs_keeps_the_place_of_a_long_read_until_it_is_silent(self) -> None:
+        self.ask("w1")
+        self.seen(core.PlaceEnded("q", 0, "w1", Place.HELD), after=2 * MS)
+        for sign_at in (220 * MS, 460 * MS):
+            self.assertEqual(self.releases(self.until(sign_at)), [])
+            self.seen(core.Probed("r1", Ending.SERVED, 2 * MS))
+        self.assertEqual(self.releases(self.until(460 * MS + LIMIT // 2)), [])
+        self.assertEqual(len(self.releases(self.until(460 * MS + LIMIT))), 1)
+
+    def test_a_question_without_an_answer_is_released_at_seven_tenths_of_any_limit(self) -> None:
+        for limit in (500 * MS, 300 * MS, 2 * SECOND):
+            self.ask("w1", release_within=limit)
+            self.assertEqual(self.releases(self.until(limit * 7 // 10 - 1)), [], limit)
+            self.assertEqual(len(self.releases(self.until(limit * 7 // 10))), 1, limit)
+        self.ask("w1", release_within=0)
+        self.assertEqual(self.releases(self.until(20 * SECOND)), [])
+
+    def test_what_a_reader_said_before_the_read_is_no_sign_of_it(self) -> None:
+        self.ask("w1")
+        self.state.contacts.heard("r1", self.now - 1)
+        self.seen(core.PlaceEnded("q", 0, "w1", Place.HELD), after=2 * MS)
+        self.assertEqual(len(self.releases(self.until(LIMIT))), 1)
+
+    def test_a_read_that_a_running_reader_has_not_got_covers_nothing_for_long(self) -> None:
+        """Its connection leads nowhere, and the reader answers all others."""
+        self.ask("w1")
+        for _ in range(20):
+            self.state.read_times.add(30 * MS, ARRIVAL.prompt_tokens)
+        self.seen(core.PlaceEnded("q", 0, "w1", Place.HELD), after=2 * MS)
+        released = list[str]()
+        for sign_at in range(20 * MS, RULE, 20 * MS):
+            released += self.releases(self.until(sign_at))
+            self.seen(core.Probed("r1", Ending.SERVED, 2 * MS))
+        self.assertEqual(len(released), 1)
+
+    def test_a_writer_that_refuses_says_nothing_of_the_place_that_another_keeps(self) -> None:
+        self.ask("w1")
+        self.seen(core.PlaceEnded("q", 0, "w1", Place.HELD), after=2 * MS)
+        self.ask_another("w2", at=100 * MS)
+        self.seen(core.PlaceEnded("q", 0, "w2", Place.NOT_HELD), after=2 * MS)
+        self.assertEqual(len(self.releases(self.until(LIMIT))), 1)
+
+    def test_a_question_that_nobody_has_heard_begins_no_clock_anew(self) -> None:
+        self.ask("w1")
+        self.seen(core.PlaceEnded("q", 0, "w1", Place.UNKNOWN), after=2 * MS)
+        for at, writer in ((100 * MS, "w2"), (200 * MS, "w3"), (300 * MS, "w2")):
+            self.ask_another(writer, at)
+        self.assertEqual(len(self.releases(self.until(LIMIT))), 1)
+
+    def ask_another(self, writer: str, at: int) -> None:
+        """The module asks one more writer, so long after the first question."""
+        self.until(at)
+        self.module.answers["TimerFired"] = lambda e: [api.HoldPlace("q", writer)]
+        self.seen(core.Woken(("timer", 1)))
+
+
+class ContactsTest(CoreDrive):
+    """What an exchange shows of its engine, and what it does not."""
+
+    def test_an_attempt_that_this_side_ends_says_nothing_of_its_engine(self) -> None:
+        for begun in (False, True):
+            self.begin(Arrival=lambda e: [api.Send("q", "r1", 0)])
+            self.state.contacts.heard("r1", self.now)
+            heard_at = self.now
+            self.feed(core.Taken(ARRIVAL))
+            if begun:
+                self.feed(core.Begun("q", 0))
+                self.feed(core.Written("q", 0))
+            self.feed(core.ClientLeft("q"), after=10 * MS)
+            self.assertEqual(self.state.contacts.answered, {"r1": heard_at})
+            self.assertFalse(self.state.contacts.seems_silent("r1", self.now))
+
+    def test_a_writers_answer_about_a_place_is_a_sign_of_it(self) -> None:
+        for said, sign in ((Place.HELD, True), (Place.NOT_HELD, True), (Place.UNKNOWN, True),
+                           (Place.UNANSWERED, False), (Place.NOT_ASKED, False)):  # fmt: skip
+            self.begin(Arrival=lambda e: [api.Send("q", "r1", 0), api.HoldPlace("q", "w1")])
+            for event in (core.Taken(ARRIVAL), core.Begun("q", 0), core.Written("q", 0)):
+                self.feed(event)
+            self.feed(core.PlaceEnded("q", 0, "w1", said), after=10 * MS)
+            self.assertEqual("w1" in self.state.contacts.answered, sign, said)
