Hear questions for places out, and release what a hung engine takes as it wakes up

Cause: giving an exchange up was taken for undoing it (net/platform.py _place: closed after 0.5 s at the most). Evidence: test_a_place_that_a_writer_keeps_as_it_wakes_up_is_released_again, real processes: fails on after its 30 s, as no second release comes; passes now. Change: the exchange stays open to its answer, 20 s and 64 late ones at the most (late_questions_dropped), and until the end of a process's time after SIGTERM; what its engine then keeps is released at once, or, where the request has something newer by then, by its clock: a release must not take a newer state. The virtual fleet's engines freeze and thaw: their systems take what comes, and they take it on waking.

--- a/basaltspread/core/__init__.py
+++ b/basaltspread/core/__init__.py
@@ -3,6 +3,7 @@
 from basaltspread.core.fleet import DRAIN_DOOR, MOST_BANS
 from basaltspread.core.messages import (
     AbandonAttempt,
+    AbandonPlace,
     AbandonTool,
     Adopted,
     Answer,
@@ -137,6 +138,7 @@
     "RELEASE_TRIES",
     "TOOL_FAULTS",
     "AbandonAttempt",
+    "AbandonPlace",
     "AbandonTool",
     "Adopted",
     "Answer",
--- a/basaltspread/core/contacting.py
+++ b/basaltspread/core/contacting.py
@@ -1,14 +1,15 @@
 """The steps of the reducer that note what exchanges show of their engines, and what follows of it.
 
-They never ask an engine for a sign of life.
+A sign of life releases what its engine may have taken since it was given up. It never asks an engine for one.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
+from basaltspread.core.held_ledger import HeldKind, Knowledge
 from basaltspread.core.messages import Effect
-from basaltspread.core.state import State
+from basaltspread.core.state import Request, State
 from basaltspread.endings import OUTCOMES, UNREACHED, Ending
 from basaltspread.interface import Outcome
 
@@ -21,8 +22,11 @@
 
     state: State
     now: int
+    touched: dict[str, None]
     do: Callable[[Effect], None]
     count: Callable[[str], None]
+    _release: Callable[..., None]
+    _watch_held: Callable[[Request], None]
 
     def _noted(self, engine: str, ending: Ending) -> None:
         """How an exchange with it ended. An ending that this side chose says nothing of the engine."""
@@ -36,3 +40,22 @@
     def _heard(self, engine: str) -> None:
         """Its process has said something just now."""
         self.state.contacts.heard(engine, self.now)
+        for request, kind in self.state.untaken.take(engine):
+            self._taken_since(engine, request, kind)
+
+    def _may_be_taken(self, engine: str, request: str, kind: HeldKind) -> None:
+        """A send that was written there has been given up without an answer."""
+        if not self.state.untaken.add(engine, request, kind):
+            self.count("untaken_dropped")
+
+    def _taken_since(self, engine: str, name: str, kind: HeldKind) -> None:
+        """This engine may have woken up and taken what was given up. While the request goes on, a release at
+        once could take a newer state of it: its clock says when that is due."""
+        request = self.state.requests.get(name)
+        self.count("untaken_released")
+        if request is None or request.stream is not None:
+            self._release(name)
+        elif request.held.question(engine) is None:
+            request.held.add(kind, engine, self.now, Knowledge.POSSIBLE)
+            self._watch_held(request)
+            self.touched[name] = None
--- a/basaltspread/core/messages.py
+++ b/basaltspread/core/messages.py
@@ -428,6 +428,14 @@
     worker: str
 
 
+@record
+class AbandonPlace:
+    """Wait no longer for the answer to this question."""
+
+    request: str
+    worker: str
+
+
 @record
 class SendRelease:
     request: str
@@ -603,7 +611,7 @@
 
 Effect = (
     StartAttempt | AbandonAttempt | PassOn | HandOn | EndStream | BreakClient | Answer | AskPlace | DropPlace
-    | SendRelease | StartProbe | TellPeers | SayUnanswered | FetchWholeList | CallTool
+    | AbandonPlace | SendRelease | StartProbe | TellPeers | SayUnanswered | FetchWholeList | CallTool
     | AbandonTool | TellCancelled | AnswerLocally | ReturnReply | ReturnProgress | ForgetCall | ForgetBundle
     | TryServer
     | Wake | Count | Say | OperatorAnswer | KeepBans | CloseIdle | StopListening | StopAccepting
--- a/basaltspread/core/places.py
+++ b/basaltspread/core/places.py
@@ -1,6 +1,8 @@
 """The steps of the reducer that ask writers to keep a place for a request that is being read.
 
-They never choose a writer: that is the module's part.
+A question that has been sent may be taken long after it was given up, as its engine wakes up. So its exchange
+stays open to its answer, and what could not be waited for is released again as its engine gives a sign of
+life. It never chooses a writer: that is the module's part.
 """
 
 from __future__ import annotations
@@ -10,11 +12,12 @@
 
 from basaltspread import interface as api
 from basaltspread.core.held_ledger import HeldEntry, HeldKind, Knowledge
-from basaltspread.core.messages import AskPlace, Effect, Listed, Place, PlaceEnded, Say
+from basaltspread.core.messages import AbandonPlace, AskPlace, Effect, Listed, Place, PlaceEnded, Say
 from basaltspread.core.state import Attempt, Request, State
 from basaltspread.interface import WorkerState
 
 MS = 1000
+MOST_LATE_QUESTIONS = 64  # open though all has been released; each holds a connection
 # Answers that only a process that runs can give.
 SHOWS_LIFE = frozenset((Place.HELD, Place.NOT_HELD, Place.UNKNOWN))
 MAY_BE_HELD = frozenset((Place.HELD, Place.UNKNOWN, Place.UNANSWERED))
@@ -34,6 +37,7 @@
     _watch_held: Callable[[Request], None]
     _end_entry: Callable[[Request, HeldEntry, str], None]
     _heard: Callable[[str], None]
+    _may_be_taken: Callable[[str, str, HeldKind], None]
 
     def hold_place(self, action: api.HoldPlace) -> None:
         request = self.state.requests.get(action.request)
@@ -64,12 +68,15 @@
         self.count("places_" + event.place.name.lower())
         if event.place in SHOWS_LIFE:
             self._heard(event.worker)
+        self.state.late_questions.pop((event.request, event.worker), None)
         request = self.state.requests.get(event.request)
         entry = request.held.question(event.worker) if request is not None else None
         if request is None or entry is None:
             return
         self.touched[request.id] = None
         late = entry.released
+        if event.place is Place.UNANSWERED:
+            self._may_be_taken(event.worker, request.id, HeldKind.PLACE)
         if event.place not in MAY_BE_HELD:
             self._end_entry(request, entry, "refused" if event.place is Place.NOT_HELD else "not_asked")
         elif late and event.place is Place.UNANSWERED:
@@ -82,14 +89,19 @@
     def _place_possible(self, request: Request, entry: HeldEntry, said: Place) -> None:
         """Its engine has taken the question, or may have."""
         entry.knowledge = Knowledge.KEPT if said is Place.HELD else Knowledge.POSSIBLE
-        if entry.released:  # it was taken after the release had gone round
+        waits, late, newer = request.waits(), entry.released, request.held.holds()
+        if late:  # it was taken after the release had gone round
             self.do(Say(f"place of {request.id} at {entry.engine}: {said.value}, after its release"))
             self.count("places_taken_late")
-        elif not (request.ended or request.stream is not None):
+        if late or not waits:
+            entry.released, entry.since = False, self.now
+        if not waits or (late and not newer):
+            self._release_late(request)
+        else:  # a release at once could take what the request holds by now: its clock says when it is due
             self._watch_held(request)
-            return
-        entry.released, entry.since = False, self.now
-        if not request.ended:
+
+    def _release_late(self, request: Request) -> None:
+        if not request.ended:  # else its end releases all
             self._release(request.id)
 
     def _tell_place(self, request: Request, event: PlaceEnded) -> None:
@@ -100,5 +112,22 @@
         request.note(self.now, f"place at {event.worker} {event.place.name.lower()}")
         self.tell(api.PlaceAnswer(request.id, event.number, event.worker, held))
 
+    def _note_late_questions(self, request: Request) -> None:
+        """All has been released: questions without an answer are heard out, as many as there is room for."""
+        late = self.state.late_questions
+        for engine in request.held.questions():
+            late[request.id, engine] = None
+        while len(late) > MOST_LATE_QUESTIONS:
+            name, engine = next(iter(late))
+            del late[name, engine]
+            self.count("late_questions_dropped")
+            self.do(AbandonPlace(name, engine))
+
+    def _drop_late_questions(self) -> None:
+        """This process has to end."""
+        for name, engine in self.state.late_questions:
+            self.do(AbandonPlace(name, engine))
+        self.state.late_questions.clear()
+
     HANDLERS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {PlaceEnded: place_ended}
     ACTIONS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {api.HoldPlace: hold_place}
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -19,6 +19,7 @@
 from basaltspread.core.contacting import ContactSteps
 from basaltspread.core.fleet import FleetSteps
 from basaltspread.core.held_clock import HeldClockSteps, any_held
+from basaltspread.core.held_ledger import HeldKind
 from basaltspread.core.messages import (
     AbandonAttempt,
     Adopted,
@@ -423,6 +424,13 @@
         self.touched[request.id] = None
         self.do(AbandonAttempt(request.id, attempt.number))
 
+    def _note_given_up(self, request: Request, attempt: Attempt) -> None:
+        """A read that its engine has shown no sign of since may be taken as that engine wakes up."""
+        if not (attempt.reading and attempt.written):
+            return
+        if self.state.contacts.answered_since(attempt.worker, attempt.written_at) is None:
+            self._may_be_taken(attempt.worker, request.id, HeldKind.STATE)
+
     def _close(
         self,
         request: Request,
@@ -435,6 +443,7 @@
         """The one way in which an attempt ends, whoever ended it."""
         if abandon:
             self._abandon(request, attempt)
+            self._note_given_up(request, attempt)
         if attempt.begun and (abandon or ending in CLOSED_HERE):
             request.gave_up_at = self.now
         attempt.over, attempt.ending = True, ending
@@ -588,6 +597,7 @@
             what = "the rest of a stream" if request.resumed else "a request"
             self.do(Say(f"{request.id}, {what}, is given up: this process has to end"))
             self._give_up(request)
+        self._drop_late_questions()
         if self.state.requests:
             self.do(Wake(self.now + MOVE_STEP, ("last",)))
 
--- a/basaltspread/core/releases.py
+++ b/basaltspread/core/releases.py
@@ -39,6 +39,7 @@
     count: Callable[[str], None]
     _unseen: Callable[[Request], int]
     _noted: Callable[[str, Ending], None]
+    _note_late_questions: Callable[[Request], None]
     _check_held: Callable[[Request], None]
 
     def release(self, action: api.Release) -> None:
@@ -51,6 +52,7 @@
             self._check_held(request)
             for entry in request.held.release():
                 self.count(f"held_{entry.kind.value}_released")
+            self._note_late_questions(request)
             # A read that is given up may end well until its engine has seen it: what it leaves after the
             # release has gone round would be held for nobody.
             pause = self._unseen(request)
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -17,6 +17,7 @@
 from basaltspread.core.held_ledger import HeldLedger
 from basaltspread.core.messages import Listed, Verdict
 from basaltspread.core.module_queue import ModuleQueue
+from basaltspread.core.untaken_sends import UntakenSends
 from basaltspread.endings import Ending, ToolFault
 from basaltspread.interface import WorkerState
 from basaltspread.records import record
@@ -156,6 +157,8 @@
     engine_names: IndexedSet[str] = field(default_factory=IndexedSet)  # those of `workers`
     contacts: EngineContacts = field(default_factory=EngineContacts)
     signs_asked: dict[str, int] = field(default_factory=dict)  # when an engine was asked whether it runs
+    late_questions: dict[tuple[str, str], None] = field(default_factory=dict)  # for places: request, engine
+    untaken: UntakenSends = field(default_factory=UntakenSends)
     last_dropped: str | None = None  # the request that was forgotten last: nothing is held for it
     read_times: Usual = field(default_factory=Usual)  # from a read's sending to its answer
     first_event_times: Usual = field(default_factory=Usual)  # the same of a write, to its first event
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -62,7 +62,8 @@
 BAD_REQUEST_LINES = 10  # log lines about them in a second; the counters hold them all
 UNANSWERED_LINES = 10  # the same of attempts that wait past the usual time
 HALF_READ_PATIENCE = 2.0  # s at the end for clients in the middle of a request or of taking an answer
-CALL_WAIT = 1.0  # s for an answer about a place, a release or a probe
+CALL_WAIT = 1.0  # s for an answer about a release or a probe
+PLACE_WAIT = 20.0  # s for an answer about a place: longer than most engines hang
 PLACE_ANSWERS = {200: Place.HELD, 409: Place.NOT_HELD, 404: Place.NOT_HELD}
 ERROR_BODY_WAIT = 0.5  # s for the rest of an answer whose status has settled it
 STREAM_SILENCE = 4.0  # s between two pieces of a stream; the protocol lets a client wait for 5
@@ -112,6 +113,7 @@
             core.PassOn: self._pass_on, core.HandOn: self._hand_on, core.EndStream: self._end_stream,
             core.BreakClient: self._break_client, core.Answer: self._answer,
             core.AskPlace: self._ask_place, core.DropPlace: self._drop_place,
+            core.AbandonPlace: self._abandon_place,
             core.SendRelease: self._send_release, core.StartProbe: self._start_probe,
             core.FetchWholeList: self._fetch_list,
             core.SayUnanswered: self._say_unanswered,
@@ -593,12 +595,11 @@
             call.begun = not self.runtime.place_denied(effect.request, effect.worker)
             return call.begun
 
-        # One whose answer is lost may be heard late, and hold a place for a request that has gone on: it is
-        # waited for no longer than what is held may be, and then all is let go.
-        wait = min(CALL_WAIT, self._config.settings.rules.release_within / 1e6 or CALL_WAIT)
+        # An engine that hangs may take the question as it wakes up, closed or not: its answer is waited for,
+        # and what it then keeps is released.
         try:
             reply = await self.runtime.pool.call(
-                effect.address, "POST", f"/state/{effect.request}", wait=wait, permitted=permitted
+                effect.address, "POST", f"/state/{effect.request}", wait=PLACE_WAIT, permitted=permitted
             )
             call.heard = PLACE_ANSWERS.get(reply.status, Place.UNKNOWN)
         except LinkError as error:
@@ -613,6 +614,11 @@
         if call is not None and call.task is not None and not call.begun:
             call.task.cancel()
 
+    def _abandon_place(self, effect: core.AbandonPlace) -> None:
+        call = self._places.get((effect.request, effect.worker))
+        if call is not None and call.task is not None:
+            call.task.cancel()
+
     def _send_release(self, effect: core.SendRelease) -> None:
         self._spawn(self._release(effect), f"release {effect.request}")
 
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -270,6 +270,8 @@
             "release_us": round(self.state.release_times.time),
             "most_release_us": self.state.longest_release,
             "now_held_entries": sum(len(list(r.held)) for r in self.state.requests.values()),
+            "now_late_questions": len(self.state.late_questions),
+            "now_untaken_sends": len(self.state.untaken),
             "now_engines": len(self.state.workers),
             **self.load.figures(now),
         }
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -325,6 +325,8 @@
                 self._closed(effect.request, effect.number)
             case core.AskPlace():
                 self.after(1 * MS, lambda: self._place(g, effect))
+            case core.AbandonPlace():
+                self._place_over(g, effect.request, effect.worker, 0, Place.UNANSWERED)
             case core.SendRelease():
                 self._release(g, effect)
             case core.StartProbe():
--- a/tests/test_hung_engines.py
+++ b/tests/test_hung_engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 from dataclasses import replace
 
@@ -10,6 +11,7 @@
 from basaltspread import interface as api
 from basaltspread.core import Ending, Place
 from tests.core_drive import ARRIVAL, CoreDrive
+from tests.fleet import World
 from tests.helpers import FLEET, MS, SECOND, settings
 from tests.standins import Asked, FleetTest, Handler, Standin, answer_plainly, reading, writing
 
@@ -47,6 +49,36 @@
                 task.cancel()
             await gateway.kill()
 
+    async def test_a_place_that_a_writer_keeps_as_it_wakes_up_is_released_again(self) -> None:
+        """It takes the question after its request has ended, and the release has been heard."""
+        awake = asyncio.Event()
+
+        async def late(asked: Asked) -> None:
+            if asked.method == "POST" and asked.target == "/state/a1":
+                await awake.wait()
+            await writing(answer_plainly)(asked)
+
+        reader, writer = await self.hung(reading()), await self.standin(late)
+        gateway = await self.fleet(r1=reader, w1=writer)
+        client = await self.client(gateway)
+        client.send("a0")
+        await reader.until("POST", 1, "/v1")
+        await client.answer()
+        client.send("a1")
+        await writer.until("POST", 2, "/state")
+        client.close()
+        await writer.until("DELETE", target="/state/a1")
+        await gateway.until_true(lambda c: c["now_releases"] == 0 and self.given_up(c))
+        releases = writer.count("DELETE", "/state/a1")
+        awake.set()
+        await writer.until("DELETE", releases + 1, target="/state/a1")
+        await gateway.kill()
+
+    @staticmethod
+    def given_up(counters: dict[str, int]) -> bool:
+        """All is over but for the question: its answer is still heard, or it was given up."""
+        return counters["now_requests"] == 0 or counters.get("now_late_questions", 0) > 0
+
 
 class PlaceBehindReadTest(CoreDrive):
     """The clock of a place while its read is out, with a scripted module."""
@@ -165,6 +197,80 @@
         self.module.answers["TimerFired"] = lambda e: [api.HoldPlace("q", writer)]
         self.seen(core.Woken(("timer", 1)))
 
+    def test_a_place_taken_after_the_release_is_released_at_once(self) -> None:
+        self.ask("w1")
+        self.assertEqual(len(self.releases(self.until(LIMIT))), 1)
+        (release,) = self.state.releases["q"].open
+        self.feed(core.ReleaseEnded("q", release, Ending.SERVED))
+        effects = self.feed(core.PlaceEnded("q", 0, "w1", Place.HELD), after=600 * MS)
+        self.assertEqual(len(self.releases(effects)), 1)
+        self.assertNotIn("PlaceAnswer", [type(event).__name__ for event in self.module.told])
+
+    def test_a_place_taken_late_does_not_take_the_next_state_with_it(self) -> None:
+        self.ask("w1")
+        self.until(LIMIT)
+        (release,) = self.state.releases["q"].open
+        self.feed(core.ReleaseEnded("q", release, Ending.SERVED))
+        self.seen(core.Ended("q", 0, Ending.READ), after=100 * MS)
+        read_at = self.now - self.asked_at
+        effects = self.seen(core.PlaceEnded("q", 0, "w1", Place.HELD), after=10 * MS)
+        self.assertEqual(self.releases(effects + self.until(read_at + LIMIT // 2)), [])
+        self.assertEqual(len(self.releases(self.until(read_at + LIMIT))), 1)
+
+    def test_a_question_given_up_is_released_at_its_engines_first_sign_of_life(self) -> None:
+        self.ask("w1")
+        self.until(LIMIT)
+        (release,) = self.state.releases["q"].open
+        self.feed(core.ReleaseEnded("q", release, Ending.SERVED))
+        self.feed(core.PlaceEnded("q", 0, "w1", Place.UNANSWERED), after=600 * MS)
+        self.feed(core.ClientLeft("q"))
+        self.feed(core.Woken(("release", "q", 0)), after=core.GIVE_UP_PAUSE)
+        for engine in list(self.state.releases["q"].open):
+            self.feed(core.ReleaseEnded("q", engine, Ending.SERVED))
+        self.assertEqual((self.state.requests, self.state.releases), ({}, {}))
+        effects = self.feed(core.Probed("w1", Ending.SERVED, 2 * MS), after=SECOND)
+        self.assertEqual(self.releases(effects), ["w1"])
+        self.assertEqual(len(self.state.untaken), 1)  # the read at r1, which has given no sign
+
+    def test_what_is_taken_late_for_a_request_that_goes_on_waits_for_its_clock(self) -> None:
+        """A release at once could take the state that it has by now."""
+        self.ask("w1")
+        self.until(LIMIT)
+        (release,) = self.state.releases["q"].open
+        self.feed(core.ReleaseEnded("q", release, Ending.SERVED))
+        self.feed(core.PlaceEnded("q", 0, "w1", Place.UNANSWERED))
+        effects = self.seen(core.Probed("w1", Ending.SERVED, 2 * MS))
+        self.assertEqual(self.releases(effects), [])
+        self.assertEqual(self.state.requests["q"].held.since(), self.now)
+
+    def test_questions_that_are_heard_out_are_bounded(self) -> None:
+        self.begin(
+            Arrival=lambda e: [api.Send(e.request, "r1", 0), api.HoldPlace(e.request, "w1")],
+            ClientGone=lambda e: [api.Cancel(e.request, 0)],
+        )
+        dropped = list[core.AbandonPlace]()
+        for number in range(100):
+            name = f"q{number}"
+            for event in (core.Taken(replace(ARRIVAL, request=name)), core.Begun(name, 0)):
+                self.feed(event)
+            self.feed(core.Written(name, 0))
+            effects = self.feed(core.ClientLeft(name)) + self.feed(
+                core.Woken(("release", name, 0)), after=core.GIVE_UP_PAUSE
+            )
+            dropped += [e for e in effects if isinstance(e, core.AbandonPlace)]
+        self.assertEqual(len(self.state.late_questions), 64)
+        self.assertEqual([e.request for e in dropped], [f"q{number}" for number in range(36)])
+
+    def test_a_process_that_has_to_end_hears_no_question_out(self) -> None:
+        self.ask("w1")
+        self.feed(core.Terminate())
+        (last,) = [wake for wake in self.wakes if wake.token == ("last",)]
+        self.feed(core.ClientLeft("q"))
+        for wake in [wake for wake in self.wakes if wake.token[0] == "release"]:
+            self.feed(core.Woken(wake.token), after=core.GIVE_UP_PAUSE)
+        self.now = last.at
+        self.assertIn(core.AbandonPlace("q", "w1"), self.feed(core.Woken(last.token)))
+
 
 class ContactsTest(CoreDrive):
     """What an exchange shows of its engine, and what it does not."""
@@ -220,3 +326,21 @@
 
 def test_a_release_on_a_calm_day_is_one_call() -> None:
     assert release_time(200, 0.0, 1) == 0
+
+
+def test_engines_that_hang_and_wake_up_leave_nothing_held() -> None:
+    """Many gateways in virtual time; connections that are open, and some that don't come up."""
+    for seed, readers, writers, accepts in (
+        (1, 0.7, 0.0, 1.0), (2, 0.0, 0.8, 1.0), (3, 0.0, 0.8, 0.5), (1, 0.75, 0.75, 1.0),
+        (2, 0.75, 0.75, 0.5),
+    ):  # fmt: skip
+        world = World(seed, gateways=6, readers=6, writers=10, rate=40.0)
+        world.frozen_accepts = accepts
+        of_role = [[n for n, e in world.engines.items() if e.entry.kind == kind] for kind in (0, 1)]
+        hung = [name for names, share in zip(of_role, (readers, writers), strict=True)
+                for name in names[: round(share * len(names))]]  # fmt: skip
+        for at, act in ((2 * SECOND, world.freeze), (6 * SECOND, world.thaw)):
+            for name in hung:
+                world.after(at, functools.partial(act, name))
+        world.run(9)
+        assert world.breaches == [], (seed, readers, writers, accepts)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,7 +18,7 @@
 from basaltspread import interface as api
 from basaltspread.adapter import settings_from
 from basaltspread.control.asking import TOLD_WITHIN, retry_pause
-from basaltspread.core import AskPlace, Ending
+from basaltspread.core import AskPlace, Ending, Place
 from basaltspread.net.clients import Client, ClientTable
 from basaltspread.net.links import LinkError
 from basaltspread.net.parsing import BadRequest, arrival_from, parse_facts, parse_list, parse_report
@@ -206,14 +206,33 @@
         counted = [c.args[0] for c in runtime.count.call_args_list]
         self.assertEqual((counted.count("discovery_full"), counted.count("discovery_failures")), (6, 6))
 
-    async def test_a_place_is_not_asked_for_longer_than_it_may_be_held_for_nobody(self) -> None:
-        """Guards 'pinned': the answer got lost, and what the question left was let go 1 s after it."""
-        for limit, wait in ((500_000, 0.5), (300_000, 0.3), (2_000_000, 1.0), (0, 1.0)):
-            runtime, config = mock.MagicMock(), configured()
-            config.settings.rules.release_within = limit
-            runtime.pool.call = mock.AsyncMock(side_effect=LinkError(Ending.TIMED_OUT))
-            await Front(runtime, config)._place(AskPlace("q", 0, "w1", "x:1"), PlaceCall())
-            self.assertEqual(runtime.pool.call.call_args.kwargs["wait"], wait)
+    async def test_a_question_for_a_place_ends_by_what_is_known_of_it(self) -> None:
+        """What was written and not answered may be taken yet, and is told apart from what never arrived."""
+
+        async def asked(ends: int | Ending, permitted: bool, begun: bool) -> Place:
+            runtime, call = mock.MagicMock(), PlaceCall()
+            runtime.place_denied.return_value = not permitted
+
+            async def exchange(*_: Any, **options: Any) -> Any:
+                if begun and not options["permitted"]():
+                    raise LinkError(Ending.NOT_SENT)
+                if isinstance(ends, Ending):
+                    raise LinkError(ends)
+                return mock.MagicMock(status=ends)
+
+            runtime.pool.call = exchange
+            await Front(runtime, configured())._place(AskPlace("q", 0, "w1", "x:1"), call)
+            return call.heard
+
+        for ends, permitted, begun, place in (
+            (200, True, True, Place.HELD), (409, True, True, Place.NOT_HELD),
+            (404, True, True, Place.NOT_HELD), (204, True, True, Place.UNKNOWN),
+            (500, True, True, Place.UNKNOWN), (Ending.TIMED_OUT, True, True, Place.UNANSWERED),
+            (Ending.RESET, True, True, Place.UNANSWERED),
+            (Ending.BROKE_UNSENT, True, True, Place.NOT_ASKED), (200, False, True, Place.NOT_ASKED),
+            (Ending.CONNECT_TIMED_OUT, True, False, Place.NOT_ASKED),
+        ):  # fmt: skip
+            self.assertIs(await asked(ends, permitted, begun), place, (ends, permitted))
 
     async def test_where_lists_are_pushed_the_agent_is_asked_again_within_a_drains_time(self) -> None:
         """Guards a drain that comes as discovery does: among 220 gateways one was in a pause of up to 2 s.
