Let the soak's engines keep places, take on waking what was given up, and hang by the role

The engines of the soak answered 200 to a question for a place and kept nothing; a hung one went on answering places and releases; only one role fell silent at a time; and the judge excused what was held while the way to any engine was troubled. A new trouble, engine:many_hang: a quarter to three quarters of one role or both, in one zone or all, 0.3 to 4 s, waking together, one by one, after resets or as new processes. Each excuse of the judge names the sentence that grants it; those for resets and delays anywhere, and for places behind a cut, are gone (tests on both sides).

--- a/soak/engines.py
+++ b/soak/engines.py
@@ -1,6 +1,9 @@
 """Stand-ins for engines, and the way to each: a proxy that delays, cuts, resets and fragments.
 
-They write down what reached them and when. They must never know what a gateway thinks.
+They keep states and places as the protocol's pages say: a place is kept until it is taken, released or
+replaced, a release frees what no write waits for, and a process that stands still takes what its system has
+as it goes on, given up or not. They write down what reached them and when. They must never know what a
+gateway thinks.
 """
 
 from __future__ import annotations
@@ -10,18 +13,22 @@
 import json
 import random
 import time
-from collections.abc import Coroutine
+from collections import Counter
+from collections.abc import Coroutine, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
 
 from basaltspread.net import tcp_info
-from soak.observations import Held, Observations, Sent, Work
+from soak.observations import Held, HeldKind, Observations, Sent, Work
 
 READ_SIZE = 65536
 READ_TIME = (0.01, 0.05)  # s that a reader takes for a prompt
 EVENT_TIME = (0.005, 0.04)  # s between two events of a stream
 EVENTS = (3, 12)
+FETCH_TIME = 0.005  # s until a writer has fetched a state
+PLACES_REFUSED = 0.3  # share of questions for a place
+PLACE_UNKNOWN_AFTER = 0.3  # s until a writer says that it does not know of a read
 DONE = b"data: [DONE]\n\n"
 CALLS = {"POST /v1": "generate", "POST /state": "place", "DELETE /state": "release"}
 
@@ -36,7 +43,7 @@
 class Mood:
     """What goes wrong with an engine, and on the way to it, for now."""
 
-    hangs: bool = False
+    frozen: bool = False  # its process stands still, and its system goes on
     turns_away: bool = False
     closes_idle: bool = False
     delay: float = 0.0  # s for each piece
@@ -85,21 +92,43 @@
         self.seen = seen
         self.engines: list[Engine] = []
         self.holding: dict[str, list[Held]] = {}
-
-    def hold(self, engine: Engine, request: str) -> None:
-        held = Held(engine.name, request, time.monotonic())
+        self.waiting: Counter[str] = Counter()  # writes that fetch a state, by request
+        self.read_over: set[str] = set()  # requests of which no read is out
+
+    def hold(self, engine: Engine, request: str, kind: HeldKind) -> None:
+        """One state, and one place, of each request: a new one replaces it."""
+        for held in [held for held in self.holding.get(request, []) if held.kind is kind]:
+            self._end(held)
+        held = Held(engine.name, request, kind, time.monotonic())
         self.holding.setdefault(request, []).append(held)
         self.seen.held.append(held)
 
-    def let_go(self, request: str) -> None:
-        for held in self.holding.pop(request, []):
-            held.until = time.monotonic()
+    def has_state(self, request: str) -> bool:
+        """Whether a state of it waits anywhere."""
+        return any(held.kind is HeldKind.STATE for held in self.holding.get(request, []))
+
+    def release(self, request: str) -> None:
+        """All goes that no write waits for."""
+        if not self.waiting[request]:
+            self.taken(request)
+
+    def taken(self, request: str) -> None:
+        """A writer has it all."""
+        for held in self.holding.get(request, [])[:]:
+            self._end(held)
 
     def lost_with(self, engine: Engine) -> None:
-        for holders in self.holding.values():
-            for held in holders:
-                if held.engine == engine.name and held.until is None:
-                    held.until = time.monotonic()
+        """Its process has ended."""
+        for holders in list(self.holding.values()):
+            for held in [held for held in holders if held.engine == engine.name]:
+                self._end(held)
+
+    def _end(self, held: Held) -> None:
+        held.until = time.monotonic()
+        holders = self.holding[held.request]
+        holders.remove(held)
+        if not holders:
+            del self.holding[held.request]
 
 
 class Engine:
@@ -183,7 +212,13 @@
                     self.note_sent(head, time.monotonic())
                     await self._while_cut()
                 await reader.readexactly(int(head.fields.get("content-length", 0)))
-                await self._unless_closed(self._answer(head, writer), reader)
+                came_at = time.monotonic()
+                await self._thawed()
+                if head.call == "generate":
+                    await self._unless_closed(self._generate(head.request, writer), reader)
+                else:
+                    await self._call(head, came_at, writer)
+                await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, TimeoutError, asyncio.CancelledError):
             writer.transport.abort()
         finally:
@@ -208,39 +243,79 @@
                 task.cancel()
             await asyncio.wait({working, closed})
 
-    async def _answer(self, head: Head, writer: asyncio.StreamWriter) -> None:
-        request, call = head.request, head.call
-        if call == "release":
-            self.fleet.let_go(request)
+    async def _thawed(self) -> None:
+        """Until the process goes on, if it stands still."""
+        while self.mood.frozen:
+            await asyncio.sleep(0.01)
+
+    async def _work(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        await self._thawed()
+
+    async def _call(self, head: Head, came_at: float, writer: asyncio.StreamWriter) -> None:
+        """A small call is taken whether its connection is still open or not."""
+        if head.call == "release":
+            self.fleet.release(head.request)
             _reply(writer, 204)
-        elif call == "place":
-            _reply(writer, 409 if self.role is Role.READER or self._lot.random() < 0.3 else 200)
-        elif call == "probe":
-            _reply(writer, 404)
+        elif head.call == "place":
+            _reply(writer, await self._place(head.request, came_at))
         else:
-            await self._generate(request, writer)
-        await writer.drain()
+            _reply(writer, 404)
 
-    async def _generate(self, request: str, writer: asyncio.StreamWriter) -> None:
-        reading = self.role is Role.READER
-        call = "read" if reading else "write"
+    async def _place(self, request: str, came_at: float) -> int:
+        """The status for a question for a place. Without a read it may be kept all the same."""
+        if self.role is Role.READER:
+            return 404
+        if self._lot.random() < PLACES_REFUSED:
+            return 409
+        self.fleet.hold(self, request, HeldKind.PLACE)
+        late = time.monotonic() - came_at > PLACE_UNKNOWN_AFTER
+        if not late and request not in self.fleet.read_over:
+            return 200
+        await self._work(max(0.0, came_at + PLACE_UNKNOWN_AFTER - time.monotonic()))
+        return 204
+
+    @contextlib.contextmanager
+    def _working(self, request: str) -> Iterator[Work]:
+        """One read or write, from its taking to its end, however that comes."""
+        call = "read" if self.role is Role.READER else "write"
         work = Work(self.name, call, request, gateway_of(request), time.monotonic(), 1.0)
         self.fleet.seen.work.append(work)
-        if self.mood.turns_away:
-            work.refused, work.ended_at = True, time.monotonic()
-            _reply(writer, 503, extra="X-Unprocessed: 1\r\n")
-            return
-        while self.mood.hangs:
-            await asyncio.sleep(0.02)
-        if reading:
-            await asyncio.sleep(self._lot.uniform(*READ_TIME))
-            if not self._gateway_waits(request, writer):
-                raise ConnectionResetError  # as soon as the system knows, however busy this runner is
-            self.fleet.hold(self, request)
+        try:
+            yield work
+        finally:
             work.ended_at = time.monotonic()
-            _reply(writer, 202, b'{"cached_tokens":0}')
-            return
-        self.fleet.let_go(request)  # the state moves here with its first token
+            if self.role is Role.READER:
+                self.fleet.read_over.add(request)
+
+    async def _generate(self, request: str, writer: asyncio.StreamWriter) -> None:
+        with self._working(request) as work:
+            if self.mood.turns_away:
+                work.refused = True
+                _reply(writer, 503, extra="X-Unprocessed: 1\r\n")
+            elif self.role is Role.READER:
+                await self._read(request, writer)
+            elif not self.fleet.has_state(request):
+                work.refused = True
+                _reply(writer, 410, extra="X-Unprocessed: 1\r\n")
+            else:
+                await self._write(work, writer)
+
+    async def _read(self, request: str, writer: asyncio.StreamWriter) -> None:
+        await self._work(self._lot.uniform(*READ_TIME))
+        if not self._gateway_waits(request, writer):
+            raise ConnectionResetError  # as soon as the system knows, however busy this runner is
+        self.fleet.hold(self, request, HeldKind.STATE)
+        _reply(writer, 202, b'{"cached_tokens":0}')
+
+    async def _write(self, work: Work, writer: asyncio.StreamWriter) -> None:
+        """The state waits where it is until it has been fetched."""
+        self.fleet.waiting[work.request] += 1
+        try:
+            await self._work(FETCH_TIME)
+            self.fleet.taken(work.request)
+        finally:
+            self.fleet.waiting[work.request] -= 1
         await self._stream(work, writer)
 
     def _gateway_waits(self, request: str, writer: asyncio.StreamWriter) -> bool:
@@ -255,6 +330,8 @@
         call = head.call
         if call == "generate":
             call = "read" if self.role is Role.READER else "write"
+        if call == "read":
+            self.fleet.read_over.discard(head.request)
         left = head.fields.get("x-time-left-ms")
         self.fleet.seen.sent.append(Sent(
             gateway_of(head.request), self.name, call, head.request, first_byte_at,
@@ -267,9 +344,7 @@
         )
         body = b""
         for number in range(self._lot.randint(*EVENTS)):
-            while self.mood.hangs:
-                await asyncio.sleep(0.02)
-            await asyncio.sleep(self._lot.uniform(*EVENT_TIME))
+            await self._work(self._lot.uniform(*EVENT_TIME))
             content = {"choices": [{"delta": {"content": f"{work.request}@{self.name}#{number}"}}]}
             piece = b"data: " + json.dumps(content).encode() + b"\n\n"
             body += piece
@@ -278,7 +353,7 @@
         body += DONE
         writer.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(DONE), DONE))
         await writer.drain()
-        work.body, work.whole, work.ended_at = body, True, time.monotonic()
+        work.body, work.whole = body, True
 
 
 def _reply(writer: asyncio.StreamWriter, status: int, body: bytes = b"", extra: str = "") -> None:
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -10,7 +10,15 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from soak.observations import ClientKind, ClientRequest, GatewayEnd, Observations, Work
+from soak.observations import (
+    ClientKind,
+    ClientRequest,
+    GatewayEnd,
+    Held,
+    HeldKind,
+    Observations,
+    Work,
+)
 from soak.overload_judge import TOLD_SHARE, page_limit
 from soak.schedule import TroubleKind
 
@@ -30,9 +38,8 @@
 TIMELESS = frozenset(
     ("stream_altered", "stream_cut", "run_twice", "crashed", "ban_lost", "log_flood", *FAULT_COUNTERS)
 )
-CUT_OFF = (TroubleKind.CUT.value, TroubleKind.HANG.value, TroubleKind.ROLE_SILENT.value)
+NETWORK_CUT = (TroubleKind.CUT.value, TroubleKind.ROLE_SILENT.value)
 SLOWED = (TroubleKind.HELD_UP.value, TroubleKind.THROTTLED.value)
-WAY = (TroubleKind.RESET.value, TroubleKind.DELAY.value)  # what a release may meet at any engine
 READ_TIME = 0.1  # s that a read takes at the most
 GRACE = 3.7  # s from SIGTERM to the earliest SIGKILL
 LOCAL = (TroubleKind.CONNECT_FAILS.value, TroubleKind.SOCKET_FAILS.value)
@@ -71,6 +78,11 @@
         ends = [life.killed_at for life in self.lives[gateway] if not _in_order(life)]
         return any(at is not None and start - 0.1 <= at <= end + 0.1 for at in ends)
 
+    def had_ended(self, gateway: int, since: float, by: float) -> bool:
+        """Whether a process of this gateway ended after a request came, and before this."""
+        ends = [life.ended_at for life in self.lives[gateway] if life.ended_at is not None]
+        return any(since <= at <= by for at in ends)
+
     def was_down(self, gateway: int, start: float, end: float) -> bool:
         """Whether nobody was there for a while within these times, after a kill and before the next process
         served, or where a process that leaves its socket to the next was told to end before that has begun:
@@ -148,7 +160,8 @@
             continue
         engines = [work.engine for work in case.work[request.id]]
         network = (TroubleKind.RESET.value, TroubleKind.CUT.value, TroubleKind.COLD_RESTART.value,
-                   TroubleKind.DRAIN.value, TroubleKind.ROLE_SILENT.value)  # fmt: skip
+                   TroubleKind.DRAIN.value, TroubleKind.ROLE_SILENT.value,
+                   TroubleKind.MANY_HANG.value)  # fmt: skip
         excused = any(case.troubled(network, engine, request.began_at, end) for engine in engines)
         own = (TroubleKind.RECEIVE_FAILS.value,)
         excused = excused or case.troubled(own, f"n{request.gateway}", request.began_at, end)
@@ -224,27 +237,33 @@
 
 
 def held_states(case: Case) -> Iterator[Violation]:
-    """Nothing is held past its time while nothing of the request is out."""
+    """Nothing is held past its time while nothing of the request is at an engine that had it."""
     most = case.seen.rules["release"] + HELD_SLACK + case.slack
     for held in case.seen.held:
         request = case.requests.get(held.request)
-        if request is None:
-            continue
         until = held.until if held.until is not None else case.seen.ended_at
-        if until - held.since <= most:
+        if request is None or until - held.since <= most:
             continue
         idle = _idle_time(held.since, until, case.work[held.request])
-        target = f"n{request.gateway}"
-        excused = case.killed(request.gateway, request.began_at, until)
-        excused = excused or case.troubled((*LOCAL, *SLOWED), target, held.since, until)
-        # While its own engine is cut off, what it says of the read is not heard: the read is out.
-        excused = excused or case.troubled(CUT_OFF, held.engine, held.since - READ_TIME, until)
-        excused = excused or any(case.troubled(WAY, f"e{n}", held.since, until) for n in range(14))
-        if idle > most and not excused:
-            text = f"{idle:.3f} s for nothing that was out"
+        if idle > most and not _held_excused(case, held, request, until):
+            text = f"{held.kind.value}, {idle:.3f} s for nothing that was out"
             yield Violation("held_too_long", f"{held.request}@{held.engine}", until, text)
 
 
+def _held_excused(case: Case, held: Held, request: ClientRequest, until: float) -> bool:
+    """Each by the sentence that grants it."""
+    gateway = request.gateway
+    # "What a stopped instance left is freed some seconds later": after a kill, and what an engine takes that
+    # wakes up after its process has ended.
+    if case.killed(gateway, held.since, until) or case.had_ended(gateway, request.began_at, held.since):
+        return True
+    # "Counted from the last outcome": behind a cut, the outcome of a read that ended well has not come yet.
+    if held.kind is HeldKind.STATE and case.troubled(NETWORK_CUT, held.engine, held.since - READ_TIME, until):
+        return True
+    # "A gateway that is held up for up to 0.15 s": these stand still for more, or can't open a connection.
+    return case.troubled((*LOCAL, *SLOWED), f"n{gateway}", held.since, until)
+
+
 def _idle_time(start: float, end: float, works: list[Work]) -> float:
     """The longest time between these in which no read or write of the request was at an engine."""
     busy = sorted((work.at, work.ended_at if work.ended_at is not None else end) for work in works)
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -12,6 +12,13 @@
 from typing import Any
 
 
+class HeldKind(Enum):
+    """What an engine holds for a request."""
+
+    STATE = "state"  # of a prompt that was read
+    PLACE = "place"  # at a writer, for an answer
+
+
 class ClientKind(Enum):
     """How a client behaves."""
 
@@ -74,12 +81,13 @@
 
 @dataclass
 class Held:
-    """A state that an engine holds for a request."""
+    """A state or a place that an engine holds for a request."""
 
     engine: str
     request: str
+    kind: HeldKind
     since: float
-    until: float | None = None  # released, taken by a writer, or lost with the engine
+    until: float | None = None  # released, taken by a writer, replaced, or lost with the engine
 
 
 @dataclass
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -23,6 +23,7 @@
 from soak.discovery import Discovery, DiscoveryMood
 from soak.engines import Engine, Fleet, Role
 from soak.gateways import ROOT, GatewayProcess, Step
+from soak.hangs import Hang, Wakes, draw_hang
 from soak.observations import ClientKind, Observations, Span
 from soak.schedule import Trouble, TroubleKind
 
@@ -32,6 +33,7 @@
 SILENT_SHARE = 0.8  # of a role, in the trouble that is about a role
 CROWD_SIZE = (100, 250)  # idle connections to one gateway
 THROTTLE = (0.02, 0.06)  # s that a throttled process runs, and stands still, in turn
+WAKES_APART = 0.03  # s, where engines wake up one by one
 BUSY = 3  # processes of a load beside
 WORKERS = 3  # clients of one gateway
 STARTED_AT_ONCE = 6  # gateways
@@ -106,7 +108,7 @@
             TroubleKind.COLD_RESTART: self._cold_restart, TroubleKind.RESET: self._reset,
             TroubleKind.SIGNALS: self._signals, TroubleKind.THROTTLED: self._throttled,
             TroubleKind.ROLE_SILENT: self._role_silent, TroubleKind.CROWD: self._crowd,
-            TroubleKind.LOAD: self._load_beside,
+            TroubleKind.LOAD: self._load_beside, TroubleKind.MANY_HANG: self._many_hang,
         }  # fmt: skip
 
     async def play(self) -> Observations:
@@ -222,7 +224,7 @@
             self.seen.troubles.append(span)
 
     def _name(self, trouble: Trouble, target: int) -> str:
-        if trouble.kind is TroubleKind.ROLE_SILENT:
+        if trouble.kind in (TroubleKind.ROLE_SILENT, TroubleKind.MANY_HANG):
             return "role"  # the engines concerned are noted one by one
         if trouble.kind.target in ("engine", "network"):
             return self._engine(target).name
@@ -319,6 +321,40 @@
             engine.mood.cut = False
             self.seen.troubles.append(Span(trouble.kind.value, engine.name, began, time.monotonic()))
 
+    async def _many_hang(self, trouble: Trouble) -> None:
+        """Processes stand still together; how they come back is drawn, too."""
+        hang = draw_hang(trouble, ZONES)
+        engines = self._hanging(hang)
+        began = time.monotonic()
+        for engine in engines:
+            engine.mood.frozen = True
+        await asyncio.sleep(trouble.length)
+        for engine in engines:
+            await self._wake_up(engine, hang.wakes)
+            self.seen.troubles.append(Span(trouble.kind.value, engine.name, began, time.monotonic()))
+
+    def _hanging(self, hang: Hang) -> list[Engine]:
+        """The engines that this is about: the same share of each role and zone concerned."""
+        found = list[Engine]()
+        for role in hang.roles:
+            of_role = [e for e in self._fleet.engines if e.role.value == role and e.zone in hang.zones]
+            well = [e for e in of_role if e.lifecycle == "up" and not e.mood.frozen]
+            found += well[: int(hang.share * len(of_role))]
+        return found
+
+    async def _wake_up(self, engine: Engine, wakes: Wakes) -> None:
+        if wakes is Wakes.AS_NEW_START and engine.lifecycle == "up":
+            engine.lifecycle = "restarting"
+            engine.die()
+            engine.mood.frozen = False
+            await self._comes_back(engine)
+            return
+        if wakes is Wakes.AFTER_RESETS:
+            engine.reset_all()
+        engine.mood.frozen = False
+        if wakes is Wakes.ONE_BY_ONE:
+            await asyncio.sleep(WAKES_APART)
+
     async def _crowd(self, trouble: Trouble) -> None:
         """Idle connections, which their gateway may close as it likes."""
         size = int(CROWD_SIZE[0] + trouble.figure * (CROWD_SIZE[1] - CROWD_SIZE[0]))
@@ -460,7 +496,7 @@
             mood = self._engine(target).mood
             match trouble.kind:
                 case TroubleKind.HANG:
-                    mood.hangs = on
+                    mood.frozen = on
                 case TroubleKind.TURNS_AWAY:
                     mood.turns_away = on
                 case TroubleKind.CLOSES_IDLE:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -32,7 +32,8 @@
     DISCOVERY_SILENT = "discovery:silent"
     DISCOVERY_CROWDED = "discovery:crowded"
     DRAIN = "engine:drain"
-    HANG = "engine:hang"
+    HANG = "engine:hang"  # some processes stand still, their systems go on
+    MANY_HANG = "engine:many_hang"  # up to three quarters of one role or both, in one zone or all
     COLD_RESTART = "engine:cold_restart"
     CLOSES_IDLE = "engine:closes_idle"
     TURNS_AWAY = "engine:turns_away"
@@ -62,6 +63,7 @@
     TroubleKind.FOLDER_FAILS: (0.3, 2.0), TroubleKind.CLOCK_STEPS: (0.0, 0.0),
     TroubleKind.DISCOVERY_DOWN: (1.0, 8.0), TroubleKind.DISCOVERY_SILENT: (1.0, 5.0),
     TroubleKind.DISCOVERY_CROWDED: (1.0, 4.0), TroubleKind.DRAIN: (3.0, 6.0), TroubleKind.HANG: (1.0, 5.0),
+    TroubleKind.MANY_HANG: (0.3, 4.0),
     TroubleKind.COLD_RESTART: (0.5, 2.0), TroubleKind.CLOSES_IDLE: (1.0, 3.0),
     TroubleKind.TURNS_AWAY: (0.5, 2.0), TroubleKind.DELAY: (0.5, 3.0), TroubleKind.CUT: (0.5, 4.0),
     TroubleKind.SIGNALS: (4.0, 4.0), TroubleKind.THROTTLED: (1.0, 3.0), TroubleKind.ROLE_SILENT: (1.0, 5.0),
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -13,6 +13,7 @@
     ClientRequest,
     GatewayEnd,
     Held,
+    HeldKind,
     Observations,
     Sent,
     Span,
@@ -119,7 +120,7 @@
     for until, engine, broken in (
         (limit - EDGE, "e9", False), (limit + EDGE, "e9", True), (limit + EDGE, "e1", False),
     ):  # fmt: skip
-        held = Held("e1", "g0-1", 10.1, until=10.1 + until)
+        held = Held("e1", "g0-1", HeldKind.STATE, 10.1, until=10.1 + until)
         silent = Span("engine:role_silent", engine, 9.5, 14.0)
         request = asked(answered_at=13.0, status=503, whole=True)
         found = rules(seen(requests=[request], held=[held], work=[read], troubles=[silent]))
@@ -194,14 +195,38 @@
 def test_nothing_is_held_past_its_time_while_nothing_is_out() -> None:
     request, most = asked(left_at=11.0), 0.5 + HELD_SLACK
     for length, broken in ((most, False), (most + SLACK + EDGE, True)):
-        held = Held("e1", "g0-1", 11.0, 11.0 + length)
+        held = Held("e1", "g0-1", HeldKind.STATE, 11.0, 11.0 + length)
         assert rules(seen(requests=[request], held=[held])) == ({"held_too_long"} if broken else set())
         out = ran(at=11.2, ended_at=11.6)
         assert rules(seen(requests=[request], held=[held], work=[out])) == set()
-    still = Held("e1", "g0-1", 11.0)
+    still = Held("e1", "g0-1", HeldKind.STATE, 11.0)
     assert rules(seen(requests=[request], held=[still])) == {"held_too_long"}
 
 
+def test_a_place_behind_a_hung_reader_is_owed_its_release_wherever_engines_hang_or_are_cut_off() -> None:
+    request, most = asked(left_at=11.0), 0.5 + HELD_SLACK + SLACK
+    for kind, broken in ((HeldKind.PLACE, True), (HeldKind.STATE, False)):
+        held = Held("e9", "g0-1", kind, 11.0, 11.0 + most + EDGE)
+        for trouble in ("engine:role_silent", "network:cut"):
+            cut = Span(trouble, "e9", 10.9, 14.0)
+            found = rules(seen(requests=[request], held=[held], troubles=[cut]))
+            assert found == ({"held_too_long"} if broken else set()), (kind, trouble)
+    for kind in HeldKind:
+        held = Held("e9", "g0-1", kind, 11.0, 11.0 + most + EDGE)
+        for trouble, engine in (("engine:hang", "e1"), ("engine:many_hang", "e9"), ("network:reset", "e1")):
+            elsewhere = Span(trouble, engine, 10.9, 14.0)
+            found = rules(seen(requests=[request], held=[held], troubles=[elsewhere]))
+            assert found == {"held_too_long"}, (kind, trouble)
+
+
+def test_what_an_engine_takes_after_a_process_has_ended_is_not_owed_by_it() -> None:
+    request, life = asked(left_at=10.5), replace(seen().processes[0], told_to_end_at=10.2, exit_code=0)
+    held = Held("e9", "g0-1", HeldKind.PLACE, 13.0, 15.0)
+    for ended_at, broken in ((12.9, False), (13.1, True)):
+        found = rules(seen(requests=[request], held=[held], processes=[replace(life, ended_at=ended_at)]))
+        assert found == ({"held_too_long"} if broken else set()), ended_at
+
+
 def test_an_engine_in_slow_start_has_the_pages_budget() -> None:
     assert (page_limit(4.0), round(page_limit(100.0), 3)) == (4 + 3 * 2 + 3, 122.0)
     start = Told(-1, "e9", "up", 1000, 10.0)
