--- a/basaltspread/core/contacting.py
+++ b/basaltspread/core/contacting.py
@@ -8,8 +8,9 @@
 from collections.abc import Callable
 
 from basaltspread.core.held_ledger import HeldKind, Knowledge
-from basaltspread.core.messages import Effect
+from basaltspread.core.messages import Effect, SendRelease, Wake
 from basaltspread.core.state import Request, State
+from basaltspread.core.untaken_sends import RELEASES_OF_ONE
 from basaltspread.endings import OUTCOMES, UNREACHED, Ending
 from basaltspread.interface import Outcome
 
@@ -27,6 +28,7 @@
     count: Callable[[str], None]
     _release: Callable[..., None]
     _watch_held: Callable[[Request], None]
+    _held_limit: Callable[[], int]
 
     def _noted(self, engine: str, ending: Ending) -> None:
         """How an exchange with it ended. An ending that this side chose says nothing of the engine."""
@@ -36,6 +38,8 @@
             self._heard(engine)
         elif ending in UNREACHED and engine in self.state.listed:
             self.state.contacts.lost(engine)
+        elif ending not in UNREACHED:
+            self.state.contacts.ended_here(engine, self.now)
 
     def _heard(self, engine: str) -> None:
         """Its process has said something just now."""
@@ -47,6 +51,35 @@
         """A send that was written there has been given up without an answer."""
         if not self.state.untaken.add(engine, request, kind):
             self.count("untaken_dropped")
+        self._release_again(engine, request, kind)
+
+    def _release_again(self, engine: str, request: str, kind: HeldKind) -> None:
+        """Once more, as the limit on held state nears again."""
+        limit = self._held_limit()
+        if limit > 0:
+            self.do(Wake(self.now + limit, ("untaken", engine, request, kind)))
+
+    def _untaken_due(self, engine: str, name: str, kind: HeldKind) -> None:
+        """An engine that is cut off may work on what was given up, and then hold it, without a sign of life
+        here: all engines pass a release on to it. While the request waits, that could take a newer state."""
+        left = self.state.untaken.release_again(engine, name, kind)
+        if left == 0:
+            return
+        request = self.state.requests.get(name)
+        if request is None or not request.waits():
+            self.count("untaken_released")
+            if left == RELEASES_OF_ONE:
+                self._release_at(name, engine)
+            self._release(name)
+        if left > 1:
+            self._release_again(engine, name, kind)
+
+    def _release_at(self, name: str, engine: str) -> None:
+        """One call to the engine itself: its answer is the sign that is missing."""
+        listed = self.state.workers.get(engine)
+        if listed is not None:
+            self.state.contacts.began(engine, self.now)
+            self.do(SendRelease(name, engine, listed.address))
 
     def _taken_since(self, engine: str, name: str, kind: HeldKind) -> None:
         """This engine may have woken up and taken what was given up. While the request goes on, a release at
--- a/basaltspread/core/engine_contacts.py
+++ b/basaltspread/core/engine_contacts.py
@@ -32,6 +32,11 @@
         self.answered[engine] = now
         self.failed.discard(engine)
 
+    def ended_here(self, engine: str, now: int) -> None:
+        """This side has ended an exchange; before an answer was overdue that shows nothing."""
+        if now - self.waiting_since.get(engine, 0) <= SILENT_AFTER:
+            self.waiting_since.pop(engine, None)
+
     def lost(self, engine: str) -> None:
         """An exchange showed that it can't be reached, or that it is silent."""
         self.answered.pop(engine, None)
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -17,6 +17,7 @@
 from basaltspread.control.picture import Word
 from basaltspread.core import invariants
 from basaltspread.core.contacting import ContactSteps
+from basaltspread.core.engine_contacts import SILENT_AFTER
 from basaltspread.core.fleet import FleetSteps
 from basaltspread.core.held_clock import HeldClockSteps, any_held
 from basaltspread.core.held_ledger import HeldKind
@@ -137,6 +138,7 @@
             self._settle(name)
         state = self.state
         idle = not (state.requests or state.releases or state.calls or state.undecided)
+        idle = idle and not (self.now < state.stop_by and state.untaken.are_released_again())
         if not state.accepting and idle and not state.exited:
             state.exited = True
             for breach in invariants.of_exit(state):
@@ -425,8 +427,9 @@
         self.do(AbandonAttempt(request.id, attempt.number))
 
     def _note_given_up(self, request: Request, attempt: Attempt) -> None:
-        """A read that its engine has shown no sign of since may be taken as that engine wakes up."""
-        if not (attempt.reading and attempt.written):
+        """A read may be taken as its engine wakes up, or be at work behind a cut, if that engine has given
+        no sign since although it had the time."""
+        if not attempt.reading or not attempt.written or self.now - attempt.written_at <= SILENT_AFTER:
             return
         if self.state.contacts.answered_since(attempt.worker, attempt.written_at) is None:
             self._may_be_taken(attempt.worker, request.id, HeldKind.STATE)
@@ -528,6 +531,8 @@
                 request = self.state.requests.get(name)
                 if request is not None:
                     self._held_due(request)
+            case ("untaken", str(engine), str(name), HeldKind() as kind):
+                self._untaken_due(engine, name, kind)
             case ("unanswered", str(name), int(number)):
                 found = self._find(name, number)
                 if found is not None:
--- a/basaltspread/core/releases.py
+++ b/basaltspread/core/releases.py
@@ -130,6 +130,8 @@
         return True
 
     def release_ended(self, event: ReleaseEnded) -> None:
+        if event.done:
+            self.state.untaken.released_there(event.worker, event.request)
         self._noted(event.worker, event.ending)
         release = self.state.releases.get(event.request)
         if release is None:
--- a/soak/engines.py
+++ b/soak/engines.py
@@ -322,7 +322,7 @@
         """Whether the connection on which a request came is open, as the system knows it."""
         if self._direct:
             return not tcp_info.closed_by_peer(writer.get_extra_info("socket"))
-        ways = [way for way in self._ways if way.request == request]
+        ways = [way for way in self._ways if way.request == request and way.call == "generate"]
         return any(not way.gateway_has_closed() for way in ways)
 
     def note_sent(self, head: Head, first_byte_at: float) -> None:
@@ -347,6 +347,8 @@
             await self._work(self._lot.uniform(*EVENT_TIME))
             content = {"choices": [{"delta": {"content": f"{work.request}@{self.name}#{number}"}}]}
             piece = b"data: " + json.dumps(content).encode() + b"\n\n"
+            if not body:  # with the first event all goes that is still held for it
+                self.fleet.taken(work.request)
             body += piece
             writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
             await writer.drain()
@@ -371,7 +373,7 @@
         self._engine, self._gateway, self._inner = engine, gateway, inner
         self._head: bytes | None = b""  # of the request that comes in; None: it is known
         self._first_byte_at = 0.0
-        self.request = ""  # the last that was sent on it
+        self.request = self.call = ""  # the last that was sent on it
         self._fresh = True  # the next bytes of the gateway begin a request
 
     def gateway_has_closed(self) -> bool:
@@ -422,5 +424,5 @@
         if not end:
             return
         self._head, head = None, Head.parse(raw)
-        self.request = head.request
+        self.request, self.call = head.request, head.call
         self._engine.note_sent(head, self._first_byte_at)
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -33,7 +33,7 @@
 SILENT_SHARE = 0.8  # of a role, in the trouble that is about a role
 CROWD_SIZE = (100, 250)  # idle connections to one gateway
 THROTTLE = (0.02, 0.06)  # s that a throttled process runs, and stands still, in turn
-WAKES_APART = 0.03  # s, where engines wake up one by one
+WAKES_APART, LAST_WAKES = 0.03, 1.0  # s, where engines wake up one by one: of two, and of all, at most
 BUSY = 3  # processes of a load beside
 WORKERS = 3  # clients of one gateway
 STARTED_AT_ONCE = 6  # gateways
@@ -329,8 +329,9 @@
         for engine in engines:
             engine.mood.frozen = True
         await asyncio.sleep(trouble.length)
+        apart = min(WAKES_APART, LAST_WAKES / max(1, len(engines)))
         for engine in engines:
-            await self._wake_up(engine, hang.wakes)
+            await self._wake_up(engine, hang.wakes, apart)
             self.seen.troubles.append(Span(trouble.kind.value, engine.name, began, time.monotonic()))
 
     def _hanging(self, hang: Hang) -> list[Engine]:
@@ -342,7 +343,7 @@
             found += well[: int(hang.share * len(of_role))]
         return found
 
-    async def _wake_up(self, engine: Engine, wakes: Wakes) -> None:
+    async def _wake_up(self, engine: Engine, wakes: Wakes, apart: float) -> None:
         if wakes is Wakes.AS_NEW_START and engine.lifecycle == "up":
             engine.lifecycle = "restarting"
             engine.die()
@@ -353,7 +354,7 @@
             engine.reset_all()
         engine.mood.frozen = False
         if wakes is Wakes.ONE_BY_ONE:
-            await asyncio.sleep(WAKES_APART)
+            await asyncio.sleep(apart)
 
     async def _crowd(self, trouble: Trouble) -> None:
         """Idle connections, which their gateway may close as it likes."""
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -9,6 +9,9 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum
+from typing import TypeVar
+
+T = TypeVar("T")
 
 
 class TroubleKind(Enum):
@@ -114,7 +117,7 @@
     return Trouble(kind, at + lot.uniform(0.0, 1.0), length, targets, lot.random())
 
 
-def cut_down(troubles: Sequence[Trouble], still_fails: Callable[[Sequence[Trouble]], bool]) -> list[Trouble]:
+def cut_down(troubles: Sequence[T], still_fails: Callable[[Sequence[T]], bool]) -> list[T]:
     """The fewest troubles found with which the run still fails: leaves out halves, then smaller parts. Each
     step is a whole run, so that only what fails reliably is cut down far."""
     left, parts = list(troubles), 2
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -96,6 +96,8 @@
     arrived: set[int] = field(default_factory=set)  # of these, whose last byte reached an engine
     idle_since: int = 0
     may_have_run: bool = False
+    workers: dict[int, str] = field(default_factory=dict)  # by attempt
+    close_known: set[int] = field(default_factory=set)  # attempts whose engine's system knows of their close
 
 
 class World:
@@ -126,6 +128,7 @@
         self.late_connects = 0.0  # share of connections that take up to a second to come up
         self.places_refused, self.places_lost = 0.2, 0.0
         self.clients_repeat = False
+        self.clients_leave = 0.0  # share of clients that go before they have an answer
         self.keeps_connections = (
             False  # a silent engine's machine takes what is written, its process does not
         )
@@ -308,7 +311,9 @@
         engine.entry = replace(engine.entry, state=api.WorkerState.DRAINING)
 
     def reaches(self, g: Gateway, name: str) -> bool:
-        engine = self.engines[name]
+        engine = self.engines.get(name)
+        if engine is None:
+            return False
         apart = g.zone != engine.entry.zone and bool({g.zone, engine.entry.zone} & self.cut)
         return not (engine.silent or apart)
 
@@ -320,8 +325,12 @@
                 self.later(g, effect.at - self.now, core.Woken(effect.token))
             case core.StartAttempt():
                 self.asks[effect.request].out.add(effect.number)
+                self.asks[effect.request].workers[effect.number] = effect.worker
                 self._connect(g, effect)
             case core.AbandonAttempt():
+                q = self.asks[effect.request]
+                if self.reaches(g, q.workers.get(effect.number, "")):
+                    q.close_known.add(effect.number)
                 self._closed(effect.request, effect.number)
             case core.AskPlace():
                 self.after(1 * MS, lambda: self._place(g, effect))
@@ -488,7 +497,8 @@
                 self._end(g, effect, Ending.RESET)
             return
         heard = self.reaches(g, effect.worker)
-        if heard and not self._open(g, effect, life):
+        known = effect.number in self.asks[effect.request].close_known
+        if (heard or known) and not self._open(g, effect, life):
             return
         self.held[effect.request][effect.worker] = self.now
         if heard:
@@ -593,17 +603,34 @@
         q.gateway, q.life, q.came_at, q.deadline = g, g.life, self.now, self.now + time_left
         q.session, q.prefix = session, prefix
         self.asks[name] = q
+        if self.clients_leave and self.rng.random() < self.clients_leave:
+            self.after(self.rng.randrange(SECOND), lambda: self._leave(name))
         self.feed(g, core.Taken(api.Arrival(
             name, session, prefix, 700, q.prompt_tokens, 400, int(q.unsafe), 0, time_left, 0,
             q.tries > 1, False,
         )))  # fmt: skip
 
+    def _leave(self, name: str) -> None:
+        q = self.asks[name]
+        if self._lives(q) and not q.answer and not q.streams:
+            q.answer = "left"
+            self.feed(q.gateway, core.ClientLeft(name))
+
     def _come_again(self, q: Ask) -> None:
         """Clients repeat what was refused at once, at whichever gateway they reach."""
         time_left = q.deadline - self.now
         live = [g for g in self.gateways if g.state is not None and not g.leaving]
         if time_left > SECOND and live:
-            again = replace(q, deadline=time_left, tries=q.tries + 1, answer="", out=set(), arrived=set())
+            again = replace(
+                q,
+                deadline=time_left,
+                tries=q.tries + 1,
+                answer="",
+                out=set(),
+                arrived=set(),
+                workers={},
+                close_known=set(),
+            )
             self._ask(again, q.session, q.prefix, live)
 
     def _lives(self, q: Ask) -> bool:
--- /dev/null
+++ b/tests/test_hang_days.py
@@ -0,0 +1,28 @@
+"""Days on which engines hang, in the virtual fleet: those that broke a rule once, and some of all."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.hang_days import draw, play
+from tests.hang_mutants import MUTANTS, Mutant
+
+# Days on which the state of a read that was given up behind a cut stayed held: engines that are cut off work
+# on it, and give no sign of life.
+READ_GIVEN_UP_BEHIND_A_CUT = (282, 313, 595, 665, 1084)
+DRAWN = range(60)
+
+
+@pytest.mark.parametrize("seed", [*READ_GIVEN_UP_BEHIND_A_CUT, *DRAWN])
+def test_a_day_on_which_engines_hang_breaks_no_rule(seed: int) -> None:
+    assert play(draw(seed)).breaches == ()
+
+
+def test_the_same_seed_gives_the_same_day_and_verdict() -> None:
+    assert draw(7) == draw(7)
+    assert play(draw(7)) == play(draw(7))
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.name)
+def test_every_mutant_fits_the_code(mutant: Mutant) -> None:
+    assert mutant.fits()
--- a/tests/test_hung_engines.py
+++ b/tests/test_hung_engines.py
@@ -272,6 +272,73 @@
         self.assertIn(core.AbandonPlace("q", "w1"), self.feed(core.Woken(last.token)))
 
 
+class GivenUpSendTest(CoreDrive):
+    """What was written and given up without a sign of its engine."""
+
+    def given_up(self, after: int) -> None:
+        """A read at r1, whose client leaves so long after it was written; its release has been heard."""
+        self.begin(Arrival=lambda e: [api.Send("q", "r1", 0)], ClientGone=lambda e: [api.Cancel("q", 0)])
+        for event in (core.Taken(ARRIVAL), core.Begun("q", 0), core.Written("q", 0)):
+            self.feed(event)
+        self.feed(core.ClientLeft("q"), after=after)
+        self.again = [wake for wake in self.wakes if wake.token[0] == "untaken"]
+        (release,) = self.woken("release")
+        assert isinstance(release, core.SendRelease)
+        self.feed(core.ReleaseEnded("q", release.worker, Ending.SERVED))
+        self.assertEqual((self.state.requests, self.state.releases), ({}, {}))
+
+    def released_again(self) -> list[str]:
+        """To which engines, as the next is due; the first of them is heard by those that aren't r1."""
+        (wake,) = self.again
+        self.now = wake.at
+        effects = self.feed(core.Woken(wake.token))
+        self.again = [wake for wake in self.wakes if wake.token[0] == "untaken"]
+        sent = [effect.worker for effect in effects if isinstance(effect, core.SendRelease)]
+        for engine in sent:
+            if engine != "r1":
+                self.feed(core.ReleaseEnded("q", engine, Ending.SERVED))
+        return sent
+
+    def test_a_read_given_up_behind_a_cut_is_released_until_its_engine_gives_a_sign(self) -> None:
+        self.given_up(after=200 * MS)
+        self.assertEqual(self.released_again()[0], "r1")
+        for _ in range(3):
+            at = self.now
+            self.assertEqual(len(self.released_again()), 1)
+            self.assertLess(self.now - at, LIMIT)
+        effects = self.feed(core.Probed("r1", Ending.SERVED, 2 * MS))
+        self.assertEqual([type(effect) for effect in effects], [core.SendRelease])
+        self.assertEqual(len(self.state.untaken), 0)
+        self.assertEqual(self.released_again(), [])
+
+    def test_releases_of_what_was_given_up_are_bounded(self) -> None:
+        self.given_up(after=200 * MS)
+        sent = 0
+        while self.again:
+            sent += len(self.released_again())
+        self.assertEqual(sent, 13)
+
+    def test_an_engine_that_has_the_release_itself_gets_no_other(self) -> None:
+        self.given_up(after=200 * MS)
+        self.released_again()
+        self.assertEqual(self.feed(core.ReleaseEnded("q", "r1", Ending.SERVED)), [])
+        self.assertEqual(len(self.state.untaken), 0)
+
+    def test_a_read_given_up_before_its_answer_was_due_is_released_once(self) -> None:
+        self.given_up(after=50 * MS)
+        self.assertEqual((self.again, len(self.state.untaken)), ([], 0))
+
+    def test_a_process_that_ends_stays_for_its_time_while_such_a_release_is_due(self) -> None:
+        self.given_up(after=200 * MS)
+        self.feed(core.Terminate())
+        door = [wake for wake in self.wakes if wake.token == ("door",)]
+        last = [wake for wake in self.wakes if wake.token == ("last",)]
+        self.now = door[0].at
+        self.assertNotIn("Exit", self.kinds(core.Woken(("door",))))
+        self.now = last[0].at
+        self.assertIn("Exit", self.kinds(core.Woken(("last",))))
+
+
 class ContactsTest(CoreDrive):
     """What an exchange shows of its engine, and what it does not."""
 
