--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -106,7 +106,7 @@
             return
         runtime.count("reloads")
         runtime.reconfigure(new.sockets, new.memory_mb)
-        front.reconfigure(new)
+        front.discovery.reconfigure(new)
         if relay is not None and new.tools is not None:
             relay.reconfigure(new.tools)
         if eureka is not None and new.registry is not None:
@@ -121,7 +121,7 @@
     runtime.spawn_lasting(runtime.watch_other, "other")
     if management is not None:
         await management.start()  # first: operators may ask before clients can come
-    front.begin()
+    front.discovery.begin()
     await runtime.take_over()
     await front.start()
     if eureka is not None:
--- a/basaltspread/net/clients.py
+++ b/basaltspread/net/clients.py
@@ -12,7 +12,7 @@
 import logging
 import time
 from enum import Enum
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 import h11
 
@@ -21,12 +21,9 @@
 from basaltspread.net import tcp_info
 from basaltspread.net.links import BODY_LIMIT, HEAD_LIMIT, READ_SIZE, Headers, LinkError, TimedReader
 from basaltspread.net.parsing import BadRequest, check_head
-from basaltspread.net.runtime import CLIENT_BUFFER
+from basaltspread.net.runtime import CLIENT_BUFFER, Runtime
 from basaltspread.records import record
 
-if TYPE_CHECKING:
-    from basaltspread.net.platform import Front
-
 log = logging.getLogger("basaltspread")
 FIRST_BYTE_PATIENCE = 2.0  # s from a connection's opening to its first byte; it may be closed without one
 FIRST_BYTES_UNDER_WAY = 0.25  # s after a connection's opening
@@ -142,10 +139,24 @@
             self.done.set_result(None)
 
 
+class ClientHost(Protocol):
+    """What a client's connection asks of the front that it belongs to."""
+
+    runtime: Runtime
+    client_table: ClientTable
+    read_ahead: int  # bytes that clients have sent while their requests are under way, of all connections
+
+    async def route(self, client: Client, received: ReceivedRequest) -> None:
+        """Leads one whole request to its answer; raises BadRequest, or LinkError if the client left."""
+
+    def note_bad_request(self, error: BadRequest) -> None:
+        """Counts and logs a request that can't be taken."""
+
+
 class Client:
     """One client connection: one request at a time, its answer, and the watch for the client's leaving."""
 
-    def __init__(self, front: Front, reader: TimedReader, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, front: ClientHost, reader: TimedReader, writer: asyncio.StreamWriter) -> None:
         self._front, self._reader, self._writer = front, reader, writer
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
         self._early = b""  # what came while the answer was awaited
--- /dev/null
+++ b/basaltspread/net/discovery_watch.py
@@ -0,0 +1,129 @@
+"""Discovery's list of engines, as the platform's protocol words it on HTTP/1.1: watched, fetched, moved.
+
+It must never judge an entry: that is the core's part.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import logging
+import random
+from dataclasses import replace
+
+from basaltspread import core
+from basaltspread import interface as api
+from basaltspread.config import Gateway
+from basaltspread.control.asking import BRIEF_MS, TURN, next_call, retry_pause
+from basaltspread.net.links import LinkError, load_json
+from basaltspread.net.parsing import NoRoom, parse_list
+from basaltspread.net.runtime import Runtime
+
+log = logging.getLogger("basaltspread")
+
+
+class DiscoveryWatch:
+    """Learns of the engines, and goes on learning."""
+
+    def __init__(self, runtime: Runtime, config: Gateway) -> None:
+        self._runtime, self._config = runtime, config
+        self._watching: dict[str, asyncio.Task[None]] = {}  # by discovery's address; two while it moves
+        self._told_by: str | None = None  # whose answer came last
+        self._answered = asyncio.Event()  # set by discovery's first answer
+        runtime.carry[core.FetchWholeList] = self._fetch_list
+
+    async def first_answer(self) -> None:
+        """Returns at once where nothing is watched."""
+        if self._watching:
+            await self._answered.wait()
+
+    def begin(self) -> None:
+        """Learn of the engines."""
+        version: int | None = None
+        if self._config.known:
+            try:
+                told = parse_list(self._config.known, self._config.settings, api.ListKind.CACHED)
+                version = told.version
+                self._runtime.feed(replace(told, wall_shifts=self._runtime.clock.wall_shifts()))
+            except ValueError as error:
+                self._runtime.count("known_unusable")
+                log.warning("known list unusable: %s", error)
+        self.watch(self._config.discovery, version)
+
+    def reconfigure(self, config: Gateway) -> None:
+        """Discovery moves. Its version numbers need not go on at the new address, so the whole list comes
+        first; until then, and for all else that is known of the engines, what was told before holds."""
+        old, new = self._config.discovery, config.discovery
+        if new == old:
+            return
+        self._config = replace(self._config, discovery=new)
+        # Where discovery was goes on being watched until the new place has answered once. Guards against a
+        # change that is on its way as discovery moves: it is told, and would be read by nobody.
+        self._end_watches(*({old, self._told_by} - {new} if new is not None else ()))
+        self.watch(new, None)
+        log.info("discovery moves from %s to %s", old, new)
+
+    def watch(self, discovery: str | None, version: int | None) -> None:
+        if discovery is not None:
+            watch = functools.partial(self._watch, discovery, version)
+            self._watching[discovery] = self._runtime.spawn_lasting(watch, f"watch {discovery}")
+
+    def _end_watches(self, *but: str | None) -> None:
+        for discovery in [d for d in self._watching if d not in but]:
+            self._watching.pop(discovery).cancel()
+            self._runtime.pool.drop(discovery)
+
+    async def _watch(self, discovery: str, version: int | None) -> None:
+        failures, begins = 0, True
+        while True:
+            try:
+                version = await self._fetch(discovery, version, *next_call(begins))
+                self._told_by = discovery
+                if discovery == self._config.discovery:
+                    self._end_watches(discovery)
+                self._answered.set()
+                begins = False
+                if failures:
+                    log.info("discovery answers again at version %d", version)
+                failures = 0
+            except (LinkError, ValueError) as error:
+                begins = True
+                self._runtime.count("discovery_failures")
+                if isinstance(error, NoRoom):
+                    self._runtime.count("discovery_full")
+                if not failures:
+                    log.warning("discovery: %s", error)
+                failures += 1
+                settings = self._config.settings
+                pushed = not settings.list_must_be_asked and not isinstance(error, NoRoom)
+                await asyncio.sleep(retry_pause(failures, random.random(), settings.routers, pushed))
+
+    def _fetch_list(self, effect: core.FetchWholeList) -> None:
+        if self._config.discovery is not None:
+            self._runtime.spawn(self._fetch_once(self._config.discovery), "fetch")
+
+    async def _fetch_once(self, discovery: str) -> None:
+        try:
+            await self._fetch(discovery, None)
+        except (LinkError, ValueError):
+            self._runtime.count("discovery_failures")
+            self._runtime.feed(core.ListTold(api.ListKind.FAILED, 0, ()))
+
+    async def _fetch(
+        self, discovery: str, version: int | None, hold: int = BRIEF_MS, slack: float = TURN
+    ) -> int:
+        """One call; a watch if a version is held, of so many ms."""
+        target = "/registry/instances"
+        wait = slack
+        if version is not None:
+            target += f"?from={version}&hold_ms={hold}"
+            wait += hold / 1000
+        reply = await self._runtime.pool.call(discovery, "GET", target, wait=wait)
+        if reply.status == 503:
+            raise NoRoom("status 503")
+        if reply.status != 200:
+            raise ValueError(f"status {reply.status}")
+        told = parse_list(load_json(reply.body), self._config.settings)
+        if told.entries or told.kind is api.ListKind.FULL:
+            self._runtime.feed(replace(told, wall_shifts=self._runtime.clock.wall_shifts()))
+        return told.version
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -1,4 +1,4 @@
-"""The platform's front: clients, engines and discovery, as its protocol words them on HTTP/1.1.
+"""The platform's front: clients, and their requests at engines, as its protocol words them on HTTP/1.1.
 
 It turns messages into the core's inputs and the core's effects into messages. It must never choose an engine,
 send anything a second time, or word a final answer that the core did not ask for (malformed requests, which
@@ -9,9 +9,7 @@
 
 import asyncio
 import contextlib
-import functools
 import logging
-import random
 import re
 import socket
 import time
@@ -22,13 +20,10 @@
 import h11
 
 from basaltspread import core
-from basaltspread import interface as api
 from basaltspread.config import Gateway
-from basaltspread.control.asking import BRIEF_MS, TURN, next_call, retry_pause
-from basaltspread.core import Ending, Place, Verdict, guards
+from basaltspread.core import Ending, Verdict, guards
 from basaltspread.core.guards import Denial, StartFacts
 from basaltspread.core.invariants import Invariant
-from basaltspread.endings import NEVER_RAN
 from basaltspread.net.clients import (
     CLIENT_PATIENCE,
     LAST_LOOK,
@@ -39,10 +34,12 @@
     ReceivedRequest,
     WaitEnd,
 )
-from basaltspread.net.links import PART_PATIENCE, Link, LinkError, TimedReader, connect, load_json
+from basaltspread.net.discovery_watch import DiscoveryWatch
+from basaltspread.net.engine_calls import EngineCalls
+from basaltspread.net.links import PART_PATIENCE, Link, LinkError, TimedReader, connect
 from basaltspread.net.listener import Listener, open_listener
 from basaltspread.net.log_limit import LineLimit
-from basaltspread.net.parsing import BadRequest, NoRoom, arrival_from, parse_list, parse_report
+from basaltspread.net.parsing import BadRequest, arrival_from
 from basaltspread.net.runtime import Runtime
 from basaltspread.net.sse import END, TooLong
 
@@ -62,28 +59,14 @@
 BAD_REQUEST_LINES = 10  # log lines about them in a second; the counters hold them all
 UNANSWERED_LINES = 10  # the same of attempts that wait past the usual time
 HALF_READ_PATIENCE = 2.0  # s at the end for clients in the middle of a request or of taking an answer
-CALL_WAIT = 1.0  # s for an answer about a release or a probe
-PLACE_WAIT = 20.0  # s for an answer about a place: longer than most engines hang
-PLACE_ANSWERS = {200: Place.HELD, 409: Place.NOT_HELD, 404: Place.NOT_HELD}
 ERROR_BODY_WAIT = 0.5  # s for the rest of an answer whose status has settled it
 STREAM_SILENCE = 4.0  # s between two pieces of a stream; the protocol lets a client wait for 5
 EVENT_LIMIT = 64 * 1024  # bytes of a stream's first event
 CACHED = re.compile(rb'"cached_tokens"\s*:\s*(\d{1,9})')
 
 
-class PlaceCall:
-    """A question whether a writer holds a place, under way."""
-
-    __slots__ = ("begun", "heard", "task")
-
-    def __init__(self) -> None:
-        self.task: asyncio.Task[None] | None = None
-        self.begun = False  # its first byte has gone out
-        self.heard = Place.UNANSWERED
-
-
 class Front:
-    """Serves clients, and carries out the core's effects on engines and discovery."""
+    """Serves clients, and carries out the core's effects on their requests."""
 
     def __init__(self, runtime: Runtime, config: Gateway, relay: Relay | None = None) -> None:
         self.runtime, self._config, self._spawn = runtime, config, runtime.spawn
@@ -92,55 +75,33 @@
         self._attempts: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._links: dict[tuple[str, int], Link] = {}  # of the attempts that are out
         self._splitters: dict[tuple[str, int], Splitter] = {}  # of their streams, where tools may be called
-        self._places: dict[tuple[str, str], PlaceCall] = {}
         self._clients: dict[Client, asyncio.Task[None]] = {}
         self.client_table = ClientTable()
         self._used: dict[str, float] = {}  # ids of requests that are over: until when known
         self._used_for = max((c.deadline for c in config.settings.classes), default=0) / 1e6
         self._bodies = self.read_ahead = 0  # bytes: of requests under way, and of what came meanwhile
-        self._odd_report_lines, self._full_lines = LineLimit(), LineLimit()
+        self._full_lines = LineLimit()
         self._bad_request_lines = LineLimit(BAD_REQUEST_LINES)
         self._unanswered_lines = LineLimit(UNANSWERED_LINES)
-        self._place_lines = LineLimit(UNANSWERED_LINES)
         self._list_awaited = False  # discovery has answered, or had its time to
         self._listener: Listener | None = None
-        self._watching: dict[str, asyncio.Task[None]] = {}  # by discovery's address; two while it moves
-        self._told_by: str | None = None  # whose answer came last
-        self._asked = asyncio.Event()  # set by discovery's first answer
+        self.discovery, self._engine_calls = DiscoveryWatch(runtime, config), EngineCalls(runtime)
         self.address = config.listen
         runtime.carry.update({
             core.StartAttempt: self._start_attempt, core.AbandonAttempt: self._abandon_attempt,
             core.PassOn: self._pass_on, core.HandOn: self._hand_on, core.EndStream: self._end_stream,
             core.BreakClient: self._break_client, core.Answer: self._answer,
-            core.AskPlace: self._ask_place, core.DropPlace: self._drop_place,
-            core.AbandonPlace: self._abandon_place,
-            core.SendRelease: self._send_release, core.StartProbe: self._start_probe,
-            core.FetchWholeList: self._fetch_list,
             core.SayUnanswered: self._say_unanswered,
             core.CloseIdle: lambda e: self._close_idle(CLOSE_AFTER),
             core.StopListening: lambda e: self._stop_listening(),
             core.StopAccepting: lambda e: self._stop_accepting(),
         })  # fmt: skip
 
-    def begin(self) -> None:
-        """Learn of the engines."""
-        version: int | None = None
-        if self._config.known:
-            try:
-                told = parse_list(self._config.known, self._config.settings, api.ListKind.CACHED)
-                version = told.version
-                self.runtime.feed(replace(told, wall_shifts=self.runtime.clock.wall_shifts()))
-            except ValueError as error:
-                self.runtime.count("known_unusable")
-                log.warning("known list unusable: %s", error)
-        self._discover(self._config.discovery, version)
-
     async def start(self) -> None:
         """Let clients come, once discovery has said what changed since the known list was written. Guards
         against sends to an engine that drained meanwhile: to a gateway that starts, it counts as told."""
-        if self._watching:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._asked.wait(), FIRST_LIST_WAIT)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.discovery.first_answer(), FIRST_LIST_WAIT)
         self._list_awaited = True
         facts = StartFacts(list_awaited=self._list_awaited, bans_read=self.runtime.looked_at_files)
         if guards.may_serve(facts) is not None:
@@ -473,7 +434,7 @@
                 raise LinkError(Ending.MALFORMED)
             fields = dict(head.headers)
             if b"x-backend-load" in fields:
-                report = self._report(effect.worker, fields[b"x-backend-load"])
+                report = self._engine_calls.report(effect.worker, fields[b"x-backend-load"])
             if head.status_code == 200:
                 ending, detail = await self._relay(link, name, number, fields, exchange)
             else:
@@ -574,169 +535,3 @@
         except TooLong as error:
             self.runtime.count("tool_events_oversized")
             raise LinkError(Ending.MALFORMED) from error
-
-    def _ask_place(self, effect: core.AskPlace) -> None:
-        key, call = (effect.request, effect.worker), PlaceCall()
-
-        def over(task: asyncio.Task[None]) -> None:
-            """Also for a task that was dropped before its first step: the core waits for this input."""
-            del self._places[key]
-            place = call.heard
-            if task.cancelled():
-                place = Place.UNANSWERED if call.begun else Place.NOT_ASKED
-            self.runtime.feed(core.PlaceEnded(effect.request, effect.number, effect.worker, place))
-
-        call.task = self._spawn(self._place(effect, call), f"place {key}")
-        self._places[key] = call
-        call.task.add_done_callback(over)
-
-    async def _place(self, effect: core.AskPlace, call: PlaceCall) -> None:
-        def permitted() -> bool:
-            call.begun = not self.runtime.place_denied(effect.request, effect.worker)
-            return call.begun
-
-        # An engine that hangs may take the question as it wakes up, closed or not: its answer is waited for,
-        # and what it then keeps is released.
-        try:
-            reply = await self.runtime.pool.call(
-                effect.address, "POST", f"/state/{effect.request}", wait=PLACE_WAIT, permitted=permitted
-            )
-            call.heard = PLACE_ANSWERS.get(reply.status, Place.UNKNOWN)
-        except LinkError as error:
-            never = not call.begun or error.ending in NEVER_RAN
-            call.heard = Place.NOT_ASKED if never else Place.UNANSWERED
-            self.runtime.count("place_calls_failed")
-            if call.begun and self._place_lines.due():
-                log.info("place of %s at %s: %s", effect.request, effect.worker, error)
-
-    def _drop_place(self, effect: core.DropPlace) -> None:
-        call = self._places.get((effect.request, effect.worker))
-        if call is not None and call.task is not None and not call.begun:
-            call.task.cancel()
-
-    def _abandon_place(self, effect: core.AbandonPlace) -> None:
-        call = self._places.get((effect.request, effect.worker))
-        if call is not None and call.task is not None:
-            call.task.cancel()
-
-    def _send_release(self, effect: core.SendRelease) -> None:
-        self._spawn(self._release(effect), f"release {effect.request}")
-
-    async def _release(self, effect: core.SendRelease) -> None:
-        ending = Ending.GATEWAY_FAULT
-        try:
-            await self.runtime.pool.call(
-                effect.address, "DELETE", f"/state/{effect.request}", wait=CALL_WAIT, duty=True
-            )
-            ending = Ending.SERVED
-        except LinkError as error:
-            ending = error.ending
-            self.runtime.count("release_calls_failed")
-            log.info("release of %s by %s: %s", effect.request, effect.worker, error)
-        finally:
-            self.runtime.feed(core.ReleaseEnded(effect.request, effect.worker, ending))
-
-    def _start_probe(self, effect: core.StartProbe) -> None:
-        self._spawn(self._probe(effect), f"probe {effect.worker}")
-
-    async def _probe(self, effect: core.StartProbe) -> None:
-        started, ending = self.runtime.clock.now(), Ending.GATEWAY_FAULT
-        report: dict[str, float] = {}
-        try:
-            reply = await self.runtime.pool.call(effect.address, "GET", "/stats", wait=CALL_WAIT)
-            ending = Ending.SERVED if reply.status == 200 else Ending.SERVER_ERROR
-            if ending is Ending.SERVED:
-                report = self._report(effect.worker, reply.body)
-        except LinkError as error:
-            ending = error.ending
-        finally:
-            self.runtime.feed(core.Probed(effect.worker, ending, self.runtime.clock.now() - started, report))
-
-    def _report(self, worker: str, text: bytes) -> dict[str, float]:
-        """An engine's load; nothing where it can't be read, which is counted, and said once a second."""
-        report = parse_report(text.decode("latin-1"))
-        if text and not report:
-            self.runtime.count("reports_unreadable")
-            if self._odd_report_lines.due():
-                log.warning("load report of %s can't be read: %r", worker, text[:64])
-        return report
-
-    # --- discovery --------------------------------------------------------------------------------------
-
-    def reconfigure(self, config: Gateway) -> None:
-        """Discovery moves. Its version numbers need not go on at the new address, so the whole list comes
-        first; until then, and for all else that is known of the engines, what was told before holds."""
-        old, new = self._config.discovery, config.discovery
-        if new == old:
-            return
-        self._config = replace(self._config, discovery=new)
-        # Where discovery was goes on being watched until the new place has answered once. Guards against a
-        # change that is on its way as discovery moves: it is told, and would be read by nobody.
-        self._end_watches(*({old, self._told_by} - {new} if new is not None else ()))
-        self._discover(new, None)
-        log.info("discovery moves from %s to %s", old, new)
-
-    def _discover(self, discovery: str | None, version: int | None) -> None:
-        if discovery is not None:
-            watch = functools.partial(self._watch, discovery, version)
-            self._watching[discovery] = self.runtime.spawn_lasting(watch, f"watch {discovery}")
-
-    def _end_watches(self, *but: str | None) -> None:
-        for discovery in [d for d in self._watching if d not in but]:
-            self._watching.pop(discovery).cancel()
-            self.runtime.pool.drop(discovery)
-
-    async def _watch(self, discovery: str, version: int | None) -> None:
-        failures, begins = 0, True
-        while True:
-            try:
-                version = await self._fetch(discovery, version, *next_call(begins))
-                self._told_by = discovery
-                if discovery == self._config.discovery:
-                    self._end_watches(discovery)
-                self._asked.set()
-                begins = False
-                if failures:
-                    log.info("discovery answers again at version %d", version)
-                failures = 0
-            except (LinkError, ValueError) as error:
-                begins = True
-                self.runtime.count("discovery_failures")
-                if isinstance(error, NoRoom):
-                    self.runtime.count("discovery_full")
-                if not failures:
-                    log.warning("discovery: %s", error)
-                failures += 1
-                settings = self._config.settings
-                pushed = not settings.list_must_be_asked and not isinstance(error, NoRoom)
-                await asyncio.sleep(retry_pause(failures, random.random(), settings.routers, pushed))
-
-    def _fetch_list(self, effect: core.FetchWholeList) -> None:
-        if self._config.discovery is not None:
-            self._spawn(self._fetch_once(self._config.discovery), "fetch")
-
-    async def _fetch_once(self, discovery: str) -> None:
-        try:
-            await self._fetch(discovery, None)
-        except (LinkError, ValueError):
-            self.runtime.count("discovery_failures")
-            self.runtime.feed(core.ListTold(api.ListKind.FAILED, 0, ()))
-
-    async def _fetch(
-        self, discovery: str, version: int | None, hold: int = BRIEF_MS, slack: float = TURN
-    ) -> int:
-        """One call; a watch if a version is held, of so many ms."""
-        target = "/registry/instances"
-        wait = slack
-        if version is not None:
-            target += f"?from={version}&hold_ms={hold}"
-            wait += hold / 1000
-        reply = await self.runtime.pool.call(discovery, "GET", target, wait=wait)
-        if reply.status == 503:
-            raise NoRoom("status 503")
-        if reply.status != 200:
-            raise ValueError(f"status {reply.status}")
-        told = parse_list(load_json(reply.body), self._config.settings)
-        if told.entries or told.kind is api.ListKind.FULL:
-            self.runtime.feed(replace(told, wall_shifts=self.runtime.clock.wall_shifts()))
-        return told.version
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -20,9 +20,11 @@
 from basaltspread.control.asking import TOLD_WITHIN, retry_pause
 from basaltspread.core import AskPlace, Ending, Place
 from basaltspread.net.clients import Client, ClientTable
+from basaltspread.net.discovery_watch import DiscoveryWatch
+from basaltspread.net.engine_calls import EngineCalls, PlaceCall
 from basaltspread.net.links import LinkError
 from basaltspread.net.parsing import BadRequest, arrival_from, parse_facts, parse_list, parse_report
-from basaltspread.net.platform import Front, PlaceCall
+from basaltspread.net.platform import Front
 from tests.standins import (
     DONE,
     SETTINGS,
@@ -148,13 +150,13 @@
             if len(slept) == 12:
                 raise asyncio.CancelledError
 
-        front = Front(runtime, configured())
+        watch = DiscoveryWatch(runtime, configured())
         with (
-            mock.patch("basaltspread.net.platform.asyncio.sleep", sleep),
-            mock.patch("basaltspread.net.platform.random.random", lambda: 0.5),
+            mock.patch("basaltspread.net.discovery_watch.asyncio.sleep", sleep),
+            mock.patch("basaltspread.net.discovery_watch.random.random", lambda: 0.5),
             self.assertRaises(asyncio.CancelledError),
         ):
-            await front._watch("127.0.0.1:1", 41)
+            await watch._watch("127.0.0.1:1", 41)
         self.assertEqual(slept, [retry_pause(n, 0.5) for n in range(1, 13)])
 
     async def test_a_watch_that_fell_silent_is_opened_anew_before_what_it_missed_counts_as_told(self) -> None:
@@ -172,12 +174,12 @@
             return mock.MagicMock(status=200, body=b'{"generation":7,"reset":false,"instances":[]}')
 
         runtime.pool.call = call
-        front = Front(runtime, configured())
+        watch = DiscoveryWatch(runtime, configured())
         with (
-            mock.patch("basaltspread.net.platform.asyncio.sleep", mock.AsyncMock()),
+            mock.patch("basaltspread.net.discovery_watch.asyncio.sleep", mock.AsyncMock()),
             self.assertRaises(asyncio.CancelledError),
         ):
-            await front._watch("127.0.0.1:1", 41)
+            await watch._watch("127.0.0.1:1", 41)
         brief, goes_on = ("1", 2.501), ("2000", 3.0)
         self.assertEqual(waits, [brief, goes_on, goes_on, brief, brief, goes_on, goes_on])
         for gateways in (1, 8, 40, 200):  # a call that falls silent, and a pause before one that is answered
@@ -194,13 +196,13 @@
             if len(slept) == 6:
                 raise asyncio.CancelledError
 
-        front = Front(runtime, configured(40))
+        watch = DiscoveryWatch(runtime, configured(40))
         with (
-            mock.patch("basaltspread.net.platform.asyncio.sleep", sleep),
-            mock.patch("basaltspread.net.platform.random.random", lambda: 0.5),
+            mock.patch("basaltspread.net.discovery_watch.asyncio.sleep", sleep),
+            mock.patch("basaltspread.net.discovery_watch.random.random", lambda: 0.5),
             self.assertRaises(asyncio.CancelledError),
         ):
-            await front._watch("127.0.0.1:1", 41)
+            await watch._watch("127.0.0.1:1", 41)
         # No longer than that: with one more call of 2.5 s, all that it has then is learnt within 6 s.
         self.assertEqual(slept, [0.75, 1.5, 2.25, 2.25, 2.25, 2.25])
         counted = [c.args[0] for c in runtime.count.call_args_list]
@@ -221,7 +223,7 @@
                 return mock.MagicMock(status=ends)
 
             runtime.pool.call = exchange
-            await Front(runtime, configured())._place(AskPlace("q", 0, "w1", "x:1"), call)
+            await EngineCalls(runtime)._place(AskPlace("q", 0, "w1", "x:1"), call)
             return call.heard
 
         for ends, permitted, begun, place in (
@@ -251,21 +253,21 @@
                     raise asyncio.CancelledError
 
             with (
-                mock.patch("basaltspread.net.platform.asyncio.sleep", sleep),
-                mock.patch("basaltspread.net.platform.random.random", lambda: 1.0),
+                mock.patch("basaltspread.net.discovery_watch.asyncio.sleep", sleep),
+                mock.patch("basaltspread.net.discovery_watch.random.random", lambda: 1.0),
                 self.assertRaises(asyncio.CancelledError),
             ):
-                await Front(runtime, config)._watch("127.0.0.1:1", 41)
+                await DiscoveryWatch(runtime, config)._watch("127.0.0.1:1", 41)
             self.assertEqual(max(slept), longest)
 
     async def test_a_report_that_cannot_be_read_is_counted_and_costs_nothing_else(self) -> None:
         runtime = mock.MagicMock()
-        front = Front(runtime, configured())
+        calls = EngineCalls(runtime)
         told = {"memory_share": 0.5, "prompt_k_waiting": 2}
-        self.assertEqual(front._report("s-1", b"TEXT x0=0.5, x1=2"), told)
+        self.assertEqual(calls.report("s-1", b"TEXT x0=0.5, x1=2"), told)
         runtime.count.assert_not_called()
         for odd in (b"TEXT x0=lots", b"{", b"\xff\xfe"):
-            self.assertEqual(front._report("s-1", odd), {})
+            self.assertEqual(calls.report("s-1", odd), {})
         self.assertEqual(runtime.count.call_args_list, [mock.call("reports_unreadable")] * 3)
 
     async def test_a_gateway_that_starts_asks_at_once_and_lets_clients_come_after_the_answer(self) -> None:
@@ -287,12 +289,12 @@
             order.append(f"door after {len(calls)} calls")
             return mock.MagicMock(address="here")
 
-        front._discover("127.0.0.1:1", 5)
+        front.discovery.watch("127.0.0.1:1", 5)
         with mock.patch("basaltspread.net.platform.open_listener", door):
             await front.start()
         self.assertEqual(order, ["door after 2 calls"])
         self.assertEqual([c.partition("?")[2] for c in calls], ["from=5&hold_ms=1", "from=7&hold_ms=2000"])
-        front._watching["127.0.0.1:1"].cancel()
+        front.discovery._watching["127.0.0.1:1"].cancel()
 
 
 class GatewayTest(FleetTest):
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -62,7 +62,7 @@
         answer = {"generation": self.generation, "reset": whole, "instances": instances}
         reply = mock.MagicMock(status=200, body=json.dumps(answer).encode())
         with self.time(), mock.patch.object(self.runtime.pool, "call", mock.AsyncMock(return_value=reply)):
-            await self.front._fetch("127.0.0.1:1", None)
+            await self.front.discovery._fetch("127.0.0.1:1", None)
 
     def is_cold(self, name: str) -> bool:
         with self.time():
