--- a/basaltspread/core/__init__.py
+++ b/basaltspread/core/__init__.py
@@ -81,17 +81,13 @@
     DEADLINE_GUARD,
     DRAIN_STEP,
     GIVE_UP_PAUSE,
-    LAST_ANSWERS,
-    LEAST_DOOR,
-    LONGEST_GRACE,
-    MOVE_STEP,
-    MOVE_TIME,
     MS,
     decide,
     react,
     reduce,
 )
 from basaltspread.core.releases import RELEASE_STEP, RELEASE_TRIES
+from basaltspread.core.shutdown import LAST_ANSWERS, LEAST_DOOR, LONGEST_GRACE, MOVE_STEP, MOVE_TIME
 from basaltspread.core.state import (
     Attempt,
     Bundle,
--- a/basaltspread/core/contacting.py
+++ b/basaltspread/core/contacting.py
@@ -43,7 +43,8 @@
 
     def _heard(self, engine: str) -> None:
         """Its process has said something just now."""
-        self.state.contacts.heard(engine, self.now)
+        if engine in self.state.listed:  # all else is forgotten with its place in the list
+            self.state.contacts.heard(engine, self.now)
         for request, kind in self.state.untaken.take(engine):
             self._taken_since(engine, request, kind)
 
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -23,7 +23,6 @@
 from basaltspread.core.held_ledger import HeldKind
 from basaltspread.core.messages import (
     AbandonAttempt,
-    Adopted,
     Answer,
     Begun,
     BreakClient,
@@ -37,8 +36,6 @@
     EndStream,
     Exit,
     FirstEvent,
-    HandedOn,
-    HandOn,
     Input,
     Listed,
     PassOn,
@@ -46,9 +43,7 @@
     Serving,
     StartAttempt,
     StopAccepting,
-    StopListening,
     Taken,
-    Terminate,
     TurnedAway,
     Verdict,
     Violated,
@@ -58,21 +53,17 @@
 )
 from basaltspread.core.places import PlaceSteps
 from basaltspread.core.releases import ReleaseSteps
+from basaltspread.core.shutdown import ShutdownSteps
 from basaltspread.core.state import Attempt, Request, State
 from basaltspread.core.toolcalls import ToolSteps
 from basaltspread.core.watching import WatchSteps
-from basaltspread.endings import CLOSED_HERE, NEVER_RAN, OUTCOMES, QUIET, Ending
+from basaltspread.endings import CLOSED_HERE, OUTCOMES, QUIET, Ending
 from basaltspread.interface import Role, WorkerState
 
 MS = 1000
 ANSWER_EARLY = 15 * MS  # a deadline is met this much early: the loop may lag, and the answer takes a moment
 DEADLINE_GUARD = 10 * MS  # past its deadline by this, a request that the module forgot is failed here
 GIVE_UP_PAUSE = 10 * MS  # by then the engine has surely seen that an attempt was given up
-LONGEST_GRACE = 3000 * MS  # after SIGTERM; less where every class has a shorter deadline
-LEAST_DOOR = 550 * MS  # clients may still come for 400 ms after SIGTERM
-MOVE_TIME = 1000 * MS  # the last of the grace: the door is shut, and streams still running go elsewhere
-MOVE_STEP = 50 * MS
-LAST_ANSWERS = 250 * MS  # past the grace: who has had nothing by then is told to ask elsewhere
 TIMER_SPACING = 8  # decisions between two of the module's timers at the least: each costs one
 DRAIN_STEP = 200 * MS  # between two looks for idle clients from then on
 # What is told to the other gateways at once, as each would else spend a request on finding it.
@@ -111,7 +102,9 @@
     return effects
 
 
-class _Step(ToolSteps, HeldClockSteps, PlaceSteps, ReleaseSteps, ContactSteps, FleetSteps, WatchSteps):
+class _Step(
+    ToolSteps, HeldClockSteps, PlaceSteps, ReleaseSteps, ContactSteps, FleetSteps, ShutdownSteps, WatchSteps
+):
     """One call of the reducer: the state, the time, and the effects gathered so far."""
 
     def __init__(self, state: State, now: int) -> None:
@@ -578,99 +571,12 @@
     def watch_list(self, action: api.WatchList) -> None:
         """Nothing to do: the front watches discovery from its start to its end."""
 
-    def terminate(self, event: Terminate) -> None:
-        if not self.state.stopping:
-            self.state.stopping = True
-            longest = max((c.deadline for c in self.state.settings.classes), default=0)
-            self.state.stop_by = self.now + min(longest, LONGEST_GRACE)
-            self.do(Wake(self.state.stop_by + LAST_ANSWERS, ("last",)))
-            door = self.now + LEAST_DOOR
-            if self.state.settings.resumable:  # else a stream begun now would only be cut off
-                move = max(door, self.state.stop_by - MOVE_TIME)
-                self.do(Wake(move, ("move",)))
-                door = door if self.state.inherited else move
-            if self.state.inherited:
-                # Who comes now is better served by the process that follows, to the end.
-                self.do(StopListening())
-                self.do(CloseIdle())
-                self._hand_on_streams()
-            self.do(Wake(door, ("door",)))
-
-    def _answer_the_rest(self) -> None:
-        """The kill would find them unanswered, and what is held for them would stay at the engines."""
-        for request in [request for request in self.state.requests.values() if request.waits()]:
-            what = "the rest of a stream" if request.resumed else "a request"
-            self.do(Say(f"{request.id}, {what}, is given up: this process has to end"))
-            self._give_up(request)
-        self._drop_late_questions()
-        if self.state.requests:
-            self.do(Wake(self.now + MOVE_STEP, ("last",)))
-
-    def _give_up(self, request: Request) -> None:
-        """Answer a request that has no stream yet. What can't have run, or may run twice, is refused: it can
-        be asked for again at once."""
-        self.tell(api.ClientGone(request.id))  # the module takes it as over
-        # Given up first: what is still out may run yet, and of an order that may run nothing is refused.
-        for attempt in request.out():
-            self._close(request, attempt, Ending.CANCELLED, abandon=True)
-        ran = any(a.written and not a.reading and a.ending not in NEVER_RAN for a in request.attempts)
-        may_have_run = ran or request.resumed  # of what is resumed, a part was answered
-        cls = self.state.settings.classes[request.request_class]
-        everywhere = cls.effect is api.Effect.KEYED and cls.key_scope is api.KeyScope.ALL
-        again = cls.effect is api.Effect.SAFE or everywhere or not may_have_run
-        self._answer(request, Verdict.REFUSED if again else Verdict.FAILED)
-
-    def _running(self) -> list[tuple[Request, Attempt]]:
-        """The streams that may leave this process, oldest first; one with a tool call open stays."""
-        free = (r for r in self.state.requests.values() if not (r.ended or r.open or r.bundles))
-        running = [(request, request.stream) for request in free]
-        return [(request, stream) for request, stream in running if stream is not None]
-
-    def _hand_on_streams(self) -> None:
-        """Tried again and again until each is between two chunks, and for those that begin yet."""
-        for request, stream in self._running():
-            listed = self.state.workers.get(stream.worker)
-            address = listed.address if listed is not None else ""
-            self.do(HandOn(
-                request.id, stream.number, request.request_class, stream.worker, address,
-                request.resumed, request.tenant, tuple(request.calls),
-            ))  # fmt: skip
-        if self.state.requests:
-            self.do(Wake(self.now + MOVE_STEP, ("hand",)))
-
-    def handed_on(self, event: HandedOn) -> None:
-        found = self._find(event.request, event.number)
-        if found is not None:
-            self._close(*found, Ending.HANDED_ON)
-
-    def adopted(self, event: Adopted) -> None:
-        stream = Attempt(0, event.worker, False, self.now, begun=True, written=True)
-        unsafe = self.state.settings.classes[event.request_class].effect is api.Effect.UNSAFE
-        request = Request(
-            event.request, event.request_class, self.now, unsafe, event.resumed, attempts=[stream],
-            stream=stream, tenant=event.tenant, calls=dict.fromkeys(event.calls),
-        )  # fmt: skip
-        self.state.requests[request.id] = request
-        self.count("streams_adopted")
-
-    def _move_streams(self) -> None:
-        """What still runs would be cut off by the kill, all at once. So it is ended from here, a few streams
-        at a time and the newest first: they have the most before them, and the least that must be read
-        again."""
-        state, streams = self.state, self._running()[::-1]
-        left = state.stop_by - self.now
-        steps = max(1, left // MOVE_STEP)
-        for request, stream in streams[: -(-len(streams) // steps)]:
-            self._close(request, stream, Ending.MOVED, abandon=True)
-        if state.requests:
-            pause = max(MOVE_STEP, left // (len(streams) + 1))  # few: one at a time, evenly
-            self.do(Wake(self.now + pause, ("move",)))
-
     HANDLERS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {
         Taken: taken, TurnedAway: turned_away, ClientLeft: client_left, ClientFloods: client_floods,
         Violated: violated, Serving: serving, Begun: begun, Written: written, FirstEvent: first_event,
-        Ended: ended, Woken: woken, HandedOn: handed_on, Adopted: adopted, Terminate: terminate,
-        **PlaceSteps.HANDLERS, **ReleaseSteps.HANDLERS, **FleetSteps.HANDLERS, **ToolSteps.TOOL_HANDLERS,
+        Ended: ended, Woken: woken,
+        **ShutdownSteps.HANDLERS, **PlaceSteps.HANDLERS, **ReleaseSteps.HANDLERS, **FleetSteps.HANDLERS,
+        **ToolSteps.TOOL_HANDLERS,
     }  # fmt: skip
     ACTIONS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {
         api.Send: send, api.Cancel: cancel, api.Refuse: refuse, api.Fail: fail, api.Move: move,
--- a/basaltspread/core/releases.py
+++ b/basaltspread/core/releases.py
@@ -60,7 +60,7 @@
         until = self.now + RELEASE_PATIENCE * self.state.settings.rules.release_within
         release = self.state.releases.setdefault(name, Release())
         release.until, release.tries, release.tried = until, 0, []
-        release.began = self.now
+        release.began, release.overdue = self.now, False
         self.count("releases")
         if pause > 0:
             self.do(Wake(self.now + pause, ("release", name, 0)))
@@ -76,6 +76,7 @@
         step = RELEASE_STEP << max(0, min(release.tries - RELEASE_TRIES, 8))
         quick = release.tries < RELEASE_TRIES
         width = min(1 << release.tries, MOST_AT_ONCE) if quick else LATER_AT_ONCE
+        self._note_overdue(name, release)
         release.tries += 1
         self.do(Wake(self.now + min(step, LONGEST_RELEASE_STEP), ("release", name, release.tries)))
         workers = self.state.workers
@@ -86,6 +87,16 @@
         for _ in range(width):
             self._send_release(name, release, candidates)
 
+    def _note_overdue(self, name: str, release: Release) -> None:
+        """Says once that a release has gone unheard for so long that the rule on held state is broken."""
+        limit = self.state.settings.rules.release_within
+        if release.overdue or limit <= 0 or self.now - release.began <= limit:
+            return
+        release.overdue = True
+        self.count("releases_overdue")
+        tries = f"{release.tries} tries and {(self.now - release.began) // MS} ms"
+        self.do(Say(f"release of {name} unheard after {tries}"))
+
     def _send_release(self, name: str, release: Release, candidates: list[str]) -> None:
         """To the best engine that has not been tried."""
         fit = [n for n in candidates if n not in release.tried and n not in release.open]
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -112,6 +112,7 @@
     tries: int = 0
     until: int = 0
     began: int = 0
+    overdue: bool = False  # that it has gone unheard for long has been said
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,10 @@
         "--seed", "402", "--processes", "3", "--seconds", "8", "--clients", "6", "--engines", "400",
         "--troubles", "engine:role_silent,gateway:signals,gateway:throttled",
     ),
+    "engines that hang by the role and wake up": (
+        "--seed", "505", "--processes", "4", "--seconds", "8", "--clients", "8",
+        "--troubles", "engine:many_hang,engine:hang,gateway:signals,clients:crowd",
+    ),
 }  # fmt: skip
 
 
