--- a/basaltspread/core/releases.py
+++ b/basaltspread/core/releases.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from itertools import islice
 from typing import Any, ClassVar
@@ -84,8 +85,9 @@
         if len(release.tried) >= min(len(workers), MOST_TRIED):
             release.tried = []  # all again
         candidates = self._release_candidates(name, release)
+        zones = Counter(workers[n].entry.zone for n in release.tried)
         for _ in range(width):
-            self._send_release(name, release, candidates)
+            self._send_release(name, release, candidates, zones)
 
     def _note_overdue(self, name: str, release: Release) -> None:
         """Says once that a release has gone unheard for so long that the rule on held state is broken."""
@@ -97,13 +99,14 @@
         tries = f"{release.tries} tries and {(self.now - release.began) // MS} ms"
         self.do(Say(f"release of {name} unheard after {tries}"))
 
-    def _send_release(self, name: str, release: Release, candidates: list[str]) -> None:
-        """To the best engine that has not been tried."""
+    def _send_release(self, name: str, release: Release, candidates: list[str], zones: Counter[int]) -> None:
+        """To the best engine that has not been tried; `zones` counts those that were."""
         fit = [n for n in candidates if n not in release.tried and n not in release.open]
         if not fit:
             return
-        best = min(fit, key=lambda n: self._release_rank(name, release, n))
+        best = min(fit, key=lambda n: self._release_rank(name, zones, n))
         release.tried.append(best)
+        zones[self.state.workers[best].entry.zone] += 1
         release.open.add(best)
         self.state.contacts.began(best, self.now)
         self.count("release_calls")
@@ -118,16 +121,15 @@
         drawn = state.engine_names.sample(hashed(f"{name} {release.tries}"), RELEASES_LOOK_AT // 2)
         return [engine for engine in dict.fromkeys([*heard, *drawn]) if engine in state.workers]
 
-    def _release_rank(self, name: str, release: Release, worker: str) -> tuple[Any, ...]:
+    def _release_rank(self, name: str, zones: Counter[int], worker: str) -> tuple[Any, ...]:
         """Which engine gets the release first: none that seems silent. What fails at once is mostly one zone,
         or the way to it: so each next one is in another. Within one the engine that was heard last, and else
         a different one for each request: one picked by name alone would get them from all gateways."""
         state, entry = self.state, self.state.workers[worker].entry
-        tried = sum(state.workers[n].entry.zone == entry.zone for n in release.tried)
         draw = crc32(f"{name} {worker}".encode())
         heard, near = state.contacts.answered.get(worker, 0), entry.zone == state.settings.zone
         silent = state.contacts.seems_silent(worker, self.now)
-        return silent, tried, entry.state is not WorkerState.UP, not near, -heard, draw
+        return silent, zones[entry.zone], entry.state is not WorkerState.UP, not near, -heard, draw
 
     def _give_up_release(self, name: str, release: Release) -> bool:
         """After long enough; a process that has to end does not wait past its own time for it."""
