Ask a silent reader for a sign of life once a second at the most

Each question holds a connection for up to a second at an engine that hangs; they were asked 0.15 s apart, several at once. An answer that is under way is a sign for all that was written to the engine since. The new test counts them: 3 before, 2 now, in 1.8 s.

--- a/basaltspread/core/held_clock.py
+++ b/basaltspread/core/held_clock.py
@@ -22,6 +22,7 @@
 # before it writes, and for engines that don't hear the release.
 HELD_SHARE = 0.7
 ASK_AHEAD = 150 * MS  # before a lease ends, the engine is asked for a sign of life
+SIGN_WAIT = 1000 * MS  # in which a question for a sign may be answered: no second one meanwhile
 # An engine that answers others but not this read for so many times the usual time of its size has not got it:
 # the connection may lead nowhere.
 LEASE_TIMES = 6.0
@@ -118,11 +119,9 @@
     def _ask_sign(self, engine: str) -> None:
         """Any answer will do: of a probe, or where the settings allow none, of a release for a request that
         is long over."""
-        asked_at = self.state.signs_asked.get(engine)
         listed = self.state.workers.get(engine)
-        if listed is None or (asked_at is not None and self.now < asked_at + ASK_AHEAD):
+        if listed is None or self._sign_awaited(engine):
             return
-        self.state.signs_asked.pop(engine, None)
         self.state.signs_asked[engine] = self.now
         self.count("signs_of_life_asked")
         if self.state.settings.limits.probes:
@@ -131,6 +130,14 @@
             self.state.contacts.began(engine, self.now)
             self.do(SendRelease(self.state.last_dropped, engine, listed.address))
 
+    def _sign_awaited(self, engine: str) -> bool:
+        """Whether it was asked lately: an answer under way is a sign for all that was written since."""
+        asked_at = self.state.signs_asked.get(engine)
+        if asked_at is None:
+            return False
+        unanswered = self.state.contacts.answered_since(engine, asked_at) is None
+        return self.now < asked_at + (SIGN_WAIT if unanswered else ASK_AHEAD)
+
     def _release_at_limit(self, request: Request) -> None:
         """What did arrive keeps its state, as a release passes over what an attempt waits for; what arrives
         later finds none, and has not run."""
--- a/tests/test_hung_engines.py
+++ b/tests/test_hung_engines.py
@@ -142,6 +142,17 @@
         asked = [e for e in self.until(LIMIT // 2) if isinstance(e, core.SendRelease)]
         self.assertEqual([(e.request, e.worker) for e in asked], [("p", "r1")])
 
+    def test_a_reader_that_does_not_answer_is_asked_once_a_second(self) -> None:
+        self.ask("w1")
+        asked = 0
+        for round_number in range(3):
+            at = round_number * 600 * MS
+            self.until(at)
+            self.seen(core.PlaceEnded("q", 0, "w1", Place.HELD))
+            asked += sum(isinstance(e, core.StartProbe) for e in self.until(at + 590 * MS))
+            self.ask_another("w1", at + 595 * MS)
+        self.assertEqual(asked, 2)
+
     def test_a_reader_that_runs_keeps_the_place_of_a_long_read_until_it_is_silent(self) -> None:
         self.ask("w1")
         self.seen(core.PlaceEnded("q", 0, "w1", Place.HELD), after=2 * MS)
