Keep the departures that were told for the process that follows a kill

Change: departures of the last minute are kept in the gateway's folder as they change, not synced (they have to outlive the process alone), and count for a list that is older than they are, as they do within a process. Without a folder nothing is kept, as with bans. The tuple in the state is a type, Departure.

--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -20,7 +20,7 @@
 from basaltspread.net.management import Management
 from basaltspread.net.platform import Front
 from basaltspread.net.runtime import Runtime
-from basaltspread.net.shared_files import BanFile, Overlap
+from basaltspread.net.shared_files import BanFile, DepartureFile, Overlap
 from basaltspread.rules import Router
 
 if TYPE_CHECKING:
@@ -82,6 +82,7 @@
         bans=BanFile(scratch, config.name) if scratch is not None and config.management is not None else None,
         overlap=overlap_in(scratch, config.name) if scratch is not None and inherited else None,
         clock_file=ClockFile(scratch, config.name) if scratch is not None else None,
+        departures=DepartureFile(scratch, config.name) if scratch is not None else None,
     )  # fmt: skip
     relay = None
     if config.tools is not None:
--- a/basaltspread/core/fleet.py
+++ b/basaltspread/core/fleet.py
@@ -16,10 +16,13 @@
 from basaltspread.control.picture import BadWord, Word
 from basaltspread.core.messages import (
     BansTold,
+    Departure,
+    DeparturesTold,
     DropPlace,
     Effect,
     FetchWholeList,
     KeepBans,
+    KeepDepartures,
     Listed,
     ListTold,
     Operate,
@@ -90,7 +93,7 @@
     def _in_order(self, event: ListTold) -> tuple[Listed, ...]:
         """The entries, less what is older than what was told before. Guards against a discovery that goes
         back, as one may to which a reload moves: an engine told to drain or to go would count as up again."""
-        state, now = self.state, self.now
+        state = self.state
         gone: dict[str, Listed] = {}
         if event.kind is not api.ListKind.DELTA:  # who is not in a whole list has gone
             named = {w.entry.name for w in event.entries}
@@ -98,21 +101,45 @@
         out, back = list[Listed](), 0
         for listed in event.entries:
             entry = listed.entry
-            started, version, at = state.left.get(entry.name, (0, 0, -LEFT_KEPT))
             if entry.state is not WorkerState.UP:
                 gone[entry.name] = state.listed.get(entry.name, listed)
-            elif event.version < version and entry.started == started and now < at + LEFT_KEPT:
+            elif self._has_left(entry, event.version):
                 listed, back = Listed(replace(entry, state=WorkerState.DRAINING), listed.address), back + 1
             out.append(listed)
-        for name, known in gone.items():
-            if name not in state.left or event.version >= state.left[name][1]:
-                state.left[name] = (known.entry.started, event.version, now)
-        state.left = {n: told for n, told in state.left.items() if now < told[2] + LEFT_KEPT}
+        self._note_departures(gone, event.version)
         if back:
             self.count("lists_gone_back")
             self.do(Say(f"the list went back to version {event.version}; {back} engines still drain"))
         return tuple(out)
 
+    def _has_left(self, entry: api.WorkerEntry, version: int) -> bool:
+        """Whether a newer list than this version told that it leaves, and it has not started since."""
+        told = self.state.departures.get(entry.name)
+        if told is None or self.now >= told.told_at + LEFT_KEPT:
+            return False
+        return version < told.version and entry.started == told.started
+
+    def _note_departures(self, gone: Mapping[str, Listed], version: int) -> None:
+        """These are told to drain or to be gone; a process that follows this one has to know."""
+        known = self.state.departures
+        for name, listed in gone.items():
+            if name not in known or version >= known[name].version:
+                known[name] = Departure(listed.entry.started, version, self.now)
+        self._forget_departures()
+        if gone:
+            self.do(KeepDepartures(dict(self.state.departures)))
+
+    def _forget_departures(self) -> None:
+        oldest = self.now - LEFT_KEPT
+        kept = {name: told for name, told in self.state.departures.items() if told.told_at > oldest}
+        self.state.departures = kept
+
+    def departures_told(self, event: DeparturesTold) -> None:
+        """An earlier process knew of them; what it was told counts for this one."""
+        self.state.departures = {**event.departures, **self.state.departures}
+        self._forget_departures()
+        self.count("departures_recalled")
+
     def _believed(self, entries: Iterable[Listed], wall_shifts: tuple[int, ...]) -> tuple[Listed, ...]:
         """The entries, with what can't be true put right. Guards slow start against a list that would make
         an engine look warm, or larger than any."""
@@ -311,7 +338,8 @@
             self.decide_all()  # before the module hears what was known of these starts
 
     HANDLERS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {
-        ListTold: list_told, Probed: probed, PeerTold: peer_told, Operate: operate, BansTold: bans_told,
+        ListTold: list_told, Probed: probed, PeerTold: peer_told, Operate: operate,
+        BansTold: bans_told, DeparturesTold: departures_told,
         Recalled: recalled, Sharing: sharing,
     }  # fmt: skip
     ACTIONS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {
--- a/basaltspread/core/messages.py
+++ b/basaltspread/core/messages.py
@@ -303,6 +303,22 @@
     returned: Mapping[str, int]
 
 
+@record
+class Departure:
+    """An engine that discovery told to drain, or to be gone."""
+
+    started: int  # us of its start, as it was listed
+    version: int  # of the list that told it
+    told_at: int  # us
+
+
+@record
+class DeparturesTold:
+    """What an earlier process of this gateway was told, by engine."""
+
+    departures: Mapping[str, Departure]
+
+
 @record
 class Recalled:
     """What the module of the process that this one takes over from has learnt."""
@@ -347,7 +363,7 @@
     | PlaceEnded | ReleaseEnded | Probed | PeerTold | ListTold | ToolCalled | ToolCancelled
     | ToolBegun | ToolProgressed | ToolEnded | ProgressEnded | ReplyEnded
     | ServerTried | ServerDrains | RoutesTold | Woken | Serving
-    | Operate | BansTold | Recalled | Sharing | HandedOn | Adopted | Terminate
+    | Operate | BansTold | DeparturesTold | Recalled | Sharing | HandedOn | Adopted | Terminate
 )  # fmt: skip
 
 
@@ -589,6 +605,13 @@
     returned: Mapping[str, int]
 
 
+@record
+class KeepDepartures:
+    """Keep these for the process that follows."""
+
+    departures: Mapping[str, Departure]
+
+
 @record
 class CloseIdle:
     """End the client connections on which nothing is under way."""
@@ -614,6 +637,6 @@
     | AbandonPlace | SendRelease | StartProbe | TellPeers | SayUnanswered | FetchWholeList | CallTool
     | AbandonTool | TellCancelled | AnswerLocally | ReturnReply | ReturnProgress | ForgetCall | ForgetBundle
     | TryServer
-    | Wake | Count | Say | OperatorAnswer | KeepBans | CloseIdle | StopListening | StopAccepting
-    | Exit
+    | Wake | Count | Say | OperatorAnswer | KeepBans | KeepDepartures | CloseIdle | StopListening
+    | StopAccepting | Exit
 )  # fmt: skip
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -15,7 +15,7 @@
 from basaltspread.control.loop_load import LoopLoad
 from basaltspread.core.engine_contacts import EngineContacts
 from basaltspread.core.held_ledger import HeldLedger
-from basaltspread.core.messages import Listed, Verdict
+from basaltspread.core.messages import Departure, Listed, Verdict
 from basaltspread.core.module_queue import ModuleQueue
 from basaltspread.core.untaken_sends import UntakenSends
 from basaltspread.endings import Ending, ToolFault
@@ -150,8 +150,7 @@
     listed: dict[str, Listed] = field(default_factory=dict)  # as discovery tells it
     starts: EngineStarts = field(default_factory=EngineStarts)
     version: int = 0
-    # Engines told to drain or gone lately: when they had started, by which version, and when it was told.
-    left: dict[str, tuple[int, int, int]] = field(default_factory=dict)
+    departures: dict[str, Departure] = field(default_factory=dict)  # of lately, by engine
     disabled: set[str] = field(default_factory=set)  # engines that operators left out, listed or not
     returned: dict[str, int] = field(default_factory=dict)  # when one was let in again
     workers: dict[str, Listed] = field(default_factory=dict)  # as it is treated: the list, less the bans
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -23,7 +23,7 @@
 from basaltspread.core.guards import Denial
 from basaltspread.net.clock import Clock, ClockFile
 from basaltspread.net.links import Descriptors, Pool
-from basaltspread.net.shared_files import BanFile, Overlap
+from basaltspread.net.shared_files import BanFile, DepartureFile, Overlap
 from basaltspread.net.timed_module import TimedModule
 
 log = logging.getLogger("basaltspread")
@@ -92,6 +92,7 @@
     def __init__(
         self, state: core.State, sockets: int, memory_mb: int, connect_timeout: float, idle: float,
         bans: BanFile | None = None, overlap: Overlap | None = None, clock_file: ClockFile | None = None,
+        departures: DepartureFile | None = None,
     ) -> None:  # fmt: skip
         self.state, self.bans, self._overlap, self._clock_file = state, bans, overlap, clock_file
         self.clock = Clock()
@@ -99,6 +100,7 @@
             bans.clock_offset = self.clock.from_monotonic(0)
         if clock_file is not None:
             clock_file.load(self.clock)
+        self._departures = departures
         self._processes = 1
         self.looked_at_files = False
         self._tell_owed = False  # the other process has not been told yet what is known here
@@ -125,9 +127,13 @@
             core.Count: lambda e: self.count(e.name),
             core.Say: lambda e: log.info("%s", e.text),
             core.KeepBans: self._keep_bans,
+            core.KeepDepartures: self._keep_departures,
             core.Exit: lambda e: self.over.set(),
         }
         self.feed(core.Sharing(1))
+        told = departures.load(self.clock.from_monotonic(0)) if departures is not None else None
+        if told is not None:
+            self.feed(told)
         self.look_at_other(tell=False)
 
     def reconfigure(self, sockets: int, memory_mb: int) -> None:
@@ -355,6 +361,11 @@
             if self.bans is not None:
                 self.bans.keep(effect)
 
+    def _keep_departures(self, effect: core.KeepDepartures) -> None:
+        with self._noting_file_faults("departures"):
+            if self._departures is not None:
+                self._departures.keep(effect, self.clock.from_monotonic(0))
+
     def kept(self, engine: str) -> bool:
         """Whether all that operators ordered of this engine is on disk, where it is kept at all."""
         return self.bans is None or not self.bans.pending(engine)
--- a/basaltspread/net/shared_files.py
+++ b/basaltspread/net/shared_files.py
@@ -110,6 +110,40 @@
             os.close(lock)
 
 
+class DepartureFile:
+    """The engines that this gateway was told to drain or to be gone, for a process that follows a kill: its
+    configuration may be older, and discovery silent as it starts."""
+
+    def __init__(self, folder: str, name: str) -> None:
+        self._path = Path(folder) / f"basaltspread-{plain(name)}-departures.json"
+
+    def load(self, clock_offset: int) -> core.DeparturesTold | None:
+        """What an earlier process was told; `clock_offset` us is this process's clock ahead of the system's
+        monotonic one."""
+        try:
+            raw = load_json(self._path.read_bytes())
+            if raw["boot"] != boot_id():
+                return None
+            told = {
+                str(name): core.Departure(int(started), int(version), int(at) + clock_offset)
+                for name, (started, version, at) in raw["departures"].items()
+            }
+            return core.DeparturesTold(told)
+        except FileNotFoundError:
+            return None
+        except (OSError, ValueError, TypeError, KeyError, AttributeError) as error:
+            log.error("%s can't be read and does not count: %r", self._path.name, error)
+            return None
+
+    def keep(self, effect: core.KeepDepartures, clock_offset: int) -> None:
+        """Write them. Raises OSError. Not synced to the disk: it has to outlive the process alone."""
+        told = {
+            name: (left.started, left.version, left.told_at - clock_offset)
+            for name, left in effect.departures.items()
+        }
+        replace_file(self._path, {"boot": boot_id(), "departures": told}, durable=False)
+
+
 class Overlap:
     """Whether another process of this gateway runs beside this one, as a new version beside the old. Each
     holds the same lock shared as long as it lives, so that only one that is alone can have it for itself."""
@@ -187,16 +221,17 @@
     return os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW, 0o600)
 
 
-def replace_file(path: Path, content: Any) -> None:
-    """Written whole and synced, then renamed: a reader finds the old or the new, also after a kill. Raises
-    OSError, and leaves nothing behind then."""
+def replace_file(path: Path, content: Any, durable: bool = True) -> None:
+    """Written whole and (if `durable`) synced, then renamed: a reader finds the old or the new, also after a
+    kill. Raises OSError, and leaves nothing behind then."""
     draft = path.with_name(f"{path.name}.{os.getpid()}")
     flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC | os.O_NOFOLLOW
     try:
         with open(os.open(draft, flags, 0o600), "w") as file:
             json.dump(content, file)
             file.flush()
-            os.fsync(file.fileno())
+            if durable:
+                os.fsync(file.fileno())
         os.replace(draft, path)
     except BaseException:
         draft.unlink(missing_ok=True)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -32,18 +32,24 @@
         self.assertEqual(self.kinds(core.Begun("q", 0)), [])
         self.assertEqual(self.feed(core.Written("q", 0)), [core.AskPlace("q", 0, "w1", "w1:1")])
 
+    def drain(self, engine: str) -> list[core.Effect]:
+        """The effects of its drain, less the note for a process that follows."""
+        effects = self.feed(self.drained(engine))
+        self.assertEqual(sum(isinstance(effect, core.KeepDepartures) for effect in effects), 1)
+        return [effect for effect in effects if not isinstance(effect, core.KeepDepartures)]
+
     def test_a_drain_binds_what_waits_for_its_connection(self) -> None:
         """Guards against a send that goes out whenever the connection comes up, long after the drain."""
         self.begin(Arrival=send("r1"))
         self.feed(core.Taken(ARRIVAL))
-        self.assertEqual(self.feed(self.drained("r1")), [core.AbandonAttempt("q", 0)])
+        self.assertEqual(self.drain("r1"), [core.AbandonAttempt("q", 0)])
         ended = self.module.told[-2:]
         self.assertIn(api.Outcome.CONNECT_FAILED, [getattr(e, "outcome", None) for e in ended])
         self.begin(Arrival=lambda e: [api.Send("q", "r1", 0), api.HoldPlace("q", "w1")])
         for event in (core.Taken(ARRIVAL), core.Begun("q", 0), core.Written("q", 0)):
             self.feed(event)
-        self.assertEqual(self.feed(self.drained("r1")), [])  # begun before it was told
-        self.assertEqual(self.feed(self.drained("w1")), [core.DropPlace("q", "w1")])
+        self.assertEqual(self.drain("r1"), [])  # begun before it was told
+        self.assertEqual(self.drain("w1"), [core.DropPlace("q", "w1")])
 
     def test_a_list_that_goes_back_does_not_undo_a_drain(self) -> None:
         """Guards against a reload that moves discovery: the new one may answer from an older picture, but
@@ -492,6 +498,28 @@
         ended = [e for e in self.module.told if isinstance(e, api.AttemptEnded)]
         self.assertEqual([(e.outcome, e.request_ended) for e in ended], [(api.Outcome.ERROR, True)])
 
+    def test_what_an_earlier_process_was_told_of_departures_counts_for_an_older_list(self) -> None:
+        """Until an engine has started anew, newer news come, or a minute has passed."""
+        r1 = next(entry for entry in FLEET if entry.name == "r1")
+        for started, told_for, version, up in (
+            (r1.started, SECOND, 41, False), (r1.started + 1, SECOND, 41, True),
+            (r1.started, 60 * SECOND, 41, True), (r1.started, SECOND, 44, True),
+        ):  # fmt: skip
+            self.begin()
+            state = core.State(settings(), self.module)
+            left = core.Departure(r1.started, 44, self.now - told_for)
+            core.reduce(state, self.now, core.DeparturesTold({"r1": left}))
+            listed = core.Listed(replace(r1, started=started), "r1:1")
+            core.reduce(state, self.now, core.ListTold(api.ListKind.CACHED, version, (listed,)))
+            treated = state.workers["r1"].entry.state
+            self.assertEqual(treated is api.WorkerState.UP, up, (started, version))
+
+    def test_engines_told_to_leave_are_kept_for_the_process_that_follows(self) -> None:
+        self.begin()
+        kept = [e for e in self.feed(self.drained("r1")) if isinstance(e, core.KeepDepartures)]
+        self.assertEqual([list(effect.departures) for effect in kept], [["r1"]])
+        self.assertEqual(kept[0].departures["r1"].told_at, self.now)
+
     def test_engines_that_left_are_forgotten(self) -> None:
         """A long day of engines always new: nothing that is keyed by one outlives its place in the list."""
         self.begin()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -11,6 +11,7 @@
 import json
 import signal
 import socket
+import tempfile
 from typing import Any
 
 from tests.standins import (
@@ -533,3 +534,23 @@
         self.assertGreater(counters["clients_made_room"], 0)
         self.assertTrue(any("clients fill" in line for line in gateway.lines))
         self.assertLessEqual(counters["most_descriptors"], 128)
+
+
+class KilledProcessTest(FleetTest):
+    """A process that follows a kill, while discovery is silent and the configuration is older."""
+
+    async def test_a_drain_that_was_told_before_a_kill_holds_for_the_process_that_follows(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        drains, stays = await self.standin(reading()), await self.standin(reading())
+        writer = await self.standin(writing(answer_plainly))
+        gateway = await self.fleet(r1=drains, r2=stays, w1=writer, scratch=folder.name)
+        self.tell(42, "r1", "draining")
+        await gateway.until_counter("lists_delta")
+        await gateway.kill()
+        before = drains.count("POST", "/v1")
+        client = await self.client(await self.started(Gateway(config=self.config, scratch=folder.name)))
+        for number in range(8):
+            status, _, _, whole = await client.ask(f"q{number}")
+            self.assertEqual((status, whole), (200, True))
+        self.assertEqual(drains.count("POST", "/v1"), before)
--- a/tests/test_shared_files.py
+++ b/tests/test_shared_files.py
@@ -13,7 +13,7 @@
 from basaltspread import core
 from basaltspread import interface as api
 from basaltspread.net.runtime import Runtime
-from basaltspread.net.shared_files import BanFile, Overlap
+from basaltspread.net.shared_files import BanFile, DepartureFile, Overlap
 from tests.core_drive import Script
 from tests.helpers import FLEET, settings
 
@@ -47,6 +47,20 @@
             assert told is not None
             self.assertIn(engine, told.disabled)
 
+    async def test_departures_outlive_a_process_and_a_spoilt_file_counts_for_nothing(self) -> None:
+        told = {"w1": core.Departure(7, 44, 5_000_000)}
+        file = DepartureFile(self.folder, "n0")
+        self.assertIsNone(file.load(0))
+        file.keep(core.KeepDepartures(told), clock_offset=1_000_000)
+        found = DepartureFile(self.folder, "n0").load(3_000_000)
+        assert found is not None  # the same instant, by another process's clock
+        self.assertEqual(found.departures, {"w1": core.Departure(7, 44, 7_000_000)})
+        (path,) = Path(self.folder).iterdir()
+        for text in ("", "[]", '{"boot": "x"}', '{"boot": "other", "departures": {}}',
+                     path.read_text().replace("44", '"v"')):  # fmt: skip
+            path.write_text(text)
+            self.assertIsNone(file.load(0), text)
+
     async def test_one_failed_write_does_not_end_the_watch_of_the_other_process(self) -> None:
         other = Overlap(self.folder, "n0")
         runtime = Runtime(core.State(settings(), Script()), 1024, 192, 0.25, 10.0, overlap=other)
