Bound the calls of releases that are open at once

The logs hold little but 'release of ... nothing came in time', to all engines. The calls made all engines slower, which made more calls: it fed itself. Change: 32 calls of releases are open at once at the most, but for the first of each release (release_waves_skipped); a repeat is one call; an answer to a release is waited for 0.5 s, as one that comes later is of no use. All releases go out in one place, which counts them.

--- a/basaltspread/core/contacting.py
+++ b/basaltspread/core/contacting.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from basaltspread.core.held_ledger import HeldKind, Knowledge
-from basaltspread.core.messages import Effect, SendRelease, Wake
+from basaltspread.core.messages import Effect, Wake
 from basaltspread.core.state import Request, State
 from basaltspread.core.untaken_sends import RELEASES_OF_ONE
 from basaltspread.endings import OUTCOMES, UNREACHED, Ending
@@ -27,6 +27,8 @@
     do: Callable[[Effect], None]
     count: Callable[[str], None]
     _release: Callable[..., None]
+    _release_once: Callable[[str], None]
+    _call_release: Callable[[str, str], None]
     _watch_held: Callable[[Request], None]
     _held_limit: Callable[[], int]
 
@@ -69,19 +71,12 @@
         request = self.state.requests.get(name)
         if request is None or not request.waits():
             self.count("untaken_released")
-            if left == RELEASES_OF_ONE:
-                self._release_at(name, engine)
-            self._release(name)
+            if left == RELEASES_OF_ONE and engine in self.state.workers:
+                self._call_release(name, engine)  # its answer is the sign that is missing
+            self._release_once(name)
         if left > 1:
             self._release_again(engine, name, kind)
 
-    def _release_at(self, name: str, engine: str) -> None:
-        """One call to the engine itself: its answer is the sign that is missing."""
-        listed = self.state.workers.get(engine)
-        if listed is not None:
-            self.state.contacts.began(engine, self.now)
-            self.do(SendRelease(name, engine, listed.address))
-
     def _taken_since(self, engine: str, name: str, kind: HeldKind) -> None:
         """This engine may have woken up and taken what was given up. While the request goes on, a release at
         once could take a newer state of it: its clock says when that is due."""
--- a/basaltspread/core/held_clock.py
+++ b/basaltspread/core/held_clock.py
@@ -13,7 +13,7 @@
 from basaltspread import interface as api
 from basaltspread.core import invariants
 from basaltspread.core.held_ledger import HeldEntry, HeldKind, Knowledge
-from basaltspread.core.messages import Effect, Say, SendRelease, Wake
+from basaltspread.core.messages import Effect, Say, Wake
 from basaltspread.core.state import Attempt, Request, State
 from basaltspread.endings import ANSWERED, Ending
 
@@ -44,6 +44,7 @@
     _check: Callable[[invariants.Breach | None], None]
     _close: Callable[..., None]
     _release: Callable[..., None]
+    _call_release: Callable[[str, str], None]
 
     def _held_limit(self) -> int:
         """How long something is held, in us, before it is released; 0 where the settings set no limit."""
@@ -119,16 +120,14 @@
     def _ask_sign(self, engine: str) -> None:
         """Any answer will do: of a probe, or where the settings allow none, of a release for a request that
         is long over."""
-        listed = self.state.workers.get(engine)
-        if listed is None or self._sign_awaited(engine):
+        if engine not in self.state.workers or self._sign_awaited(engine):
             return
         self.state.signs_asked[engine] = self.now
         self.count("signs_of_life_asked")
         if self.state.settings.limits.probes:
             self.probe(api.Probe(engine))
         elif self.state.last_dropped is not None:
-            self.state.contacts.began(engine, self.now)
-            self.do(SendRelease(self.state.last_dropped, engine, listed.address))
+            self._call_release(self.state.last_dropped, engine)
 
     def _sign_awaited(self, engine: str) -> bool:
         """Whether it was asked lately: an answer under way is a sign for all that was written since."""
--- a/basaltspread/core/releases.py
+++ b/basaltspread/core/releases.py
@@ -23,6 +23,8 @@
 MS = 1000
 RELEASE_STEP = 50 * MS  # a release that nobody has answered by then goes to more engines
 MOST_AT_ONCE = 16  # engines of one wave; 31 have been tried after four steps
+MOST_CALLS = 32  # open at once, of all releases, but for the first of each: where all engines are slow, more
+# calls would make them slower
 LATER_AT_ONCE = 2  # the same once the quick tries are over
 RELEASES_LOOK_AT = 48  # engines among which a wave chooses
 MOST_TRIED = 64  # engines that are passed by as tried, until all may be tried again
@@ -77,6 +79,7 @@
         step = RELEASE_STEP << max(0, min(release.tries - RELEASE_TRIES, 8))
         quick = release.tries < RELEASE_TRIES
         width = min(1 << release.tries, MOST_AT_ONCE) if quick else LATER_AT_ONCE
+        width = max(min(width, self._room_for_calls()), 1 if release.tries == 0 else 0)
         self._note_overdue(name, release)
         release.tries += 1
         self.do(Wake(self.now + min(step, LONGEST_RELEASE_STEP), ("release", name, release.tries)))
@@ -84,7 +87,10 @@
         release.tried = [n for n in release.tried if n in workers]
         if len(release.tried) >= min(len(workers), MOST_TRIED):
             release.tried = []  # all again
-        candidates = self._release_candidates(name, release)
+        if width == 0:
+            self.count("release_waves_skipped")
+            return
+        candidates = self._release_candidates(name, release.tries)
         zones = Counter(workers[n].entry.zone for n in release.tried)
         for _ in range(width):
             self._send_release(name, release, candidates, zones)
@@ -108,17 +114,34 @@
         release.tried.append(best)
         zones[self.state.workers[best].entry.zone] += 1
         release.open.add(best)
-        self.state.contacts.began(best, self.now)
+        self._call_release(name, best)
+
+    def _release_once(self, name: str) -> None:
+        """One call for it, to the best engine, if there is room: the next comes soon in any case."""
+        candidates = self._release_candidates(name, 0)
+        if not candidates or self._room_for_calls() <= 0:
+            self.count("release_waves_skipped")
+            return
+        zones = Counter[int]()
+        self._call_release(name, min(candidates, key=lambda n: self._release_rank(name, zones, n)))
+
+    def _call_release(self, name: str, engine: str) -> None:
+        """Every release goes out here."""
+        self.state.contacts.began(engine, self.now)
+        self.state.release_calls += 1
         self.count("release_calls")
-        self.do(SendRelease(name, best, self.state.workers[best].address))
+        self.do(SendRelease(name, engine, self.state.workers[engine].address))
+
+    def _room_for_calls(self) -> int:
+        return MOST_CALLS - self.state.release_calls
 
-    def _release_candidates(self, name: str, release: Release) -> list[str]:
+    def _release_candidates(self, name: str, wave: int) -> list[str]:
         """Of a large fleet, the engines heard last and some at random, others for each wave."""
         state = self.state
         if len(state.workers) <= RELEASES_LOOK_AT:
             return list(state.workers)
         heard = islice(state.contacts.latest(), RELEASES_LOOK_AT // 2)
-        drawn = state.engine_names.sample(hashed(f"{name} {release.tries}"), RELEASES_LOOK_AT // 2)
+        drawn = state.engine_names.sample(hashed(f"{name} {wave}"), RELEASES_LOOK_AT // 2)
         return [engine for engine in dict.fromkeys([*heard, *drawn]) if engine in state.workers]
 
     def _release_rank(self, name: str, zones: Counter[int], worker: str) -> tuple[Any, ...]:
@@ -143,6 +166,7 @@
         return True
 
     def release_ended(self, event: ReleaseEnded) -> None:
+        self.state.release_calls -= 1
         if event.done:
             self.state.untaken.released_there(event.worker, event.request)
         self._noted(event.worker, event.ending)
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -166,6 +166,7 @@
     undecided: ModuleQueue = field(default_factory=ModuleQueue)  # what the module has still to be told
     load: LoopLoad = field(default_factory=LoopLoad)  # measured by the host
     releases: dict[str, Release] = field(default_factory=dict)
+    release_calls: int = 0  # open ones
     release_times: Usual = field(default_factory=Usual)  # from a release's first try to its first answer
     longest_release: int = 0  # us, of those
     picture: Picture | None = None  # only where many gateways tell each other of the engines
--- a/basaltspread/net/engine_calls.py
+++ b/basaltspread/net/engine_calls.py
@@ -17,7 +17,8 @@
 from basaltspread.net.runtime import Runtime
 
 log = logging.getLogger("basaltspread")
-CALL_WAIT = 1.0  # s for an answer about a release or a probe
+RELEASE_WAIT = 0.5  # s for an answer about a release
+PROBE_WAIT = 1.0  # s for an answer to a probe
 PLACE_WAIT = 20.0  # s for an answer about a place: longer than most engines hang
 PLACE_ANSWERS = {200: Place.HELD, 409: Place.NOT_HELD, 404: Place.NOT_HELD}
 PLACE_LINES = 10  # log lines in a second about questions for places that failed
@@ -99,7 +100,7 @@
         ending = Ending.GATEWAY_FAULT
         try:
             await self._runtime.pool.call(
-                effect.address, "DELETE", f"/state/{effect.request}", wait=CALL_WAIT, spare=True
+                effect.address, "DELETE", f"/state/{effect.request}", wait=RELEASE_WAIT, spare=True
             )
             ending = Ending.SERVED
         except LinkError as error:
@@ -116,7 +117,7 @@
         started, ending = self._runtime.clock.now(), Ending.GATEWAY_FAULT
         report: dict[str, float] = {}
         try:
-            reply = await self._runtime.pool.call(effect.address, "GET", "/stats", wait=CALL_WAIT)
+            reply = await self._runtime.pool.call(effect.address, "GET", "/stats", wait=PROBE_WAIT)
             ending = Ending.SERVED if reply.status == 200 else Ending.SERVER_ERROR
             if ending is Ending.SERVED:
                 report = self.report(effect.worker, reply.body)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -26,7 +26,7 @@
 SLACK = 50 * MS  # on every time limit
 HELD_SLACK = 300 * MS  # and on what is held
 CONNECT = 250 * MS
-CALL_WAIT = SECOND  # for an answer to a release or a probe
+PROBE_WAIT, RELEASE_WAIT = SECOND, SECOND // 2  # for an answer
 FIRST_TIME, STREAM_TIME = 40 * MS, 400 * MS
 FULL = 20  # requests lately at an engine that fill its memory
 PROMPT_TOKENS = (800, 4000)  # of one request, uniform
@@ -436,8 +436,8 @@
         engine = self.engines[name]
         self.costs["probes"] += 1
         if engine.frozen:
-            late = core.Probed(name, Ending.TIMED_OUT, CALL_WAIT)
-            self._wait_for(g, engine, late, lambda: self._probe(g, name))
+            late = core.Probed(name, Ending.TIMED_OUT, PROBE_WAIT)
+            self._wait_for(g, engine, PROBE_WAIT, late, lambda: self._probe(g, name))
         elif not self.reaches(g, name) or engine.hung:
             self.later(g, CONNECT, core.Probed(name, Ending.CONNECT_TIMED_OUT, CONNECT))
         elif not engine.alive:
@@ -576,9 +576,11 @@
             self.questions.discard((request, worker))
             self.later(g, wait, core.PlaceEnded(request, number, worker, said))
 
-    def _wait_for(self, g: Gateway, engine: Engine, late: core.Input, read: Callable[[], None]) -> None:
+    def _wait_for(
+        self, g: Gateway, engine: Engine, wait: int, late: core.Input, read: Callable[[], None]
+    ) -> None:
         """A small call to a frozen engine: read as it thaws, unless nobody waits for it any more."""
-        life, until = g.life, self.now + CALL_WAIT
+        life, until = g.life, self.now + wait
 
         def give_up() -> None:
             if pending in engine.unread and g.life == life:
@@ -590,13 +592,13 @@
 
         pending = Unread(thawed, lambda: self.feed(g, late) if g.life == life else None)
         engine.unread.append(pending)
-        self.after(CALL_WAIT, give_up)
+        self.after(wait, give_up)
 
     def _release(self, g: Gateway, effect: core.SendRelease) -> None:
         engine, there = self.engines[effect.worker], self.reaches(g, effect.worker)
         if there and engine.alive and engine.frozen:
             late = core.ReleaseEnded(effect.request, effect.worker, Ending.TIMED_OUT)
-            self._wait_for(g, engine, late, lambda: self._release(g, effect))
+            self._wait_for(g, engine, RELEASE_WAIT, late, lambda: self._release(g, effect))
             return
         done = there and engine.alive
         if done:
--- a/tests/hang_mutants.py
+++ b/tests/hang_mutants.py
@@ -150,9 +150,9 @@
         "",
     ),
     Mutant(
-        "a release is taken for heard as it is sent", CORE + "releases.py",
-        "        self.do(SendRelease(name, best, self.state.workers[best].address))",
-        "        self.do(SendRelease(name, best, self.state.workers[best].address))\n"
+"a release is taken for heard as it is sent", CORE + "releases.py",
+        "        release.open.add(best)\n        self._call_release(name, best)",
+        "        release.open.add(best)\n        self._call_release(name, best)\n"
         "        release.tries = RELEASE_TRIES + 1",
     ),
     Mutant(
--- a/tests/test_hung_engines.py
+++ b/tests/test_hung_engines.py
@@ -402,6 +402,26 @@
         assert max(times) <= 200 * MS, engines
 
 
+def test_releases_that_nobody_answers_do_not_add_up_to_a_storm() -> None:
+    """Where all engines are slow, each release that goes to many makes them slower."""
+    drive, count = CoreDrive(), 200
+    drive.begin(Arrival=lambda e: [api.Release(e.request), api.Refuse(e.request, 0)])
+    listed = tuple(core.Listed(replace(FLEET[0], name=f"e{n}"), f"e{n}:1") for n in range(100))
+    drive.feed(core.ListTold(api.ListKind.FULL, 2, listed))
+    wakes, sent = list[core.Wake](), list[core.Effect]()
+    for number in range(count):
+        sent += drive.feed(core.Taken(replace(ARRIVAL, request=f"q{number}")))
+        wakes += [wake for wake in drive.wakes if wake.token[0] == "release"]
+    while wakes and wakes[0].at < drive.now + SECOND // 2:
+        wake = wakes.pop(0)
+        drive.now = max(drive.now, wake.at)
+        sent += drive.feed(core.Woken(wake.token))
+        wakes += [wake for wake in drive.wakes if wake.token[0] == "release"]
+    calls = [effect for effect in sent if isinstance(effect, core.SendRelease)]
+    assert len({call.request for call in calls}) == count  # each has its first
+    assert drive.state.release_calls == len(calls) <= count + 32
+
+
 def test_a_release_on_a_calm_day_is_one_call() -> None:
     assert release_time(200, 0.0, 1) == 0
 
