--- a/basaltspread/core/held_ledger.py
+++ b/basaltspread/core/held_ledger.py
@@ -48,6 +48,9 @@
     def __iter__(self) -> Iterator[HeldEntry]:
         return iter(self._entries.values())
 
+    def __len__(self) -> int:
+        return len(self._entries)
+
     def holds(self) -> bool:
         """Whether something may be held that nobody has been told to release."""
         return any(not entry.released for entry in self)
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -187,6 +187,19 @@
     traces: bool = False  # each request's state changes and each release are logged
 
 
+@record
+class HeldFigures:
+    """What operators are shown of what engines may hold for requests."""
+
+    oldest: int  # us: the longest for which something has been held that no engine has shown to take
+    entries: int  # states and places
+    late_questions: int  # for places, heard out after all was released
+    untaken_sends: int  # given up, and not known not to be taken yet
+    release_time: int  # us from a release's first try to its first answer, running mean
+    release_waves: int  # that it takes, running mean
+    longest_release: int  # us
+
+
 @record
 class Figures:
     """What operators are shown."""
@@ -196,7 +209,7 @@
     concurrent: int  # requests taken and not ended
     targets: int  # engines in the list
     targets_disabled: int  # those of them that are avoided now
-    oldest_held: int  # us: the longest for which something has been held that no engine has shown to take
+    held: HeldFigures
 
 
 def figures(state: State, now: int) -> Figures:
@@ -207,7 +220,20 @@
         sum(not q.ended for q in state.requests.values()),
         len(state.workers),
         len(avoided.intersection(state.workers)),
+        held_figures(state, now),
+    )
+
+
+def held_figures(state: State, now: int) -> HeldFigures:
+    """Costs a look at each request."""
+    return HeldFigures(
         oldest_held(state, now),
+        sum(len(request.held) for request in state.requests.values()),
+        len(state.late_questions),
+        len(state.untaken),
+        round(state.release_times.time),
+        round(state.release_times.size),
+        state.longest_release,
     )
 
 
--- a/basaltspread/net/management.py
+++ b/basaltspread/net/management.py
@@ -184,6 +184,12 @@
             "targets_disabled": found.targets_disabled,
             "reload_success": counters["reloads"],
             "reload_failure": counters["reloads_refused"],
-            "oldest_held_us": found.oldest_held,
+            "oldest_held_us": found.held.oldest,
+            "held_entries": found.held.entries,
+            "late_questions": found.held.late_questions,
+            "untaken_sends": found.held.untaken_sends,
+            "release_us": found.held.release_time,
+            "release_waves": found.held.release_waves,
+            "most_release_us": found.held.longest_release,
             **self._runtime.load.figures(self._runtime.clock.now()),
         }
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -270,14 +270,15 @@
 
     def _gauges(self) -> dict[str, int]:
         now = self.clock.now()
-        oldest = core.oldest_held(self.state, now)
+        held = core.held_figures(self.state, now)
         return {
-            "now_oldest_held_us": oldest,
-            "release_us": round(self.state.release_times.time),
-            "most_release_us": self.state.longest_release,
-            "now_held_entries": sum(len(list(r.held)) for r in self.state.requests.values()),
-            "now_late_questions": len(self.state.late_questions),
-            "now_untaken_sends": len(self.state.untaken),
+            "now_oldest_held_us": held.oldest,
+            "release_us": held.release_time,
+            "release_waves": held.release_waves,
+            "most_release_us": held.longest_release,
+            "now_held_entries": held.entries,
+            "now_late_questions": held.late_questions,
+            "now_untaken_sends": held.untaken_sends,
             "now_engines": len(self.state.workers),
             **self.load.figures(now),
         }
--- a/tests/test_loop_load.py
+++ b/tests/test_loop_load.py
@@ -144,5 +144,7 @@
         self.assertGreaterEqual(counters["attempts_unanswered"], 1)
         self.assertGreater(counters["decision_us"], 0)
         _, shown = await gateway.operate("GET", "/-/metrics")
-        for name in ("oldest_held_us", "loop_lag_us", "decision_us", "accept_wait_us", "decision_us_up_to_2"):
+        for name in ("oldest_held_us", "held_entries", "late_questions", "untaken_sends", "release_us",
+                     "release_waves", "most_release_us", "loop_lag_us", "decision_us", "accept_wait_us",
+                     "decision_us_up_to_2"):  # fmt: skip
             self.assertIn(name, shown)
