--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -437,7 +437,7 @@
         self.costs["probes"] += 1
         if engine.frozen:
             late = core.Probed(name, Ending.TIMED_OUT, PROBE_WAIT)
-            self._wait_for(g, engine, PROBE_WAIT, late, lambda: self._probe(g, name))
+            self._wait_for(g, engine, PROBE_WAIT, late, lambda waits: self._probe(g, name) if waits else None)
         elif not self.reaches(g, name) or engine.hung:
             self.later(g, CONNECT, core.Probed(name, Ending.CONNECT_TIMED_OUT, CONNECT))
         elif not engine.alive:
@@ -577,35 +577,37 @@
             self.later(g, wait, core.PlaceEnded(request, number, worker, said))
 
     def _wait_for(
-        self, g: Gateway, engine: Engine, wait: int, late: core.Input, read: Callable[[], None]
+        self, g: Gateway, engine: Engine, wait: int, late: core.Input, read: Callable[[bool], None]
     ) -> None:
-        """A small call to a frozen engine: read as it thaws, unless nobody waits for it any more."""
+        """A small call to a frozen engine: it is read as that thaws, whether anybody waits for it or not."""
         life, until = g.life, self.now + wait
 
+        def waits() -> bool:
+            return self.now < until and g.life == life
+
         def give_up() -> None:
             if pending in engine.unread and g.life == life:
                 self.feed(g, late)
 
-        def thawed() -> None:
-            if self.now < until and g.life == life:
-                read()
-
-        pending = Unread(thawed, lambda: self.feed(g, late) if g.life == life else None)
+        pending = Unread(lambda: read(waits()), lambda: self.feed(g, late) if waits() else None)
         engine.unread.append(pending)
         self.after(wait, give_up)
 
-    def _release(self, g: Gateway, effect: core.SendRelease) -> None:
+    def _release(self, g: Gateway, effect: core.SendRelease, heard: bool = True) -> None:
+        """`heard`: the gateway waits for its answer."""
         engine, there = self.engines[effect.worker], self.reaches(g, effect.worker)
         if there and engine.alive and engine.frozen:
             late = core.ReleaseEnded(effect.request, effect.worker, Ending.TIMED_OUT)
-            self._wait_for(g, engine, RELEASE_WAIT, late, lambda: self._release(g, effect))
+            self._wait_for(g, engine, RELEASE_WAIT, late, lambda waits: self._release(g, effect, waits))
             return
         done = there and engine.alive
         if done:
             self.after(1 * MS, lambda: self.held[effect.request].release())
         ending = Ending.SERVED if done else Ending.CONNECT_TIMED_OUT
         self.costs["releases"] += 1
-        self.later(g, 2 * MS if there else CONNECT, core.ReleaseEnded(effect.request, effect.worker, ending))
+        if heard:
+            ended = core.ReleaseEnded(effect.request, effect.worker, ending)
+            self.later(g, 2 * MS if there else CONNECT, ended)
 
     # --- clients and the audit --------------------------------------------------------------------------
 
--- a/tests/test_hang_days.py
+++ b/tests/test_hang_days.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from basaltspread import core
+from tests.fleet import Gateway, World
 from tests.hang_days import draw, play
 from tests.hang_mutants import MUTANTS, Mutant
 
@@ -18,6 +20,25 @@
     assert play(draw(seed)).breaches == ()
 
 
+def test_what_may_be_held_always_has_its_next_look_due(monkeypatch: pytest.MonkeyPatch) -> None:
+    """After every input, in every gateway: a clock that nothing wakes would never run out."""
+    feed, looks = World.feed, list[int | None]()
+
+    def fed(world: World, gateway: Gateway, event: core.Input) -> None:
+        feed(world, gateway, event)
+        if gateway.state is None:
+            return
+        assert gateway.state.release_calls >= 0
+        held = [r for r in gateway.state.requests.values() if r.held.since() is not None and r.stream is None]
+        looks.extend(request.held_check_at for request in held)
+        assert all(request.held_check_at is not None for request in held), event
+
+    monkeypatch.setattr(World, "feed", fed)
+    for seed in range(6):
+        play(draw(seed))
+    assert len(looks) > 1000
+
+
 def test_the_same_seed_gives_the_same_day_and_verdict() -> None:
     assert draw(7) == draw(7)
     assert play(draw(7)) == play(draw(7))
