Release again while the answer about a place may be cut off

Cause: an open question was relied on to bring its answer as soon as its engine takes it; behind a cut it can't. Class: as before, what may yet be taken is known, and what is taken is not. Change: a question that is heard out is on the list of what may yet be taken, too, also where the stream has begun before a release; a sign of its engine, before its answer, brings one more release. The stand-in holds answers back behind a cut.

--- a/basaltspread/core/contacting.py
+++ b/basaltspread/core/contacting.py
@@ -71,7 +71,7 @@
         request = self.state.requests.get(name)
         if request is None or not request.waits():
             self.count("untaken_released")
-            if left == RELEASES_OF_ONE and engine in self.state.workers:
+            if left == RELEASES_OF_ONE and kind is HeldKind.STATE and engine in self.state.workers:
                 self._call_release(name, engine)  # its answer is the sign that is missing
             self._release_once(name)
         if left > 1:
@@ -82,7 +82,7 @@
         once could take a newer state of it: its clock says when that is due."""
         request = self.state.requests.get(name)
         self.count("untaken_released")
-        if request is None or request.stream is not None:
+        if request is None or not request.waits():
             self._release(name)
         elif request.held.question(engine) is None:
             request.held.add(kind, engine, self.now, Knowledge.POSSIBLE)
--- a/basaltspread/core/held_clock.py
+++ b/basaltspread/core/held_clock.py
@@ -45,6 +45,7 @@
     _close: Callable[..., None]
     _release: Callable[..., None]
     _call_release: Callable[[str, str], None]
+    _note_late_questions: Callable[[Request], None]
 
     def _held_limit(self) -> int:
         """How long something is held, in us, before it is released; 0 where the settings set no limit."""
@@ -182,6 +183,7 @@
         self._check_held(request)
         for entry in request.held.release():
             self.count(f"held_{entry.kind.value}_taken")
+        self._note_late_questions(request)
 
 
 def any_held(request: Request) -> bool:
--- a/basaltspread/core/places.py
+++ b/basaltspread/core/places.py
@@ -66,9 +66,10 @@
 
     def place_ended(self, event: PlaceEnded) -> None:
         self.count("places_" + event.place.name.lower())
+        self.state.late_questions.pop((event.request, event.worker), None)
+        self.state.untaken.settled(event.worker, event.request, HeldKind.PLACE)
         if event.place in SHOWS_LIFE:
             self._heard(event.worker)
-        self.state.late_questions.pop((event.request, event.worker), None)
         request = self.state.requests.get(event.request)
         entry = request.held.question(event.worker) if request is not None else None
         if request is None or entry is None:
@@ -113,10 +114,13 @@
         self.tell(api.PlaceAnswer(request.id, event.number, event.worker, held))
 
     def _note_late_questions(self, request: Request) -> None:
-        """All has been released: questions without an answer are heard out, as many as there is room for."""
+        """All has been released: questions without an answer are heard out, as many as there is room for.
+        Their answers may be cut off from here, so that all is released again meanwhile."""
         late = self.state.late_questions
         for engine in request.held.questions():
-            late[request.id, engine] = None
+            if (request.id, engine) not in late:
+                late[request.id, engine] = None
+                self._may_be_taken(engine, request.id, HeldKind.PLACE)
         while len(late) > MOST_LATE_QUESTIONS:
             name, engine = next(iter(late))
             del late[name, engine]
--- a/basaltspread/core/untaken_sends.py
+++ b/basaltspread/core/untaken_sends.py
@@ -54,8 +54,12 @@
     def released_there(self, engine: str, request: str) -> None:
         """That engine itself has taken a release for this request."""
         for kind in HeldKind:
-            if (engine, request, kind) in self._releases_left:
-                self._discard(engine, request, kind)
+            self.settled(engine, request, kind)
+
+    def settled(self, engine: str, request: str, kind: HeldKind) -> None:
+        """What became of this one is known."""
+        if (engine, request, kind) in self._releases_left:
+            self._discard(engine, request, kind)
 
     def _discard(self, engine: str, request: str, kind: HeldKind) -> None:
         del self._releases_left[engine, request, kind]
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -26,6 +26,7 @@
 SLACK = 50 * MS  # on every time limit
 HELD_SLACK = 300 * MS  # and on what is held
 CONNECT = 250 * MS
+CUT_LOOK = 20 * MS  # between two looks whether a cut is over
 PROBE_WAIT, RELEASE_WAIT = SECOND, SECOND // 2  # for an answer
 FIRST_TIME, STREAM_TIME = 40 * MS, 400 * MS
 FULL = 20  # requests lately at an engine that fill its memory
@@ -567,7 +568,16 @@
             q.idle_since = self.now
         if said is Place.HELD and self.rng.random() < self.places_lost:
             said = Place.UNKNOWN  # its answer does not tell, the place is held
-        self._place_over(g, effect.request, effect.worker, effect.number, said, 1 * MS)
+        self._answer_place(g, effect, said)
+
+    def _answer_place(self, g: Gateway, effect: core.AskPlace, said: Place) -> None:
+        """Behind a cut the answer waits until that is over."""
+        if self.reaches(g, effect.worker):
+            self._place_over(g, effect.request, effect.worker, effect.number, said, 1 * MS)
+        elif self.engines[effect.worker].alive:
+            self.after(CUT_LOOK, lambda: self._answer_place(g, effect, said))
+        else:
+            self._place_over(g, effect.request, effect.worker, effect.number, Place.UNANSWERED)
 
     def _place_over(
         self, g: Gateway, request: str, worker: str, number: int, said: Place, wait: int = 0
--- a/tests/test_hang_days.py
+++ b/tests/test_hang_days.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from basaltspread import core
-from tests.fleet import Gateway, World
-from tests.hang_days import draw, play
+from tests.fleet import WRITER, Gateway, World
+from tests.hang_days import Happening, Trouble, draw, engine_names, play
 from tests.hang_mutants import MUTANTS, Mutant
+from tests.helpers import MS, SECOND
 
 # Days on which the state of a read that was given up behind a cut stayed held: engines that are cut off work
 # on it, and give no sign of life.
@@ -20,6 +23,19 @@
     assert play(draw(seed)).breaches == ()
 
 
+def test_what_writers_take_behind_a_cut_as_they_wake_up_is_released() -> None:
+    """All of a zone hang, the zone is cut off meanwhile, and they take what was asked for before."""
+    for seed in range(12):
+        plan = draw(seed)
+        writers = [
+            n for n, kind, zone in engine_names(plan.readers, plan.writers) if (kind, zone) == (WRITER, 1)
+        ]
+        hang = Happening(Trouble.HANG, 2 * SECOND, 1500 * MS, tuple(writers))
+        cut = Happening(Trouble.CUT, 2300 * MS, 3 * SECOND, number=1)
+        crossed = replace(plan, frozen_accepts=1.0, late_connects=0.0, happenings=(hang, cut))
+        assert play(crossed).breaches == (), seed
+
+
 def test_what_may_be_held_always_has_its_next_look_due(monkeypatch: pytest.MonkeyPatch) -> None:
     """After every input, in every gateway: a clock that nothing wakes would never run out."""
     feed, looks = World.feed, list[int | None]()
--- a/tests/test_hung_engines.py
+++ b/tests/test_hung_engines.py
@@ -254,6 +254,34 @@
         self.assertEqual(self.releases(effects), [])
         self.assertEqual(self.state.requests["q"].held.since(), self.now)
 
+    def over_with_a_question(self) -> None:
+        """The request is over, and w1 has not answered whether it keeps a place."""
+        self.ask("w1")
+        self.feed(core.ClientLeft("q"), after=10 * MS)
+        self.again = [wake for wake in self.wakes if wake.token[0] == "untaken"]
+        for wake in [wake for wake in self.wakes if wake.token[0] == "release"]:
+            self.now = wake.at
+            (release,) = self.releases(self.feed(core.Woken(wake.token)))
+            self.again += [wake for wake in self.wakes if wake.token[0] == "untaken"]
+        self.feed(core.ReleaseEnded("q", release, Ending.SERVED))
+
+    def test_a_question_whose_answer_is_cut_off_is_released_again_until_it_comes(self) -> None:
+        """Its engine may have taken it behind the cut."""
+        self.over_with_a_question()
+        for _ in range(3):
+            (wake,) = self.again
+            at, self.now = self.now, wake.at
+            (release,) = self.releases(self.feed(core.Woken(wake.token)))
+            self.again = [wake for wake in self.wakes if wake.token[0] == "untaken"]
+            self.feed(core.ReleaseEnded("q", release, Ending.SERVED))
+            self.assertLess(self.now - at, LIMIT)
+        self.feed(core.PlaceEnded("q", 0, "w1", Place.NOT_HELD))
+        self.assertEqual((self.state.requests, len(self.state.untaken)), ({}, 0))
+
+    def test_an_engine_that_wakes_up_before_it_answers_the_question_gets_a_release(self) -> None:
+        self.over_with_a_question()
+        self.assertEqual(len(self.releases(self.feed(core.Probed("w1", Ending.SERVED, 2 * MS)))), 1)
+
     def test_questions_that_are_heard_out_are_bounded(self) -> None:
         self.begin(
             Arrival=lambda e: [api.Send(e.request, "r1", 0), api.HoldPlace(e.request, "w1")],
