Call back what waits for a connection to an engine that starts anew

Cause: the attempt was chosen while the engine was warm, and its connection came up after the start was told. What waits for a connection was called back as an engine drained (State of the fleet, _fleet_changed), not as it started anew. Class: a fact is looked at as something is decided, and has changed when it is done. Change: a newer start of an engine calls back what has not begun there, as a drain does; nothing was sent, and the module chooses again under the engine's budget.

--- a/basaltspread/core/fleet.py
+++ b/basaltspread/core/fleet.py
@@ -176,12 +176,15 @@
     ) -> None:
         """The one path by which engines come and go, on discovery's word or an operator's. Costs a few steps
         for each engine that has changed or is not listed any more."""
-        state, stopped, entries = self.state, set[str](), list[api.WorkerEntry]()
+        state, entries = self.state, list[api.WorkerEntry]()
+        stopped, restarted = set[str](), set[str]()
         for listed in changed:
             treated, name = self._treated(listed), listed.entry.name
             entries.append(treated.entry)
             if treated.entry.state is not WorkerState.UP and is_up(state, name):
                 stopped.add(name)
+            elif name in state.workers and treated.entry.started > state.workers[name].entry.started:
+                restarted.add(name)
             if name in state.listed:
                 state.workers[name] = treated
                 state.engine_names.add(name)
@@ -195,15 +198,20 @@
             if left is not None and state.picture is not None:
                 state.picture.changed(replace(left.entry, state=WorkerState.REMOVED))
         self.tell(api.WorkerList(kind, version, tuple(entries)))
-        if not stopped:
+        self._call_back_unsent(stopped, Ending.WITHDRAWN)
+        self._call_back_unsent(restarted, Ending.CALLED_BACK_UNSENT)
+
+    def _call_back_unsent(self, engines: set[str], ending: Ending) -> None:
+        """What waits for a connection there would go out whenever that comes up: long after a drain was told,
+        or to a cold engine although it was chosen as a warm one."""
+        if not engines:
             return
-        # What waits for a connection would go out whenever that comes up, long after the drain was told.
         for request in self.state.requests.values():
-            for worker in stopped.intersection(request.held.questions()):
+            for worker in engines.intersection(request.held.questions()):
                 self.do(DropPlace(request.id, worker))
             for attempt in request.out():
-                if attempt.worker in stopped and not attempt.begun:
-                    self._close(request, attempt, Ending.WITHDRAWN, abandon=True)
+                if attempt.worker in engines and not attempt.begun:
+                    self._close(request, attempt, ending, abandon=True)
 
     def probe(self, action: api.Probe) -> None:
         listed = self.state.workers.get(action.worker)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -514,6 +514,21 @@
             treated = state.workers["r1"].entry.state
             self.assertEqual(treated is api.WorkerState.UP, up, (started, version))
 
+    def test_what_was_chosen_for_a_warm_engine_is_not_sent_to_it_once_it_is_known_to_start_anew(self) -> None:
+        """Its connection came up after the start was told, and a cold engine got a prompt of eight times."""
+        self.begin(Arrival=lambda e: [api.Send(e.request, "r1", 0)])
+        for name, begun in (("q", False), ("p", True)):
+            self.feed(core.Taken(replace(ARRIVAL, request=name)))
+            if begun:
+                self.feed(core.Begun(name, 0))
+        r1 = next(entry for entry in FLEET if entry.name == "r1")
+        anew = core.Listed(replace(r1, started=self.now), "r1:1")
+        effects = self.feed(core.ListTold(api.ListKind.DELTA, 2, (anew,)))
+        self.assertEqual(effects, [core.AbandonAttempt("q", 0)])
+        ended = [event for event in self.module.told if isinstance(event, api.AttemptEnded)]
+        self.assertEqual([(e.request, e.outcome) for e in ended], [("q", api.Outcome.NOT_SENT)])
+        self.assertEqual(self.feed(core.ListTold(api.ListKind.DELTA, 3, (anew,))), [])
+
     def test_engines_told_to_leave_are_kept_for_the_process_that_follows(self) -> None:
         self.begin()
         kept = [e for e in self.feed(self.drained("r1")) if isinstance(e, core.KeepDepartures)]
