Release at once as a late question breaks, and end without waiting for questions

Change: a late question that ends without an answer is a place that is possible from then on: released at once, or by the clock where the request holds something newer. A process ends as nothing but open questions is left.

--- a/basaltspread/core/contacting.py
+++ b/basaltspread/core/contacting.py
@@ -66,7 +66,7 @@
         """An engine that is cut off may work on what was given up, and then hold it, without a sign of life
         here: all engines pass a release on to it. While the request waits, that could take a newer state."""
         left = self.state.untaken.release_again(engine, name, kind)
-        if left == 0:
+        if left == 0 or self.state.exited:
             return
         request = self.state.requests.get(name)
         if request is None or not request.waits():
--- a/basaltspread/core/places.py
+++ b/basaltspread/core/places.py
@@ -80,8 +80,6 @@
             self._may_be_taken(event.worker, request.id, HeldKind.PLACE)
         if event.place not in MAY_BE_HELD:
             self._end_entry(request, entry, "refused" if event.place is Place.NOT_HELD else "not_asked")
-        elif late and event.place is Place.UNANSWERED:
-            self._end_entry(request, entry, "unanswered")
         else:
             self._place_possible(request, entry, event.place)
         if not late:
@@ -91,7 +89,7 @@
         """Its engine has taken the question, or may have."""
         entry.knowledge = Knowledge.KEPT if said is Place.HELD else Knowledge.POSSIBLE
         waits, late, newer = request.waits(), entry.released, request.held.holds()
-        if late:  # it was taken after the release had gone round
+        if late:  # it may have been taken after the release had gone round
             self.do(Say(f"place of {request.id} at {entry.engine}: {said.value}, after its release"))
             self.count("places_taken_late")
         if late or not waits:
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -102,6 +102,12 @@
     return effects
 
 
+def _waits_for_questions_alone(request: Request) -> bool:
+    """Whether all that is left of it are questions for places, which have been released."""
+    over = request.ended and not request.owed and not request.out()
+    return over and not request.held.holds()
+
+
 class _Step(
     ToolSteps, HeldClockSteps, PlaceSteps, ReleaseSteps, ContactSteps, FleetSteps, ShutdownSteps, WatchSteps
 ):
@@ -130,14 +136,20 @@
         for name in self.touched:
             self._settle(name)
         state = self.state
-        idle = not (state.requests or state.releases or state.calls or state.undecided)
-        idle = idle and not (self.now < state.stop_by and state.untaken.are_released_again())
-        if not state.accepting and idle and not state.exited:
+        if not state.accepting and not state.exited and self._nothing_is_owed():
             state.exited = True
             for breach in invariants.of_exit(state):
                 self._check(breach)
             self.do(Exit())
 
+    def _nothing_is_owed(self) -> bool:
+        """Whether this process may end. It waits for no engine that may yet take a question: who comes to a
+        socket that is inherited is served by the process that follows."""
+        state = self.state
+        if state.releases or state.calls or state.undecided:
+            return False
+        return all(_waits_for_questions_alone(request) for request in state.requests.values())
+
     def fault(self, event: Input | api.Event, trace: str) -> None:
         self.count("core_faults")
         self.do(Say(f"core fault on {type(event).__name__}: {trace}"))
--- a/basaltspread/core/untaken_sends.py
+++ b/basaltspread/core/untaken_sends.py
@@ -40,10 +40,6 @@
             self._releases_left[key] = left - 1
         return left
 
-    def are_released_again(self) -> bool:
-        """Whether releases of any are left. Costs a look at each."""
-        return any(self._releases_left.values())
-
     def take(self, engine: str) -> list[tuple[str, HeldKind]]:
         """All that this engine may have taken, which is known no more afterwards."""
         found = list(self._by_engine.pop(engine, ()))
