--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -247,6 +247,17 @@
         assert rules(seen(requests=[half])) == ({"half_request_kept"} if broken else set())
 
 
+def test_half_a_request_at_an_inherited_socket_is_owed_its_error_only_while_a_process_is_there() -> None:
+    """It came after SIGTERM: the process that follows finds it."""
+    half = asked(kind=ClientKind.STOPS_HALFWAY, sent_at=None, ended_at=10.0 + 3.0 + SLACK + EDGE)
+    told = replace(seen().processes[0], told_to_end_at=9.9, ended_at=12.5)
+    follows = GatewayEnd(0, 12.5, ready_at=13.0, told_to_end_at=50.0, ended_at=51.0, exit_code=0)
+    for inherits, broken in ((True, False), (False, True)):
+        lives = [replace(told, inherits=inherits), follows]
+        found = rules(seen(requests=[half], processes=lives))
+        assert found == ({"half_request_kept"} if broken else set()), inherits
+
+
 def test_processes_end_as_they_were_told_to() -> None:
     life = seen().processes[0]
     for changed, found in (
