Release once more what an engine may notice late to be given up

Cause: the release went out 10 ms after the write was given up, and passed over what that write still waited for: its engine had not noticed the close yet. That an engine has surely seen a close by then (GIVE_UP_PAUSE) does not hold where it is busy. Change: an attempt of a request that is over, given up after its last byte was written, is on the list of what may yet be taken: one call more to its engine and one to another as the limit nears, which end it where the engine answers.

--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -432,13 +432,15 @@
         self.do(AbandonAttempt(request.id, attempt.number))
 
     def _note_given_up(self, request: Request, attempt: Attempt) -> None:
-        """A read may be taken as its engine wakes up, or be at work behind a cut, if that engine has given
-        no sign lately although it had the time."""
-        if not attempt.reading or not attempt.written:
+        """Its engine may notice that late: a release could pass over what a write there still waits for, and
+        a read could still leave a state. While the request goes on that counts only if the engine has given
+        no sign lately although it had the time: a release more could hit what the request has by then."""
+        if not attempt.written:
             return
         since = max(attempt.written_at, self.now - SILENT_AFTER)
         had_time = self.now - attempt.written_at > SILENT_AFTER
-        if had_time and self.state.contacts.answered_since(attempt.worker, since) is None:
+        silent = had_time and self.state.contacts.answered_since(attempt.worker, since) is None
+        if request.ended or (attempt.reading and silent):
             self._may_be_taken(attempt.worker, request.id, HeldKind.STATE)
 
     def _close(
