--- a/basaltspread/conformance/mutants.py
+++ b/basaltspread/conformance/mutants.py
@@ -28,7 +28,7 @@
     edits: tuple[Edit, ...]
 
 
-DISPATCH, STEPS, REDUCER = "control/dispatch.py", "core/toolcalls.py", "core/reducer.py"
+DISPATCH, STEPS, SHUTDOWN = "control/dispatch.py", "core/toolcalls.py", "core/shutdown.py"
 RELAY, RPC, SSE, FRONT, MCP = (
     "net/toolcalls.py",
     "net/jsonrpc.py",
@@ -153,7 +153,7 @@
     ),
     _mutant(
         "forgets-ids-in-upgrade", "each id one reply, through an upgrade", "upgrade/stream-is-handed-on",
-        Edit(REDUCER, "calls=dict.fromkeys(event.calls),", "calls={},"),
+        Edit(SHUTDOWN, "calls=dict.fromkeys(event.calls),", "calls={},"),
     ),
     _mutant(
         "hands-on-within-an-event", "no call is lost in an upgrade", "upgrade/part-of-an-event-stays",
@@ -161,7 +161,7 @@
     ),
     _mutant(
         "hands-on-with-calls-open", "no call is lost in an upgrade", "upgrade/open-call-ends-first",
-        Edit(REDUCER, "if not (r.ended or r.open or r.bundles))", "if not r.ended)"),
+        Edit(SHUTDOWN, "if not (r.ended or r.open or r.bundles))", "if not r.ended)"),
     ),
     _mutant(
         "session-ids-clash", "ids are unique in a session", "mcp/initialize-first",
