--- a/soak/judge.py
+++ b/soak/judge.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+from basaltspread.lab.overload import TOLD_SHARE, page_limit
 from soak.observations import (
     ClientKind,
     ClientRequest,
@@ -19,7 +20,6 @@
     Observations,
     Work,
 )
-from soak.overload_judge import TOLD_SHARE, page_limit
 from soak.schedule import TroubleKind
 
 BASE_SLACK = 0.05  # s that the page gives every time limit
--- a/tests/hang_days.py
+++ b/tests/hang_days.py
@@ -15,8 +15,9 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
+from basaltspread.lab.entities import READER, WRITER
+from basaltspread.lab.world import World
 from soak.schedule import cut_down
-from tests.fleet import READER, WRITER, World
 from tests.helpers import MS, SECOND
 
 LENGTH = 8.0  # seconds in which clients come
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,7 +8,7 @@
 
 from basaltspread import core
 from basaltspread import interface as api
-from tests.fleet import World
+from basaltspread.lab.world import World
 from tests.helpers import MS, SECOND
 
 
--- a/tests/test_hang_days.py
+++ b/tests/test_hang_days.py
@@ -7,7 +7,8 @@
 import pytest
 
 from basaltspread import core
-from tests.fleet import WRITER, Gateway, World
+from basaltspread.lab.entities import WRITER, Gateway
+from basaltspread.lab.world import World
 from tests.hang_days import Happening, Trouble, draw, engine_names, play
 from tests.hang_mutants import MUTANTS, Mutant
 from tests.helpers import MS, SECOND
--- a/tests/test_hung_engines.py
+++ b/tests/test_hung_engines.py
@@ -11,8 +11,8 @@
 from basaltspread import interface as api
 from basaltspread.core import Ending, Place
 from basaltspread.core.held_ledger import HeldKind
+from basaltspread.lab.world import World
 from tests.core_drive import ARRIVAL, CoreDrive
-from tests.fleet import World
 from tests.helpers import FLEET, MS, SECOND, settings
 from tests.standins import Asked, FleetTest, Handler, Standin, answer_plainly, reading, writing
 
--- a/tests/test_overload_judge.py
+++ b/tests/test_overload_judge.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from soak.overload_judge import EngineArrival, overload_limit, windows, worst_breach
+from basaltspread.lab.overload import EngineArrival, overload_limit, windows, worst_breach
 from tests.helpers import MS, SECOND
 
 ALLOWED = 4.0  # N: the limit is 4 + 2 * 2 + 2 = 10
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -19,11 +19,11 @@
 from basaltspread.control.load_view import Request
 from basaltspread.control.snapshot import BadSnapshot
 from basaltspread.interface import Effect, KeyScope, Outcome
+from basaltspread.lab.overload import EngineArrival, worst_breach
 from basaltspread.policy import admission, health, reader_choice, router_state, silence, waits
 from basaltspread.rules import Router
 from basaltspread.structures.averages import Rate, Recent
 from basaltspread.structures.prefixes import PrefixTable
-from soak.overload_judge import EngineArrival, worst_breach
 from tests.helpers import FLEET, MS, SECOND, Drive, entry, random_day, settings
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -13,6 +13,7 @@
 from basaltspread.control.engine_index import EngineIndex
 from basaltspread.control.load_view import Request, Worker
 from basaltspread.interface import Outcome, Role
+from basaltspread.lab.overload import EngineArrival, overload_limit, worst_breach
 from basaltspread.policy import admission
 from basaltspread.policy.slow_start import (
     LARGEST_UNIT,
@@ -20,7 +21,6 @@
     SLOTS_OF_SENDS,
     SlowStart,
 )
-from soak.overload_judge import EngineArrival, overload_limit, worst_breach
 from tests.helpers import MS, SECOND, Drive, entry, settings
 from tests.test_rules import WIDE, many_routers
 
--- a/tests/test_slow_start_days.py
+++ b/tests/test_slow_start_days.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from tests.slow_start_days import FAULTS, STARTS, Plan, draw, play
+from basaltspread.lab.cold_days import FAULTS, STARTS, Plan, draw, play
 
 # Seeds that overloaded a cold engine when a lot by session and draws each had a budget of their own, with
-# what the fullest window held of its limit. `python -m tests.slow_start_days --first SEED --days 1 --trace`
-# prints such a window; docs/FLEET-ACCEPTANCE.md has one in full.
+# what the fullest window held of its limit. `python -m basaltspread.lab.cold_days --first SEED --days 1
+# --trace` prints such a window; docs/FLEET-ACCEPTANCE.md has one in full.
 ONCE_OVERLOADED = {
     152: "readers, 18.2 of 17.9: a burst, and peers that did not hear each other",
     174: "readers, 19.4 of 16.4: traffic that moved, and gateways that restarted",
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from basaltspread.lab.overload import page_limit
 from soak.judge import GONE, HELD_SLACK, LATE, by_rule, judge
 from soak.observations import (
     ClientKind,
@@ -20,7 +21,6 @@
     Told,
     Work,
 )
-from soak.overload_judge import page_limit
 from soak.schedule import LASTS, Trouble, TroubleKind, cut_down, draw
 
 SLACK = 0.05  # s, of the page; the runner of these was never held up
