Say why each request is given up, with the figures that it rests on

Until now a refusal left no trace: neither its reason nor the waits, the candidates and the attempts behind it. Each is counted by reason (given_up_REASON), one of a second for each reason is logged with the request's id and its figures, and /-/metrics shows the reasons, the engines in slow start, the work sent to them and let expire, and whether the process still learns.

--- a/basaltspread/adapter.py
+++ b/basaltspread/adapter.py
@@ -244,9 +244,9 @@
             return ["free_state", router, request]
         case api.Cancel(request, attempt):
             return ["undo_send", router, request, attempt]
-        case api.Refuse(request, retry_after):
+        case api.Refuse(request, retry_after, _):
             return ["not_now", router, request, retry_after]
-        case api.Fail(request):
+        case api.Fail(request, _):
             return ["abort", router, request]
         case api.Move(request):
             return ["shift", router, request]
--- a/basaltspread/control/engine_index.py
+++ b/basaltspread/control/engine_index.py
@@ -95,6 +95,10 @@
             self._cold_total = 0.0
         return self.total - self._cold_total
 
+    def cold_count(self, now: int) -> int:
+        self.warm(now)  # forgets those that are warm by now
+        return len(self._cold)
+
     def cold_names(self, key: int, count: int) -> list[str]:
         names = list(islice(self._cold, MOST_COLD_WALKED))
         first = key % len(names) if names else 0
@@ -175,6 +179,10 @@
         """The sum of the weights of all that are not in slow start."""
         return self._weights[role].warm(now)
 
+    def cold_count(self, now: int, role: Role) -> int:
+        """How many are in slow start."""
+        return self._weights[role].cold_count(now)
+
     def largest_weight(self, role: Role, besides: Worker | None = None) -> float:
         """Of one role's workers, or of all but one; 0 for none."""
         weights = self._weights[role].sorted
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -65,6 +65,7 @@
 DEADLINE_GUARD = 10 * MS  # past its deadline by this, a request that the module forgot is failed here
 GIVE_UP_PAUSE = 10 * MS  # by then the engine has surely seen that an attempt was given up
 TIMER_SPACING = 8  # decisions between two of the module's timers at the least: each costs one
+GROUNDS_STEP = 1000 * MS  # between two log lines on requests given up for one reason; all are counted
 DRAIN_STEP = 200 * MS  # between two looks for idle clients from then on
 # What is told to the other gateways at once, as each would else spend a request on finding it.
 WORDS = {Ending.REFUSED: Word.REFUSES, Ending.SERVER_ERROR: Word.FAILED}
@@ -506,13 +507,27 @@
     def refuse(self, action: api.Refuse) -> None:
         request = self.state.requests.get(action.request)
         if request is not None:
+            self._note_grounds(request, action.grounds)
             self._answer(request, Verdict.REFUSED, action.retry_after)
 
     def fail(self, action: api.Fail) -> None:
         request = self.state.requests.get(action.request)
         if request is not None:
+            self._note_grounds(request, action.grounds)
             self._answer(request, Verdict.FAILED)
 
+    def _note_grounds(self, request: Request, grounds: api.Grounds | None) -> None:
+        """Count why the module gives a request up, and log one of a second for each reason."""
+        if grounds is None or not request.waits():
+            return
+        refusals = self.state.refusals
+        refusals.counts[grounds.reason] += 1
+        self.count(f"given_up_{grounds.reason.value}")
+        said_at = refusals.said_at.get(grounds.reason)
+        if said_at is None or self.now >= said_at + GROUNDS_STEP:
+            refusals.said_at[grounds.reason] = self.now
+            self.do(Say(f"{request.id} is given up: {grounds}"))
+
     def move(self, action: api.Move) -> None:
         """End a running stream; its client asks for the rest."""
         request = self.state.requests.get(action.request)
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -37,6 +37,8 @@
 
     def resting(self, now: int) -> set[str]: ...
 
+    def slow_start_figures(self, now: int) -> api.SlowStartFigures: ...
+
     def share_with(self, processes: int) -> None: ...
 
     def knowledge(self, now: int) -> dict[str, Any]: ...
@@ -115,6 +117,14 @@
     overdue: bool = False  # that it has gone unheard for long has been said
 
 
+@dataclass(slots=True, eq=False, repr=False)
+class Refusals:
+    """Requests that the module gave up, by reason, and when a log line last said so."""
+
+    counts: Counter[api.RefusalReason] = field(default_factory=Counter)
+    said_at: dict[api.RefusalReason, int] = field(default_factory=dict)
+
+
 @dataclass(slots=True, eq=False, repr=False)
 class ToolCall:
     """A call, from its event to the last that is heard of it."""
@@ -175,6 +185,7 @@
     tools: Dispatcher | None = None  # only where a configuration has tool servers
     calls: dict[tuple[str, str], ToolCall] = field(default_factory=dict)  # open ones
     bundles: dict[tuple[str, int], Bundle] = field(default_factory=dict)  # unanswered ones
+    refusals: Refusals = field(default_factory=Refusals)
     replies: Counter[tuple[int, Verdict]] = field(default_factory=Counter)  # by class, since the start
     dispatches: int = 0  # attempts written whole
     inherited: bool = False  # the clients' socket is the platform's, and outlives this process
@@ -210,6 +221,8 @@
     targets: int  # engines in the list
     targets_disabled: int  # those of them that are avoided now
     held: HeldFigures
+    refusals: dict[str, int]  # requests that the module gave up, by reason; every reason from the start
+    slow_start: api.SlowStartFigures
 
 
 def figures(state: State, now: int) -> Figures:
@@ -221,6 +234,8 @@
         len(state.workers),
         len(avoided.intersection(state.workers)),
         held_figures(state, now),
+        {reason.value: state.refusals.counts[reason] for reason in api.RefusalReason},
+        state.module.slow_start_figures(now),
     )
 
 
--- a/basaltspread/interface.py
+++ b/basaltspread/interface.py
@@ -68,6 +68,61 @@
     NOT_SENT = "not_sent"
 
 
+class RefusalReason(Enum):
+    """Why a router gives a request up. The names are those of counters and log lines."""
+
+    READERS_BUSY = "readers_busy"  # the read would wait longer than its aim allows
+    WRITERS_BUSY = "writers_busy"  # the same, for what the writers let wait
+    FLEET_BUSY = "fleet_busy"  # the same, by what first tokens of all requests take (few routers)
+    NO_WORKER = "no_worker"  # none may be sent it, for as long as it could wait
+    ATTEMPTS_SPENT = "attempts_spent"
+    TIME_SHORT = "time_short"  # another attempt could not end before the deadline
+    UNREAD_LATE = "unread_late"  # its aim is past, and no reader has read it
+    HELD_LONG = "held_long"  # what is held for it can't wait for another attempt
+    MAY_HAVE_RUN = "may_have_run"  # and must not run twice
+    DEADLINE = "deadline"
+
+
+@record
+class Candidates:
+    """How many workers a decision looked at, by what it knew of them."""
+
+    warm: int = 0
+    cold: int = 0  # in slow start
+    cold_admitted: int = 0  # of these, that had an allowance for the request
+    left_out: int = 0  # failed, full, or out of reach
+
+
+@record
+class Grounds:
+    """What a refusal rests on. Times in us."""
+
+    reason: RefusalReason
+    expected_wait: int = 0
+    allowed_wait: int = 0
+    attempts: int = 0
+    candidates: Candidates = field(default_factory=Candidates)
+
+    def __str__(self) -> str:
+        looked = self.candidates
+        return (
+            f"{self.reason.value}, expected wait {self.expected_wait // 1000} ms of"
+            f" {self.allowed_wait // 1000} ms allowed, {self.attempts} attempts, {looked.warm} warm"
+            f" and {looked.cold} cold workers of which {looked.cold_admitted} admitted it,"
+            f" {looked.left_out} left out"
+        )
+
+
+@record
+class SlowStartFigures:
+    """What operators are shown of workers in slow start. Work is in mean requests since the process began."""
+
+    cold: int  # workers in slow start now
+    spent: float  # work sent to them
+    expired: float  # work that was allowed to them and not sent in time
+    learning: bool  # whether too little is known to tell a request's size or a worker's capacity
+
+
 @record
 class RequestClass:
     name: str
@@ -298,11 +353,13 @@
 class Refuse:
     request: str
     retry_after: int
+    grounds: Grounds | None = None
 
 
 @record
 class Fail:
     request: str
+    grounds: Grounds | None = None
 
 
 @record
--- a/basaltspread/net/management.py
+++ b/basaltspread/net/management.py
@@ -191,5 +191,10 @@
             "release_us": found.held.release_time,
             "release_waves": found.held.release_waves,
             "most_release_us": found.held.longest_release,
+            "given_up": found.refusals,
+            "engines_in_slow_start": found.slow_start.cold,
+            "slow_start_work_sent": round(found.slow_start.spent, 1),
+            "slow_start_work_expired": round(found.slow_start.expired, 1),
+            "still_learning": found.slow_start.learning,
             **self._runtime.load.figures(self._runtime.clock.now()),
         }
--- a/basaltspread/net/timed_module.py
+++ b/basaltspread/net/timed_module.py
@@ -36,6 +36,9 @@
     def resting(self, now: int) -> set[str]:
         return self._module.resting(now)
 
+    def slow_start_figures(self, now: int) -> api.SlowStartFigures:
+        return self._module.slow_start_figures(now)
+
     def share_with(self, processes: int) -> None:
         self._module.share_with(processes)
 
--- a/basaltspread/policy/admission.py
+++ b/basaltspread/policy/admission.py
@@ -8,7 +8,7 @@
 
 from basaltspread import interface as api
 from basaltspread.control.load_view import Request, Worker
-from basaltspread.interface import Effect, KeyScope, Role
+from basaltspread.interface import Effect, KeyScope, RefusalReason, Role
 from basaltspread.policy.router_state import SECOND
 from basaltspread.policy.waits import Waits
 from basaltspread.structures.hashing import HASH_MASK, hashed
@@ -35,27 +35,41 @@
         aim = self.tightest + max(0.0, request.aim - request.cls.aim - reading)
         return aim * (ADMIT_LESSER if request.over_share or request.a.is_retry else ADMIT)
 
-    def _promising(self, request: Request, reader: Worker, need: int) -> bool:
-        """Many routers: whether to send a read there, by what it and the writers let wait. What is over is
+    def _too_busy(self, request: Request, reader: Worker, need: int) -> api.Grounds | None:
+        """Many routers: why not to send a read there, by what it and the writers let wait. What is over is
         thinned by a lot that all draw alike for a turn of a session, asked again or not."""
         if not self.many:
-            return True
+            return None
         allowed = self._bearable(request, need * self.token_time) * ADMIT_SEEN
         wait = self._wait_at(reader, self._pool_wait(Role.READER))
         told = reader.busy_until > self.now or self._lately(reader)
-        wait = wait * (ADMIT_SEEN if told else 1) + self._pool_wait(Role.WRITER)
+        writers = self._pool_wait(Role.WRITER)
+        wait = wait * (ADMIT_SEEN if told else 1) + writers
         lot = hashed(f"lot{request.a.session or request.id} {request.a.prompt_tokens}") / HASH_MASK
-        return wait <= allowed or lot < (allowed / wait) ** 2
+        if wait <= allowed or lot < (allowed / wait) ** 2:
+            return None
+        reason = RefusalReason.WRITERS_BUSY if writers > wait / 2 else RefusalReason.READERS_BUSY
+        return self._grounds(request, reason, wait, allowed)
+
+    def _grounds(
+        self, request: Request, reason: RefusalReason, wait: float = 0.0, allowed: float = 0.0
+    ) -> api.Grounds:
+        return api.Grounds(reason, int(wait), int(allowed), request.sent, self.looked_at)
 
-    def _another_pays(self, request: Request) -> bool:
-        """Whether another attempt is allowed and not hopeless; hopeless ones only add work to a jam."""
+    def _no_further(self, request: Request) -> RefusalReason | None:
+        """Why another attempt is not allowed or is hopeless; hopeless ones only add work to a jam."""
         reads = self.read_time.of(self.read_time.size) if request.reader is None else 0
         least = (self.first_time.of(request.a.prompt_tokens) + reads) / 2
         unread = self.many and request.reader is None
         late = unread and self.now - request.arrived > request.aim  # not even read: of no use
-        in_time = request.deadline - self.now > least and not late
-        free = request.reader is None or not self._held_long(request)
-        return in_time and free and request.sent < self.s.limits.max_attempts
+        if request.sent >= self.s.limits.max_attempts:
+            return RefusalReason.ATTEMPTS_SPENT
+        if late:
+            return RefusalReason.UNREAD_LATE
+        if request.deadline - self.now <= least:
+            return RefusalReason.TIME_SHORT
+        held_long = request.reader is not None and self._held_long(request)
+        return RefusalReason.HELD_LONG if held_long else None
 
     def _held_long(self, request: Request) -> bool:
         """Whether what is held for it, with no attempt out, can't wait for one more connection to come up."""
--- a/basaltspread/policy/health.py
+++ b/basaltspread/policy/health.py
@@ -89,6 +89,7 @@
         listed = [w for w in listed if w.gone_until <= now] or listed
         free = [w for w in listed if w.full_until <= now]
         open_now = [w for w in free if self.slow_start.admits(now, request, w)]
+        self._note_candidates(len(looked_at), free, open_now)
         pool = [w for w in open_now if w.rest_until <= now]
         if len(pool) < MOST_RESTING * len(listed):
             pool = open_now
@@ -101,6 +102,14 @@
             return pool
         return [w for w in pool if w.name not in request.failed] or pool
 
+    def _note_candidates(self, looked_at: int, free: list[Worker], open_now: list[Worker]) -> None:
+        """For the log: what the latest decision had to choose from."""
+        cold = sum(self.slow_start.is_cold(self.now, w) for w in free)
+        warm = len(free) - cold
+        resting = sum(w.rest_until > self.now for w in free)
+        left_out = looked_at - len(free) + resting
+        self.looked_at = api.Candidates(warm, cold, len(open_now) - warm, left_out)
+
     def _took(self, worker: Worker, request: Request) -> None:
         tenant = request.a.tenant
         worker.served[tenant], worker.strikes, worker.faults = (
--- a/basaltspread/policy/silence.py
+++ b/basaltspread/policy/silence.py
@@ -30,7 +30,7 @@
         if silent:
             self._strike(worker)
         risky = request.cls.effect is not Effect.SAFE and not out.reading  # it may have run: wait instead
-        if not risky and self._another_pays(request):
+        if not risky and self._no_further(request) is None:
             self._cancel(request)
 
     def _patience(self, out: Attempt, silent: bool, stuck: bool) -> float:
--- a/basaltspread/policy/slow_start.py
+++ b/basaltspread/policy/slow_start.py
@@ -43,6 +43,7 @@
         self._settings, self._rules, self._available = settings, settings.rules, available
         self._slot_length = max(1, settings.rules.cold_window + settings.limits.connect_timeout)
         self._began = -1
+        self._spent = self._expired = 0.0  # mean requests sent to cold workers, and allowed and not sent
         self.processes = 1  # of this router that run now and share its part
         self.sizes = RequestSizes(len(settings.classes))
         self.token_time = 0.0  # microseconds that a warm reader takes for a token; 0: not known
@@ -79,6 +80,7 @@
             part = self._expected_part(now, worker, slot, unit)
             if part <= 0:
                 return False
+            self._expired += max(0.0, worker.allowance)
             worker.allowance_slot = slot
             worker.allowance = unit * int(part / unit + self._offset(worker, slot))
         return worker.allowance >= size
@@ -86,7 +88,15 @@
     def spend(self, now: int, request: Request, worker: Worker) -> None:
         """The request is sent, or will be by the end of the next slot, to a worker that admits it."""
         if self.is_cold(now, worker) and not self.has_reserved(now, request, worker):
-            worker.allowance -= self.sizes.size(request.a, worker.role) or LEAST_UNIT
+            size = self.sizes.size(request.a, worker.role) or LEAST_UNIT
+            self._spent += size
+            worker.allowance -= size
+
+    def figures(self, now: int) -> api.SlowStartFigures:
+        """What operators are shown."""
+        learning = self.sizes.typical_prompt() is None or self.token_time <= 0
+        cold = sum(self._available.cold_count(now, role) for role in Role)
+        return api.SlowStartFigures(cold, self._spent, self._expired, learning)
 
     def reserve(self, now: int, request: Request, worker: Worker) -> None:
         self.spend(now, request, worker)
--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -14,7 +14,7 @@
 from basaltspread import interface as api
 from basaltspread.control import snapshot
 from basaltspread.control.load_view import Attempt, Request, Worker
-from basaltspread.interface import Effect, Outcome, Role
+from basaltspread.interface import Effect, Outcome, RefusalReason, Role
 from basaltspread.policy.admission import WATCH_STEP
 from basaltspread.policy.candidates import Candidates
 from basaltspread.policy.learning import Learning
@@ -52,6 +52,9 @@
         """So many processes of this router run now, this one among them."""
         self.slow_start.processes = max(1, processes)
 
+    def slow_start_figures(self, now: int) -> api.SlowStartFigures:
+        return self.slow_start.figures(now)
+
     def knowledge(self, now: int) -> dict[str, Any]:
         return snapshot.take(self, now)
 
@@ -113,11 +116,12 @@
         request = Request(arrival, cls, self.now, self._over_share(arrival))
         self.requests[request.id] = request
         self.slow_start.sizes.arrived(arrival)
-        if arrival.is_resumed or self.many or self._expected_wait() <= self._bearable(request):
+        wait, allowed = self._expected_wait(), self._bearable(request)
+        if arrival.is_resumed or self.many or wait <= allowed:
             self.unanswered[request.id] = None
             self._advance(request)
         else:  # it comes too late
-            self._give_up(request)
+            self._give_up(request, self._grounds(request, RefusalReason.FLEET_BUSY, wait, allowed))
 
     def _advance(self, request: Request) -> None:
         """The one owner of "nothing in flight: send or release", called after every event of a request."""
@@ -132,10 +136,11 @@
             self._nothing_held(request)
             self.out.append(api.Release(request.id))
         barred = request.ran is not None and request.cls.effect is Effect.UNSAFE
-        if barred or not self._another_pays(request):
-            self._give_up(request)
+        reason = RefusalReason.MAY_HAVE_RUN if barred else self._no_further(request)
+        if reason is not None:
+            self._give_up(request, self._grounds(request, reason))
         elif not self._send_next(request) and not self._keep_waiting(request):
-            self._give_up(request)
+            self._give_up(request, self._grounds(request, RefusalReason.NO_WORKER))
 
     @staticmethod
     def _nothing_held(request: Request) -> None:
@@ -171,8 +176,8 @@
             return self._send_unread(request)
         worker, held = self._choose_reader(request, pool, homes)
         need = max(1, request.a.prompt_tokens - held)
-        if not self._promising(request, worker, need):
-            self._give_up(request)
+        if (grounds := self._too_busy(request, worker, need)) is not None:
+            self._give_up(request, grounds)
             return True
         out = self._send(request, worker, True, need, self.read_time.of(need))
         out.promised, worker.reads[request.id] = self.held.tokens(request.a, worker, self.now), need
@@ -282,7 +287,7 @@
             self.unanswered.pop(request.id, None)
         self._judge(request, attempt, event)
         if not request.done and self.now >= request.deadline:
-            self._give_up(request)
+            self._give_up(request, self._grounds(request, RefusalReason.DEADLINE))
         else:
             self._advance(request)
 
@@ -303,12 +308,12 @@
             self._nothing_held(request)
             self._advance(request)
 
-    def _give_up(self, request: Request) -> None:
+    def _give_up(self, request: Request, grounds: api.Grounds) -> None:
         """The final answer, at once: refused where that is truthful, else failed."""
         if self._refusable(request):
-            self.out.append(api.Refuse(request.id, self._retry_after()))
+            self.out.append(api.Refuse(request.id, self._retry_after(), grounds))
         else:
-            self.out.append(api.Fail(request.id))
+            self.out.append(api.Fail(request.id, grounds))
         request.done = True
         self.unanswered.pop(request.id, None)
         self._advance(request)
--- a/benchmarks/dispatching.py
+++ b/benchmarks/dispatching.py
@@ -43,6 +43,9 @@
     def share_with(self, processes: int) -> None:
         pass
 
+    def slow_start_figures(self, now: int) -> api.SlowStartFigures:
+        return api.SlowStartFigures(0, 0.0, 0.0, False)
+
     def knowledge(self, now: int) -> dict[str, Any]:
         return {}
 
--- a/tests/core_drive.py
+++ b/tests/core_drive.py
@@ -26,6 +26,9 @@
     def resting(self, now: int) -> set[str]:
         return {"r3", "unlisted"}
 
+    def slow_start_figures(self, now: int) -> api.SlowStartFigures:
+        return api.SlowStartFigures(0, 0.0, 0.0, False)
+
     def share_with(self, processes: int) -> None:
         self.processes = processes
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -115,6 +115,22 @@
             assert isinstance(ended, api.AttemptEnded)
             self.assertIs(ended.outcome, outcome)
 
+    def test_each_refusal_is_counted_by_its_reason_and_one_a_second_is_logged_with_its_figures(self) -> None:
+        reason = api.RefusalReason.READERS_BUSY
+        grounds = api.Grounds(reason, 900 * MS, 480 * MS, 1, api.Candidates(4, 20, 1, 2))
+        self.begin(Arrival=lambda e: [api.Refuse(e.request, 0, grounds)])
+        said = list[str]()
+        for number in range(12):
+            name = f"q{number}"
+            self.now += 100 * MS
+            effects = core.reduce(self.state, self.now, core.Taken(replace(ARRIVAL, request=name)))
+            self.assertIn(core.Count("given_up_readers_busy"), effects)
+            said += [effect.text for effect in effects if isinstance(effect, core.Say)]
+        self.assertEqual(self.state.refusals.counts, {reason: 12})
+        self.assertEqual(len(said), 2)
+        for figure in ("q0", "900 ms of 480 ms", "4 warm", "20 cold", "1 admitted", "2 left out"):
+            self.assertIn(figure, said[0].replace("which 1 admitted it", "1 admitted"))
+
     def test_a_refusal_goes_out_once_an_engine_anywhere_has_seen_that_the_attempt_is_given_up(self) -> None:
         """Guards an order that is asked for again while a far engine still has the first. What the gateway
         ends for a spoilt answer is given up as well; what was never sent, or may run twice, does not wait."""
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -16,6 +16,7 @@
 from unittest import mock
 
 from basaltspread import core
+from basaltspread import interface as api
 from basaltspread.net.clients import Client
 from basaltspread.net.links import Link, TimedReader
 from basaltspread.net.shared_files import BanFile
@@ -82,6 +83,9 @@
         self.assertEqual(figures["replies"], {"ask": {**nothing, "success": 2}, "order": nothing})
         self.assertEqual((figures["dispatches"], figures["concurrent"]), (4, 0))
         self.assertEqual((figures["targets"], figures["targets_disabled"]), (2, 0))
+        self.assertEqual(figures["given_up"], {reason.value: 0 for reason in api.RefusalReason})
+        self.assertEqual((figures["engines_in_slow_start"], figures["slow_start_work_sent"]), (0, 0.0))
+        self.assertIs(figures["still_learning"], True)  # of two requests
 
     async def test_a_request_refused_at_the_door_is_counted(self) -> None:
         gateway = await self.managed(memory_mb=1)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -546,7 +546,7 @@
                 name, prompt = f"{session}-{turn}", 800 + 700 * turn
                 a = api.Arrival(name, session, "p", 600, prompt, 200, 0, 0, 5 * SECOND, 0, False, False)
                 q = Request(a, d.s.classes[0], d.now, False)
-                judged.add(d.router._promising(q, d.router.fleet["r0"], 1))
+                judged.add(d.router._too_busy(q, d.router.fleet["r0"], 1) is None)
             assert len(judged) == 1
             let_in[session] += judged.pop()
     part = sum(let_in.values()) / (turns * sessions)
