--- a/basaltspread/adapter.py
+++ b/basaltspread/adapter.py
@@ -234,7 +234,9 @@
 
 def _order(router: int, action: api.Action) -> list[Any] | None:
     match action:
-        case api.LongRead():  # what routers tell each other of the fleet is no part of this wire
+        case (
+            api.LongRead() | api.PeerEstimates()
+        ):  # what routers tell each other of the fleet is no part of this wire
             return None
         case api.Send(request, worker, timeout):
             return ["dispatch", router, request, timeout, worker]
--- a/basaltspread/control/engine_index.py
+++ b/basaltspread/control/engine_index.py
@@ -12,6 +12,7 @@
 
 import heapq
 from bisect import bisect_left, insort
+from collections.abc import Mapping, Sequence
 from itertools import islice
 
 from basaltspread.control.load_view import Worker
@@ -19,6 +20,7 @@
 from basaltspread.records import record
 from basaltspread.structures.indexed_set import IndexedSet
 
+LARGEST_WEIGHT = 1e6  # sums of products with times stay exact enough
 MOST_COLD_WALKED = 64  # of the workers in slow start: the oldest starts, which may be sent most
 
 
@@ -61,6 +63,41 @@
         return [self._by_name[name] for name in names]
 
 
+class _SlowStart:
+    """One role's workers in slow start, in an order that all who know the same ones have."""
+
+    def __init__(self) -> None:
+        self.workers: list[Worker] = []
+        self._keys: list[tuple[int, str]] = []
+        self._warm_at: list[tuple[int, str]] = []  # sorted
+
+    def add(self, worker: Worker, warm_at: int) -> None:
+        key = (worker.hash, worker.name)
+        position = bisect_left(self._keys, key)
+        self._keys.insert(position, key)
+        self.workers.insert(position, worker)
+        insort(self._warm_at, (warm_at, worker.name))
+
+    def discard(self, worker: Worker) -> None:
+        key = (worker.hash, worker.name)
+        position = bisect_left(self._keys, key)
+        if position < len(self._keys) and self._keys[position] == key:
+            del self._keys[position], self.workers[position]
+            self._warm_at = [entry for entry in self._warm_at if entry[1] != worker.name]
+
+    def forget_warm(self, now: int, named: Mapping[str, _Filed]) -> None:
+        while self._warm_at and self._warm_at[0][0] <= now:
+            name = self._warm_at[0][1]
+            if name in named:
+                self.discard(named[name].worker)
+            else:
+                del self._warm_at[0]
+
+    @property
+    def oldest(self) -> str | None:
+        return self._warm_at[0][1] if self._warm_at else None
+
+
 class _Weights:
     """The weights of one role's workers: their sum over the warm ones, and the largest."""
 
@@ -69,6 +106,7 @@
         self.sorted: list[float] = []
         self._cold: dict[str, tuple[int, float]] = {}  # when it will be warm, and its weight
         self._cold_total = 0.0
+        self._cold_until = 0.0  # sum of the weights of cold workers, each times when it will be warm
         self._warm_at: list[tuple[int, str]] = []  # a heap; entries of earlier starts are passed over
 
     def add(self, worker: Worker, weight: float, warm_at: int | None) -> None:
@@ -77,6 +115,7 @@
         if warm_at is not None:
             self._cold[worker.name] = (warm_at, weight)
             self._cold_total += weight
+            self._cold_until += weight * warm_at
             heapq.heappush(self._warm_at, (warm_at, worker.name))
 
     def discard(self, worker: Worker, weight: float) -> None:
@@ -92,9 +131,15 @@
             if self._cold.get(name, (0, 0.0))[0] == warm_at:
                 self._warmed(name)
         if not self._cold:
-            self._cold_total = 0.0
+            self._cold_total = self._cold_until = 0.0
         return self.total - self._cold_total
 
+    def cold_part(self, now: int, warm_within: int) -> tuple[float, float]:
+        """The weights of those in slow start, and these times the part of the slow start that is over."""
+        self.warm(now)
+        left = max(0.0, self._cold_until - now * self._cold_total)
+        return self._cold_total, max(0.0, self._cold_total - left / max(1, warm_within))
+
     def cold_count(self, now: int) -> int:
         self.warm(now)  # forgets those that are warm by now
         return len(self._cold)
@@ -105,7 +150,9 @@
         return [*names[first:], *names[:first]][:count]
 
     def _warmed(self, name: str) -> None:
-        self._cold_total -= self._cold.pop(name, (0, 0.0))[1]
+        warm_at, weight = self._cold.pop(name, (0, 0.0))
+        self._cold_total -= weight
+        self._cold_until -= weight * warm_at
 
 
 @record
@@ -131,6 +178,7 @@
         self._cells: dict[tuple[Role, int], WorkerGroup] = {}
         self._weights = {role: _Weights() for role in Role}
         self._filed: dict[str, _Filed] = {}
+        self._slow_start = {role: _SlowStart() for role in Role}
 
     def put(self, worker: Worker) -> None:
         """A worker has come or changed; one that is not up goes."""
@@ -144,6 +192,8 @@
         self._cells.setdefault((worker.role, worker.cell), WorkerGroup()).add(worker)
         warm_at = worker.warming_since + self._warm_within if worker.started > 0 else None
         self._weights[worker.role].add(worker, weight, warm_at)
+        if warm_at is not None:
+            self._slow_start[worker.role].add(worker, warm_at)
 
     def drop(self, worker: Worker) -> None:
         filed = self._filed.pop(worker.name, None)
@@ -153,6 +203,7 @@
         self._zones[filed.role, filed.zone].discard(worker)
         self._cells[filed.role, filed.cell].discard(worker)
         self._weights[filed.role].discard(worker, filed.weight)
+        self._slow_start[filed.role].discard(worker)
 
     def named(self, name: str) -> Worker | None:
         filed = self._filed.get(name)
@@ -173,16 +224,38 @@
         return self._cells.get((role, cell), _NONE)
 
     def weight(self, worker: Worker) -> float:
-        return worker.weight if self._weights_mean_size else 1.0
+        if not self._weights_mean_size:
+            return 1.0
+        return min(max(worker.weight, 1 / LARGEST_WEIGHT), LARGEST_WEIGHT)
 
     def warm_weight(self, now: int, role: Role) -> float:
         """The sum of the weights of all that are not in slow start."""
         return self._weights[role].warm(now)
 
+    def in_slow_start(self, now: int, role: Role) -> Sequence[Worker]:
+        """All of a role that are in slow start, in the same order for all who know the same ones."""
+        found = self._slow_start[role]
+        found.forget_warm(now, self._filed)
+        return found.workers
+
+    def oldest_cold(self, now: int, role: Role) -> Worker | None:
+        """The worker in slow start that will be warm first."""
+        self.in_slow_start(now, role)
+        name = self._slow_start[role].oldest
+        return self._filed[name].worker if name is not None else None
+
+    def cold_part(self, now: int, role: Role) -> tuple[float, float]:
+        """The weights of all in slow start, and these times the part of their slow start that is over."""
+        return self._weights[role].cold_part(now, self._warm_within)
+
     def cold_count(self, now: int, role: Role) -> int:
         """How many are in slow start."""
         return self._weights[role].cold_count(now)
 
+    def second_largest_weight(self, role: Role) -> float:
+        """Of one role's workers; of a single one its own, and 0 for none."""
+        return (self._weights[role].sorted[-2:] or [0.0])[0]
+
     def largest_weight(self, role: Role, besides: Worker | None = None) -> float:
         """Of one role's workers, or of all but one; 0 for none."""
         weights = self._weights[role].sorted
--- a/basaltspread/control/load_view.py
+++ b/basaltspread/control/load_view.py
@@ -9,7 +9,6 @@
 
 from basaltspread import interface as api
 from basaltspread.interface import Role
-from basaltspread.records import record
 from basaltspread.structures.hashing import hashed
 
 FULL_SLOTS = 8.0  # requests that a reader whose slots are all in use is taken to run at once
@@ -44,7 +43,6 @@
         self.lag, self.lag_at = 0.0, now  # what reads here lately waited, beyond the reading itself
         self.void_before = now  # prefix entries older than this are not believed
         self.warming_since = min(self.started, now)  # a list may name a start that is yet to come
-        self.allowance, self.allowance_slot = 0.0, -1  # in mean requests, and the slot that it is for
 
     def told(self, now: int, report: dict[str, float], size: float) -> None:
         self.told_at = now if report else self.told_at
@@ -67,14 +65,6 @@
         self.promised = self.tell_again_at = 0  # tokens there, by the table; of a long read
 
 
-@record
-class Reservation:
-    """A part of a cold worker's allowance, taken for a request that is sent there later."""
-
-    worker: Worker
-    slot: int
-
-
 class Request:
     """One request from its arrival until nothing of it is under way and nothing is held for it."""
 
@@ -86,7 +76,6 @@
         self.sent, self.placed = 0, False  # placed: the writer asked said that it holds the place
         self.reader: Worker | None = None  # where the read state waits
         self.place: Worker | None = None  # writer asked to hold a place, and not known to have refused
-        self.reservation: Reservation | None = None  # of that place, where the writer is cold
         self.asked, self.failed = list[str](), list[str]()  # writers asked for a place; who failed it
         self.holds = self.streaming = self.done = False  # holds: a state or a place may be held somewhere
         self.ran: Worker | None = None  # first worker at which it may have run, and when it was sent
--- a/basaltspread/control/picture.py
+++ b/basaltspread/control/picture.py
@@ -29,6 +29,10 @@
 ID_BYTES = 3  # of an engine's name in a message: every byte is paid for once for each gateway
 MOST_BYTES = 256  # of a datagram
 MOST_OUTDATED = 4  # times the engines asked from here that turns may be queued
+ESTIMATES = 6  # figures of a message on the whole fleet
+PROMPT_UNIT = 100.0  # tokens in which a prompt's size is told
+DEMAND_UNIT = 1000.0  # tokens a second in which demand is told
+SECOND = 1_000_000  # us
 SCALE = 16  # steps for each doubling of a figure: about 4%
 
 
@@ -38,9 +42,11 @@
     REPORT = 1
     REFUSES = 2  # it refuses connections: no process is there
     FAILED = 3  # it answered with an error
+    ESTIMATES = 6  # of no engine: what the sender knows of the whole fleet
     READING = 5  # one long read keeps it busy: what waits behind that stands in no report
 
 
+ENGINE_WORDS = frozenset(Word) - {Word.ESTIMATES}
 FAULTS = {Word.REFUSES: Outcome.CONNECT_FAILED, Word.FAILED: Outcome.ERROR}
 
 
@@ -179,6 +185,19 @@
         is read, so that the reader looks idle for seconds to all others."""
         return bytes((Word.READING,)) + short(name) + bytes((packed(time / 1e6),))
 
+    def estimates(self, known: api.PeerEstimates) -> bytes:
+        """The message on what this gateway knows of the whole fleet."""
+        figures = (
+            known.token_time, known.prompt_tokens / PROMPT_UNIT, known.writer_rate * SECOND,
+            known.mixed_rate * SECOND, known.demand * SECOND / DEMAND_UNIT, known.read_part,
+        )  # fmt: skip
+        return bytes((Word.ESTIMATES, *map(packed, figures)))
+
+    @staticmethod
+    def is_of_fleet(message: bytes) -> bool:
+        """Whether it is on the whole fleet, and not on one engine."""
+        return message[:1] == bytes((Word.ESTIMATES,))
+
     def fault(self, now: int, name: str, word: Word) -> bytes | None:
         """The message on a fault that this gateway met; none where all were just told."""
         if not self._fault(now, name, word):
@@ -194,8 +213,8 @@
         return True
 
     def read(self, message: bytes) -> Told:
-        """Raises BadWord."""
-        if not 1 + ID_BYTES <= len(message) <= MOST_BYTES or message[0] not in set(Word):
+        """What a peer says of an engine. Raises BadWord."""
+        if not 1 + ID_BYTES <= len(message) <= MOST_BYTES or message[0] not in ENGINE_WORDS:
             raise BadWord(f"{len(message)} bytes, beginning {message[:1]!r}")
         word, figures = Word(message[0]), message[1 + ID_BYTES :]
         fields = {Word.REPORT: self._fields, Word.READING: (api.READING,)}.get(word, ())
@@ -204,6 +223,17 @@
         report = {field: unpacked(b) for field, b in zip(fields, figures, strict=True)}
         return Told(word, message[1 : 1 + ID_BYTES], report)
 
+    @staticmethod
+    def read_estimates(message: bytes) -> api.PeerEstimates:
+        """What a peer knows of the whole fleet. Raises BadWord."""
+        if len(message) != 1 + ESTIMATES:
+            raise BadWord(f"{len(message) - 1} figures with {Word.ESTIMATES.name}")
+        token_time, prompt, writers, mixed, demand, part = map(unpacked, message[1:])
+        return api.PeerEstimates(
+            token_time, prompt * PROMPT_UNIT, writers / SECOND, mixed / SECOND,
+            demand * DEMAND_UNIT / SECOND, part,
+        )  # fmt: skip
+
     def take(self, now: int, told: Told) -> api.ProbeEnded | None:
         """What a peer's word means to the module; nothing for an engine that is not on this list."""
         names = self._names.get(told.engine, ())
--- a/basaltspread/control/request_sizes.py
+++ b/basaltspread/control/request_sizes.py
@@ -37,13 +37,10 @@
             return None
         return sorted(self.prompts)[len(self.prompts) // 2]
 
-    def size(self, arrival: api.Arrival, role: Role) -> float | None:
-        """A request's work at a worker of this role; None as long as too little is known. A writer's grows
-        with the prompt that it takes in and with the answer that it writes, of which only the class tells:
-        the larger counts."""
-        typical = self.typical_prompt()
-        if typical is None:
-            return None
+    def size(self, arrival: api.Arrival, role: Role, typical: float) -> float:
+        """A request's work at a worker of this role, where a typical prompt has so many tokens. A writer's
+        grows with the prompt that it takes in and with the answer that it writes, of which only the class
+        tells: the larger counts."""
         prompt = max(1, arrival.prompt_tokens) / typical
         if role is Role.READER:
             return prompt
--- a/basaltspread/control/snapshot.py
+++ b/basaltspread/control/snapshot.py
@@ -27,8 +27,8 @@
     """A snapshot of another version, or none at all."""
 
 
-class SlowStartEstimates(Protocol):
-    """What slow start has learnt."""
+class CapacityFigures(Protocol):
+    """What is known of warm workers and of requests' sizes."""
 
     completed_rate: dict[Role, Rate]
     sizes: RequestSizes
@@ -40,7 +40,6 @@
 
     fleet: dict[str, Worker]
     held: HeldPrefixes
-    token_time: float
     near_time: float
     latency: float
     first_at: int
@@ -49,15 +48,15 @@
     first_time: Usual
 
     @property
-    def slow_start(self) -> SlowStartEstimates: ...
+    def estimates(self) -> CapacityFigures: ...
 
 
 def _rates(estimates: Estimates) -> list[Rate]:
-    return [*estimates.slow_start.completed_rate.values(), *estimates.first_rates]
+    return [*estimates.estimates.completed_rate.values(), *estimates.first_rates]
 
 
 def _usual_times(estimates: Estimates) -> list[Usual]:
-    sizes = estimates.slow_start.sizes
+    sizes = estimates.estimates.sizes
     return [estimates.read_time, estimates.first_time, sizes.any_answer_time, *sizes.answer_time]
 
 
@@ -95,8 +94,8 @@
         "version": VERSION,
         "rates": [(rate.at(now), now - rate.since if rate.since >= 0 else -1) for rate in _rates(estimates)],
         "usuals": [(usual.count, usual.time, usual.size) for usual in _usual_times(estimates)],
-        "prompts": list(estimates.slow_start.sizes.prompts),
-        "times": (estimates.token_time, estimates.near_time, estimates.latency),
+        "prompts": list(estimates.estimates.sizes.prompts),
+        "times": (estimates.estimates.token_time, estimates.near_time, estimates.latency),
         "workers": workers,
         "table": table,
     }
@@ -115,9 +114,8 @@
         rate.value, rate.when, rate.since = value, now, now - counted_for if counted_for >= 0 else -1
     for usual, (count, time, size) in zip(usuals, snapshot.usuals, strict=True):
         usual.count, usual.time, usual.size = count, time, size
-    estimates.slow_start.sizes.prompts.extend(snapshot.prompts)
-    estimates.token_time, estimates.near_time, estimates.latency = snapshot.times
-    estimates.slow_start.token_time = estimates.token_time
+    estimates.estimates.sizes.prompts.extend(snapshot.prompts)
+    estimates.estimates.token_time, estimates.near_time, estimates.latency = snapshot.times
     estimates.first_at = now
     for worker in estimates.fleet.values():
         known = snapshot.workers.get(worker.name)
--- a/basaltspread/core/fleet.py
+++ b/basaltspread/core/fleet.py
@@ -234,6 +234,10 @@
         if self.state.picture is not None:
             self._tell(self.state.picture.reading(action.worker, action.time))
 
+    def tell_estimates(self, action: api.PeerEstimates) -> None:
+        if self.state.picture is not None:
+            self._tell(self.state.picture.estimates(action))
+
     def _tell(self, message: bytes | None) -> None:
         if message is not None:
             self.count("peers_told")
@@ -244,8 +248,12 @@
         picture = self.state.picture
         if picture is None:
             return
+        heard: api.Event | None
         try:
-            told = picture.read(event.payload)
+            if picture.is_of_fleet(event.payload):
+                heard = picture.read_estimates(event.payload)
+            else:
+                heard = picture.take(self.now, picture.read(event.payload))
         except BadWord as error:
             self.count("peers_unreadable")
             said = self.state.odd_words_said_at
@@ -253,7 +261,6 @@
                 self.state.odd_words_said_at = self.now
                 self.do(Say(f"a peer's message can't be read: {error}"))
             return
-        heard = picture.take(self.now, told)
         self.count("peers_heard" if heard is not None else "peers_of_no_use")
         if heard is not None:
             self.tell(heard)
@@ -352,6 +359,7 @@
     }  # fmt: skip
     ACTIONS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {
         api.LongRead: long_read,
+        api.PeerEstimates: tell_estimates,
         api.Probe: probe,
         api.FetchList: fetch_list,
     }
--- a/basaltspread/interface.py
+++ b/basaltspread/interface.py
@@ -297,6 +297,19 @@
     detail: int = 0  # could not connect: 1 if the worker itself refused
 
 
+@record
+class PeerEstimates:
+    """What a router knows of the fleet, for the other routers; as an event, what one of them knows. 0 stands
+    for what it does not know."""
+
+    token_time: float  # us that a warm reader takes for a token
+    prompt_tokens: float  # of a typical prompt
+    writer_rate: float  # mean requests a us that a warm writer of weight 1 completes, for all routers
+    mixed_rate: float  # the same of a mixed worker
+    demand: float  # prompt tokens a us that the router's own clients ask for
+    read_part: float  # of a prompt, that readers have to read: the rest is kept from others
+
+
 @record
 class PeerMessage:
     sender: int
@@ -313,6 +326,7 @@
     | StateReleased
     | TimerFired
     | ProbeEnded
+    | PeerEstimates
     | PeerMessage
 )
 
@@ -396,6 +410,7 @@
 Action = (
     Send
     | LongRead
+    | PeerEstimates
     | HoldPlace
     | Release
     | Cancel
--- a/basaltspread/policy/admission.py
+++ b/basaltspread/policy/admission.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from math import exp
+
 from basaltspread import interface as api
 from basaltspread.control.load_view import Request, Worker
 from basaltspread.interface import Effect, KeyScope, RefusalReason, Role
@@ -16,6 +18,8 @@
 ADMIT = 0.8  # expected wait for a first token, over the aim, up to which a request is taken
 ADMIT_LESSER = 0.5  # the same for work past its tenant's share and for clients' repetitions
 ADMIT_SEEN = 0.5  # part of both for a wait that is an average, not just told: half the requests wait longer
+BACKLOG_TIME = 2 * SECOND  # in which readers are to be done with what waits there now
+LEAST_FREE = 0.2  # part of what warm readers can do that is left for what is new, whatever waits
 WATCH_STEP = 20_000  # us between two looks at waiting requests and silent workers
 WAIT_HOLDING = 0.3  # share of the release limit that a held state may wait for a writer
 WAIT_EMPTY = SECOND // 4  # how long a request that holds nothing may wait for a reader
@@ -42,15 +46,31 @@
             return None
         allowed = self._bearable(request, need * self.token_time) * ADMIT_SEEN
         wait = self._wait_at(reader, self._pool_wait(Role.READER))
+        lot = hashed(f"lot{request.a.session or request.id} {request.a.prompt_tokens}") / HASH_MASK
+        if not self.slow_start.is_cold(self.now, reader) and lot >= self._warm_readers_share():
+            return self._grounds(request, RefusalReason.READERS_BUSY, wait, allowed)
         told = reader.busy_until > self.now or self._lately(reader)
         writers = self._pool_wait(Role.WRITER)
         wait = wait * (ADMIT_SEEN if told else 1) + writers
-        lot = hashed(f"lot{request.a.session or request.id} {request.a.prompt_tokens}") / HASH_MASK
         if wait <= allowed or lot < (allowed / wait) ** 2:
             return None
         reason = RefusalReason.WRITERS_BUSY if writers > wait / 2 else RefusalReason.READERS_BUSY
         return self._grounds(request, reason, wait, allowed)
 
+    def _warm_readers_share(self) -> float:
+        """Of what goes to no reader in slow start, the part that warm readers can read beside what waits
+        there: what peers say is asked for against what all readers that are up can do now. Waits alone tell
+        it late."""
+        demand, largest = self.estimates.demand(self.now), self.index.largest_weight(Role.READER)
+        if demand is None or self.token_time <= 0 or largest <= 0:
+            return 1.0
+        warm = self.index.warm_weight(self.now, Role.READER) / largest / self.token_time
+        cold = self.slow_start.cold_capacity(self.now, Role.READER) / largest / self.token_time
+        elsewhere = exp(-cold / demand) if demand > 0 else 1.0  # units and requests meet by chance
+        free = max(LEAST_FREE, 1.0 - self._pool_wait(Role.READER) / BACKLOG_TIME)
+        rest = demand * elsewhere
+        return warm * free / rest if rest > warm * free else 1.0
+
     def _grounds(
         self, request: Request, reason: RefusalReason, wait: float = 0.0, allowed: float = 0.0
     ) -> api.Grounds:
--- a/basaltspread/policy/health.py
+++ b/basaltspread/policy/health.py
@@ -62,7 +62,9 @@
         worker.report = {} if event.report else worker.report
         worker.told(self.now, dict(event.report), self.read_time.size)
         if "prompt_k_waiting" in event.report:
-            worker.lag, worker.lag_at = event.report["prompt_k_waiting"] * 1000 * self.token_time, self.now
+            warmth = self.slow_start.warmth(self.now, worker)
+            waiting = event.report["prompt_k_waiting"] * 1000
+            worker.lag, worker.lag_at = waiting * self.token_time / warmth, self.now
         if event.outcome is Outcome.CONNECT_FAILED and event.detail != 1:
             self._strike(worker, True)
         elif event.outcome is Outcome.SERVED and event.elapsed > 0:  # here; another's says nothing of the way
@@ -85,13 +87,14 @@
     def _pool(self, request: Request, looked_at: Sequence[Worker]) -> list[Worker]:
         """Of these workers, those that may work now, who failed this request last; rests never empty it."""
         now, tenant = self.now, request.a.tenant
+        looked_at = self._with_offered(looked_at)
         listed = [w for w in looked_at if request.ran is None or self._scope_ok(request, w)]
         listed = [w for w in listed if w.gone_until <= now] or listed
         free = [w for w in listed if w.full_until <= now]
         open_now = [w for w in free if self.slow_start.admits(now, request, w)]
         self._note_candidates(len(looked_at), free, open_now)
         pool = [w for w in open_now if w.rest_until <= now]
-        if len(pool) < MOST_RESTING * len(listed):
+        if len(pool) < MOST_RESTING * len(open_now):
             pool = open_now
         if self.dark:
             pool = [w for w in pool if self.dark.get(w.zone, (0, 0))[0] <= now] or pool
@@ -102,6 +105,13 @@
             return pool
         return [w for w in pool if w.name not in request.failed] or pool
 
+    def _with_offered(self, looked_at: Sequence[Worker]) -> Sequence[Worker]:
+        """With all in slow start of these roles that this router may send something now."""
+        names = {worker.name for worker in looked_at}
+        roles = {worker.role for worker in looked_at}
+        offered = [w for role in roles for w in self.slow_start.offered(self.now, role)]
+        return [*looked_at, *(worker for worker in offered if worker.name not in names)]
+
     def _note_candidates(self, looked_at: int, free: list[Worker], open_now: list[Worker]) -> None:
         """For the log: what the latest decision had to choose from."""
         cold = sum(self.slow_start.is_cold(self.now, w) for w in free)
--- a/basaltspread/policy/learning.py
+++ b/basaltspread/policy/learning.py
@@ -51,7 +51,7 @@
         if outcome is Outcome.READ:
             self._judge_read(request, attempt, event)
         elif outcome is Outcome.SERVED:
-            self.slow_start.sizes.answered(request.a, event.elapsed)
+            self.estimates.sizes.answered(request.a, event.elapsed)
         elif outcome is Outcome.FULL:
             self._judge_full(request, attempt, event.detail == 1)
         else:
@@ -64,22 +64,26 @@
         read = max(1, request.a.prompt_tokens - event.detail)
         if event.detail < BLOCK and attempt.promised >= BLOCK:  # a flush: nothing noted before counts
             worker.void_before = max(worker.void_before, attempt.sent_at - 1)
-        best = event.elapsed / read
-        self.token_time = min(best, self.token_time * 1.002) if self.token_time else best
-        self.slow_start.token_time = self.token_time
-        lag = max(0.0, event.elapsed - read * self.token_time)
+        best, warmth = event.elapsed / read, self.slow_start.warmth(self.now, worker)
+        known = self.estimates.token_time
+        if warmth == 1.0 or not known:
+            self.estimates.token_time = min(best, known * 1.002) if known else best
+        lag = max(0.0, event.elapsed - read * self.token_time / warmth)
         self.stage_wait[worker.role].add(self.now, lag)
         if "prompt_k_waiting" in event.report:
-            lag = event.report["prompt_k_waiting"] * 1000 * self.token_time
+            lag = event.report["prompt_k_waiting"] * 1000 * self.token_time / warmth
         old = OWN_LAG * exp2((worker.lag_at - self.now) / LAG_MEMORY)  # rarely heard: the newest counts alone
         worker.lag, worker.lag_at = lag + old * (worker.lag - lag), self.now
         self.read_time.add(event.elapsed, read)
+        self.estimates.was_read(request.a.prompt_tokens, read)
 
     def _judge_full(self, request: Request, attempt: Attempt, no_state: bool) -> None:
         worker = attempt.worker
         if no_state:
             request.reader = request.place = None  # the state is lost: read again
             return
+        if not attempt.reading:  # it would have waited
+            self.stage_wait[worker.role].add(self.now, request.aim / 2)
         self._turned_away(worker, request, attempt.sent_at)
         self._unread(attempt, request.aim)
         request.failed.append(worker.name)
--- a/basaltspread/policy/reader_choice.py
+++ b/basaltspread/policy/reader_choice.py
@@ -116,8 +116,8 @@
         """Many routers: a reader in slow start that ends the whole read little later than `otherwise`. Few
         requests come where an allowance is, and it can't be kept for one that suits the reader better."""
         cold = [w for w in pool if self.many and self.slow_start.is_cold(self.now, w)]
-        tokens = {w: sum(w.reads.values()) + request.a.prompt_tokens for w in cold}
-        times = {w: tokens[w] * self.token_time / self.slow_start.warmth(self.now, w) for w in cold}
+        alone = request.a.prompt_tokens * self.token_time
+        times = {w: self._wait_at(w, 0.0) + alone / self.slow_start.warmth(self.now, w) for w in cold}
         best = min(times, key=lambda w: times[w], default=None)
         soon = otherwise + COLD_LATER * request.aim
         return best if best is not None and times[best] < soon else None
--- a/basaltspread/policy/router_state.py
+++ b/basaltspread/policy/router_state.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from basaltspread import interface as api
+from basaltspread.control.capacity_estimates import CapacityEstimates
 from basaltspread.control.engine_index import EngineIndex
 from basaltspread.control.held_prefixes import ENTRY_LIFE, HeldPrefixes
 from basaltspread.control.load_view import Request, Worker
@@ -39,7 +40,8 @@
         self.fleet: dict[str, Worker] = {}
         self.leaving: dict[str, Worker] = {}  # removed from the list, with attempts that are still out
         self.index = EngineIndex(settings.rules.warm_within, settings.weights_mean_size)
-        self.slow_start = SlowStart(settings, self.index)
+        self.estimates = CapacityEstimates(settings)
+        self.slow_start = SlowStart(settings, self.index, self.estimates)
         self.dark = dict[int, tuple[int, int]]()  # zone -> left out until, failures in a row
         self.calm = False
         # Requests.
@@ -55,6 +57,10 @@
         self.stage_wait = {role: Recent(SEEN_WAITS, SEEN_MEMORY) for role in Role}
         self.read_time, self.first_time = Usual(), Usual()
         self.near_time, self.far_time = 0.0, dict[int, float]()  # to a first token within, out of a cell
-        self.token_time = 0.0  # to read one token at best
         self.latency, self.first_at = 0.0, 0  # to a first token; when the last one came
         self.first_rates = [Rate(memory) for memory in RATE_MEMORIES]
+
+    @property
+    def token_time(self) -> float:
+        """To read one token at best, in us; 0: not known."""
+        return self.estimates.time_for_token()
--- a/basaltspread/policy/slow_start.py
+++ b/basaltspread/policy/slow_start.py
@@ -1,61 +1,60 @@
-"""Slow start: how much this router may send to a worker that has started lately.
+"""Slow start: how much this router may send to workers that have started lately.
 
 Such a worker fails when all routers together send it over N + 2 * sqrt(N) + 2 mean requests in a window; N is
-the settings' multiple of what it can do by then. No router sees what the others send. So for each slot of the
-time since the start each draws an allowance, and these add up whatever each has seen:
+the settings' multiple of what it can do by then. No router sees what the others send. So each has an even
+part of what all may send, and is dealt it in units of a mean request, each for one worker:
 
-- Expected is the routers' even part of what a warm reader can read by the time that it takes for a token. Of
-  others, it is the mean rate that one completed for this router: means add up to the fleet's, maxima do not.
-- Fractions are rounded by offsets that divide [0, 1) evenly among all routers (systematic sampling).
-- It is spent by the size of each request, in its slot or never, and not given back. A slot is as long as a
-  window and the longest time from send to arrival, so that what arrives in a window was drawn for two slots;
-  for three where a place is reserved, which has to be used by the end of the next slot.
+- All are dealt together what the workers can do, and no more than is safe if all that can be spent is spent
+  at once. What is not spent in time expires.
+- What they can do follows from what warm workers do: from the time that a reader takes for a token, and from
+  what writers complete, as all routers tell each other.
+- The units of all workers are one row, dealt to one router after the other (control/allowance.py): a router
+  with little traffic has its next unit soon, whichever worker it is for.
 
 docs/design/slow-start.md has the argument in full and what it assumes.
 """
 
 from __future__ import annotations
 
+from bisect import bisect_right
+from collections.abc import Sequence
+from itertools import accumulate
 from math import gcd, sqrt
 
 from basaltspread import interface as api
+from basaltspread.control.allowance import GOLDEN_RATIO, Allowance, Pace, Unit
+from basaltspread.control.capacity_estimates import CapacityEstimates
 from basaltspread.control.engine_index import EngineIndex
-from basaltspread.control.load_view import Request, Reservation, Worker
-from basaltspread.control.request_sizes import RequestSizes
+from basaltspread.control.load_view import Request, Worker
 from basaltspread.interface import Role
-from basaltspread.structures.averages import Rate
-from basaltspread.structures.hashing import HASH_MASK, hashed, rank
 
-ROOTS_OF_SLACK = 2.0  # the limit's slack for chance: so many roots of N,
-REQUESTS_OF_SLACK = 2.0  # and so many requests
-SLOTS_OF_SENDS = 2  # slots whose allowances may arrive within one window
-SLOTS_OF_RESERVATIONS = 3
-LEAST_UNIT = 1.0  # mean requests to which allowances are rounded, at the least
-LARGEST_UNIT = REQUESTS_OF_SLACK  # larger requests go to warm workers: one alone may be over the limit
+REQUESTS_OF_SLACK = 2.0  # that any worker survives in a window
+LEAST_UNIT = 1.0  # mean requests of a unit
+LIFETIMES = (0.5, 4.0)  # windows for which what is earned can be spent, at the least and at the most
+UNKNOWN_LIFETIME = 2.0  # the same for a worker of which hardly anything is known
+MOST_WEIGHED = 128  # workers whose parts are all looked at
+MOST_REJECTED = 8
+PACE_STEP = 20_000  # us for which the pace is not worked out anew
+LONG_AGO = 60_000_000  # us after which units are counted from another start
 
 
 class SlowStart:
-    """One router's part of what workers in slow start may be sent; each allowance is kept with its worker.
-    Each call costs O(1)."""
+    """One router's part of what workers in slow start may be sent. Each call costs O(units that it has)."""
 
-    def __init__(self, settings: api.Settings, available: EngineIndex) -> None:
+    def __init__(self, settings: api.Settings, available: EngineIndex, estimates: CapacityEstimates) -> None:
         """`available` are the workers that are up, kept up to date by the router."""
-        self._settings, self._rules, self._available = settings, settings.rules, available
-        self._slot_length = max(1, settings.rules.cold_window + settings.limits.connect_timeout)
+        self._settings, self._rules, self.index = settings, settings.rules, available
+        self.estimates = estimates
         self._began = -1
-        self._spent = self._expired = 0.0  # mean requests sent to cold workers, and allowed and not sent
+        self._allowances: dict[Role, Allowance] = {}
+        self._spent = self._expired = 0.0  # mean requests
         self.processes = 1  # of this router that run now and share its part
-        self.sizes = RequestSizes(len(settings.classes))
-        self.token_time = 0.0  # microseconds that a warm reader takes for a token; 0: not known
-        # Mean requests a microsecond that a warm worker of weight 1 completed for this router.
-        self.completed_rate = {role: Rate(max(1, self._rules.warm_within // 2)) for role in Role}
 
     def begin(self, now: int) -> None:
-        """This process starts to decide. What an earlier one did in the current slot is unknown."""
+        """This process starts to decide: what an earlier one could spend is gone."""
         if self._began < 0:
             self._began = now
-            for rate in self.completed_rate.values():
-                rate.since = now
+            self.estimates.begin(now)
 
     def is_cold(self, now: int, worker: Worker) -> bool:
         return worker.started > 0 and now - worker.warming_since < self._rules.warm_within
@@ -64,100 +63,167 @@
         """A worker completed so many mean requests; counts by how many were warm then: the few that are left
         later have not done what all did before."""
         if not self.is_cold(now, worker):
-            warm_weight = self._available.warm_weight(now, worker.role)
-            self.completed_rate[worker.role].add(now, work / max(1.0, warm_weight))
+            warm_weight = self.index.warm_weight(now, worker.role)
+            self.estimates.completed_rate[worker.role].add(now, work / max(1.0, warm_weight))
 
     def admits(self, now: int, request: Request, worker: Worker) -> bool:
         """Whether this request may go to this worker now."""
-        if not self.is_cold(now, worker) or self.has_reserved(now, request, worker):
+        if not self.is_cold(now, worker):
             return True
-        size = self.sizes.size(request.a, worker.role)
-        if size is None or size > LARGEST_UNIT:
+        # One alone must leave room for all that may be sent beside it.
+        if self._size(request, worker.role) > sqrt(self._allowed(now, worker)) + REQUESTS_OF_SLACK:
             return False
-        slot = self._slot(now, worker)
-        if worker.allowance_slot != slot:
-            unit = max(LEAST_UNIT, size)
-            part = self._expected_part(now, worker, slot, unit)
-            if part <= 0:
-                return False
-            self._expired += max(0.0, worker.allowance)
-            worker.allowance_slot = slot
-            worker.allowance = unit * int(part / unit + self._offset(worker, slot))
-        return worker.allowance >= size
+        return self._unit(now, request, worker) is not None
 
     def spend(self, now: int, request: Request, worker: Worker) -> None:
-        """The request is sent, or will be by the end of the next slot, to a worker that admits it."""
-        if self.is_cold(now, worker) and not self.has_reserved(now, request, worker):
-            size = self.sizes.size(request.a, worker.role) or LEAST_UNIT
-            self._spent += size
-            worker.allowance -= size
+        """The request is sent to a worker that admits it."""
+        if not self.is_cold(now, worker):
+            return
+        size = self._size(request, worker.role)
+        self._spent += size
+        unit = self._unit(now, request, worker)
+        if unit is not None:
+            self._dealt(now, worker.role).spend(unit, size)
+
+    def offered(self, now: int, role: Role) -> list[Worker]:
+        """The workers for which this router has units; costs O(units)."""
+        names = {unit.worker for unit in self._dealt(now, role).units if unit.worker is not None}
+        found = (self.index.named(name) for name in sorted(names))
+        return [worker for worker in found if worker is not None]
 
     def figures(self, now: int) -> api.SlowStartFigures:
         """What operators are shown."""
-        learning = self.sizes.typical_prompt() is None or self.token_time <= 0
-        cold = sum(self._available.cold_count(now, role) for role in Role)
+        learning = self.estimates.typical_prompt() is None or self.estimates.time_for_token() <= 0
+        cold = sum(self.index.cold_count(now, role) for role in Role)
         return api.SlowStartFigures(cold, self._spent, self._expired, learning)
 
-    def reserve(self, now: int, request: Request, worker: Worker) -> None:
-        self.spend(now, request, worker)
-        cold = self.is_cold(now, worker)
-        request.reservation = Reservation(worker, self._slot(now, worker)) if cold else None
-
-    def has_reserved(self, now: int, request: Request, worker: Worker) -> bool:
-        reserved = request.reservation
-        if reserved is None or reserved.worker is not worker:
-            return False
-        return self._slot(now, worker) <= reserved.slot + 1
-
-    def _slot(self, now: int, worker: Worker) -> int:
-        return (now - worker.warming_since) // self._slot_length
-
     def warmth(self, now: int, worker: Worker) -> float:
-        """The part of a warm worker's capacity that the settings grant it at the least."""
+        """The part of a warm worker's capacity that the settings grant it at the least; 1 for a warm one."""
+        if not self.is_cold(now, worker):
+            return 1.0
         grown = min(1.0, max(0, now - worker.warming_since) / self._rules.warm_within)
         return self._rules.cold_start_share + (1 - self._rules.cold_start_share) * grown
 
-    def _expected_part(self, now: int, worker: Worker, slot: int, unit: float) -> float:
-        """This router's allowance for a slot, in mean requests, before it is rounded to whole units."""
-        slot_start = worker.warming_since + slot * self._slot_length
-        if slot_start < self._began:
+    def cold_capacity(self, now: int, role: Role) -> float:
+        """What all workers in slow start can do, in warm workers of weight 1."""
+        weight, grown = self.index.cold_part(now, role)
+        share = self._rules.cold_start_share
+        capacity = weight * share + (1 - share) * grown
+        if role is Role.READER:
+            return capacity
+        return min(capacity, self.index.cold_count(now, role) * self.index.second_largest_weight(role))
+
+    def _size(self, request: Request, role: Role) -> float:
+        """In mean requests; a mean one as long as nothing is known."""
+        return self.estimates.size(request.a, role) or LEAST_UNIT
+
+    def _unit(self, now: int, request: Request, worker: Worker) -> Unit | None:
+        """The unit that this request would be sent for to this worker, if there is one."""
+        units = self._dealt(now, worker.role).units
+        if not units:
+            return None
+        size = self._size(request, worker.role)
+        # Of those larger than a unit as many go that a unit is one of work on the mean.
+        fitting = (unit for unit in units if unit.worker == worker.name and unit.largest >= size)
+        return min(fitting, key=lambda unit: unit.largest, default=None)
+
+    def _assign(self, now: int, role: Role, units: list[Unit]) -> None:
+        """Say whom these units are for, by what each worker can do of what all can."""
+        cold = self.index.in_slow_start(now, role)
+        if not cold:
+            return
+        few = len(cold) <= MOST_WEIGHED
+        ends = list(accumulate(self._part(now, worker) for worker in cold)) if few else []
+        for unit in units:
+            if few:
+                position = bisect_right(ends, unit.place * ends[-1])
+                unit.worker = cold[min(position, len(cold) - 1)].name
+            else:
+                unit.worker = self._by_rejection(now, cold, unit)
+
+    def _by_rejection(self, now: int, cold: Sequence[Worker], unit: Unit) -> str:
+        """The same without a look at all: of evenly chosen ones, each is taken by its part of the largest."""
+        place, worker = unit.place, cold[0]
+        largest = max(self._part(now, worker) for worker in cold[:MOST_WEIGHED])
+        for _ in range(MOST_REJECTED):
+            position = place * len(cold)
+            worker = cold[int(position)]
+            if position % 1.0 * largest <= self._part(now, worker):
+                break
+            place = (place + GOLDEN_RATIO) % 1.0
+        return worker.name
+
+    def _part(self, now: int, worker: Worker) -> float:
+        """What it can do, in warm workers of weight 1. No writer is taken for larger than any other."""
+        weight = self.index.weight(worker)
+        if worker.role is not Role.READER:
+            weight = min(weight, self.index.largest_weight(worker.role, besides=worker) or weight)
+        return weight * self.warmth(now, worker)
+
+    def _dealt(self, now: int, role: Role) -> Allowance:
+        """This router's allowance, with all units that it has been dealt by now."""
+        allowance = self._allowances.get(role)
+        if allowance is None or now - allowance.at > LONG_AGO:
+            since, pace = self._oldest_start(now, role), self._pace(now, role)
+            begin = max(self._began, now - pace.lifetime, since)
+            routers = max(1, self._settings.routers)
+            allowance = Allowance(begin, self._number(), routers, begin - since, pace)
+            self._allowances[role] = allowance
+        elif now - allowance.at < PACE_STEP:
+            return allowance
+        self._expired += allowance.deal(now, self._pace(now, role))
+        if new := [unit for unit in allowance.units if unit.worker is None]:
+            self._assign(now, role, new)
+        return allowance
+
+    def _oldest_start(self, now: int, role: Role) -> int:
+        cold = self.index.oldest_cold(now, role)
+        return cold.warming_since if cold is not None else now
+
+    def _pace(self, now: int, role: Role) -> Pace:
+        """How units come to this router.
+
+        What arrives at a worker in a window was dealt in it, in the time that a connection takes to come up,
+        or in the lifetime before: so much together is at most what is safe."""
+        window = max(1, self._rules.cold_window)
+        sent_within = 1 + self._settings.limits.connect_timeout / window  # windows
+        cold = self.index.cold_count(now, role)
+        if not cold:
+            return Pace(0.0, window)
+        allowed = self._warm_rate(now, role) * window * self._rules.cold_multiple
+        allowed *= self.cold_capacity(now, role) / cold  # of a mean one
+        # What a token takes is measured; what writers complete is a mean of few requests of each router.
+        safe = max(REQUESTS_OF_SLACK, allowed + sqrt(allowed) if role is Role.READER else allowed)
+        can = allowed / max(1.0, self._rules.cold_multiple)
+        if role is not Role.READER or can <= 0:  # it may do far more than was seen
+            can = max(can, REQUESTS_OF_SLACK / (UNKNOWN_LIFETIME + sent_within))
+        shortest, longest = LIFETIMES
+        lifetime = min(longest, max(shortest, safe / can - sent_within))
+        in_window = min(can, safe / (lifetime + sent_within))
+        parts = max(1, self._settings.routers) * self.processes
+        return Pace(cold * in_window / window / parts, max(1, int(lifetime * window)))
+
+    def _allowed(self, now: int, worker: Worker) -> float:
+        """N: mean requests in a window of which the settings say that it survives them."""
+        warm = self._warm_rate(now, worker.role) * self._part(now, worker)
+        return warm * self._rules.cold_window * self._rules.cold_multiple
+
+    def _warm_rate(self, now: int, role: Role) -> float:
+        """Mean requests a microsecond that a warm worker of weight 1 can do, as peers and this router know. A
+        token's time is that of the largest reader; no writer is taken for larger than any known."""
+        if role is not Role.READER:
+            warm = self.index.warm_weight(now, role) > 0
+            return self.estimates.fleet_rate(now, role, warm)
+        token_time, prompt = self.estimates.time_for_token(), self.estimates.typical_prompt()
+        largest = self.index.largest_weight(role)
+        if token_time <= 0 or prompt is None or largest <= 0:
             return 0.0
-        routers, reader = max(1, self._settings.routers), worker.role is Role.READER
-        warm = self._reading_rate(worker) if reader else routers * self._completed_rate(now, worker)
-        allowed = warm * self._rules.cold_window * self._rules.cold_multiple * self.warmth(slot_start, worker)
-        reserves = self._settings.places_ahead and not reader
-        slots = SLOTS_OF_RESERVATIONS if reserves else SLOTS_OF_SENDS
-        limit = allowed + ROOTS_OF_SLACK * sqrt(allowed) + REQUESTS_OF_SLACK - slots * unit
-        # Readers' parts are equal and leave less to chance: half of the slack is kept for what is measured.
-        total = min(limit, allowed + sqrt(allowed) if reader else allowed)
-        least = REQUESTS_OF_SLACK if unit <= LEAST_UNIT else 0.0  # for a worker of unknown capacity
-        return max(total, least) / slots / routers / self.processes
-
-    def _reading_rate(self, worker: Worker) -> float:
-        """Typical prompts a microsecond that it reads when warm; a token's time is that of the largest."""
-        if self.token_time <= 0 or (prompt := self.sizes.typical_prompt()) is None:
-            return 0.0
-        own = self._available.weight(worker)
-        largest = max(own, self._available.largest_weight(Role.READER))
-        return own / largest / (self.token_time * prompt)
-
-    def _completed_rate(self, now: int, worker: Worker) -> float:
-        """Mean requests a microsecond that a warm worker like this one completes for this router. With none
-        left nothing can be completed: what was known then goes on to hold."""
-        rate = self.completed_rate[worker.role]
-        known_at = now if self._available.warm_weight(now, worker.role) > 0 else rate.when
-        own = self._available.weight(worker)
-        largest = self._available.largest_weight(worker.role, besides=worker)
-        like = min(own, largest) if largest > 0 else own  # as large as any known
-        return rate.over(known_at, self._slot_length) * like
-
-    def _offset(self, worker: Worker, slot: int) -> float:
-        """What is added before rounding down, in [0, 1): evenly divided among all routers, in an order and
-        from a beginning that change with worker and slot."""
+        return 1.0 / largest / (token_time * prompt)
+
+    def _number(self) -> int:
+        """Of this router in the order in which units are dealt."""
         routers = max(1, self._settings.routers)
-        key = rank(hashed(f"slow start {slot}"), worker.hash)
-        step = 1 + (key >> 32) % routers
+        step = routers * 5 // 8 + 1
         while gcd(step, routers) != 1:
             step += 1
-        first = (key & HASH_MASK >> 32) / (1 << 32)
-        return (step * self._settings.router % routers + first) / routers
+        return step * self._settings.router % routers
--- a/basaltspread/policy/waits.py
+++ b/basaltspread/policy/waits.py
@@ -27,19 +27,22 @@
 
     def _wait_at(self, worker: Worker, pool: float) -> float:
         """How long a read sent there now would wait: as lately seen, fading to its pool's, or for own."""
-        memory = (
-            max(LAG_MEMORY, worker.lag) if self.many else LAG_MEMORY
-        )  # rarely heard: as long as it is deep
+        # Rarely heard: as long as it is deep.
+        memory = max(LAG_MEMORY, worker.lag) if self.many else LAG_MEMORY
+        warmth = self.slow_start.warmth(self.now, worker)
+        if warmth < 1.0 and self.many:  # its allowances keep its queue short, whatever waits elsewhere
+            pool = 0.0
         lately = pool + (worker.lag - pool) * exp2((worker.lag_at - self.now) / memory)
-        own = sum(worker.reads.values()) * self.token_time
+        own = sum(worker.reads.values()) * self.token_time / warmth
         return max(lately, own, worker.busy_until - self.now)
 
     def _lags(self) -> list[float]:
-        """Many routers: what readers let wait that were told of lately; none where these are too few. Of a
-        large fleet an even sample, another one each time: its mean is that of all within a few percent."""
+        """Many routers: what warm readers let wait that were told of lately; none where these are too few. Of
+        a large fleet an even sample, another one each time: its mean is that of all within a few percent."""
         if not self.many:
             return []
         readers = self.index.group(Role.READER).sample(self.now, LOOKED_AT)
+        readers = [w for w in readers if not self.slow_start.is_cold(self.now, w)]
         lags = [w.lag for w in readers if self._lately(w)]
         return lags if len(lags) > MOST_RESTING * len(readers) else []
 
--- a/basaltspread/policy/writer_choice.py
+++ b/basaltspread/policy/writer_choice.py
@@ -28,9 +28,10 @@
         """Free share of memory: as told, fading to the pool's average, less own sends; else own streams."""
         if "memory_share" not in self.s.report_fields or not worker.memory:
             return -sum(worker.writes.values()) / worker.weight
-        told = 1 - worker.report["memory_share"] if "memory_share" in worker.report else average
+        usual = 1.0 if self.slow_start.is_cold(self.now, worker) else average  # who has just started is empty
+        told = 1 - worker.report["memory_share"] if "memory_share" in worker.report else usual
         fresh = exp2((worker.told_at - self.now) / ROOM_MEMORY)
-        return average + (told - average) * fresh - sum(worker.sent.values()) / worker.memory
+        return usual + (told - usual) * fresh - sum(worker.sent.values()) / worker.memory
 
     def _writer_pool(self, request: Request, near: Worker | None) -> list[Worker]:
         """The writers that may get this request now."""
@@ -41,7 +42,9 @@
         pool = [w for w in pool if w.name not in request.asked] or pool
         if not pool:
             return None
-        heard = [1 - w.report["memory_share"] for w in pool if "memory_share" in w.report]
+        cold = {w.name for w in pool if self.slow_start.is_cold(self.now, w)}
+        warm = [w for w in pool if w.name not in cold]
+        heard = [1 - w.report["memory_share"] for w in warm if "memory_share" in w.report]
         average = sum(heard) / len(heard) if heard else 1.0
         rooms, key = {w.name: self._room(w, average) for w in pool}, hashed(request.id)
         unseen = self._unseen(pool) * self.first_time.size / (pool[0].memory or 1e18)
@@ -55,8 +58,9 @@
         for group in (cell, zone, pool):
             best = max((rooms[w.name] for w in group), default=top - spread - 1)
             if best >= top - spread:
-                equal = [w for w in group if rooms[w.name] >= best - alike]
-                return max(equal, key=lambda w: rank(key, w.hash))
+                # An allowance is soon void, and tells that there is room.
+                equal = [w for w in group if rooms[w.name] >= best - alike or w.name in cold]
+                return max(equal, key=lambda w: (w.name in cold, rank(key, w.hash)))
         return None
 
     def _link(self, worker: Worker | None) -> int:
@@ -64,18 +68,15 @@
         return ALL_CELLS if self.many or worker is None else worker.cell
 
     def _hold_place(self, request: Request) -> None:
-        """Hold a place ahead at the roomiest near writer; one further try if the first refuses."""
+        """Hold a place ahead at the roomiest near writer; one further try if the first refuses. None is held
+        at a writer in slow start: what is sent there has to be allowed when it is sent."""
         if not self.s.places_ahead or request.out is None or len(request.asked) >= PLACE_TRIES:
             return
         reader = request.out.worker
         worker = self._choose_writer(request, reader, self._writer_pool(request, reader))
-        if worker is not None and worker.name not in request.asked:
+        if worker is None or self.slow_start.is_cold(self.now, worker):
+            return
+        if worker.name not in request.asked:
             request.place, request.holds = worker, True
             request.asked.append(worker.name)
-            self.slow_start.reserve(self.now, request, worker)
             self.out.append(api.HoldPlace(request.id, worker.name))
-
-    def _move_place(self, request: Request) -> None:
-        """What was reserved at a cold worker was not used in time: another may have room."""
-        request.reservation, request.place, request.placed = None, None, False
-        self._hold_place(request)
--- a/basaltspread/rules.py
+++ b/basaltspread/rules.py
@@ -35,7 +35,7 @@
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.Arrival: self._arrived, api.AttemptEnded: self._ended, api.FirstToken: self._first_token,
             api.PlaceAnswer: self._place_answer, api.ClientGone: self._client_gone,
-            api.StateReleased: self._state_released,
+            api.StateReleased: self._state_released, api.PeerEstimates: self._estimates_told,
             api.WorkerList: self._listed, api.TimerFired: self._timer, api.ProbeEnded: self._probed,
         }  # fmt: skip
 
@@ -61,6 +61,15 @@
     def recall(self, now: int, told: dict[str, Any]) -> None:
         snapshot.restore(self, now, told)
 
+    def _tell_estimates(self) -> None:
+        warm = {role: self.index.warm_weight(self.now, role) > 0 for role in Role}
+        told = self.estimates.to_tell(self.now, warm)
+        if told is not None:
+            self.out.append(told)
+
+    def _estimates_told(self, told: api.PeerEstimates) -> None:
+        self.estimates.hear(self.now, told)
+
     # --- the list of workers ----------------------------------------------------------------------------
 
     def _listed(self, event: api.WorkerList) -> None:
@@ -115,7 +124,8 @@
         cls = self.s.classes[arrival.request_class]
         request = Request(arrival, cls, self.now, self._over_share(arrival))
         self.requests[request.id] = request
-        self.slow_start.sizes.arrived(arrival)
+        self.estimates.arrived(arrival)
+        self._tell_estimates()
         wait, allowed = self._expected_wait(), self._bearable(request)
         if arrival.is_resumed or self.many or wait <= allowed:
             self.unanswered[request.id] = None
@@ -144,7 +154,7 @@
 
     @staticmethod
     def _nothing_held(request: Request) -> None:
-        request.holds, request.reservation = False, None
+        request.holds = False
         request.reader, request.place, request.placed = None, None, False
 
     def _send_next(self, request: Request) -> bool:
@@ -163,9 +173,6 @@
                 self._watch(request, request.out)
 
     def _watch(self, request: Request, out: Attempt) -> None:
-        reserved = request.reservation
-        if reserved and not self.slow_start.has_reserved(self.now, request, reserved.worker):
-            self._move_place(request)
         if 0 < out.tell_again_at <= self.now:  # it takes more than its size: half as long again?
             self._tell_long(out, (self.now - out.sent_at) / 2)
         self._check_silence(request, out)
@@ -217,7 +224,6 @@
         request.out = out = Attempt(request.sent, worker, reading, self.now, need)
         request.sent += 1
         self.slow_start.spend(self.now, request, worker)
-        request.reservation = None
         self.candidates.recent.used(worker)
         self.out.append(api.Send(request.id, worker.name, max(1, timeout)))
         return out
@@ -242,7 +248,7 @@
             self._place_refused(request, place)
 
     def _place_refused(self, request: Request, place: Worker | None) -> None:
-        request.reservation = request.place = None
+        request.place = None
         if place is not None and self.s.report_fields:  # fresher than any report: no room there
             place.report, place.told_at = {**place.report, "memory_share": 1.0}, self.now
         self.stage_wait[Role.WRITER].add(self.now, request.aim / 2)  # who was refused would have waited
--- a/soak/engines.py
+++ b/soak/engines.py
@@ -215,7 +215,7 @@
                 came_at = time.monotonic()
                 await self._thawed()
                 if head.call == "generate":
-                    await self._unless_closed(self._generate(head.request, writer), reader)
+                    await self._unless_closed(self._generate(head, writer), reader)
                 else:
                     await self._call(head, came_at, writer)
                 await writer.drain()
@@ -256,11 +256,17 @@
         """A small call is taken whether its connection is still open or not."""
         if head.call == "release":
             self.fleet.release(head.request)
-            _reply(writer, 204)
+            reply(writer, 204)
         elif head.call == "place":
-            _reply(writer, await self._place(head.request, came_at))
+            reply(writer, await self._place(head.request, came_at))
+        elif report := self.probe_report():
+            reply(writer, 200, report.encode())
         else:
-            _reply(writer, 404)
+            reply(writer, 404)
+
+    def probe_report(self) -> str:
+        """The load that a probe is told; empty where there are no probes."""
+        return ""
 
     async def _place(self, request: str, came_at: float) -> int:
         """The status for a question for a place. Without a read it may be kept all the same."""
@@ -288,27 +294,29 @@
             if self.role is Role.READER:
                 self.fleet.read_over.add(request)
 
-    async def _generate(self, request: str, writer: asyncio.StreamWriter) -> None:
+    async def _generate(self, head: Head, writer: asyncio.StreamWriter) -> None:
+        request = head.request
         with self._working(request) as work:
             if self.mood.turns_away:
                 work.refused = True
-                _reply(writer, 503, extra="X-Unprocessed: 1\r\n")
+                reply(writer, 503, extra="X-Unprocessed: 1\r\n")
             elif self.role is Role.READER:
-                await self._read(request, writer)
+                await self._read(head, writer)
             elif not self.fleet.has_state(request):
                 work.refused = True
-                _reply(writer, 410, extra="X-Unprocessed: 1\r\n")
+                reply(writer, 410, extra="X-Unprocessed: 1\r\n")
             else:
-                await self._write(work, writer)
+                await self._write(work, head, writer)
 
-    async def _read(self, request: str, writer: asyncio.StreamWriter) -> None:
+    async def _read(self, head: Head, writer: asyncio.StreamWriter) -> None:
+        request = head.request
         await self._work(self._lot.uniform(*READ_TIME))
         if not self._gateway_waits(request, writer):
             raise ConnectionResetError  # as soon as the system knows, however busy this runner is
         self.fleet.hold(self, request, HeldKind.STATE)
-        _reply(writer, 202, b'{"cached_tokens":0}')
+        reply(writer, 202, b'{"cached_tokens":0}')
 
-    async def _write(self, work: Work, writer: asyncio.StreamWriter) -> None:
+    async def _write(self, work: Work, head: Head, writer: asyncio.StreamWriter) -> None:
         """The state waits where it is until it has been fetched."""
         self.fleet.waiting[work.request] += 1
         try:
@@ -338,7 +346,10 @@
             int(left) if left is not None else None,
         ))  # fmt: skip
 
-    async def _stream(self, work: Work, writer: asyncio.StreamWriter) -> None:
+    async def _stream(
+        self, work: Work, writer: asyncio.StreamWriter, whole: asyncio.Future[None] | None = None
+    ) -> None:
+        """With `whole`, the last event waits for it."""
         writer.write(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         )
@@ -352,13 +363,15 @@
             body += piece
             writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
             await writer.drain()
+        if whole is not None:
+            await whole
         body += DONE
         writer.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(DONE), DONE))
         await writer.drain()
         work.body, work.whole = body, True
 
 
-def _reply(writer: asyncio.StreamWriter, status: int, body: bytes = b"", extra: str = "") -> None:
+def reply(writer: asyncio.StreamWriter, status: int, body: bytes = b"", extra: str = "") -> None:
     head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{extra}\r\n"
     writer.write(head.encode() + body)
 
