--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import subprocess
 import sys
@@ -10,6 +11,7 @@
 import pytest
 
 from soak.judge import TIMELESS
+from soak.thin_fleet import Plan, ThinFleet
 from tests.standins import ROOT
 
 SHAPES = {
@@ -34,3 +36,13 @@
     (result,) = json.loads(report.read_text())
     assert result["statuses"].get("200", 0) > 0, ran.stdout
     assert not TIMELESS.intersection(result["violations"]), ran.stdout
+
+
+def test_thin_gateways_of_real_processes_use_engines_that_start_cold() -> None:
+    """Some gateways with little traffic each, most killed as most engines start anew. What is served of that
+    hangs on the machine; that cold engines are used does not."""
+    plan = Plan(seed=5, gateways=12, engines=8, rate=24.0, load=0.5, seconds=9.0)
+    played = asyncio.run(ThinFleet(plan).play())
+    assert played["requests"] > 0
+    assert played["cold_reads"] > 0
+    assert played["cold_writes"] > 0
