End a stream in order only if its final event has come, not with a last chunk alone

Callers saw: an answer whose engine ended in order but early (last chunk, no [DONE], no final events) was ended with the last chunk, as if it were whole.

Cause: Front._relay took the framing's end for the answer's end. The client library did the same.

Before the fix test_a_last_chunk_without_the_final_event_was_passed_on_as_the_end_of_the_answer failed: (body, True) for (body, False), ending 'served'. Now one function, structures.events.ends_whole, is asked by the platform's relay and by the client library: the event [DONE], ended by its empty line, with comments (the load report) and empty lines behind it at the most. The ending is INCOMPLETE: it is logged with the request's id, counted (ended_incomplete) and told to health as a reset that the engine has answered. A process that takes a stream over gets its last bytes; a stream of which only the last chunk is left is not handed on.

--- a/basaltspread/client/aio.py
+++ b/basaltspread/client/aio.py
@@ -30,7 +30,7 @@
     StreamBroken,
 )
 from basaltspread.structures import system_faults as faults
-from basaltspread.structures.events import Events, TooLong, data_of, each
+from basaltspread.structures.events import Events, TooLong, data_of, each, ends_whole, tail_of
 
 READ_SIZE = 65536
 HEAD_LIMIT = 32 * 1024
@@ -390,13 +390,16 @@
 
     async def _stream(self, line: _Line, ident: int, number: int, pending: _Pending) -> None:
         """Whole events alone count: what came of one that broke off is asked for again."""
-        events = Events()
+        events, tail = Events(), b""
         while True:
             event = await line.event(SILENCE)
             if isinstance(event, h11.EndOfMessage):
+                if not ends_whole(tail):
+                    raise _Broken(How.CUT)
                 return
             if not isinstance(event, h11.Data):
                 raise _Broken(How.CUT)
+            tail = tail_of(tail, event.data)
             try:
                 whole = events.feed(bytes(event.data))
             except TooLong as error:
--- a/basaltspread/conformance/cases_messages.py
+++ b/basaltspread/conformance/cases_messages.py
@@ -7,7 +7,7 @@
 
 from basaltspread.conformance.cases import add, case
 from basaltspread.conformance.peers import event
-from basaltspread.conformance.world import AFTER, BEFORE, Engine, Served, Stage, check, code, equal
+from basaltspread.conformance.world import AFTER, BEFORE, END, Engine, Served, Stage, check, code, equal
 
 SSE = "HTML, 9.2.6 Interpreting an event stream"
 RPC = "JSON-RPC 2.0, 4 Request object"
@@ -85,7 +85,7 @@
                 engine.end()
 
             served = await stage.play(script)
-            equal((served.body, served.whole), (BEFORE + raw + AFTER, True), f"in pieces of {size}")
+            equal((served.body, served.whole), (BEFORE + raw + END, True), f"in pieces of {size}")
         equal(len(stage.seen()), 0, "calls made")
 
     add(f"passes/{name}", HIDDEN, run)
@@ -105,13 +105,14 @@
     _passes(_name, _raw)
 
 
-@case("passes/event-without-end", SSE)
+@case("passes/event-without-end", "PROTOCOL: a stream that is not whole ends without the last chunk")
 async def event_without_end(stage: Stage) -> None:
     async def script(engine: Engine) -> None:
         engine.send(b"data: rest")
         engine._asked.end()
 
-    equal((await stage.play(script)).body, BEFORE + b"data: rest", "the body")
+    served = await stage.play(script)
+    equal((served.body, served.whole), (BEFORE + b"data: rest", False), "the body, and no end in order")
 
 
 @case("events/oversized", "README: an event of a stream has a limit of 256 KiB")
--- a/basaltspread/conformance/cases_recovery.py
+++ b/basaltspread/conformance/cases_recovery.py
@@ -13,7 +13,18 @@
 from basaltspread.conformance.cases import add, case
 from basaltspread.conformance.cases_replies import answer, answer_after
 from basaltspread.conformance.peers import Asked
-from basaltspread.conformance.world import AFTER, BEFORE, Engine, Failed, Needs, Stage, check, code, equal
+from basaltspread.conformance.world import (
+    AFTER,
+    BEFORE,
+    END,
+    Engine,
+    Failed,
+    Needs,
+    Stage,
+    check,
+    code,
+    equal,
+)
 
 KILLED = "brief: a gateway that dies between the call and its reply never makes an order twice"
 HANDED = "OPERATIONS: running streams are handed to a new version"
@@ -159,7 +170,7 @@
             engine.end()
 
         served = await stage.play(script, "order")
-        equal((served.whole, served.body), (True, BEFORE + AFTER + AFTER), "the client's stream, unbroken")
+        equal((served.whole, served.body), (True, BEFORE + AFTER + END), "the client's stream, unbroken")
         equal((len(stage.seen()), len(served.posts)), (2, 2), "calls and replies")
 
     await _upgraded(stage, play)
@@ -211,7 +222,7 @@
             engine.end()
 
         served = await stage.play(script, "order")
-        equal((served.whole, served.body), (True, BEFORE + AFTER + AFTER), "the client's stream")
+        equal((served.whole, served.body), (True, BEFORE + AFTER + END), "the client's stream")
         equal(len(stage.seen()), 1, "calls")
 
     await _upgraded(stage, play)
--- a/basaltspread/conformance/mutants.py
+++ b/basaltspread/conformance/mutants.py
@@ -50,6 +50,10 @@
         Edit(DISPATCH, "elif job.once and job.begun:", "elif False:"),
         Edit(DISPATCH, "not in_time or (job.once and not others)", "not in_time"),
     ),
+    _mutant(
+        "last-chunk-alone", "a stream that is not whole ends without the last chunk", "passes/event-without-end",
+        Edit(FRONT, "if not events.ends_whole(tail):", "if False:"),
+    ),
     _mutant(
         "copies-unsafe", "an unsafe call is written once", "limits/no-second-copy-of-an-unsafe-call",
         _ASSERT, Edit(DISPATCH, "if job.tries == 1 and not job.once and len", "if job.tries == 1 and len"),
--- a/basaltspread/conformance/peers.py
+++ b/basaltspread/conformance/peers.py
@@ -12,6 +12,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+DONE = b"data: [DONE]\n\n"
+
 PATIENCE = 20.0  # s until a case that waits for something fails
 
 
@@ -63,6 +65,11 @@
     def end(self) -> None:
         self.raw(b"0\r\n\r\n")
 
+    def finish(self) -> None:
+        """The end of a whole answer, as an engine or a gateway gives it."""
+        self.chunk(DONE)
+        self.end()
+
     def close(self) -> None:
         self._writer.close()
 
--- a/basaltspread/conformance/world.py
+++ b/basaltspread/conformance/world.py
@@ -26,10 +26,11 @@
 import h11
 
 from basaltspread.config import write_sidecar
-from basaltspread.conformance.peers import PATIENCE, Asked, Eureka, Handler, Peer, event
+from basaltspread.conformance.peers import DONE, PATIENCE, Asked, Eureka, Handler, Peer, event
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-BEFORE, AFTER, DONE = b"data: before\n\n", b"data: after\n\n", b"data: [DONE]\n\n"
+BEFORE, AFTER = b"data: before\n\n", b"data: after\n\n"
+END = AFTER + DONE  # of a whole answer
 DEADLINE_MS = 6000
 SHORT_MS = 700  # for cases that wait for a deadline
 
@@ -72,7 +73,7 @@
     @property
     def text(self) -> bytes:
         """The body without the marks that every stream here has."""
-        return self.body.replace(BEFORE, b"").replace(AFTER, b"")
+        return self.body.replace(BEFORE, b"").replace(AFTER, b"").removesuffix(DONE)
 
 
 class Engine:
@@ -116,7 +117,7 @@
 
     def end(self) -> None:
         self.send(AFTER)
-        self._asked.end()
+        self._asked.finish()
 
     def reset(self) -> None:
         self._asked.reset()
--- a/basaltspread/endings.py
+++ b/basaltspread/endings.py
@@ -29,6 +29,7 @@
     WITHDRAWN = "drained before the first byte"
     RESET = "reset after the last byte"
     CUT_SHORT = "ended before its last chunk"
+    INCOMPLETE = "ended in order without its final event"
     STALLED = "the stream fell silent"
     TIMED_OUT = "nothing came in time"
     CANCELLED = "called back by the module"
@@ -58,6 +59,7 @@
     Ending.WITHDRAWN: Outcome.CONNECT_FAILED,
     Ending.RESET: Outcome.RESET,
     Ending.CUT_SHORT: Outcome.RESET,
+    Ending.INCOMPLETE: Outcome.RESET,
     Ending.STALLED: Outcome.TIMEOUT,
     Ending.TIMED_OUT: Outcome.TIMEOUT,
     Ending.CANCELLED: Outcome.CANCELLED,
@@ -90,7 +92,7 @@
 # The endings that show that the engine's process had the request: it has said something itself.
 ANSWERED = frozenset((
     Ending.SERVED, Ending.READ, Ending.SERVER_ERROR, Ending.STRANGE_STATUS, Ending.MALFORMED,
-    Ending.TURNED_AWAY, Ending.STATE_GONE, Ending.CUT_SHORT, Ending.STALLED,
+    Ending.TURNED_AWAY, Ending.STATE_GONE, Ending.CUT_SHORT, Ending.INCOMPLETE, Ending.STALLED,
 ))  # fmt: skip
 
 # The endings of an ordinary day, which are counted but not logged.
--- a/basaltspread/net/clients.py
+++ b/basaltspread/net/clients.py
@@ -132,6 +132,7 @@
         self.method, self.target = request.method.decode(), request.target.decode()
         self.headers: Headers = [(k, v) for k, v in request.headers if k not in HOP_HEADERS]
         self.passing: int | None = None  # the attempt whose stream the client gets
+        self.tail = b""  # the last bytes of that stream
         self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     def finish(self) -> None:
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -42,6 +42,7 @@
 from basaltspread.net.parsing import BadRequest, arrival_from
 from basaltspread.net.runtime import Runtime
 from basaltspread.net.sse import END, TooLong
+from basaltspread.structures import events
 
 if TYPE_CHECKING:
     from basaltspread.net.sse import Splitter
@@ -281,12 +282,14 @@
         client, splitter = exchange.client, self._splitters.get(key)
         if splitter is not None and not splitter.between:
             return  # a part of an event is here: a tool call may be in it
+        if events.ends_whole(exchange.tail):
+            return  # only its last chunk is left
         if exchange.passing != effect.number or not (link.between_chunks() and client.can_leave()):
             return
         about = {
             "request": effect.request, "class": effect.request_class,
             "worker": effect.worker, "address": effect.address, "resumed": effect.resumed,
-            "tenant": effect.tenant, "calls": effect.calls,
+            "tenant": effect.tenant, "calls": effect.calls, "tail": exchange.tail.decode("latin-1"),
         }  # fmt: skip
         if self.runtime.hand_on(about, [client.leave(), link.leave()]):
             link.left()
@@ -305,11 +308,12 @@
         adopted = core.Adopted(
             request, int(about["class"]), effect.worker, bool(about["resumed"]), int(about["tenant"]), calls
         )
-        self._spawn(self._carry_on(effect, adopted, client, engine), f"taken over {request}")
+        tail = str(about.get("tail", "")).encode("latin-1", "replace")
+        self._spawn(self._carry_on(effect, adopted, client, engine, tail), f"taken over {request}")
 
     async def _carry_on(
         self, effect: core.StartAttempt, adopted: core.Adopted, connection: socket.socket,
-        engine: socket.socket,
+        engine: socket.socket, tail: bytes,
     ) -> None:  # fmt: skip
         for taken in (connection, engine):
             taken.setblocking(False)
@@ -317,7 +321,7 @@
         reader, writer = await connect(sock=connection)
         client = Client(self, reader, writer)
         exchange = self._exchanges[effect.request] = Exchange(client, client.carry_on(), b"")
-        exchange.passing = effect.number
+        exchange.passing, exchange.tail = effect.number, tail
         self.runtime.feed(adopted)
         self._start_attempt(effect, link)
 
@@ -480,8 +484,10 @@
     async def _relay(
         self, link: Link, name: str, number: int, fields: dict[bytes, bytes] | None, exchange: Exchange
     ) -> tuple[Ending, int]:
-        """Pass an engine's events on as they come, to its last chunk; without a head, from the middle on."""
-        begun, tail, first = fields is None, b"", b""
+        """Pass an engine's events on as they come, to its last chunk; without a head, from the middle on. A
+        last chunk before the final event is no end of an answer."""
+        begun, first = fields is None, b""
+        tail = exchange.tail if begun else b""
         fields = fields or {b"transfer-encoding": b"chunked"}
         splitter = self._splitters.get((name, number))
         framed = b"transfer-encoding" in fields or b"content-length" in fields
@@ -507,9 +513,13 @@
                 rest = splitter.rest() if splitter is not None else b""
                 if rest and exchange.passing == number:
                     await exchange.client.stream(rest)
+                if not events.ends_whole(tail):
+                    raise LinkError(Ending.INCOMPLETE)
                 found = CACHED.search(tail)
                 return Ending.SERVED, int(found[1]) if found else 0
-            tail = (tail + data)[-512:]
+            tail = events.tail_of(tail, data)
+            if exchange.passing == number:
+                exchange.tail = tail
             if splitter is not None:
                 data = self._split(splitter, data)
             if data and exchange.passing == number:
--- a/basaltspread/structures/events.py
+++ b/basaltspread/structures/events.py
@@ -16,6 +16,13 @@
 END = re.compile(rb"\n\n|\n\r\n?|\r\r\n?")
 LINE_END = re.compile(rb"\r\n|\n|\r")
 BOM = b"\xef\xbb\xbf"
+TAIL_SIZE = 1024  # bytes at the end of a stream that say whether it is whole
+# The event `[DONE]` and its empty line; comments and empty lines may follow, the last one cut off or not.
+_FINAL_EVENT = re.compile(
+    rb"(?:\A|[\r\n])data:[ \t]*\[DONE\][ \t]*(?:\r\n|[\r\n])"
+    rb"(?:(?!data)[^\r\n]+(?:\r\n|[\r\n]))*"
+    rb"[\r\n](?:[\r\n]|:[^\r\n]*(?:[\r\n]|\Z))*\Z"
+)
 ENDS = (b"\n\n", b"\n\r", b"\r\r")
 
 
@@ -85,6 +92,17 @@
         return not self._held
 
 
+def tail_of(tail: bytes, data: bytes) -> bytes:
+    """The last TAIL_SIZE bytes of a stream, as `data` follows what ended with `tail`. Costs O(TAIL_SIZE)."""
+    return (tail + data)[-TAIL_SIZE:]
+
+
+def ends_whole(tail: bytes) -> bool:
+    """Whether a stream that ends with these bytes has come to the event that its protocol names as the last.
+    Its framing has to have come to its end as well: a last chunk alone is no end of an answer."""
+    return _FINAL_EVENT.search(tail) is not None
+
+
 def each(whole: bytes) -> list[bytes]:
     """The single events of a piece that ends with the end of an event."""
     found, start = [], 0
--- a/soak/pressure.py
+++ b/soak/pressure.py
@@ -1,5 +1,5 @@
-"""Clients that cost a gateway memory or time: they write slowly, stop half-way, send heads of very many fields,
-read long answers slowly, or send small requests at full speed.
+"""Clients that cost a gateway memory or time: they write slowly, stop half-way, send heads of very many
+fields, read long answers slowly, or send small requests at full speed.
 
 `python -m soak.pressure ADDRESS KIND CLIENTS SECONDS` runs them as a process of their own, so that what they
 cost is not taken from the client whose answers are timed. They must never know what a gateway thinks.
--- a/soak/pressure_play.py
+++ b/soak/pressure_play.py
@@ -1,8 +1,8 @@
 """Plays one gateway under clients that cost it memory or time, beside an honest client.
 
-`python -m soak.pressure_play --kinds stopped_body --memory 64` prints the largest resident size, how the process
-ended and what the honest client got. Engines and discovery are stand-ins in this process; the gateway and all
-clients are processes of their own.
+`python -m soak.pressure_play --kinds stopped_body --memory 64` prints the largest resident size, how the
+process ended and what the honest client got. Engines and discovery are stand-ins in this process; the gateway
+and all clients are processes of their own.
 """
 
 from __future__ import annotations
