Cut an engine's stream when it makes no progress, not after a sum of waits

Cause: Link._part_waited summed the waits of a whole stream and began anew only at a read that ended between two chunks. Pieces that cross the bounds of chunks never do.

test_a_stream_whose_pieces_end_inside_chunks_was_cut_after_one_second_of_waits failed before: (200, False) for (200, True); so did test_a_chunk_said_to_hold_gigabytes_is_refused_for_its_size_as_soon_as_it_begins, where a spoilt chunk's bytes were passed on.

--- a/basaltspread/net/links.py
+++ b/basaltspread/net/links.py
@@ -23,14 +23,15 @@
 from basaltspread.net.log_limit import LineLimit
 from basaltspread.records import record
 from basaltspread.structures import system_faults as faults
+from basaltspread.structures.chunks import ChunkFraming
+from basaltspread.structures.progress import Progress
 
 log = logging.getLogger("basaltspread")
 READ_SIZE = 65536
 BODY_LIMIT = 256 * 1024
-CHUNK_LIMIT = 256 * 1024  # bytes of one chunk, whatever size it declares
-PART_PATIENCE = 1.0  # s spent waiting for the rest of a head or a chunk that has begun
+CHUNK_LIMIT = 256 * 1024  # bytes that a chunk may declare
+PART_WINDOW = 1.0  # s in which a head or a chunk that has begun has to make progress
 HEAD_LIMIT = 32 * 1024
-TAIL = 16  # bytes by which the end of a chunk is known
 SPARE_DESCRIPTORS = 48  # for the interpreter, the listener, discovery and log files
 RELEASE_DESCRIPTORS = 12  # of the spare ones
 DISTRUST = 30.0  # s in which no kept link to an address is used, after one was reset as it was used again
@@ -190,10 +191,9 @@
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT)
         self._eof = self._closed = False
         self._taken = 0  # bytes read so far
-        self._in_chunk = 0  # bytes of a chunk that has not ended
-        self._chunked = False
-        self._tail, self._chunk_tail = b"", b"?"  # the last bytes read, and of the last chunk
-        self._part_waited = 0.0  # s waited for the rest of what has begun
+        self._framing: ChunkFraming | None = None  # of the answer's body, where it comes in chunks
+        self._delivered = 0  # bytes of such a body that were given out
+        self._progress = Progress()  # of what has begun
         self.idle_since = 0.0
         self.reused = False
         self.written = False  # the last byte of the present request has gone out
@@ -222,9 +222,11 @@
                 raise LinkError(Ending.BROKE_UNSENT) from error
         self.written = True
 
-    async def event(self, silence: float | None = None, chunk: int = CHUNK_LIMIT) -> h11.Event:
-        """The next event of the answer. A head or a chunk that has begun must end soon, and no chunk is
-        waited for because of the size that it declares; `silence` bounds the wait for a next one."""
+    async def event(
+        self, silence: float | None = None, chunk: int = CHUNK_LIMIT, window: float = PART_WINDOW
+    ) -> h11.Event:
+        """The next event of the answer. A head or a chunk that has begun must make progress in each `window`
+        s, and a chunk must not declare more than `chunk` bytes; `silence` bounds the wait for a next one."""
         while True:
             begun = self._http.their_state is h11.SEND_BODY  # asked now: after an error it says only that
             try:
@@ -234,43 +236,49 @@
                     raise LinkError(Ending.MALFORMED) from error
                 raise LinkError(Ending.CUT_SHORT if begun else Ending.RESET) from error
             if event is h11.NEED_DATA:
-                data = await self._more(silence)
+                self._refuse_endless_chunk(1)
+                data = await self._more(silence, window)
                 self._eof = not data
                 self._http.receive_data(data)
+                if self._framing is not None:
+                    self._framing.feed(data)
             elif isinstance(event, h11.InformationalResponse):
                 continue
             elif isinstance(event, h11.Data):
-                if self._chunked:  # h11 says where a chunk begins only if its data came with its size
-                    self._chunk_tail = ((self._chunk_tail if self._in_chunk else b"") + event.data)[-TAIL:]
-                    self._in_chunk = 0 if event.chunk_end else self._in_chunk + len(event.data)
-                if self._in_chunk > chunk:
-                    raise LinkError(Ending.MALFORMED)
+                self._delivered += len(event.data)
+                self._refuse_endless_chunk(0)
+                return event
+            elif isinstance(event, h11.Response):
+                if any(name == b"transfer-encoding" for name, _ in event.headers):
+                    self._framing, self._delivered = ChunkFraming(chunk), 0
+                    self._framing.feed(self._http.trailing_data[0])
                 return event
-            elif isinstance(event, (h11.Response, h11.EndOfMessage)):
-                self._in_chunk = 0
-                self._chunked = isinstance(event, h11.Response) and any(
-                    name == b"transfer-encoding" for name, _ in event.headers
-                )
+            elif isinstance(event, h11.EndOfMessage):
+                self._framing = None
                 return event
             else:
                 raise LinkError(Ending.RESET)
 
-    async def _more(self, silence: float | None) -> bytes:
-        part = bool(self._in_chunk or self._http.trailing_data[0])
+    def _refuse_endless_chunk(self, next_bytes: int) -> None:
+        """A chunk is refused for the size that it declares, as soon as all before it has been given out."""
+        framing = self._framing
+        if framing is not None and framing.too_large and self._delivered + next_bytes > framing.payload:
+            raise LinkError(Ending.MALFORMED)
+
+    async def _more(self, silence: float | None, window: float) -> bytes:
+        part = self._framing.inside if self._framing is not None else bool(self._http.trailing_data[0])
         if not part:
-            self._part_waited = 0.0
+            self._progress.begins()
         began = time.monotonic()
         try:
-            patience = PART_PATIENCE - self._part_waited if part else silence
+            patience = self._progress.time_left(window) if part else silence
             data = await self._reader.piece(self._taken, patience)
         except Silence as error:
             raise LinkError(Ending.MALFORMED if part else Ending.STALLED) from error
         except OSError as error:
             raise LinkError(Ending.RESET) from error
-        if part:
-            self._part_waited += time.monotonic() - began
+        self._progress.moved(len(data), time.monotonic() - began)
         self._taken += len(data)
-        self._tail = (self._tail + data)[-TAIL - 2 :]
         return data
 
     async def rest(self, limit: int = BODY_LIMIT, silence: float | None = None) -> bytes:
@@ -297,15 +305,14 @@
             link._http.send(event)
         link._http.receive_data(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         link._http.next_event()
-        link.written = link._chunked = True
+        link.written, link._framing = True, ChunkFraming(CHUNK_LIMIT)
         return link
 
     def between_chunks(self) -> bool:
         """Whether all that was read ends with a whole chunk, so that another process can read on."""
-        if self._chunk_tail.endswith(b"\r\n"):  # it can't be told from the end of the chunk that holds it
-            return False
-        whole = self._tail.endswith(self._chunk_tail + b"\r\n") and not self._in_chunk
-        return whole and not self._http.trailing_data[0] and not self.dead()
+        framing = self._framing
+        between = framing is not None and framing.payload > 0 and not framing.inside
+        return between and not self._http.trailing_data[0] and not self.dead()
 
     def leave(self) -> int:
         """Its descriptor, for a process that goes on with it."""
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -36,7 +36,7 @@
 )
 from basaltspread.net.discovery_watch import DiscoveryWatch
 from basaltspread.net.engine_calls import EngineCalls
-from basaltspread.net.links import PART_PATIENCE, Link, LinkError, TimedReader, connect
+from basaltspread.net.links import PART_WINDOW, Link, LinkError, TimedReader, connect
 from basaltspread.net.listener import Listener, open_listener
 from basaltspread.net.log_limit import LineLimit
 from basaltspread.net.parsing import BadRequest, arrival_from
@@ -468,7 +468,7 @@
         """A status that settles the attempt; its body matters only after a read."""
         unprocessed = fields.get(b"x-unprocessed") == b"1"
         if status == 202:
-            found = CACHED.search(await link.rest(silence=PART_PATIENCE))
+            found = CACHED.search(await link.rest(silence=PART_WINDOW))
             return Ending.READ, int(found[1]) if found else 0
         try:
             async with asyncio.timeout(ERROR_BODY_WAIT):
@@ -492,7 +492,7 @@
         splitter = self._splitters.get((name, number))
         framed = b"transfer-encoding" in fields or b"content-length" in fields
         while True:
-            event = await self._next(link, name)
+            event = await self._next(link, name, begun)
             over = isinstance(event, h11.EndOfMessage)
             data = bytes(event.data) if isinstance(event, h11.Data) else b""
             if not begun:
@@ -525,12 +525,13 @@
             if data and exchange.passing == number:
                 await exchange.client.stream(data)
 
-    async def _next(self, link: Link, name: str) -> h11.Event:
-        """The next event of a stream that may pause for tools, but not fall silent."""
-        silence = STREAM_SILENCE
+    async def _next(self, link: Link, name: str, begun: bool) -> h11.Event:
+        """The next event of a stream that may pause for tools, but not fall silent. Until it has begun,
+        another engine can still answer: its parts have to come sooner."""
+        silence, window = STREAM_SILENCE, STREAM_SILENCE if begun else PART_WINDOW
         while True:
             try:
-                return await link.event(silence)
+                return await link.event(silence, window=window)
             except LinkError as error:
                 since = core.silent_since(self.runtime.state, name)
                 silence = STREAM_SILENCE
