Give way to other connections after each request and after 32 parsed events

Cause: reading what is buffered does not wait, so that a connection with much to read was served until its buffer was empty, all in one turn of the loop; and admission took the lag for load and refused everyone.

tests/test_floods.py failed before: 4 turns of the loop for 300 requests, 3 and 4 for 3,000 chunks from a client and from an engine. TurnBudget bounds what one connection does in a turn; what it costs is then its own.

--- a/basaltspread/net/clients.py
+++ b/basaltspread/net/clients.py
@@ -22,6 +22,7 @@
 from basaltspread.net.links import BODY_LIMIT, HEAD_LIMIT, READ_SIZE, Headers, LinkError, TimedReader
 from basaltspread.net.parsing import BadRequest, check_head
 from basaltspread.net.runtime import CLIENT_BUFFER, Runtime
+from basaltspread.net.turns import TurnBudget
 from basaltspread.records import record
 
 log = logging.getLogger("basaltspread")
@@ -174,6 +175,7 @@
         self._received_at = self._opened  # when the last bytes were handed to the parser
         self.refused = False  # over the budget, or this process ends: its request is refused
         self._wait: asyncio.Timeout | None = None  # for a first byte, while one is waited for
+        self._turn = TurnBudget()
         self._last = False  # the connection ends with this answer
         self.owed: str | None = None  # the id of a request that has no final answer yet
         self._ends_for = CloseReason.GATEWAY_FAULT  # why its service ends, once that is known
@@ -182,6 +184,8 @@
     async def serve(self) -> None:
         try:
             while await self._one():
+                if self._http.trailing_data[0]:
+                    await self._turn.give_way()
                 self.idle, self.rests_since = True, time.monotonic()
                 self._front.client_table.rests(self, self.rests_since)
                 if core.leaving(self._front.runtime.state):  # a head that went out before could not say so
@@ -193,6 +197,7 @@
             self._ends_for = CloseReason.CLIENT_LEFT
         finally:
             self._take_early()
+            self._front.runtime.counters["client_turns_cut_short"] += self._turn.cut_short
             self.close(self._ends_for)
 
     def close(self, reason: CloseReason) -> None:
@@ -289,6 +294,7 @@
             self._begins()
             by = time.monotonic() + REQUEST_PATIENCE
         while True:
+            await self._turn.spend()
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
--- a/basaltspread/net/links.py
+++ b/basaltspread/net/links.py
@@ -21,6 +21,7 @@
 from basaltspread.endings import Ending
 from basaltspread.net import tcp_info
 from basaltspread.net.log_limit import LineLimit
+from basaltspread.net.turns import TurnBudget
 from basaltspread.records import record
 from basaltspread.structures import system_faults as faults
 from basaltspread.structures.chunks import ChunkFraming
@@ -194,6 +195,7 @@
         self._framing: ChunkFraming | None = None  # of the answer's body, where it comes in chunks
         self._delivered = 0  # bytes of such a body that were given out
         self._progress = Progress()  # of what has begun
+        self._turn = TurnBudget()
         self.idle_since = 0.0
         self.reused = False
         self.written = False  # the last byte of the present request has gone out
@@ -228,6 +230,7 @@
         """The next event of the answer. A head or a chunk that has begun must make progress in each `window`
         s, and a chunk must not declare more than `chunk` bytes; `silence` bounds the wait for a next one."""
         while True:
+            await self._turn.spend()
             begun = self._http.their_state is h11.SEND_BODY  # asked now: after an error it says only that
             try:
                 event = self._http.next_event()
