Charge every byte that clients bring to one ledger, and make room by a stated order

Cause: memory_mb bounded whole bodies and read-ahead alone. Bodies half read, the parser, heads as parsed, what waits for slow clients and the copies on the way to engines were counted by nothing, so the peak was the same whatever the limit.

control/memory.py is the ledger: classes with a share of what the limit leaves beside the measured size of the process, accounts, levels with hysteresis, invariants. Bytes are charged as they leave the system (net/readers.py reads pieces whose size follows the level), bodies are kept and sent in pieces, a head has 100 fields at the most, answers are written in parts, and a body goes as its stream begins. Who holds more than a fair part is not read on; stalled requests, idle connections, answers that nobody takes and far larger requests make room for others, in words. A slow reader is cut when it takes nothing, not for the time that it needs.

--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -5,11 +5,17 @@
 
 from __future__ import annotations
 
+import sys
+
+from basaltspread.lean_imports import keep_out
+
+if __name__ == "__main__":
+    keep_out()
+
 import argparse
 import asyncio
 import logging
 import os
-import sys
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
--- a/basaltspread/net/clients.py
+++ b/basaltspread/net/clients.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import logging
+import re
 import time
 from enum import Enum
 from typing import Any, Protocol
@@ -17,17 +18,21 @@
 import h11
 
 from basaltspread import core
+from basaltspread.control.memory import MemoryClass
 from basaltspread.core import Ending, guards, invariants
 from basaltspread.net import tcp_info
-from basaltspread.net.links import BODY_LIMIT, HEAD_LIMIT, READ_SIZE, Headers, LinkError, TimedReader
+from basaltspread.net.bodies import Body
+from basaltspread.net.client_table import FIRST_BYTES_UNDER_WAY, ClientTable, CloseReason
+from basaltspread.net.links import BODY_LIMIT, HEAD_LIMIT, Headers, LinkError
+from basaltspread.net.memory_guard import MemoryGuard, OutOfMemory
 from basaltspread.net.parsing import BadRequest, check_head
-from basaltspread.net.runtime import CLIENT_BUFFER, Runtime
+from basaltspread.net.readers import READ_SIZE, TimedReader
+from basaltspread.net.runtime import Runtime
 from basaltspread.net.turns import TurnBudget
 from basaltspread.records import record
 
 log = logging.getLogger("basaltspread")
 FIRST_BYTE_PATIENCE = 2.0  # s from a connection's opening to its first byte; it may be closed without one
-FIRST_BYTES_UNDER_WAY = 0.25  # s after a connection's opening
 REQUEST_PATIENCE = 2.5  # s from a request's first byte to its last; a first one's runs from the opening
 LAST_LOOK = 0.005  # s for bytes under way, before a resting connection is closed from this side
 REST_PATIENCE = 30.0  # s that a connection may rest between two requests
@@ -37,6 +42,14 @@
 # take the neighbours' time.
 DROPPED_LIMIT = 4 * 1024 * 1024
 STREAM_DROP_PACE = 0.02  # s between two pieces of such a flood during a stream, when nothing more begins
+MOST_FIELDS = 100  # of a head; each costs many times its bytes once it is parsed
+FED_AT_ONCE = 16 * 1024  # bytes of read-ahead that are given to the parser
+WRITTEN_AT_ONCE = 8 * 1024  # bytes of an answer: what a slow client does not take is copied
+STUCK_STEP = 0.25  # s between two looks at whether a client takes its answer
+LINGER = REQUEST_PATIENCE  # s in which a client that was refused half-way may take its answer
+LINGER_STEP = 0.25  # s between two looks at whether it has gone
+BLANK_LINE = re.compile(rb"\n\r?\n")
+BLANK_LINE_SIZE = 2  # bytes of one that may have come before its end
 CLIENT_PATIENCE = 30.0  # s for a client that does not read its stream
 # Not passed on to an engine: of this hop alone, or set anew.
 HOP_HEADERS = frozenset((
@@ -50,69 +63,15 @@
 }  # fmt: skip
 
 
-class ClientTable:
-    """The clients' connections that are open, and which idle one makes room first: one that was opened and
-    said nothing, then the one that rests longest; one just opened only after these, as its first bytes may be
-    under way. Every step costs the same however many there are."""
-
-    def __init__(self) -> None:
-        self._open: dict[Client, None] = {}
-        self._silent: dict[Client, float] = {}  # since when; the longest first, as in the next
-        self._resting: dict[Client, float] = {}
-
-    def __len__(self) -> int:
-        return len(self._open)
-
-    def opened(self, client: Client, now: float) -> None:
-        self._open[client] = None
-        self._silent[client] = now
-
-    def rests(self, client: Client, now: float) -> None:
-        self.busy(client)
-        if client in self._open:
-            self._resting[client] = now
-
-    def busy(self, client: Client) -> None:
-        self._silent.pop(client, None)
-        self._resting.pop(client, None)
-
-    def left(self, client: Client) -> None:
-        self.busy(client)
-        self._open.pop(client, None)
-
-    def idlest(self, now: float) -> Client | None:
-        """The one to make room, if one is idle."""
-        opened = next(iter(self._silent.values()), now)
-        silent, resting = next(iter(self._silent), None), next(iter(self._resting), None)
-        return silent if now - opened >= FIRST_BYTES_UNDER_WAY or resting is None else resting
-
-
 @record
 class ReceivedRequest:
     """A whole request, and when the client may have begun to send it, by the monotonic clock in s."""
 
     head: h11.Request
-    body: bytes
+    body: tuple[bytes, ...]
     began_at: float
 
 
-class CloseReason(Enum):
-    """Why a client's connection is closed from this side; counted as `clients_closed_REASON`."""
-
-    CLIENT_LEFT = "client_left"
-    SAID_NOTHING = "said_nothing"
-    RESTED = "rested"
-    LET_GO = "let_go"
-    LAST_ANSWER = "last_answer"
-    BAD_REQUEST = "bad_request"
-    TOO_SLOW = "too_slow"
-    STREAM_BROKEN = "stream_broken"
-    HANDED_ON = "handed_on"
-    MADE_ROOM = "made_room"
-    NO_ROOM = "no_room"
-    GATEWAY_FAULT = "gateway_fault"
-
-
 GONE = frozenset((CloseReason.CLIENT_LEFT, CloseReason.TOO_SLOW))
 BROKEN = frozenset((CloseReason.STREAM_BROKEN, CloseReason.HANDED_ON))
 
@@ -128,7 +87,7 @@
 class Exchange:
     """One client request: what is passed on to engines, and the client that waits for the answer."""
 
-    def __init__(self, client: Client, request: h11.Request, body: bytes) -> None:
+    def __init__(self, client: Client, request: h11.Request, body: tuple[bytes, ...]) -> None:
         self.client, self.body = client, body
         self.method, self.target = request.method.decode(), request.target.decode()
         self.headers: Headers = [(k, v) for k, v in request.headers if k not in HOP_HEADERS]
@@ -146,7 +105,7 @@
 
     runtime: Runtime
     client_table: ClientTable
-    read_ahead: int  # bytes that clients have sent while their requests are under way, of all connections
+    memory: MemoryGuard
 
     async def route(self, client: Client, received: ReceivedRequest) -> None:
         """Leads one whole request to its answer; raises BadRequest, or LinkError if the client left."""
@@ -154,6 +113,9 @@
     def note_bad_request(self, error: BadRequest) -> None:
         """Counts and logs a request that can't be taken."""
 
+    def note_refused_arrival(self, head: h11.Request | None) -> None:
+        """Counts a request that was refused before it was whole."""
+
 
 class Client:
     """One client connection: one request at a time, its answer, and the watch for the client's leaving."""
@@ -161,7 +123,14 @@
     def __init__(self, front: ClientHost, reader: TimedReader, writer: asyncio.StreamWriter) -> None:
         self._front, self._reader, self._writer = front, reader, writer
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
-        self._early = b""  # what came while the answer was awaited
+        self.account = front.memory.open(self)
+        front.memory.came(self, reader.heard)
+        reader.on_bytes = lambda size: front.memory.came(self, size)
+        self._early = bytearray()  # what came while the answer was awaited
+        self._arriving: h11.Request | None = None  # the head of a request that is not whole yet
+        self._body = Body()
+        self._fields, self._head_tail = 0, b""  # lines of the head that is arriving, and its last bytes
+        self._given_up = False  # its request made room for others
         self._early_since = 0.0  # when the first of it came
         self._dropped = 0  # bytes that came ahead past what is kept
         self._consumed = 0  # bytes taken out of the reader
@@ -179,7 +148,7 @@
         self._last = False  # the connection ends with this answer
         self.owed: str | None = None  # the id of a request that has no final answer yet
         self._ends_for = CloseReason.GATEWAY_FAULT  # why its service ends, once that is known
-        writer.transport.set_write_buffer_limits(high=CLIENT_BUFFER)
+        writer.transport.set_write_buffer_limits(high=0)  # so that drain means: the system has it all
 
     async def serve(self) -> None:
         try:
@@ -196,19 +165,56 @@
         except (OSError, LinkError):
             self._ends_for = CloseReason.CLIENT_LEFT
         finally:
-            self._take_early()
             self._front.runtime.counters["client_turns_cut_short"] += self._turn.cut_short
             self.close(self._ends_for)
 
+    def request_id(self) -> str:
+        """Of the request that is arriving or owed; empty if it is not known."""
+        if self.owed is not None or self._arriving is None:
+            return self.owed or ""
+        return dict(self._arriving.headers).get(b"x-correlation-id", b"").decode("latin-1")
+
+    def give_up_arrival(self) -> None:
+        """Its request has not arrived whole, and makes room for others: it is refused at once, in words."""
+        self._given_up = True
+        self._drop_arrival()
+        self._refuse_arrival()
+        self.let_go()
+
+    def _drop_arrival(self) -> None:
+        self._body = Body()
+        self._early.clear()
+        memory = self._front.memory
+        memory.arrives(self, False)
+        for cls in (MemoryClass.PARSER, MemoryClass.BODY, MemoryClass.READ_AHEAD):
+            memory.credit(self, cls)
+
+    def _refuse_arrival(self) -> None:
+        self._front.note_refused_arrival(self._arriving)
+        self._ends_for = CloseReason.NO_MEMORY
+        self.answer_last(503, "out of memory for requests", [(b"Retry-After", b"1")])
+
+    def cut_answer(self) -> None:
+        """Its client takes nothing of it, and makes room for others."""
+        self.owed = None
+        self.abort(CloseReason.TOO_SLOW)
+
     def close(self, reason: CloseReason) -> None:
         """The one way in which this side closes. What was written still goes out; a stream not ended stays
         without its last chunk."""
-        self._front.client_table.left(self)
+        self._let_go_of_all()
         if self._writer.transport.is_closing():
             return
         self._note_close(reason)
         self._writer.close()
 
+    def _let_go_of_all(self) -> None:
+        self._front.client_table.left(self)
+        self._front.memory.close(self)
+        self._body = Body()
+        self._early = bytearray()
+        self._reader.on_bytes = None
+
     def _note_close(self, reason: CloseReason) -> None:
         """Asks the guard, and counts the reason."""
         runtime = self._front.runtime
@@ -251,18 +257,24 @@
 
     def abort(self, reason: CloseReason | None = None) -> None:
         """Closes without waiting for what was written to go out; with no reason, what is closed already."""
-        self._front.client_table.left(self)
+        self._let_go_of_all()
         if reason is not None:
             self._note_close(reason)
         self._writer.transport.abort()
 
     async def _one(self) -> bool:
         """Read and answer one request; whether another may follow."""
+        refused = False
         try:
             received = await self._read()
             if received is None:
                 return False
-            await self._front.route(self, received)
+            try:
+                await self._front.route(self, received)
+            finally:
+                self._front.memory.credit(self, MemoryClass.BODY)
+        except OutOfMemory:
+            refused = True  # what the exception holds goes before its client is waited for
         except BadRequest as error:
             self._front.note_bad_request(error)
             self.answer_last(error.status, error.why)  # what stands behind it is not read as a request
@@ -270,6 +282,9 @@
         except h11.LocalProtocolError:  # the answer was under way when something else went wrong
             self._ends_for = CloseReason.GATEWAY_FAULT
             return False
+        if refused:
+            await self._linger()
+            return False
         try:
             await self._drained()
         except TimeoutError:
@@ -282,26 +297,51 @@
         self._http.start_next_cycle()
         return True
 
+    async def _linger(self) -> None:
+        """Its request was refused before all of it was read. Closing on what is unread would reset the
+        connection, and the answer would be lost with it; nothing more is read, and the connection may make
+        room for others."""
+        until = time.monotonic() + LINGER
+        self._front.client_table.rests(self, time.monotonic())
+        while time.monotonic() < until and not self.has_left() and not self.leaving():
+            await asyncio.sleep(LINGER_STEP)
+
     async def _read(self) -> ReceivedRequest | None:
-        """The next request, whole; None if the connection ends without one. Every wait is bounded. The client
-        counts its time from the moment it began to send: on a new connection, which was opened for the
-        request, that may have been before its first byte."""
-        request: h11.Request | None = None
-        body = bytearray()
+        """The next request, whole; None if the connection ends without one. Raises BadRequest, and
+        OutOfMemory once the client has been told."""
+        try:
+            return await self._read_whole()
+        except OutOfMemory:
+            if not self._given_up:
+                self._drop_arrival()
+                self._refuse_arrival()
+            raise
+        finally:
+            self._arriving = None
+
+    async def _read_whole(self) -> ReceivedRequest | None:
+        """Every wait is bounded. The client counts its time from the moment it began to send: on a new
+        connection, which was opened for the request, that may have been before its first byte."""
+        memory = self._front.memory
+        self._body, self._fields, self._head_tail = Body(), 0, b""
         by = self._opened + FIRST_BYTE_PATIENCE if not self.spoke else self.rests_since + REST_PATIENCE
         began_at = self._received_at if self.spoke else self._connected_at
-        if self._http.trailing_data[0]:  # it came with the bytes of the request before
+        if ahead := self._http.trailing_data[0]:  # it came with the bytes of the request before
             self._begins()
+            self._check_fields(ahead)
             by = time.monotonic() + REQUEST_PATIENCE
         while True:
             await self._turn.spend()
+            if self._given_up:
+                raise OutOfMemory
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
                 status = error.error_status_hint
-                raise BadRequest(status if status in (431, 501) else 400, "not HTTP/1.1") from error
+                why = "not HTTP/1.1" if not self._reader.ended else "it ended half-way"
+                raise BadRequest(status if status in (431, 501) else 400, why) from error
             if event is h11.NEED_DATA:
-                if request is not None and self._http.they_are_waiting_for_100_continue:
+                if self._arriving is not None and self._http.they_are_waiting_for_100_continue:
                     go_on = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
                     self._writer.write(self._http.send(go_on) or b"")
                 data, came_at = self._take_early(), self._early_since
@@ -317,20 +357,38 @@
                     by = self._rest_by()
                     self._begins()
                 self._received_at = came_at
+                self._check_fields(data)
                 self._http.receive_data(data)
+                if self._arriving is None:
+                    memory.keep(self, MemoryClass.PARSER, len(self._http.trailing_data[0]))
             elif isinstance(event, h11.Request):
-                request = event
-                check_head(list(request.headers))
+                self._arriving = event
+                check_head(list(event.headers))
             elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > BODY_LIMIT:
+                self._body.append(event.data)
+                if self._body.size > BODY_LIMIT:
                     raise BadRequest(413, f"the body is over {BODY_LIMIT} bytes")
-            elif isinstance(event, h11.EndOfMessage) and request is not None:
-                return ReceivedRequest(request, bytes(body), began_at)
+                memory.keep(self, MemoryClass.BODY, self._body.size)
+            elif isinstance(event, h11.EndOfMessage) and self._arriving is not None:
+                memory.arrives(self, False)
+                memory.keep(self, MemoryClass.PARSER, len(self._http.trailing_data[0]))
+                return ReceivedRequest(self._arriving, self._body.pieces(), began_at)
             else:
                 self._ends_for = CloseReason.CLIENT_LEFT
                 return None
 
+    def _check_fields(self, data: bytes) -> None:
+        """Refuses a head of too many fields before it is parsed: a short one costs fifty times its bytes."""
+        if self._arriving is not None:
+            return
+        look = self._head_tail + data
+        end = BLANK_LINE.search(look)
+        lines = look.count(b"\n", 0, end.end() if end is not None else len(look))
+        self._fields += lines - self._head_tail.count(b"\n")
+        self._head_tail = look[-BLANK_LINE_SIZE:]
+        if self._fields > MOST_FIELDS:
+            raise BadRequest(431, f"a head of over {MOST_FIELDS} fields")
+
     def _rest_by(self) -> float:
         """By when the rest of a request has to come whose first bytes are here. A first one may have waited
         in the system's queue; what else lies there is read at once."""
@@ -343,6 +401,7 @@
         """The first bytes of a next request are here."""
         self.idle, self.spoke = False, True
         self._front.client_table.busy(self)
+        self._front.memory.arrives(self, True)
 
     async def _first_bytes(self, by: float) -> bytes:
         """Of a next request; none if the connection has rested too long, or is let go."""
@@ -362,6 +421,7 @@
     async def _piece(self) -> bytes:
         data = await self._reader.read(READ_SIZE)
         self._consumed += len(data)
+        self._front.memory.credit(self, MemoryClass.UNREAD, len(data))
         return data
 
     async def read_ahead(self) -> WaitEnd | None:
@@ -373,16 +433,22 @@
                 self._dropped += len(data)
             if self._dropped > DROPPED_LIMIT:
                 return WaitEnd.CLIENT_FLOODS
-            if self._reader.heard == self._consumed:  # more may be under way, now that there is room
-                await asyncio.sleep(LAST_LOOK)
+            for pause in (0.0, 0.0, LAST_LOOK):  # more may be under way, now that there is room
+                if self._reader.heard == self._consumed:
+                    await asyncio.sleep(pause)
         return WaitEnd.CLIENT_LEFT if self.has_left() else None
 
     async def _more_bytes(self, by: float) -> bytes:
         try:
-            async with asyncio.timeout(by - time.monotonic()):
+            await self._front.memory.room_to_read(self, by)
+            async with asyncio.timeout(by - time.monotonic()) as self._wait:
                 return await self._piece()
         except TimeoutError as error:
+            if self._given_up:
+                raise OutOfMemory from error
             raise BadRequest(408, "the request did not arrive whole") from error
+        finally:
+            self._wait = None
 
     def answer(self, status: int, why: str, headers: Headers | None = None) -> None:
         """A whole answer in the gateway's own words."""
@@ -411,24 +477,53 @@
 
     async def stream(self, data: bytes) -> None:
         """Pass a piece on; waits while the client reads too slowly. Raises LinkError."""
+        for at in range(0, len(data), WRITTEN_AT_ONCE):
+            await self._pass_on(data[at : at + WRITTEN_AT_ONCE], len(data) - at)
+
+    async def _pass_on(self, data: bytes, held: int) -> None:
+        """One part of it; `held` bytes of the piece are kept meanwhile."""
         if self._writer.transport.is_closing():
             raise LinkError(Ending.CLIENT_LEFT)
         self._writer.write(self._http.send(h11.Data(data=data)) or b"")
         try:
-            await self._drained()
+            await self._drained(held)
         except TimeoutError as error:
             raise LinkError(Ending.CLIENT_SLOW) from error
         except OSError as error:
             raise LinkError(Ending.CLIENT_LEFT) from error
 
-    async def _drained(self) -> None:
-        """Until the client reads on, where it has not taken all that was written. Raises as drain does."""
-        if self._writer.transport.get_write_buffer_size():
-            async with asyncio.timeout(CLIENT_PATIENCE):
-                try:
-                    await self._writer.drain()
-                except OSError as error:  # ETIMEDOUT among them, which is no patience that ran out
-                    raise ConnectionResetError(str(error)) from error
+    async def _drained(self, held: int = 0) -> None:
+        """Until the client reads on, where it has not taken all that was written. A client that takes some of
+        it now and then is waited for. Raises TimeoutError, or ConnectionError."""
+        waiting = self._writer.transport.get_write_buffer_size()
+        if not waiting:
+            return
+        memory, table = self._front.memory, self._front.client_table
+        memory.relays(self, waiting + held)
+        moved_at = time.monotonic()
+        table.waits(self, moved_at)
+        try:
+            while not await self._drained_for(STUCK_STEP):
+                now, left = time.monotonic(), self._writer.transport.get_write_buffer_size()
+                if left < waiting:
+                    waiting, moved_at = left, now
+                    table.waits(self, now)
+                elif now - moved_at >= CLIENT_PATIENCE:
+                    raise TimeoutError
+        finally:
+            table.reads_on(self)
+            memory.credit(self, MemoryClass.RELAY)
+
+    async def _drained_for(self, seconds: float) -> bool:
+        """Whether all is with the system by then. Raises ConnectionError."""
+        try:
+            async with asyncio.timeout(seconds) as wait:
+                await self._writer.drain()
+        except OSError as error:  # ETIMEDOUT among them, which is no wait that ran out
+            if wait.expired():
+                return False
+            raise ConnectionResetError(str(error)) from error
+        return True
 
     def end_stream(self) -> None:
         self.owed = None
@@ -464,12 +559,11 @@
         """Whether what came ahead is kept for the next request. However much comes, it is read: else the
         client's leaving would not be seen, and what it asked for would be sent on. What can't be kept is
         dropped, and the connection ends with the answer."""
-        room = not self._last and self._front.read_ahead + len(data) <= self._front.runtime.body_room
-        if room and len(self._early) + len(data) <= AHEAD_LIMIT:
+        room = not self._last and len(self._early) + len(data) <= AHEAD_LIMIT
+        if room and self._front.memory.keeps_ahead(self, len(data)):
             if not self._early:
                 self._early_since = time.monotonic()
             self._early += data
-            self._front.read_ahead += len(data)
             return True
         if not self._last:
             self._last = True
@@ -478,6 +572,8 @@
         return False
 
     def _take_early(self) -> bytes:
-        data, self._early = self._early, b""
-        self._front.read_ahead -= len(data)
+        """The next part of what came ahead."""
+        data = bytes(self._early[:FED_AT_ONCE])
+        del self._early[:FED_AT_ONCE]
+        self._front.memory.credit(self, MemoryClass.READ_AHEAD, len(data))
         return data
--- a/basaltspread/net/links.py
+++ b/basaltspread/net/links.py
@@ -13,7 +13,7 @@
 import socket
 import time
 from collections import Counter
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import Any
 
 import h11
@@ -21,6 +21,7 @@
 from basaltspread.endings import Ending
 from basaltspread.net import tcp_info
 from basaltspread.net.log_limit import LineLimit
+from basaltspread.net.readers import PieceSize, Silence, TimedReader, connect, largest_piece
 from basaltspread.net.turns import TurnBudget
 from basaltspread.records import record
 from basaltspread.structures import system_faults as faults
@@ -28,8 +29,8 @@
 from basaltspread.structures.progress import Progress
 
 log = logging.getLogger("basaltspread")
-READ_SIZE = 65536
 BODY_LIMIT = 256 * 1024
+SEND_SIZE = 32 * 1024  # bytes of a request that are handed to the system at once
 CHUNK_LIMIT = 256 * 1024  # bytes that a chunk may declare
 PART_WINDOW = 1.0  # s in which a head or a chunk that has begun has to make progress
 HEAD_LIMIT = 32 * 1024
@@ -51,10 +52,6 @@
         raise ValueError("nested too deeply") from error
 
 
-class Silence(TimeoutError):
-    """Nothing came in time. Not a plain TimeoutError, as ETIMEDOUT is, by which a connection breaks."""
-
-
 class LinkError(Exception):
     """A link could not be used; says how its use ended."""
 
@@ -98,86 +95,6 @@
     body: bytes
 
 
-class TimedReader(asyncio.StreamReader):
-    """Counts what comes in, so that bytes that nobody asked for are noticed, and bounds the waits for it by
-    one alarm: that is put off, not set anew, by each piece that comes. A stream of many pieces would else
-    spend more on the loop's timers than on passing its pieces on."""
-
-    heard = 0
-    ended = False  # its close or break has come, whatever of what came before is still unread
-    _bell: asyncio.Future[None] | None = None  # rings as something comes, ends or is late
-    _alarm: asyncio.TimerHandle | None = None
-    _by = 0.0
-
-    def feed_data(self, data: Any) -> None:
-        self.heard += len(data)
-        super().feed_data(data)
-        self._ring()
-
-    def feed_eof(self) -> None:
-        self.ended = True
-        super().feed_eof()
-        self._ring()
-
-    def set_exception(self, exc: Exception) -> None:
-        self.ended = True
-        super().set_exception(exc)
-        self._ring()
-
-    def _ring(self) -> None:
-        if self._bell is not None and not self._bell.done():
-            self._bell.set_result(None)
-
-    def _late(self, loop: asyncio.AbstractEventLoop) -> None:
-        self._alarm = None
-        if self._bell is None or self._bell.done():
-            return
-        if loop.time() < self._by:
-            self._alarm = loop.call_at(self._by, self._late, loop)
-        else:
-            self._ring()
-
-    async def piece(self, taken: int, patience: float | None) -> bytes:
-        """What comes next, within so many seconds; `taken` bytes have been read before. Raises Silence, or
-        as the connection broke; nothing at its end."""
-        if self._nothing(taken):
-            loop = asyncio.get_running_loop()
-            bell = self._bell = loop.create_future()
-            if patience is not None:
-                self._by = loop.time() + patience
-                if self._alarm is not None and self._alarm.when() > self._by:
-                    self.rest()
-                if self._alarm is None:
-                    self._alarm = loop.call_at(self._by, self._late, loop)
-            else:
-                self.rest()
-            try:
-                await bell
-            finally:
-                self._bell = None
-            if self._nothing(taken):
-                raise Silence
-        return await self.read(READ_SIZE)
-
-    def _nothing(self, taken: int) -> bool:
-        return self.heard == taken and not self.at_eof() and self.exception() is None
-
-    def rest(self) -> None:
-        """Nothing is waited for: no alarm stays behind."""
-        if self._alarm is not None:
-            self._alarm.cancel()
-            self._alarm = None
-
-
-async def connect(**where: Any) -> tuple[TimedReader, asyncio.StreamWriter]:
-    """asyncio.open_connection with that reader."""
-    loop = asyncio.get_running_loop()
-    reader = TimedReader(limit=READ_SIZE, loop=loop)
-    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
-    transport, _ = await loop.create_connection(lambda: protocol, **where)
-    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
-
-
 class Link:
     """One connection to another party, with its h11 state. One request at a time."""
 
@@ -202,18 +119,28 @@
         self._sent = 0  # bytes of the present request
         writer.transport.set_write_buffer_limits(high=0)  # so that drain means: all of it is written
 
-    async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+    async def send(self, method: str, target: str, headers: Headers, body: bytes | Sequence[bytes]) -> None:
+        """Write one request; raises LinkError. A body in pieces is handed to the system piece by piece: of a
+        large one, no copy waits here for an engine that reads slowly."""
         self.written = False
+        pieces = body if not isinstance(body, bytes) else (body,) if body else ()
         head: Headers = [(b"Host", self.address.encode()), *headers]
-        if body or method == "POST":
-            head.append((b"Content-Length", str(len(body)).encode()))
+        if pieces or method == "POST":
+            head.append((b"Content-Length", str(sum(map(len, pieces))).encode()))
         out = self._http.send(h11.Request(method=method, target=target, headers=head)) or b""
-        if body:
-            out += self._http.send(h11.Data(data=body)) or b""
-        out += self._http.send(h11.EndOfMessage()) or b""
-        # What the kernel has taken may reach the other side, whatever becomes of the connection: only bytes
-        # that stay in the transport's buffer are certainly unsent.
-        self._sent = len(out)
+        self._sent = 0
+        for piece in pieces:
+            out += self._http.send(h11.Data(data=piece)) or b""
+            if len(out) >= SEND_SIZE:
+                await self._hand_over(out)
+                out = b""
+        await self._hand_over(out + (self._http.send(h11.EndOfMessage()) or b""))
+        self.written = True
+
+    async def _hand_over(self, out: bytes) -> None:
+        """Until the system has it all. What it has taken may reach the other side, whatever becomes of the
+        connection: only bytes that stay in the transport's buffer are certainly unsent."""
+        self._sent += len(out)
         self._writer.write(out)
         if self._writer.transport.is_closing():
             raise LinkError(Ending.BROKE_UNSENT)
@@ -222,7 +149,6 @@
                 await self._writer.drain()
             except OSError as error:
                 raise LinkError(Ending.BROKE_UNSENT) from error
-        self.written = True
 
     async def event(
         self, silence: float | None = None, chunk: int = CHUNK_LIMIT, window: float = PART_WINDOW
@@ -363,8 +289,11 @@
     what is written to a closed link counts as sent, so a stale one costs a request that may not be resent."""
 
     def __init__(
-        self, descriptors: Descriptors, connect_timeout: float, idle: float, counters: Counter[str]
-    ) -> None:
+        self, descriptors: Descriptors, connect_timeout: float, idle: float, counters: Counter[str],
+        piece: PieceSize = largest_piece,
+    ) -> None:  # fmt: skip
+        """`piece` says how much may be read from a connection at once."""
+        self._piece = piece
         self._descriptors, self._connect_timeout, self._idle_limit = descriptors, connect_timeout, idle
         self._idle: dict[str, list[Link]] = {}
         self._distrusted: dict[str, float] = {}  # by address: until when
@@ -411,7 +340,7 @@
         while True:
             try:
                 async with asyncio.timeout(self._connect_timeout):
-                    return await connect(host=host, port=int(port))
+                    return await connect(self._piece, host=host, port=int(port))
             except TimeoutError as error:
                 raise LinkError(Ending.CONNECT_TIMED_OUT) from error
             except (OSError, ValueError) as error:
@@ -434,7 +363,7 @@
 
     async def adopt(self, address: str, running: socket.socket) -> Link:
         """A link of another process, in the middle of an answer."""
-        reader, writer = await connect(sock=running)
+        reader, writer = await connect(self._piece, sock=running)
         self._descriptors.accepted()
         return Link.running(address, reader, writer, self._descriptors.free)
 
--- a/basaltspread/net/listener.py
+++ b/basaltspread/net/listener.py
@@ -15,8 +15,9 @@
 from typing import Any
 
 from basaltspread.config import split_address
-from basaltspread.net.links import LOCAL_FAULT_PATIENCE, READ_SIZE, TimedReader
+from basaltspread.net.links import LOCAL_FAULT_PATIENCE
 from basaltspread.net.log_limit import LineLimit
+from basaltspread.net.readers import ONE_PIECE, PieceProtocol, PieceSize, TimedReader, largest_piece
 from basaltspread.structures import system_faults as faults
 
 log = logging.getLogger("basaltspread")
@@ -39,8 +40,10 @@
     """
 
     def __init__(
-        self, listener: socket.socket, accept: Accept, at_once: int, counters: Counter[str], inherited: bool
-    ) -> None:
+        self, listener: socket.socket, accept: Accept, at_once: int, counters: Counter[str], inherited: bool,
+        piece: PieceSize = largest_piece,
+    ) -> None:  # fmt: skip
+        self._piece = piece
         self._listener, self._accept, self._at_once = listener, accept, at_once
         self._counters, self._inherited = counters, inherited
         self._loop = asyncio.get_running_loop()
@@ -130,8 +133,8 @@
             self._note(error)  # it broke as it was taken
 
     def _protocol(self) -> asyncio.StreamReaderProtocol:
-        reader = TimedReader(limit=READ_SIZE, loop=self._loop)
-        return asyncio.StreamReaderProtocol(reader, self._accept, loop=self._loop)
+        reader = TimedReader(limit=ONE_PIECE, loop=self._loop)
+        return PieceProtocol(reader, self._piece, self._loop, self._accept)
 
 
 async def _create(
@@ -160,9 +163,11 @@
     at_once: int,
     inherited: int | None = None,
     counters: Counter[str] | None = None,
+    piece: PieceSize = largest_piece,
 ) -> Listener:
     """Serve what connects to an address (named `key` in errors), or to a socket that listens there already.
-    `queue` connections may wait in the kernel. Raises ConfigError, or OSError where the address is taken, or
+    `queue` connections may wait in the kernel; `piece` says how
+    much may be read at once. Raises ConfigError, or OSError where the address is taken, or
     where this machine can't make a socket for longer than a moment."""
     host, port = split_address(key, listen)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -173,4 +178,4 @@
     listener.setblocking(False)
     listener.listen(queue)
     counted = counters if counters is not None else Counter[str]()
-    return Listener(listener, accept, at_once, counted, inherited is not None)
+    return Listener(listener, accept, at_once, counted, inherited is not None, piece)
--- a/basaltspread/net/management.py
+++ b/basaltspread/net/management.py
@@ -20,9 +20,9 @@
 from basaltspread import core
 from basaltspread.core import Order, Verdict
 from basaltspread.net.clients import REASONS
-from basaltspread.net.links import READ_SIZE
 from basaltspread.net.listener import open_listener
 from basaltspread.net.parsing import BadRequest
+from basaltspread.net.readers import READ_SIZE
 from basaltspread.net.runtime import MANAGEMENT_DESCRIPTORS, Runtime
 
 log = logging.getLogger("basaltspread")
--- /dev/null
+++ b/basaltspread/net/memory_guard.py
@@ -0,0 +1,173 @@
+"""Charges the ledger of memory for clients, and makes room where it is full.
+
+First go requests that have stalled half-way, then idle connections, then answers that their clients don't
+read, then arriving requests far larger than the one that asks. Nothing that has been taken and moves is cut.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING, cast
+
+from basaltspread.control.memory import CONNECTION_COST, SHARES, Account, MemoryClass
+from basaltspread.net.client_table import FIRST_BYTES_UNDER_WAY, ClientTable
+from basaltspread.net.log_limit import LineLimit
+from basaltspread.net.readers import UNREAD_LIMIT
+from basaltspread.net.runtime import Runtime
+
+if TYPE_CHECKING:
+    from basaltspread.net.clients import Client
+
+log = logging.getLogger("basaltspread")
+STUCK_AFTER = 1.0  # s in which a client takes nothing of its answer, after which it makes room
+
+
+class OutOfMemory(Exception):
+    """A request that is arriving can't be held; its client is told so in words."""
+
+
+class MemoryGuard:
+    """The one place that asks the ledger on behalf of clients."""
+
+    def __init__(self, runtime: Runtime, table: ClientTable) -> None:
+        self._runtime, self._table, self._ledger = runtime, table, runtime.memory
+        self._lines = LineLimit()
+        self._waiters: dict[asyncio.Future[None], None] = {}  # for room to read on, the longest first
+
+    def open(self, client: Client) -> Account:
+        return self._ledger.open(client)
+
+    def close(self, client: Client) -> None:
+        self._ledger.close(client.account)
+        self._wake()
+
+    def admits(self, client: Client) -> bool:
+        """Whether there is room for one more connection."""
+        if self._hold(client, MemoryClass.CONNECTION, CONNECTION_COST):
+            return True
+        self._ledger.force(client.account, MemoryClass.CONNECTION, CONNECTION_COST, time.monotonic())
+        return False
+
+    def arrives(self, client: Client, arriving: bool) -> None:
+        self._ledger.arriving(client.account, arriving)
+
+    def keep(self, client: Client, cls: MemoryClass, size: int) -> None:
+        """So many bytes of a class from now on; they are there already."""
+        self._ledger.keep(client.account, cls, size, time.monotonic())
+
+    def came(self, client: Client, size: int) -> None:
+        """So many bytes have been taken from the system."""
+        self._ledger.force(client.account, MemoryClass.UNREAD, size, time.monotonic())
+
+    async def room_to_read(self, client: Client, by: float) -> None:
+        """Until more of an arriving request may be read; raises OutOfMemory if there is no room by then. Who
+        holds more than its part waits, and the system's window holds its sender back; others make room for
+        who holds less."""
+        while not self._ledger.fits(MemoryClass.BODY, self._ledger.piece()):
+            now = time.monotonic()
+            if self._ledger.may_displace(client.account) and self._relieve_arrival(client, now):
+                continue
+            if now >= by or client.leaving() or self._ledger.never_fits(client.account):
+                self._say(client, f"no room to read on beside {client.account.total} bytes")
+                raise OutOfMemory
+            self._runtime.count("reads_held_back")
+            await self._freed(by - now)
+
+    async def _freed(self, most: float) -> None:
+        """Until bytes have been credited, or for so many s."""
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters[waiter] = None
+        try:
+            await asyncio.wait({waiter}, timeout=most)
+        finally:
+            self._waiters.pop(waiter, None)
+
+    def _wake(self) -> None:
+        """Bytes have been credited: as many as can read on are woken, the longest waiting first."""
+        room = int(self._ledger.capacity * SHARES[MemoryClass.BODY]) - self._ledger.used
+        for _ in range(min(len(self._waiters), room // self._ledger.piece())):
+            waiter = next(iter(self._waiters))
+            del self._waiters[waiter]
+            waiter.set_result(None)
+
+    def takes(self, client: Client, cost: int) -> bool:
+        """Whether one more request may be taken."""
+        return self._hold(client, MemoryClass.REQUEST, cost)
+
+    def keeps_ahead(self, client: Client, size: int) -> bool:
+        """Whether so many more bytes may be kept for its next request; nobody makes room for them."""
+        return self._ledger.charge(client.account, MemoryClass.READ_AHEAD, size, time.monotonic())
+
+    def relays(self, client: Client, size: int) -> None:
+        """So many bytes wait for a client that reads slowly, and as many as its engine's connection may hold;
+        others make room, and nothing is denied."""
+        now, account = time.monotonic(), client.account
+        size += self._ledger.piece() + 2 * UNREAD_LIMIT
+        self._ledger.keep(account, MemoryClass.RELAY, size, now)
+        while self._ledger.used > self._ledger.capacity and self._relieve(client, now):
+            pass
+
+    def credit(self, client: Client, cls: MemoryClass, size: int | None = None) -> None:
+        """These bytes are gone; with no size, all of the class."""
+        self._ledger.credit(client.account, cls, size)
+        self._wake()
+
+    def _hold(self, client: Client, cls: MemoryClass, size: int) -> bool:
+        now = time.monotonic()
+        while not self._ledger.hold(client.account, cls, size, now):
+            if not self._relieve(client, now):
+                return False
+        return True
+
+    def _relieve(self, asking: Client, now: float) -> bool:
+        """One peer makes room; whether there was one."""
+        return (
+            self._give_up(self._ledger.stalled(asking.account, now), "it has stalled")
+            or self._close_idle(asking, now)
+            or self._cut_stuck(asking, now)
+            or self._give_up_larger(asking)
+        )
+
+    def _relieve_arrival(self, asking: Client, now: float) -> bool:
+        """The same for bytes of a request, of which an idle connection holds hardly any."""
+        return (
+            self._give_up(self._ledger.stalled(asking.account, now), "it has stalled")
+            or self._cut_stuck(asking, now)
+            or self._give_up_larger(asking)
+            or self._close_idle(asking, now)
+        )
+
+    def _give_up_larger(self, asking: Client) -> bool:
+        return self._give_up(self._ledger.larger(asking.account), "it is far larger than another")
+
+    def _close_idle(self, asking: Client, now: float) -> bool:
+        idle = self._table.idle_for(FIRST_BYTES_UNDER_WAY, now)
+        if idle is None or idle is asking:
+            return False
+        self._runtime.count("clients_made_room")
+        self._table.make_room(idle)
+        return True
+
+    def _cut_stuck(self, asking: Client, now: float) -> bool:
+        stuck = self._table.stuck_longest(now - STUCK_AFTER)
+        if stuck is None or stuck is asking:
+            return False
+        self._runtime.count("clients_stuck_made_room")
+        self._say(stuck, "its client takes nothing of its answer and makes room")
+        stuck.cut_answer()
+        return True
+
+    def _give_up(self, account: Account | None, why: str) -> bool:
+        if account is None:
+            return False
+        client = cast("Client", account.owner)
+        self._runtime.count("arrivals_made_room")
+        self._say(client, f"{why} and makes room, with {account.total} bytes")
+        client.give_up_arrival()
+        return True
+
+    def _say(self, client: Client, what: str) -> None:
+        if self._lines.due():
+            log.info("request %s: memory is short: %s", client.request_id() or "not known yet", what)
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -21,25 +21,27 @@
 
 from basaltspread import core
 from basaltspread.config import Gateway
+from basaltspread.control.memory import REQUEST_COST, MemoryClass
 from basaltspread.core import Ending, Verdict, guards
 from basaltspread.core.guards import Denial, StartFacts
 from basaltspread.core.invariants import Invariant
+from basaltspread.net.client_table import ClientTable, CloseReason
 from basaltspread.net.clients import (
     CLIENT_PATIENCE,
     LAST_LOOK,
     Client,
-    ClientTable,
-    CloseReason,
     Exchange,
     ReceivedRequest,
     WaitEnd,
 )
 from basaltspread.net.discovery_watch import DiscoveryWatch
 from basaltspread.net.engine_calls import EngineCalls
-from basaltspread.net.links import PART_WINDOW, Link, LinkError, TimedReader, connect
+from basaltspread.net.links import PART_WINDOW, Link, LinkError
 from basaltspread.net.listener import Listener, open_listener
 from basaltspread.net.log_limit import LineLimit
+from basaltspread.net.memory_guard import MemoryGuard
 from basaltspread.net.parsing import BadRequest, arrival_from
+from basaltspread.net.readers import TimedReader, connect
 from basaltspread.net.runtime import Runtime
 from basaltspread.net.sse import END, TooLong
 from basaltspread.structures import events
@@ -78,9 +80,10 @@
         self._splitters: dict[tuple[str, int], Splitter] = {}  # of their streams, where tools may be called
         self._clients: dict[Client, asyncio.Task[None]] = {}
         self.client_table = ClientTable()
+        self.memory = MemoryGuard(runtime, self.client_table)
         self._used: dict[str, float] = {}  # ids of requests that are over: until when known
         self._used_for = max((c.deadline for c in config.settings.classes), default=0) / 1e6
-        self._bodies = self.read_ahead = 0  # bytes: of requests under way, and of what came meanwhile
+        self._refused_for_memory = 0  # connections that are being refused in words
         self._full_lines = LineLimit()
         self._bad_request_lines = LineLimit(BAD_REQUEST_LINES)
         self._unanswered_lines = LineLimit(UNANSWERED_LINES)
@@ -107,6 +110,7 @@
         facts = StartFacts(list_awaited=self._list_awaited, bans_read=self.runtime.looked_at_files)
         if guards.may_serve(facts) is not None:
             self.runtime.feed(core.Violated(Invariant.SERVED_TOO_EARLY.value))
+        self.runtime.measure_memory()
         self._listener = await open_listener(
             "listen",
             self._config.listen,
@@ -115,6 +119,7 @@
             ACCEPTED_AT_ONCE,
             self._config.door,
             self.runtime.counters,
+            self.runtime.memory.piece,
         )
         self.address = self._listener.address
         self.runtime.take_over_streams(self._take_over)
@@ -167,8 +172,18 @@
                 client.refused = True
                 if len(self.client_table) >= most + MOST_REFUSED:
                     client.abort(CloseReason.NO_ROOM)
+        elif not self.memory.admits(client):
+            self.runtime.count("clients_over_memory")
+            client.refused = True
+            if self._refused_for_memory >= MOST_REFUSED:
+                client.abort(CloseReason.NO_MEMORY)
         self.runtime.count("clients_accepted")
-        await self._keep(client, writer, client.serve())
+        refused = client.refused
+        self._refused_for_memory += refused
+        try:
+            await self._keep(client, writer, client.serve())
+        finally:
+            self._refused_for_memory -= refused
 
     async def _keep(
         self, client: Client, writer: asyncio.StreamWriter, work: Coroutine[Any, Any, None]
@@ -202,6 +217,16 @@
         if self._bad_request_lines.due():
             log.info("bad request: %d %s", error.status, error.why)
 
+    def note_refused_arrival(self, head: h11.Request | None) -> None:
+        """It counts for its class if its head says of which it is."""
+        self.runtime.count("refused_for_memory")
+        if head is None:
+            return
+        fields = {k.decode(): v.decode("latin-1") for k, v in head.headers}
+        with contextlib.suppress(BadRequest):
+            arrival = arrival_from(fields, self._config.settings)
+            self.runtime.feed(core.TurnedAway(arrival.request_class))
+
     async def route(self, client: Client, received: ReceivedRequest) -> None:
         request = received.head
         path = request.target.split(b"?")[0]
@@ -237,20 +262,19 @@
             # Each request has an id of its own. Engines take one that comes again for the first, which is
             # over: what they would hold for it is held for nobody.
             raise BadRequest(409, "a request with this X-Correlation-Id has been here")
-        if self._bodies + len(body) > self.runtime.body_room:
+        if not self.memory.takes(client, REQUEST_COST):
             self.runtime.count("refused_for_memory")
             self.runtime.feed(core.TurnedAway(arrival.request_class))
             client.answer(503, "out of memory for requests", [(b"Retry-After", b"1")])
             return
         exchange = self._exchanges[rid] = Exchange(client, request, body)
         client.owed = rid
-        self._bodies += len(body)
         try:
             spent = round((time.monotonic() - received.began_at) * 1_000_000)
             self.runtime.feed(core.Taken(replace(arrival, time_left=max(0, arrival.time_left - spent))))
             await self._until_end(client, exchange, rid)
         finally:
-            self._bodies -= len(body)
+            self.memory.credit(client, MemoryClass.REQUEST)
             del self._exchanges[rid]
             self._note_used(rid)
 
@@ -320,7 +344,8 @@
         link = await self.runtime.pool.adopt(effect.address, engine)
         reader, writer = await connect(sock=connection)
         client = Client(self, reader, writer)
-        exchange = self._exchanges[effect.request] = Exchange(client, client.carry_on(), b"")
+        self.memory.admits(client)
+        exchange = self._exchanges[effect.request] = Exchange(client, client.carry_on(), ())
         exchange.passing, exchange.tail = effect.number, tail
         self.runtime.feed(adopted)
         self._start_attempt(effect, link)
@@ -351,7 +376,8 @@
     def _pass_on(self, effect: core.PassOn) -> None:
         exchange = self._exchanges.get(effect.request)
         if exchange is not None:
-            exchange.passing = effect.number
+            exchange.passing, exchange.body = effect.number, ()  # nothing more is sent for it
+            self.memory.credit(exchange.client, MemoryClass.BODY)
 
     def _end_stream(self, effect: core.EndStream) -> None:
         exchange = self._exchanges.get(effect.request)
@@ -495,6 +521,7 @@
             event = await self._next(link, name, begun)
             over = isinstance(event, h11.EndOfMessage)
             data = bytes(event.data) if isinstance(event, h11.Data) else b""
+            del event  # what it holds must not wait for a slow client
             if not begun:
                 # Until a whole event is there, what came may be anything; another engine can still answer.
                 looked = max(0, len(first) - 3)
@@ -503,7 +530,7 @@
                     if over or len(first) > EVENT_LIMIT:
                         raise LinkError(Ending.MALFORMED)
                     continue
-                begun, data = True, first
+                begun, data, first = True, first, b""
                 self.runtime.feed(core.FirstEvent(name, number))
                 if exchange.passing == number:
                     exchange.client.begin_stream(fields.get(b"content-type", b"text/event-stream"))
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -19,8 +19,10 @@
 from typing import Any
 
 from basaltspread import core
+from basaltspread.control.memory import MemoryLedger, capacity_for
 from basaltspread.core import guards, invariants
 from basaltspread.core.guards import Denial
+from basaltspread.net import resident
 from basaltspread.net.clock import Clock, ClockFile
 from basaltspread.net.links import Descriptors, Pool
 from basaltspread.net.shared_files import BanFile, DepartureFile, Overlap
@@ -29,12 +31,11 @@
 log = logging.getLogger("basaltspread")
 TICK = 0.005  # s, of the timer wheel
 DECISION_TIME = 20_000  # us of one turn of the loop in which decisions are begun
-CLIENT_BUFFER = 64 * 1024  # bytes that may wait for a slow reader of a stream
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 MANAGEMENT_DESCRIPTORS = 16  # of the spare ones, for operators
 FAULT_PAUSE = 0.2  # s before a task that must last begins anew
 OTHER_STEP = 0.05  # s between two looks at this gateway's other process
-BODY_BUDGET = 0.2  # share of the memory limit that request bodies may take
+LEAST_CAPACITY = 256 * 1024  # bytes for peers, however little the limit leaves
 
 
 class TimerWheel:
@@ -114,7 +115,9 @@
             state.module, self.load, lambda: self.clock.now(), lambda: len(state.workers)
         )
         self.descriptors = Descriptors(sockets)
-        self.pool = Pool(self.descriptors, connect_timeout, idle, self.counters)
+        self._resident = resident.resident_size()
+        self.memory = MemoryLedger(LEAST_CAPACITY)
+        self.pool = Pool(self.descriptors, connect_timeout, idle, self.counters, self.memory.piece)
         self.reconfigure(sockets, memory_mb)
         self.wheel = TimerWheel(self._wake, self.clock.now, self.load.late)
         self.over = asyncio.Event()
@@ -143,7 +146,20 @@
         self.descriptors.set_limit(sockets // self._processes)
         while self.descriptors.used > self.descriptors.limit and self.pool.shed():
             pass
-        self.body_room = int(memory_mb * 1024 * 1024 * BODY_BUDGET) // self._processes
+        limit = memory_mb * resident.MEBIBYTE // self._processes
+        self.memory.resize(max(LEAST_CAPACITY, capacity_for(limit, self._resident)))
+
+    def measure_memory(self) -> None:
+        """All that serving needs is there: what is left of the limit is for peers."""
+        resident.keep_heap_small()
+        self._resident = resident.resident_size()
+        self.reconfigure(*self._limits)
+        left = capacity_for(self.memory_mb * resident.MEBIBYTE, self._resident)
+        if left < LEAST_CAPACITY:
+            log.warning(
+                "a limit of %d MB leaves %d KB for clients beside the %d KB of this process",
+                self.memory_mb, left // 1024, self._resident // 1024,
+            )  # fmt: skip
 
     def send_denial(self, request: str, number: int, client_gone: bool) -> Denial | None:
         """Asks the guard of sends, in the turn in which the first byte is to go out."""
@@ -256,6 +272,9 @@
 
     def print_counters(self) -> None:
         state = self.state
+        for fault in self.memory.breaches():
+            self.count("invariant_memory")
+            log.error("invariant broken: memory: %s", fault)
         for breach in invariants.of_state(state, self.clock.now()):
             self.count(f"invariant_{breach.invariant.value}")
             log.error("%s", breach)
@@ -280,6 +299,8 @@
             "now_late_questions": held.late_questions,
             "now_untaken_sends": held.untaken_sends,
             "now_engines": len(self.state.workers),
+            "resident_bytes": resident.resident_size(),
+            **self.memory.figures(),
             **self.load.figures(now),
         }
 
--- a/basaltspread/net/shared_files.py
+++ b/basaltspread/net/shared_files.py
@@ -21,7 +21,8 @@
 from typing import Any
 
 from basaltspread import core
-from basaltspread.net.links import READ_SIZE, load_json
+from basaltspread.net.links import load_json
+from basaltspread.net.readers import READ_SIZE
 
 log = logging.getLogger("basaltspread")
 TOLD_WAIT = 0.5  # s for the other process to tell what it knows
--- a/soak/shim/sitecustomize.py
+++ b/soak/shim/sitecustomize.py
@@ -33,6 +33,7 @@
 
     real = socket.socket
     accept, connect, recv, send = real.accept, real.connect, real.recv, real.send
+    recv_into = real.recv_into
     made, wall = real.__init__, time.time
     replace, fsync = os.replace, os.fsync
 
@@ -58,6 +59,14 @@
             raise OSError(once, os.strerror(once))
         return recv(self, min(size, most) if most else size, *flags)
 
+    def short_recv_into(self: Any, buffer: Any, size: int = 0, *flags: int) -> int:
+        _, _, _, _, once, most, _ = figures()
+        if once and self.type & socket.SOCK_STREAM and self.getpeername()[1] != 0:
+            struct.pack_into("<i", shared, 16, 0)
+            raise OSError(once, os.strerror(once))
+        size = size or len(buffer)
+        return recv_into(self, buffer, min(size, most) if most else size, *flags)
+
     def short_send(self: Any, data: Any, *flags: int) -> int:
         most = figures()[5]
         short = most and self.type & socket.SOCK_STREAM
@@ -73,7 +82,7 @@
 
     changes: dict[str, Any] = {
         "__init__": failing_init, "accept": failing_accept, "connect": failing_connect,
-        "recv": short_recv, "send": short_send,
+        "recv": short_recv, "recv_into": short_recv_into, "send": short_send,
     }  # fmt: skip
     for name, call in changes.items():
         setattr(real, name, call)
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -18,7 +18,8 @@
 from basaltspread import core
 from basaltspread import interface as api
 from basaltspread.net.clients import Client
-from basaltspread.net.links import Link, TimedReader
+from basaltspread.net.links import Link
+from basaltspread.net.readers import TimedReader
 from basaltspread.net.shared_files import BanFile
 from tests.standins import (
     DONE,
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -12,7 +12,8 @@
 import pytest
 
 from basaltspread.endings import Ending
-from basaltspread.net.links import Descriptors, Link, LinkError, Pool, TimedReader
+from basaltspread.net.links import Descriptors, Link, LinkError, Pool
+from basaltspread.net.readers import TimedReader
 from basaltspread.net.runtime import TimerWheel
 
 
