Know an id for its time, in a table that both processes of an upgrade share

Cause: Front._used knew the ids that were over by their number, and in one process; what was under way was known to that process alone.

test_an_id_ran_twice_when_it_came_again_at_the_next_process_of_an_upgrade failed on: 200 for 409. Now an id is claimed before anything is begun for it, through one guard (guards.may_begin), in a table of hashes and times that lies in a file of the gateway's folder and is mapped by both processes: it is there before the next one serves, needs no answer of an old one that hangs, and outlives a kill. Without a folder it is kept in the process, and a kill loses it. 16 bytes a slot, 1,024 slots for each MB of the limit; a full table refuses what is new, in words, and forgets nothing. Counters refused_id_known, refused_ids_full; figures ids_known, ids_slots, ids_unlocked.

--- a/basaltspread/core/guards.py
+++ b/basaltspread/core/guards.py
@@ -14,6 +14,7 @@
 from basaltspread.endings import NEVER_RAN, Ending
 from basaltspread.interface import WorkerState
 from basaltspread.records import record
+from basaltspread.structures.id_table import Claim
 
 HELD_UP = 150_000  # us for which a process may stand still between a look at its clock and a write
 
@@ -34,6 +35,8 @@
     UNANSWERED = "unanswered"
     LIST_NOT_AWAITED = "list_not_awaited"
     BANS_NOT_READ = "bans_not_read"
+    ID_KNOWN = "id_known"
+    IDS_FULL = "ids_full"
 
 
 # How an attempt ends that its guard withheld.
@@ -94,6 +97,12 @@
     return None if same[cls.key_scope] else Denial.OTHER_GROUP
 
 
+def may_begin(claim: Claim) -> Denial | None:
+    """Before anything is begun for a client's request: each has an id of its own, and engines take one that
+    comes again for the first. Where no more can be remembered, the new is refused, not the old forgotten."""
+    return {Claim.NEW: None, Claim.KNOWN: Denial.ID_KNOWN, Claim.FULL: Denial.IDS_FULL}[claim]
+
+
 def may_close(owed: bool, client_gone: bool, broken: bool) -> Denial | None:
     """Before a client's connection is closed: `owed`, a request that was read on it has no final answer;
     `broken`, its stream has to end without the last chunk."""
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -20,6 +20,7 @@
 import h11
 
 from basaltspread import core
+from basaltspread import interface as api
 from basaltspread.config import Gateway
 from basaltspread.control.memory import REQUEST_COST, MemoryClass
 from basaltspread.core import Ending, Verdict, guards
@@ -36,6 +37,7 @@
 )
 from basaltspread.net.discovery_watch import DiscoveryWatch
 from basaltspread.net.engine_calls import EngineCalls
+from basaltspread.net.known_ids import KnownIds
 from basaltspread.net.links import PART_WINDOW, Link, LinkError
 from basaltspread.net.listener import Listener, open_listener
 from basaltspread.net.log_limit import LineLimit
@@ -55,7 +57,6 @@
 FIRST_LIST_WAIT = 0.25  # s that clients wait at a start for discovery's first word; it may say nothing
 CLIENT_SHARE = 0.6  # of the descriptors, for clients; a request has one here and at most two at engines
 CLOSE_AFTER = 0.4  # s that a connection has rested before a drain closes it
-MOST_USED = 20_000  # ids of requests that are over, known for the longest deadline
 QUEUE = 512  # connections that may wait to be accepted
 ACCEPTED_AT_ONCE = 32  # connections; a few ms of one turn, and a late loop has few turns
 MOST_REFUSED = 16  # connections past the budget that are refused in words; more are closed
@@ -81,8 +82,10 @@
         self._clients: dict[Client, asyncio.Task[None]] = {}
         self.client_table = ClientTable()
         self.memory = MemoryGuard(runtime, self.client_table)
-        self._used: dict[str, float] = {}  # ids of requests that are over: until when known
-        self._used_for = max((c.deadline for c in config.settings.classes), default=0) / 1e6
+        longest = max((c.deadline for c in config.settings.classes), default=0)
+        self._ids = KnownIds(config.scratch, config.name, config.memory_mb, longest)
+        runtime.reserve(self._ids.size)
+        runtime.gauges.append(self._ids.figures)
         self._refused_for_memory = 0  # connections that are being refused in words
         self._full_lines = LineLimit()
         self._bad_request_lines = LineLimit(BAD_REQUEST_LINES)
@@ -258,15 +261,15 @@
             return
         if rid in self._exchanges or rid in self.runtime.state.requests:
             raise BadRequest(409, "a request with this X-Correlation-Id is under way")
-        if time.monotonic() < self._used.get(rid, 0.0):
-            # Each request has an id of its own. Engines take one that comes again for the first, which is
-            # over: what they would hold for it is held for nobody.
-            raise BadRequest(409, "a request with this X-Correlation-Id has been here")
         if not self.memory.takes(client, REQUEST_COST):
             self.runtime.count("refused_for_memory")
             self.runtime.feed(core.TurnedAway(arrival.request_class))
             client.answer(503, "out of memory for requests", [(b"Retry-After", b"1")])
             return
+        denial = guards.may_begin(self._ids.claim(rid))
+        if denial is not None:
+            self._refuse_id(client, arrival, denial)
+            return
         exchange = self._exchanges[rid] = Exchange(client, request, body)
         client.owed = rid
         try:
@@ -276,14 +279,17 @@
         finally:
             self.memory.credit(client, MemoryClass.REQUEST)
             del self._exchanges[rid]
-            self._note_used(rid)
-
-    def _note_used(self, rid: str) -> None:
-        now = time.monotonic()
-        self._used.pop(rid, None)
-        self._used[rid] = now + self._used_for
-        while len(self._used) > MOST_USED or next(iter(self._used.values())) < now:
-            del self._used[next(iter(self._used))]
+            self._ids.ended(rid)
+
+    def _refuse_id(self, client: Client, arrival: api.Arrival, denial: Denial) -> None:
+        """Raises BadRequest for an id that is known."""
+        self.memory.credit(client, MemoryClass.REQUEST)
+        self.runtime.count(f"refused_{denial.value}")
+        if denial is Denial.ID_KNOWN:
+            raise BadRequest(409, f"request {arrival.request} has been here")
+        log.info("request %s is refused: no more ids can be remembered", arrival.request)
+        self.runtime.feed(core.TurnedAway(arrival.request_class))
+        client.answer(503, "too many requests to remember", [(b"Retry-After", b"1")])
 
     async def _until_end(self, client: Client, exchange: Exchange, rid: str) -> None:
         ended = await client.wait_for(exchange)
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -116,6 +116,8 @@
         )
         self.descriptors = Descriptors(sockets)
         self._resident = resident.resident_size()
+        self._reserved = 0  # bytes that tables of fixed size may come to need
+        self.gauges: list[Callable[[], dict[str, int]]] = []  # figures of other parts
         self.memory = MemoryLedger(LEAST_CAPACITY)
         self.pool = Pool(self.descriptors, connect_timeout, idle, self.counters, self.memory.piece)
         self.reconfigure(sockets, memory_mb)
@@ -146,9 +148,14 @@
         self.descriptors.set_limit(sockets // self._processes)
         while self.descriptors.used > self.descriptors.limit and self.pool.shed():
             pass
-        limit = memory_mb * resident.MEBIBYTE // self._processes
+        limit = memory_mb * resident.MEBIBYTE // self._processes - self._reserved
         self.memory.resize(max(LEAST_CAPACITY, capacity_for(limit, self._resident)))
 
+    def reserve(self, size: int) -> None:
+        """So many bytes of the limit are not for peers."""
+        self._reserved += size
+        self.reconfigure(*self._limits)
+
     def measure_memory(self) -> None:
         """All that serving needs is there: what is left of the limit is for peers."""
         resident.keep_heap_small()
@@ -289,6 +296,7 @@
 
     def _gauges(self) -> dict[str, int]:
         now = self.clock.now()
+        more = {name: figure for gauge in self.gauges for name, figure in gauge().items()}
         held = core.held_figures(self.state, now)
         return {
             "now_oldest_held_us": held.oldest,
@@ -301,6 +309,7 @@
             "now_engines": len(self.state.workers),
             "resident_bytes": resident.resident_size(),
             **self.memory.figures(),
+            **more,
             **self.load.figures(now),
         }
 
