Play clients that cost memory and streams that end early in the soak, with 32 and 64 MB

The soak's gateways have 128, 32 (with 1,024 descriptors), 128 and 64 MB in turn; two kinds of trouble are new: hundreds of clients that stop in a body, send thousands of fields or say nothing, or a few that flood, in a process of their own; and writers whose streams end in order without their last events. The judge holds the system's high-water mark of the resident size to each process's limit. /-/metrics tells bytes by class, the resident size, and how often what made room.

--- a/basaltspread/net/management.py
+++ b/basaltspread/net/management.py
@@ -19,6 +19,7 @@
 
 from basaltspread import core
 from basaltspread.core import Order, Verdict
+from basaltspread.net import resident
 from basaltspread.net.clients import REASONS
 from basaltspread.net.listener import open_listener
 from basaltspread.net.parsing import BadRequest
@@ -35,6 +36,11 @@
 ENGINE_CALL = re.compile(rb"/-/engines/([^/]+)/(disable|enable)")
 SERVER_CALL = re.compile(rb"/-/tools/([^/]+)/(drain|resume)")
 SERVER_ORDERS = {b"drain": Order.DRAIN_SERVER, b"resume": Order.RESUME_SERVER}
+PRESSURE_COUNTERS = (
+    "arrivals_made_room", "clients_made_room", "clients_stuck_made_room", "clients_over_memory",
+    "reads_held_back", "refused_for_memory", "refused_id_known", "refused_ids_full", "client_turns_cut_short",
+    "ended_incomplete",
+)  # fmt: skip
 OUTCOME_NAMES = {Verdict.SERVED: "success", Verdict.REFUSED: "overload", Verdict.FAILED: "error"}
 
 
@@ -197,4 +203,7 @@
             "slow_start_work_expired": round(found.slow_start.expired, 1),
             "still_learning": found.slow_start.learning,
             **self._runtime.load.figures(self._runtime.clock.now()),
+            "resident_bytes": resident.resident_size(),
+            **self._runtime.memory.figures(),
+            **{name: counters[name] for name in PRESSURE_COUNTERS},
         }
--- a/soak/engines.py
+++ b/soak/engines.py
@@ -45,6 +45,7 @@
 
     frozen: bool = False  # its process stands still, and its system goes on
     turns_away: bool = False
+    ends_early: bool = False  # its streams end in order, without their last events
     closes_idle: bool = False
     delay: float = 0.0  # s for each piece
     cut: bool = False
@@ -365,6 +366,10 @@
             await writer.drain()
         if whole is not None:
             await whole
+        if self.mood.ends_early:
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+            return
         body += DONE
         writer.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(DONE), DONE))
         await writer.drain()
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import os
+import re
 import signal
 import socket
 import struct
@@ -26,11 +27,21 @@
 READY_PATIENCE = 30.0  # s
 GRACE = 3.7  # s from SIGTERM to SIGKILL
 HOLD_UP = 0.15  # s
+MEMORY_STEP = 0.1  # s between two looks at the resident size
 Step = tuple[signal.Signals, float]  # a signal, and s until the next
 SUSPICIOUS = ("fault", "Traceback", "invariant", "Error")
 MOST_SUSPICIOUS = 20  # lines kept of one process
 
 
+def resident_peak(pid: int) -> int:
+    """The largest resident size that a process has had, in KB; 0 where it has ended."""
+    try:
+        found = re.search(r"VmHWM:\s+(\d+)", Path(f"/proc/{pid}/status").read_text())
+    except OSError:
+        return 0
+    return int(found[1]) if found else 0
+
+
 class Shim:
     """The figures that one gateway's system calls follow."""
 
@@ -99,6 +110,7 @@
             environment["RELAY_FD"] = str(self.door.fileno())
         self._count += 1
         life = GatewayEnd(self.number, time.monotonic(), inherits=self.door is not None)
+        life.memory_mb = self.config["limits"]["memory_mb"]
         self._seen.processes.append(life)
         if self.known_is_new:  # its configuration tells it as well; one left as it was tells nothing anew
             for entry in self.config["known"]["instances"]:
@@ -112,9 +124,10 @@
         )  # fmt: skip
         self.process, self.life = process, life
         ready = asyncio.Event()
-        reader = asyncio.create_task(self._read(process, life, ready))
-        self._readers.add(reader)
-        reader.add_done_callback(self._readers.discard)
+        for work in (self._read(process, life, ready), self._watch_memory(process, life)):
+            task = asyncio.create_task(work)
+            self._readers.add(task)
+            task.add_done_callback(self._readers.discard)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(READY_PATIENCE):
                 await ready.wait()
@@ -132,6 +145,12 @@
         life.ended_at = time.monotonic()
         ready.set()
 
+    @staticmethod
+    async def _watch_memory(process: asyncio.subprocess.Process, life: GatewayEnd) -> None:
+        while process.returncode is None:
+            life.peak_kb = resident_peak(process.pid) or life.peak_kb
+            await asyncio.sleep(MEMORY_STEP)
+
     def _note(self, line: str, life: GatewayEnd, ready: asyncio.Event) -> None:
         life.lines += 1
         if " operators call " in line:
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -35,9 +35,10 @@
 READS_PER_S = 100.0  # that a warm reader of this soak can do
 FAULT_COUNTERS = ("task_faults", "core_faults", "module_faults", "effect_faults", "attempt_faults")
 # Rules whose verdict does not hang on how busy the machine is.
-TIMELESS = frozenset(
-    ("stream_altered", "stream_cut", "run_twice", "crashed", "ban_lost", "log_flood", *FAULT_COUNTERS)
-)
+TIMELESS = frozenset((
+    "stream_altered", "stream_cut", "run_twice", "crashed", "ban_lost", "log_flood", "over_memory",
+    *FAULT_COUNTERS,
+))  # fmt: skip
 NETWORK_CUT = (TroubleKind.CUT.value, TroubleKind.ROLE_SILENT.value)
 SLOWED = (TroubleKind.HELD_UP.value, TroubleKind.THROTTLED.value)
 READ_TIME = 0.1  # s that a read takes at the most
@@ -334,6 +335,9 @@
         if life.ready_at is None or life.ready_at - life.started_at > READY_WITHIN + case.slack:
             if life.killed_at is None:
                 yield Violation("not_ready", name, life.started_at, "not ready in time")
+        if life.peak_kb > life.memory_mb * 1024:
+            text = f"{life.peak_kb} KB of {life.memory_mb} MB"
+            yield Violation("over_memory", name, life.ended_at or 0.0, text)
         if life.lines > MOST_LINES:
             yield Violation("log_flood", name, life.started_at, f"{life.lines} lines")
         for counter, count in life.counters.items():
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -126,6 +126,8 @@
     exit_code: int | None = None
     counters: dict[str, int] = field(default_factory=dict)
     lines: int = 0
+    memory_mb: int = 0  # its limit
+    peak_kb: int = 0  # the system's high-water mark of its resident size
     suspicious: list[str] = field(default_factory=list)  # log lines of faults and violations
 
 
--- a/soak/pressure_play.py
+++ b/soak/pressure_play.py
@@ -22,7 +22,7 @@
 
 import click
 
-from soak.gateways import ROOT
+from soak.gateways import ROOT, resident_peak
 from soak.pressure import PressureKind
 from soak.runner import SETTINGS
 
@@ -193,9 +193,7 @@
 
     def _look(self) -> None:
         """The system's own high-water mark: no peak is missed between two looks."""
-        with contextlib.suppress(OSError):
-            found = re.search(r"VmHWM:\s+(\d+)", Path(f"/proc/{self.process.pid}/status").read_text())
-            self.peak_kb = int(found[1]) if found else self.peak_kb
+        self.peak_kb = resident_peak(self.process.pid) or self.peak_kb
 
     async def _watch(self) -> None:
         while True:
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -25,6 +25,7 @@
 from soak.gateways import ROOT, GatewayProcess, Step
 from soak.hangs import Hang, Wakes, draw_hang
 from soak.observations import ClientKind, Observations, Span
+from soak.pressure import PressureKind
 from soak.schedule import Trouble, TroubleKind
 
 ZONES = ("a", "b")
@@ -47,6 +48,16 @@
 RECEIVE_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET)
 FOLDER_ERRORS = (errno.ENOSPC, errno.EIO)
 STEPS_MS = (-3_600_000, -7_000, 7_000, 3_600_000)
+LIMITS = (  # of one gateway after the other
+    {"sockets": 512, "memory_mb": 128}, {"sockets": 1024, "memory_mb": 32},
+    {"sockets": 512, "memory_mb": 128}, {"sockets": 768, "memory_mb": 64},
+)  # fmt: skip
+PRESSURES = (  # of one trouble; the others of their kinds ask for answers under ids that nobody here knows
+    PressureKind.STOPPED_BODY, PressureKind.MANY_FIELDS, PressureKind.ONE_BYTE, PressureKind.HEALTH_FLOOD,
+    PressureKind.CHUNK_FLOOD, PressureKind.GARBAGE_FLOOD,
+)  # fmt: skip
+PRESSURE_CLIENTS = 300  # of a kind that holds memory; a flood has a few
+FLOODING_CLIENTS = 4
 SETTINGS: dict[str, Any] = {
     "azs": list(ZONES), "registry_mode": "push", "round": 2000,
     "classes": [
@@ -109,6 +120,7 @@
             TroubleKind.SIGNALS: self._signals, TroubleKind.THROTTLED: self._throttled,
             TroubleKind.ROLE_SILENT: self._role_silent, TroubleKind.CROWD: self._crowd,
             TroubleKind.LOAD: self._load_beside, TroubleKind.MANY_HANG: self._many_hang,
+            TroubleKind.PRESSURE: self._pressure,
         }  # fmt: skip
 
     async def play(self) -> Observations:
@@ -177,7 +189,7 @@
         config = {
             "name": f"n{number}", "listen": listen, "seed": f"{self._seed + number:x}",
             "discovery": await self._discovery.address_for(number), "known": self._discovery.whole(),
-            "settings": settings, "limits": {"sockets": 512, "memory_mb": 128},
+            "settings": settings, "limits": LIMITS[number % len(LIMITS)],
             "management": "127.0.0.1:0", "peers": peers, "peer_listen": peers[number],
         }  # fmt: skip
         gateway = GatewayProcess(self.seen, number, self._folder / f"n{number}", config, self._program)
@@ -368,6 +380,18 @@
         for writer in writers:
             writer.transport.abort()
 
+    async def _pressure(self, trouble: Trouble) -> None:
+        kind = PRESSURES[int(trouble.figure * len(PRESSURES))]
+        count = FLOODING_CLIENTS if kind.value.endswith("flood") else PRESSURE_CLIENTS
+        clients = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "soak.pressure", self._address_of(self._gateways[trouble.targets[0]])(),
+            kind.value, str(count), str(trouble.length), cwd=ROOT, stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.DEVNULL,
+        )  # fmt: skip
+        self._beside.add(clients)
+        await clients.wait()
+        self._beside.discard(clients)
+
     async def _load_beside(self, trouble: Trouble) -> None:
         busy = [
             await asyncio.create_subprocess_exec(sys.executable, "-c", "while True: pass")
@@ -500,6 +524,8 @@
                     mood.frozen = on
                 case TroubleKind.TURNS_AWAY:
                     mood.turns_away = on
+                case TroubleKind.ENDS_EARLY:
+                    mood.ends_early = on
                 case TroubleKind.CLOSES_IDLE:
                     mood.closes_idle = on
                 case TroubleKind.DELAY:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -51,6 +51,8 @@
     CLIENTS_STOP = "clients:stop"
     CLIENTS_FLOOD = "clients:flood"
     CLIENTS_SLOW = "clients:slow"
+    PRESSURE = "clients:pressure"  # hundreds that cost memory or time, in a process of their own
+    ENDS_EARLY = "engine:ends_early"  # streams end in order without their last events
 
     @property
     def target(self) -> str:
@@ -73,7 +75,8 @@
     TroubleKind.CROWD: (2.0, 5.0), TroubleKind.LOAD: (1.0, 4.0), TroubleKind.RESET: (0.1, 1.0),
     TroubleKind.FRAGMENT: (0.5, 2.0), TroubleKind.CLIENTS_LEAVE: (1.0, 4.0),
     TroubleKind.CLIENTS_STOP: (1.0, 3.0), TroubleKind.CLIENTS_FLOOD: (0.5, 2.0),
-    TroubleKind.CLIENTS_SLOW: (1.0, 4.0),
+    TroubleKind.CLIENTS_SLOW: (1.0, 4.0), TroubleKind.PRESSURE: (1.0, 4.0),
+    TroubleKind.ENDS_EARLY: (0.5, 3.0),
 }  # fmt: skip
 QUIET_START = 3.0  # s before the first trouble: all is learnt by then
 GROUP_STEP = (2.0, 5.0)  # s from the start of one group of troubles to that of the next
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -94,6 +94,8 @@
         self.assertEqual((await client.ask("q1", cls="order", body=b"x" * 250_000))[0], 503)
         _, figures = await gateway.operate("GET", "/-/metrics")
         self.assertEqual(figures["replies"]["order"], {"success": 0, "overload": 1, "error": 0})
+        self.assertEqual((figures["refused_for_memory"], figures["memory_bodies"]), (1, 0))
+        self.assertGreater(figures["resident_bytes"], figures["memory_used"])
 
     async def test_a_drain_sends_clients_away_until_it_is_resumed(self) -> None:
         gateway = await self.managed()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,6 +24,10 @@
         "--seed", "505", "--processes", "4", "--seconds", "8", "--clients", "8",
         "--troubles", "engine:many_hang,engine:hang,gateway:signals,clients:crowd",
     ),
+    "clients that cost memory, streams that end early, less memory": (
+        "--seed", "9001", "--processes", "4", "--seconds", "8",
+        "--troubles", "clients:pressure,engine:ends_early",
+    ),
 }  # fmt: skip
 
 
