Look for a close behind more than one piece, and let stalled requests make room for clients

Cause: with pieces of 16 KB the request's own piece could be all that had been read, so that nothing seemed to stand behind it; before, one read of 256 KB held more. test_a_request_was_begun_whose_close_stood_behind_more_than_one_piece failed: no clients_gone_before in 30 s. Now what waits in the system is asked for (FIONREAD) before anything is begun.

--- a/basaltspread/net/clients.py
+++ b/basaltspread/net/clients.py
@@ -427,17 +427,25 @@
     async def read_ahead(self) -> WaitEnd | None:
         """Read all that the client has sent behind its request so far, before anything is begun for it: its
         close may stand behind that. None if it is still there."""
-        while self._reader.heard > self._consumed and not self.has_left():
-            data = await self._piece()  # it is there
-            if not self._keeps(data):
-                self._dropped += len(data)
-            if self._dropped > DROPPED_LIMIT:
-                return WaitEnd.CLIENT_FLOODS
+        ahead = self._has_sent_ahead()
+        while ahead and not self.has_left():
+            if self._reader.heard > self._consumed:
+                data = await self._piece()  # it is there
+                if not self._keeps(data):
+                    self._dropped += len(data)
+                if self._dropped > DROPPED_LIMIT:
+                    return WaitEnd.CLIENT_FLOODS
             for pause in (0.0, 0.0, LAST_LOOK):  # more may be under way, now that there is room
                 if self._reader.heard == self._consumed:
                     await asyncio.sleep(pause)
+            ahead = self._reader.heard > self._consumed
         return WaitEnd.CLIENT_LEFT if self.has_left() else None
 
+    def _has_sent_ahead(self) -> bool:
+        """Whether anything of the client stands behind its request, here or still with the system."""
+        here = self._http.trailing_data[0] or self._reader.heard > self._consumed
+        return bool(here or tcp_info.unread(self._writer.get_extra_info("socket")))
+
     async def _more_bytes(self, by: float) -> bytes:
         try:
             await self._front.memory.room_to_read(self, by)
--- a/basaltspread/net/memory_guard.py
+++ b/basaltspread/net/memory_guard.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, cast
 
 from basaltspread.control.memory import CONNECTION_COST, SHARES, Account, MemoryClass
-from basaltspread.net.client_table import FIRST_BYTES_UNDER_WAY, ClientTable
+from basaltspread.net.client_table import FIRST_BYTES_UNDER_WAY, ClientTable, CloseReason
 from basaltspread.net.log_limit import LineLimit
 from basaltspread.net.readers import UNREAD_LIMIT
 from basaltspread.net.runtime import Runtime
@@ -50,6 +50,16 @@
         self._ledger.force(client.account, MemoryClass.CONNECTION, CONNECTION_COST, time.monotonic())
         return False
 
+    def frees_descriptor(self, asking: Client) -> bool:
+        """A request that has stalled half-way makes room for a new connection, where no idle one can."""
+        stalled = self._ledger.stalled(asking.account, time.monotonic())
+        if stalled is None:
+            return False
+        client = cast("Client", stalled.owner)
+        self._give_up(stalled, "it has stalled")
+        client.abort(CloseReason.MADE_ROOM)
+        return True
+
     def arrives(self, client: Client, arriving: bool) -> None:
         self._ledger.arriving(client.account, arriving)
 
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -170,7 +170,7 @@
             if idle is not None:
                 self.runtime.count("clients_made_room")
                 idle.abort(CloseReason.MADE_ROOM)
-            else:
+            elif not self.memory.frees_descriptor(client):
                 self.runtime.count("clients_over_budget")
                 client.refused = True
                 if len(self.client_table) >= most + MOST_REFUSED:
--- a/basaltspread/net/tcp_info.py
+++ b/basaltspread/net/tcp_info.py
@@ -37,6 +37,13 @@
         return 0.0
 
 
+def unread(connection: Any) -> int:
+    """Bytes that have come on a connection and wait in the system to be read."""
+    with contextlib.suppress(OSError, AttributeError, TypeError, ValueError):
+        return int(_COUNT.unpack(fcntl.ioctl(connection, termios.FIONREAD, bytes(_COUNT.size)))[0])
+    return 0
+
+
 def unacknowledged(connection: Any) -> int | None:
     """Bytes written to a connection that the other side's system has not acknowledged; None where this
     system does not tell."""
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -321,6 +321,18 @@
         self.assertEqual((requests_of(reader, "q1"), writer.count("POST", "/state/q1")), (1, 1))
         self.assertEqual((await gateway.stop())["bad_requests_409"], 1)
 
+    async def test_a_request_was_begun_whose_close_stood_behind_more_than_one_piece(self) -> None:
+        gateway = await self.plain()
+        async with gateway.held():
+            client = await self.client(gateway)
+            client.raw(request("q1") + b"x" * 300_000)
+            await client.flushed()
+            client.close()
+        await gateway.until_counter("clients_gone_before")
+        counters = await gateway.stop()
+        self.assertEqual(counters.get("requests_taken", 0), 0)
+        self.assertEqual((self.reader.seen, requests_of(self.writer, "q1")), ([], 0))
+
     async def test_half_a_request_and_then_a_close_costs_nobody_anything(self) -> None:
         gateway = await self.plain()
         whole = request("q1", body=b"x" * 50)
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -23,6 +23,7 @@
 from basaltspread.net.bodies import PIECE_SIZE, Body
 from soak.pressure import PressureKind
 from soak.pressure_play import PressurePlan, play
+from tests.pressure_mutants import MUTANTS
 
 MB = 1024 * 1024
 CLASSES = list(MemoryClass)
@@ -149,3 +150,7 @@
     assert result.peak_kb <= memory_mb * 1024
     assert {status for status, _ in result.honest} & {200, 503}, result.honest
     assert result.counters.get("invariant_memory", 0) == 0
+
+
+def test_each_mutant_fits_the_code() -> None:
+    assert [mutant.name for mutant in MUTANTS if not mutant.fits()] == []
