Let idle and stalled connections make room before one that was just opened

Cause: with none resting, the connection that made room for the next was one just opened, whose first bytes were under way. Now idle ones go first, then requests that have stalled, then those.

--- a/basaltspread/net/memory_guard.py
+++ b/basaltspread/net/memory_guard.py
@@ -51,13 +51,22 @@
         return False
 
     def frees_descriptor(self, asking: Client) -> bool:
-        """A request that has stalled half-way makes room for a new connection, where no idle one can."""
-        stalled = self._ledger.stalled(asking.account, time.monotonic())
-        if stalled is None:
+        """One connection makes room for a new one: an idle one, or one whose request has stalled half-way;
+        one that was just opened goes last, as its first bytes may be under way."""
+        now = time.monotonic()
+        if self._close_idle(asking, now):
+            return True
+        stalled = self._ledger.stalled(asking.account, now)
+        if stalled is not None:
+            client = cast("Client", stalled.owner)
+            self._give_up(stalled, "it has stalled")
+            client.abort(CloseReason.MADE_ROOM)
+            return True
+        fresh = self._table.idlest(now)
+        if fresh is None:
             return False
-        client = cast("Client", stalled.owner)
-        self._give_up(stalled, "it has stalled")
-        client.abort(CloseReason.MADE_ROOM)
+        self._runtime.count("clients_made_room")
+        self._table.make_room(fresh)
         return True
 
     def arrives(self, client: Client, arriving: bool) -> None:
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -166,11 +166,7 @@
         if len(self.client_table) >= most:
             if self._full_lines.due():
                 log.warning("clients fill %d descriptors: idle ones make room, or it is refused", most)
-            idle = self.client_table.idlest(time.monotonic())
-            if idle is not None:
-                self.runtime.count("clients_made_room")
-                idle.abort(CloseReason.MADE_ROOM)
-            elif not self.memory.frees_descriptor(client):
+            if not self.memory.frees_descriptor(client):
                 self.runtime.count("clients_over_budget")
                 client.refused = True
                 if len(self.client_table) >= most + MOST_REFUSED:
