--- a/basaltspread/control/memory.py
+++ b/basaltspread/control/memory.py
@@ -11,9 +11,10 @@
 from enum import Enum
 
 CONNECTION_COST = 12 * 1024  # of an open connection with its parser and task
-REQUEST_COST = 48 * 1024  # of a request that has been taken: its state, attempts and connections to engines
+REQUEST_COST = 24 * 1024  # of a request that has been taken: its state, attempts and connections to engines
 LIMIT_SHARE = 0.92  # of the memory limit, the rest for what grows with time: tables and learnt figures
-ALLOCATOR_SHARE = 0.6  # of what is left, for bytes that are counted
+GROWTH = 2 * 1024 * 1024  # bytes that the process itself comes to need as it serves
+ALLOCATOR_SHARE = 0.75  # of what is left, for bytes that are counted
 STALLED_AFTER = 0.25  # s without a byte, after which a request that is arriving makes room first
 LEAST_PART = 64 * 1024  # bytes that an arriving request may hold, however many arrive
 SIZE_CLASSES = 40  # powers of two
@@ -251,4 +252,4 @@
 def capacity_for(limit: int, resident: int) -> int:
     """The bytes that peers may hold in a process that may have `limit` bytes and has `resident` before it
     serves anyone. The allocator needs some of them: what is freed in small pieces does not all go back."""
-    return max(0, int((limit * LIMIT_SHARE - resident) * ALLOCATOR_SHARE))
+    return max(0, int((limit * LIMIT_SHARE - resident - GROWTH) * ALLOCATOR_SHARE))
