--- a/review/3/case.py
+++ b/review/3/case.py
@@ -28,6 +28,18 @@
 READERS, WRITERS = 4, 3
 
 
+# What differs at whk-sorting from the settings that the other cases play.
+CLASSES = [
+    {"name": "address-check", "effect": "safe", "key_scope": "all", "deadline": 10000000,
+     "promise": 2000000, "points": 3.0, "late_value": 0.1, "streaming": True, "window": 5000000},
+    {"name": "bag-assign", "effect": "unsafe", "key_scope": "all", "deadline": 12000000,
+     "promise": 2500000, "points": 5.0, "late_value": 0.2, "streaming": True, "window": 5000000},
+]  # fmt: skip
+LIMITS = {"max_attempts": 4, "may_duplicate": False, "retry_after": False, "max_retry_after": 2000000}
+RULES = {"start_capacity": 0.29, "tip_multiple": 4}
+SPECIFICS = {"release": 300000, "resume": False, "writers_read": True}
+
+
 class Writer(world.Engine):
     """Streams of 2 to 4 s."""
 
@@ -51,8 +63,8 @@
             {"role": "user", "content": self.answer.rid + " " + "x" * 3000}]}).encode()  # fmt: skip
         head = (
             "POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Account: acme\r\n"
-            f"X-Correlation-Id: {self.answer.rid}\r\nX-Service-Class: order\r\n"
-            f"X-Session-Key: s-{self.answer.rid}\r\nX-Time-Left-Ms: 8000\r\n"
+            f"X-Correlation-Id: {self.answer.rid}\r\nX-Service-Class: bag-assign\r\n"
+            f"X-Session-Key: s-{self.answer.rid}\r\nX-Time-Left-Ms: 10000\r\n"
             f"X-Facts: prompt_len=800,max_out=100\r\nContent-Length: {len(body)}\r\n\r\n"
         )
         raw = head.encode() + body
@@ -91,7 +103,9 @@
     os.set_inheritable(door.fileno(), True)
     address = f"127.0.0.1:{door.getsockname()[1]}"
     conf = world.config("n0", 0, 2, agent.server.address, entries)
-    conf["settings"]["specifics"]["resume"] = False
+    conf["settings"].update({"classes": CLASSES, "telemetry": {"fields": [], "how": "off"}})
+    for key, own in (("limits", LIMITS), ("rules", RULES), ("specifics", SPECIFICS)):
+        conf["settings"][key].update(own)
     conf.update({"listen": address, "management": "127.0.0.1:0"})
     gateways = [world.Gateway("n0", scratch, record), world.Gateway("n0", scratch, record)]
     slow = [Slow(f"slow{i:02d}-{lot.getrandbits(32):08x}") for i in range(SLOW)]
@@ -153,7 +167,7 @@
     try:
         for number in itertools.count():
             await asyncio.sleep(lot.expovariate(RATE))
-            cls = "order" if lot.random() < 0.27 else "ask"
+            cls = "bag-assign" if lot.random() < 0.47 else "address-check"
             tasks.append(asyncio.create_task(one(f"{lot.getrandbits(40):010x}{number:06x}", cls)))
     finally:
         await asyncio.shield(asyncio.gather(*tasks))
