--- a/review/peers2/lib.py
+++ b/review/peers2/lib.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -506,9 +507,14 @@
 
 
 def free_port() -> int:
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return int(found.getsockname()[1])
+    """Below those that the system gives to outgoing connections, so that nobody takes it meanwhile."""
+    lots = random.SystemRandom()
+    for _ in range(200):
+        port = lots.randrange(15000, 30000)
+        with socket.socket() as found, contextlib.suppress(OSError):
+            found.bind(("127.0.0.1", port))
+            return port
+    raise CouldNotRun("no free port")
 
 
 def config_for(discovery: str, settings: dict[str, Any], listed: dict[str, Any]) -> dict[str, Any]:
@@ -528,6 +534,11 @@
     record = Record(Path(folder).resolve().parent)
 
     async def play() -> int:
+        # Whoever ends the script early ends what it started too.
+        task = asyncio.current_task()
+        assert task is not None
+        for which in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(which, task.cancel)
         with tempfile.TemporaryDirectory() as scratch:
             try:
                 async with asyncio.timeout(seconds):
@@ -538,7 +549,7 @@
 
     try:
         verdict = asyncio.run(play())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.say(f"the case could not run: {error!r}")
         raise SystemExit(NOT_RUN) from error
     record.say({HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "not run"}[verdict])
--- a/review/peers2/sidecar.py
+++ b/review/peers2/sidecar.py
@@ -7,6 +7,7 @@
 import json
 import re
 import sys
+import time
 from pathlib import Path
 from typing import Any
 from urllib.parse import unquote
@@ -24,6 +25,10 @@
         self.record = record
         self.server = lib.Server(self._handle)
         self.apps: dict[str, dict[str, dict[str, Any]]] = {}
+        self.changed: dict[str, dict[str, Any]] = {}  # engines of which the changes tell
+        self.told: dict[str, float] = {}  # when it was first written that an engine is out of service
+        self._copy: dict[str, dict[str, dict[str, Any]]] = {}  # what a replica has that lags
+        self._lags = False
         self.calls: list[tuple[float, str, str]] = []
 
     def add(self, name: str, address: str, kind: str) -> None:
@@ -32,26 +37,52 @@
             "instanceId": name, "app": "MODEL-ENGINES", "hostName": host, "ipAddr": host, "status": "UP",
             "port": {"$": int(port), "@enabled": "true"}, "actionType": "ADDED",
             "leaseInfo": {"renewalIntervalInSecs": 3, "durationInSecs": 9, "serviceUpTimestamp": 0},
+            "lastUpdatedTimestamp": str(now_ms()), "lastDirtyTimestamp": str(now_ms()),
             "metadata": {"machineType": kind, "zone": "local", "cell": "0"},
         }  # fmt: skip
 
     def forget(self) -> None:
         self.apps.clear()
 
+    def status(self, name: str, status: str) -> None:
+        """An operator, or the engine itself, sets its status."""
+        was = self.apps["MODEL-ENGINES"][name]
+        at = str(now_ms())
+        self.apps["MODEL-ENGINES"][name] = self.changed[name] = {
+            **was, "status": status, "actionType": "MODIFIED", "lastUpdatedTimestamp": at,
+            "lastDirtyTimestamp": at,
+        }  # fmt: skip
+        self.record.say(f"registry: {name} is {status}")
+
+    def copy(self) -> None:
+        """A replica has all up to now, and gets no more for a while."""
+        self._copy = {app: dict(instances) for app, instances in self.apps.items()}
+
+    def lags(self, on: bool) -> None:
+        """Whether that replica answers the reading calls."""
+        self._lags = on
+        self.record.say(f"registry: {'a replica that lags answers' if on else 'all replicas have all'}")
+
     def listed(self, app: str) -> list[str]:
         """The instances of an application that are UP."""
         return [name for name, one in self.apps.get(app, {}).items() if one["status"] == "UP"]
 
-    def _hash(self) -> str:
+    def _hash(self, apps: dict[str, dict[str, dict[str, Any]]]) -> str:
         counts: dict[str, int] = {}
-        for app in self.apps.values():
+        for app in apps.values():
             for instance in app.values():
                 counts[instance["status"]] = counts.get(instance["status"], 0) + 1
         return "".join(f"{status}_{count}_" for status, count in sorted(counts.items()))
 
-    def _whole(self) -> dict[str, Any]:
-        found = [{"name": n, "instance": list(a.values())} for n, a in self.apps.items() if a]
-        about = {"versions__delta": "1", "apps__hashcode": self._hash()}
+    def _answer(self, changes: bool) -> dict[str, Any]:
+        """The whole list, or the changes of the last three minutes; its hash code is that of the whole."""
+        apps = self._copy if self._lags else self.apps
+        shown = {"MODEL-ENGINES": self.changed if not self._lags else {}} if changes else apps
+        for name, one in shown.get("MODEL-ENGINES", {}).items():
+            if one["status"] == "OUT_OF_SERVICE":
+                self.told.setdefault(name, self.record.now())
+        found = [{"name": n, "instance": list(a.values())} for n, a in shown.items() if a]
+        about = {"versions__delta": "1", "apps__hashcode": self._hash(apps)}
         return {"applications": {**about, "application": found}}
 
     async def _handle(self, call: lib.Call) -> None:
@@ -61,10 +92,9 @@
             self.calls.append((self.record.now(), call.method, "/".join(parts[2:])))
             self.record.say(f"registry: {call.method} {'/'.join(parts[2:])}")
         if call.method == "GET" and app == "delta":
-            # Without a change of the last three minutes; its hash code tells whether that is all.
-            call.json({"applications": {**self._whole()["applications"], "application": []}})
+            call.json(self._answer(True))
         elif call.method == "GET" and not app:
-            call.json(self._whole())
+            call.json(self._answer(False))
         elif call.method == "POST":
             instance = json.loads(call.body)["instance"]
             self.apps.setdefault(app, {})[instance["instanceId"]] = {**instance, "actionType": "ADDED"}
@@ -124,6 +154,10 @@
         self.record.say(f"{self.name}: stream of {call.rid} is whole")
 
 
+def now_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
 def call_of(ident: Any, tool: str, **arguments: Any) -> dict[str, Any]:
     params = {"name": tool, "arguments": arguments}
     return {"jsonrpc": "2.0", "id": ident, "method": "tools/call", "params": params}
