Count failed calls to discovery and Eureka by reason, and say how long discovery is silent

Now each failure counts under its reason, each reason is logged once in a row, a body over its limit has an ending of its own, and discovery_silent_ms says for how long nothing was learnt. No behaviour changes but these.

--- a/basaltspread/endings.py
+++ b/basaltspread/endings.py
@@ -19,6 +19,7 @@
     SERVER_ERROR = "500"
     STRANGE_STATUS = "a status the protocol does not name"
     MALFORMED = "an answer that is not HTTP"
+    TOO_LARGE = "an answer over the limit for its kind"
     TURNED_AWAY = "turned away unprocessed"
     STATE_GONE = "no state to fetch"
     REFUSED = "connection refused"
@@ -49,6 +50,7 @@
     Ending.SERVER_ERROR: Outcome.ERROR,
     Ending.STRANGE_STATUS: Outcome.ERROR,
     Ending.MALFORMED: Outcome.ERROR,
+    Ending.TOO_LARGE: Outcome.ERROR,
     Ending.TURNED_AWAY: Outcome.FULL,
     Ending.STATE_GONE: Outcome.FULL,
     Ending.REFUSED: Outcome.CONNECT_FAILED,
@@ -87,12 +89,13 @@
 
 # The endings by which this side closes the connection while the other may still be at work on the request; it
 # learns of that a moment later.
-CLOSED_HERE = frozenset((Ending.MALFORMED, Ending.STALLED))
+CLOSED_HERE = frozenset((Ending.MALFORMED, Ending.TOO_LARGE, Ending.STALLED))
 
 # The endings that show that the engine's process had the request: it has said something itself.
 ANSWERED = frozenset((
     Ending.SERVED, Ending.READ, Ending.SERVER_ERROR, Ending.STRANGE_STATUS, Ending.MALFORMED,
-    Ending.TURNED_AWAY, Ending.STATE_GONE, Ending.CUT_SHORT, Ending.INCOMPLETE, Ending.STALLED,
+    Ending.TOO_LARGE, Ending.TURNED_AWAY, Ending.STATE_GONE, Ending.CUT_SHORT, Ending.INCOMPLETE,
+    Ending.STALLED,
 ))  # fmt: skip
 
 # The endings of an ordinary day, which are counted but not logged.
--- a/basaltspread/net/discovery_watch.py
+++ b/basaltspread/net/discovery_watch.py
@@ -9,17 +9,19 @@
 import functools
 import logging
 import random
+import time
 from dataclasses import replace
 
 from basaltspread import core
 from basaltspread import interface as api
 from basaltspread.config import Gateway
 from basaltspread.control.asking import BRIEF_MS, TURN, next_call, retry_pause
-from basaltspread.net.links import LinkError, load_json
+from basaltspread.net.links import LinkError, failure_name, load_json
 from basaltspread.net.parsing import NoRoom, parse_list
 from basaltspread.net.runtime import Runtime
 
 log = logging.getLogger("basaltspread")
+MOST_REASONS = 8  # log lines about one row of failures
 
 
 class DiscoveryWatch:
@@ -30,8 +32,16 @@
         self._watching: dict[str, asyncio.Task[None]] = {}  # by discovery's address; two while it moves
         self._told_by: str | None = None  # whose answer came last
         self._answered = asyncio.Event()  # set by discovery's first answer
+        self._answered_at = time.monotonic()  # the last answer; the start, before the first
+        runtime.gauges.append(self._figures)
         runtime.carry[core.FetchWholeList] = self._fetch_list
 
+    def _figures(self) -> dict[str, int]:
+        """How long ago discovery last answered, in ms; nothing where it is not watched."""
+        if not self._watching:
+            return {}
+        return {"discovery_silent_ms": round((time.monotonic() - self._answered_at) * 1000)}
+
     async def first_answer(self) -> None:
         """Returns at once where nothing is watched."""
         if self._watching:
@@ -75,10 +85,11 @@
 
     async def _watch(self, discovery: str, version: int | None) -> None:
         failures, begins = 0, True
+        said = set[str]()  # the reasons of a row of failures that are in the log
         while True:
             try:
                 version = await self._fetch(discovery, version, *next_call(begins))
-                self._told_by = discovery
+                self._told_by, self._answered_at = discovery, time.monotonic()
                 if discovery == self._config.discovery:
                     self._end_watches(discovery)
                 self._answered.set()
@@ -86,18 +97,24 @@
                 if failures:
                     log.info("discovery answers again at version %d", version)
                 failures = 0
+                said.clear()
             except (LinkError, ValueError) as error:
                 begins = True
-                self._runtime.count("discovery_failures")
-                if isinstance(error, NoRoom):
-                    self._runtime.count("discovery_full")
-                if not failures:
+                self._note_failure(error)
+                if str(error) not in said and len(said) < MOST_REASONS:
                     log.warning("discovery: %s", error)
+                    said.add(str(error))
                 failures += 1
                 settings = self._config.settings
                 pushed = not settings.list_must_be_asked and not isinstance(error, NoRoom)
                 await asyncio.sleep(retry_pause(failures, random.random(), settings.routers, pushed))
 
+    def _note_failure(self, error: LinkError | ValueError) -> None:
+        self._runtime.count("discovery_failures")
+        self._runtime.count(f"discovery_failures_{failure_name(error)}")
+        if isinstance(error, NoRoom):
+            self._runtime.count("discovery_full")
+
     def _fetch_list(self, effect: core.FetchWholeList) -> None:
         if self._config.discovery is not None:
             self._runtime.spawn(self._fetch_once(self._config.discovery), "fetch")
@@ -105,8 +122,9 @@
     async def _fetch_once(self, discovery: str) -> None:
         try:
             await self._fetch(discovery, None)
-        except (LinkError, ValueError):
-            self._runtime.count("discovery_failures")
+        except (LinkError, ValueError) as error:
+            self._note_failure(error)
+            log.warning("discovery: the whole list was asked for: %s", error)
             self._runtime.feed(core.ListTold(api.ListKind.FAILED, 0, ()))
 
     async def _fetch(
--- a/basaltspread/net/eureka.py
+++ b/basaltspread/net/eureka.py
@@ -18,7 +18,7 @@
 from basaltspread import interface as api
 from basaltspread.config import Gateway, Registry, split_address
 from basaltspread.core import Listed
-from basaltspread.net.links import Headers, LinkError, Reply, load_json
+from basaltspread.net.links import Headers, LinkError, Reply, failure_name, load_json
 from basaltspread.net.runtime import Runtime
 
 log = logging.getLogger("basaltspread")
@@ -160,6 +160,7 @@
                 self._silent = False
             except (LinkError, ValueError) as error:
                 self.runtime.count("registry_failures")
+                self.runtime.count(f"registry_failures_{failure_name(error)}")
                 if not self._silent:
                     log.warning("registry: %s; the last list stays in use", error)
                 self._silent = True
--- a/basaltspread/net/links.py
+++ b/basaltspread/net/links.py
@@ -60,6 +60,12 @@
         self.ending = ending
 
 
+def failure_name(error: LinkError | ValueError) -> str:
+    """Why a call to a peer failed, for a counter's name: how its connection's use ended, or `unreadable` for
+    an answer that arrived whole."""
+    return error.ending.name.lower() if isinstance(error, LinkError) else "unreadable"
+
+
 class Descriptors:
     """How many sockets are open, against the limit."""
 
@@ -222,7 +228,7 @@
                 parts.append(bytes(event.data))
                 size += len(event.data)
                 if size > limit:
-                    raise LinkError(Ending.MALFORMED)
+                    raise LinkError(Ending.TOO_LARGE)
 
     @classmethod
     def running(
