Take in the whole list of a large fleet from discovery

Cause: DiscoveryWatch._fetch called the pool without a limit, so that a client's 256 KiB held for discovery's body. A move of discovery begins with the whole list; each answer was dropped and asked for anew at the pace of a drain.

The stubs of two tests take the new argument; what they check is the same.

--- a/basaltspread/control/asking.py
+++ b/basaltspread/control/asking.py
@@ -1,4 +1,5 @@
-"""How a gateway asks discovery: how long a call may wait, and how long it is left alone after one failed.
+"""How a gateway asks discovery: how long a call may wait, how large a list may be, and how long discovery is
+left alone after a call failed.
 
 Discovery has a fixed room. To begin a watch takes a place in its queue, to go on with one takes nothing; what
 waits too long is turned away, and its place was spent in vain. So once more calls come than it can serve,
@@ -26,6 +27,9 @@
 LONGEST_PAUSE = 1.0  # s for one gateway, and at least
 LONGEST_PUSHED = 0.2  # s where lists are pushed; within the time that a drain allows
 LONGEST_FACTOR = 8.0  # times the first pause of one of many, up to
+MOST_ENGINES = 3200  # of a fleet
+ENTRY_SIZE = 1024  # bytes of one engine's entry, indented and with long names
+LIST_LIMIT = MOST_ENGINES * ENTRY_SIZE  # bytes of a whole list
 LONGEST_OF_MANY = TOLD_WITHIN - TURN - 0.5  # s; one more call then has to bring what is known
 
 
--- /dev/null
+++ b/tests/test_large_lists.py
@@ -0,0 +1,69 @@
+"""Lists of engines as large as the largest fleet's, from discovery and from Eureka."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from basaltspread.control.asking import ENTRY_SIZE, LIST_LIMIT, MOST_ENGINES
+from basaltspread.net.links import BODY_LIMIT
+from tests.standins import Asked, FleetTest, answer_plainly, reading, writing
+
+INDENT = 4  # spaces; lists may come indented
+
+
+def padded(engines: list[dict[str, Any]], version: int, count: int = MOST_ENGINES) -> bytes:
+    """A whole list of so many engines: these, and others that drain."""
+    others = [
+        {**engines[0], "instanceId": f"other-{number:08d}", "lifecycle": "draining"}
+        for number in range(count - len(engines))
+    ]
+    whole = {"generation": version, "reset": True, "instances": [*engines, *others]}
+    return json.dumps(whole, indent=INDENT).encode()
+
+
+class MovedDiscoveryTest(FleetTest):
+    async def test_the_whole_list_of_the_largest_fleet_is_taken_in_after_discovery_has_moved(self) -> None:
+        """It was dropped at 256 KiB and asked for anew six times a second; drains were learnt no more."""
+        one, two = [await self.standin(writing(answer_plainly)) for _ in range(2)]
+        gateway = await self.fleet(r1=await self.standin(reading()), w1=one, w2=two)
+        engines = [self.entries["r1"], self.entries["w2"], {**self.entries["w1"], "lifecycle": "draining"}]
+        whole = padded(engines, 3)
+        self.assertGreater(len(whole), 2 * BODY_LIMIT)
+
+        async def tell_once(asked: Asked) -> None:
+            if "from=" not in asked.target:
+                asked.reply(200, whole)
+
+        place = await self.standin(tell_once)
+        await gateway.reload({"discovery": place.address}, "reloaded")
+        await place.until("GET", 2)
+        targets = [asked.target.partition("&")[0] for asked in place.seen]
+        self.assertEqual(targets, ["/registry/instances", "/registry/instances?from=3"])
+        client = await self.client(gateway)
+        for number in range(8):
+            self.assertEqual((await client.ask(f"q{number}"))[0], 200)
+        self.assertEqual((one.count("POST", "/v1"), two.count("POST", "/v1")), (0, 8))
+        counters = await gateway.stop()
+        self.assertEqual(counters.get("discovery_failures", 0), 0)
+        self.assertEqual(counters["now_engines"], MOST_ENGINES)
+
+    async def test_a_list_past_the_limit_is_named_so(self) -> None:
+        """It was logged as an answer that is not HTTP."""
+        gateway = await self.fleet(
+            r1=await self.standin(reading()), w1=await self.standin(writing(answer_plainly))
+        )
+        self.news.put_nowait(b" " * (LIST_LIMIT + 1))
+        await gateway.until("discovery: an answer over the limit for its kind")
+        client = await self.client(gateway)
+        self.assertEqual((await client.ask("q1"))[0], 200)
+        self.assertEqual((await gateway.stop())["discovery_failures_too_large"], 1)
+
+
+def test_the_limit_on_lists_holds_an_indented_list_of_the_largest_fleet() -> None:
+    entry = {
+        "instanceId": "s" * 64, "hostPort": "255.255.255.255:65535", "zone": "z" * 63,
+        "machineType": "m" * 63,
+        "cell": 2**31, "lifecycle": "draining", "weight": 1 / 3, "startedAtMs": 2**43,
+    }  # fmt: skip
+    assert len(padded([entry], 2**63)) <= LIST_LIMIT == MOST_ENGINES * ENTRY_SIZE
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -166,7 +166,7 @@
         wait 2 s for its turn; its answer is wanted at once, so that it is short."""
         runtime, waits = mock.MagicMock(), list[tuple[str, float]]()
 
-        async def call(address: str, method: str, target: str, wait: float) -> Any:
+        async def call(address: str, method: str, target: str, wait: float, **limits: Any) -> Any:
             waits.append((target.partition("hold_ms=")[2], wait))
             if len(waits) in (3, 4):
                 raise LinkError(Ending.TIMED_OUT)
@@ -275,7 +275,7 @@
         """Guards against sends to an engine that drained since the known list was written."""
         runtime, order, calls = mock.MagicMock(), list[str](), list[str]()
 
-        async def call(address: str, method: str, target: str, wait: float) -> Any:
+        async def call(address: str, method: str, target: str, wait: float, **limits: Any) -> Any:
             calls.append(target)
             if len(calls) > 1:
                 await asyncio.Event().wait()
