Take in a list that comes in one chunk, up to its own limit

Callers: a sidecar whose Eureka (or a gateway whose discovery) writes its whole list as one chunk of over 256 KiB never took it in, asked again at each fetch, and served from no list or an old one. test_a_list_in_one_chunk_is_taken_in_up_to_its_own_limit failed before with 'an answer that is not HTTP'.

Now the head is read with the call's limit; the argument that had no effect is gone.

--- a/basaltspread/net/links.py
+++ b/basaltspread/net/links.py
@@ -160,7 +160,8 @@
         self, silence: float | None = None, chunk: int = CHUNK_LIMIT, window: float = PART_WINDOW
     ) -> h11.Event:
         """The next event of the answer. A head or a chunk that has begun must make progress in each `window`
-        s, and a chunk must not declare more than `chunk` bytes; `silence` bounds the wait for a next one."""
+        s; `silence` bounds the wait for a next one. `chunk` counts as the head is read: no chunk of its body
+        may declare more bytes."""
         while True:
             await self._turn.spend()
             begun = self._http.their_state is h11.SEND_BODY  # asked now: after an error it says only that
@@ -221,7 +222,7 @@
         parts: list[bytes] = []
         size = 0
         while True:
-            event = await self.event(silence, limit)
+            event = await self.event(silence)
             if isinstance(event, h11.EndOfMessage):
                 return b"".join(parts)
             if isinstance(event, h11.Data):
@@ -425,7 +426,7 @@
             if permitted is not None and not permitted():
                 raise LinkError(Ending.NOT_SENT)
             await link.send(method, target, headers or [], body)
-            event = await link.event()
+            event = await link.event(chunk=limit)
             if not isinstance(event, h11.Response):
                 raise LinkError(Ending.MALFORMED)
             return Reply(event.status_code, dict(event.headers), await link.rest(limit))
--- a/tests/test_large_lists.py
+++ b/tests/test_large_lists.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 from typing import Any
 
 from basaltspread.control.asking import ENTRY_SIZE, LIST_LIMIT, MOST_ENGINES
-from basaltspread.net.links import BODY_LIMIT
-from tests.standins import Asked, FleetTest, answer_plainly, reading, writing
+from basaltspread.endings import Ending
+from basaltspread.net.links import BODY_LIMIT, Descriptors, LinkError, Pool
+from tests.standins import Asked, FleetTest, LoopbackTest, answer_plainly, reading, writing
 
 INDENT = 4  # spaces; lists may come indented
 
@@ -60,6 +62,37 @@
         self.assertEqual((await gateway.stop())["discovery_failures_too_large"], 1)
 
 
+class PoolTest(LoopbackTest):
+    async def call(self, limit: int, *chunks: int) -> int:
+        """The size of an answer that comes in these chunks; raises LinkError."""
+
+        async def answer(asked: Asked) -> None:
+            asked.begin()
+            for size in chunks:
+                asked.chunk(b" " * size)
+            asked.end()
+
+        server = await self.standin(answer)
+        pool = Pool(Descriptors(100), 5.0, 10.0, Counter())
+        try:
+            return len((await pool.call(server.address, "GET", "/", wait=30.0, limit=limit)).body)
+        finally:
+            pool.drop(server.address)
+
+    async def test_a_list_in_one_chunk_is_taken_in_up_to_its_own_limit(self) -> None:
+        """A registry's whole list in one chunk was dropped at 256 KiB, whatever the limit said."""
+        self.assertEqual(await self.call(LIST_LIMIT, LIST_LIMIT), LIST_LIMIT)
+        with self.assertRaises(LinkError):
+            await self.call(LIST_LIMIT, LIST_LIMIT + 1)
+        with self.assertRaises(LinkError):
+            await self.call(BODY_LIMIT, BODY_LIMIT + 1)
+
+    async def test_a_body_past_its_limit_has_an_ending_of_its_own(self) -> None:
+        with self.assertRaises(LinkError) as caught:
+            await self.call(100, 60, 60)
+        self.assertIs(caught.exception.ending, Ending.TOO_LARGE)
+
+
 def test_the_limit_on_lists_holds_an_indented_list_of_the_largest_fleet() -> None:
     entry = {
         "instanceId": "s" * 64, "hostPort": "255.255.255.255:65535", "zone": "z" * 63,
