Bound a list that arrives by its progress, not by its time

Callers: a gateway whose discovery takes over 2.5 s (Eureka: 3 s) to deliver its whole list never took it in, asked again for ever, and served from an old list or none, drains unlearnt. test_a_whole_list_that_arrives_slowly_is_not_dropped_while_it_moves failed before with 'nothing came in time'.

It now covers the time until the head; the body may take 30 s more as long as something of it comes in each second. A silent call is given up as soon as before; one that stalls in its body, a second later.

--- a/basaltspread/control/asking.py
+++ b/basaltspread/control/asking.py
@@ -30,6 +30,7 @@
 MOST_ENGINES = 3200  # of a fleet
 ENTRY_SIZE = 1024  # bytes of one engine's entry, indented and with long names
 LIST_LIMIT = MOST_ENGINES * ENTRY_SIZE  # bytes of a whole list
+LIST_WAIT = 30.0  # s for a list whose head has come and that goes on arriving
 LONGEST_OF_MANY = TOLD_WITHIN - TURN - 0.5  # s; one more call then has to bring what is known
 
 
--- a/basaltspread/net/discovery_watch.py
+++ b/basaltspread/net/discovery_watch.py
@@ -15,7 +15,7 @@
 from basaltspread import core
 from basaltspread import interface as api
 from basaltspread.config import Gateway
-from basaltspread.control.asking import BRIEF_MS, LIST_LIMIT, TURN, next_call, retry_pause
+from basaltspread.control.asking import BRIEF_MS, LIST_LIMIT, LIST_WAIT, TURN, next_call, retry_pause
 from basaltspread.net.links import LinkError, failure_name, load_json
 from basaltspread.net.parsing import NoRoom, parse_list
 from basaltspread.net.runtime import Runtime
@@ -136,7 +136,9 @@
         if version is not None:
             target += f"?from={version}&hold_ms={hold}"
             wait += hold / 1000
-        reply = await self._runtime.pool.call(discovery, "GET", target, wait=wait, limit=LIST_LIMIT)
+        reply = await self._runtime.pool.call(
+            discovery, "GET", target, wait=wait, limit=LIST_LIMIT, body_wait=LIST_WAIT
+        )
         if reply.status == 503:
             raise NoRoom("status 503")
         if reply.status != 200:
--- a/basaltspread/net/eureka.py
+++ b/basaltspread/net/eureka.py
@@ -17,12 +17,13 @@
 from basaltspread import core
 from basaltspread import interface as api
 from basaltspread.config import Gateway, Registry, split_address
+from basaltspread.control.asking import LIST_WAIT
 from basaltspread.core import Listed
 from basaltspread.net.links import Headers, LinkError, Reply, failure_name, load_json
 from basaltspread.net.runtime import Runtime
 
 log = logging.getLogger("basaltspread")
-CALL_WAIT = 3.0  # s for one call
+CALL_WAIT = 3.0  # s for one call; of a list, until its head has come
 BODY_LIMIT = 8 * 1024 * 1024  # of a full list
 JSON_HEADERS: Headers = [(b"Accept", b"application/json")]
 # What Eureka says of an instance, and what that means for sends.
@@ -166,11 +167,12 @@
                 self._silent = True
             await asyncio.sleep(seconds)
 
-    async def _call(self, method: str, target: str, body: bytes = b"") -> Reply:
+    async def _call(self, method: str, target: str, body: bytes = b"", body_wait: float = 0.0) -> Reply:
         headers = [*JSON_HEADERS, (b"Content-Type", b"application/json")] if body else JSON_HEADERS
         return await self.runtime.pool.call(
-            self._registry.address, method, target, headers, body, wait=CALL_WAIT, limit=BODY_LIMIT
-        )
+            self._registry.address, method, target, headers, body, wait=CALL_WAIT, limit=BODY_LIMIT,
+            body_wait=body_wait,
+        )  # fmt: skip
 
     # --- this gateway's lease ---------------------------------------------------------------------------
 
@@ -247,7 +249,7 @@
         return True
 
     async def _get(self, target: str) -> Any:
-        reply = await self._call("GET", target)
+        reply = await self._call("GET", target, body_wait=LIST_WAIT)
         if reply.status != 200:
             raise ValueError(f"{target}: status {reply.status}")
         return load_json(reply.body)
--- a/basaltspread/net/links.py
+++ b/basaltspread/net/links.py
@@ -418,18 +418,21 @@
     async def call(
         self, address: str, method: str, target: str, headers: Headers | None = None, body: bytes = b"",
         wait: float = 1.0, permitted: Callable[[], bool] | None = None, fresh: bool = False,
-        spare: bool = False, limit: int = BODY_LIMIT,
+        spare: bool = False, limit: int = BODY_LIMIT, body_wait: float = 0.0,
     ) -> Reply:  # fmt: skip
-        """One whole small exchange; raises LinkError. `permitted` is asked as its first byte is about to go
-        out; `fresh` asks for a new connection, which can't be stale."""
-        async with self.using(address, wait, fresh, spare) as link:
-            if permitted is not None and not permitted():
-                raise LinkError(Ending.NOT_SENT)
-            await link.send(method, target, headers or [], body)
-            event = await link.event(chunk=limit)
+        """One whole exchange; raises LinkError. `permitted` is asked as its first byte is about to go out;
+        `fresh` asks for a new connection, which can't be stale. `wait` s bound all of it; with `body_wait`,
+        they bound the wait for the head, and a body that goes on arriving may take so many s more."""
+        async with self.using(address, wait + body_wait, fresh, spare) as link:
+            async with asyncio.timeout(wait):
+                if permitted is not None and not permitted():
+                    raise LinkError(Ending.NOT_SENT)
+                await link.send(method, target, headers or [], body)
+                event = await link.event(chunk=limit)
             if not isinstance(event, h11.Response):
                 raise LinkError(Ending.MALFORMED)
-            return Reply(event.status_code, dict(event.headers), await link.rest(limit))
+            silence = PART_WINDOW if body_wait else None
+            return Reply(event.status_code, dict(event.headers), await link.rest(limit, silence))
 
     @contextlib.asynccontextmanager
     async def using(
--- a/tests/test_large_lists.py
+++ b/tests/test_large_lists.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections import Counter
 from typing import Any
+from unittest import mock
 
-from basaltspread.control.asking import ENTRY_SIZE, LIST_LIMIT, MOST_ENGINES
+from basaltspread.adapter import settings_from
+from basaltspread.control.asking import ENTRY_SIZE, LIST_LIMIT, MOST_ENGINES, TURN
 from basaltspread.endings import Ending
-from basaltspread.net.links import BODY_LIMIT, Descriptors, LinkError, Pool
-from tests.standins import Asked, FleetTest, LoopbackTest, answer_plainly, reading, writing
+from basaltspread.net.discovery_watch import DiscoveryWatch
+from basaltspread.net.links import BODY_LIMIT, PART_WINDOW, Descriptors, LinkError, Pool
+from basaltspread.net.readers import TimedReader
+from tests.standins import SETTINGS, Asked, FleetTest, LoopbackTest, answer_plainly, reading, writing
+from tests.virtual_loop import VirtualLoop, run
 
 INDENT = 4  # spaces; lists may come indented
 
@@ -93,6 +99,41 @@
         self.assertIs(caught.exception.ending, Ending.TOO_LARGE)
 
 
+def fetched(gap: float, head_after: float = 0.1) -> Ending | None:
+    """How a fetch of a whole list ends whose pieces come so many s apart, in virtual time; None if it is
+    taken in."""
+    body = padded([{"instanceId": "w1", "hostPort": "127.0.0.1:9", "lifecycle": "up"}], 3, 100)
+    pieces = [body[at : at + len(body) // 20] for at in range(0, len(body), len(body) // 20)]
+    runtime, ended = mock.MagicMock(), list[Ending]()
+    runtime.pool = Pool(Descriptors(100), 1.0, 10.0, Counter())
+    runtime.clock.wall_shifts.return_value = (0,)
+
+    async def fetch() -> None:
+        loop, ear, writer = asyncio.get_running_loop(), TimedReader(), mock.MagicMock()
+        writer.transport.is_closing.return_value = False
+        writer.transport.get_write_buffer_size.return_value = 0
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        for number, piece in enumerate([head, *pieces]):
+            loop.call_later(head_after + number * gap, ear.feed_data, piece)
+        config = mock.MagicMock(settings=settings_from(SETTINGS))
+        with mock.patch("basaltspread.net.links.connect", mock.AsyncMock(return_value=(ear, writer))):
+            try:
+                assert await DiscoveryWatch(runtime, config)._fetch("127.0.0.1:1", None) == 3
+            except LinkError as error:
+                ended.append(error.ending)
+
+    run(VirtualLoop(), fetch())
+    return ended[0] if ended else None
+
+
+def test_a_whole_list_that_arrives_slowly_is_not_dropped_while_it_moves() -> None:
+    """It was dropped 2.5 s after it was asked for, however much had come, and asked for anew for ever."""
+    assert fetched(gap=0.01) is None
+    assert fetched(gap=0.5) is None  # ten seconds in all
+    assert fetched(gap=2 * PART_WINDOW) is Ending.STALLED
+    assert fetched(gap=0.01, head_after=TURN + 0.1) is Ending.TIMED_OUT
+
+
 def test_the_limit_on_lists_holds_an_indented_list_of_the_largest_fleet() -> None:
     entry = {
         "instanceId": "s" * 64, "hostPort": "255.255.255.255:65535", "zone": "z" * 63,
