Ask more rarely for a list that can't be taken in

Callers: a list past its limit was read and dropped five times a second for ever, some megabytes each time, on the one core that serves clients. test_a_list_past_the_limit_is_not_asked_for_at_the_pace_of_a_drain failed before: the longest pause was 0.2 s.

Cause: the short pause of pushed lists, which is there so that a drain is learnt in time, held for answers that no call can take in. They now get the pause of a discovery without room.

--- a/basaltspread/net/discovery_watch.py
+++ b/basaltspread/net/discovery_watch.py
@@ -16,6 +16,7 @@
 from basaltspread import interface as api
 from basaltspread.config import Gateway
 from basaltspread.control.asking import BRIEF_MS, LIST_LIMIT, LIST_WAIT, TURN, next_call, retry_pause
+from basaltspread.endings import Ending
 from basaltspread.net.links import LinkError, failure_name, load_json
 from basaltspread.net.parsing import NoRoom, parse_list
 from basaltspread.net.runtime import Runtime
@@ -105,9 +106,17 @@
                     log.warning("discovery: %s", error)
                     said.add(str(error))
                 failures += 1
-                settings = self._config.settings
-                pushed = not settings.list_must_be_asked and not isinstance(error, NoRoom)
-                await asyncio.sleep(retry_pause(failures, random.random(), settings.routers, pushed))
+                await asyncio.sleep(self._pause(failures, error))
+
+    def _pause(self, failures: int, error: LinkError | ValueError) -> float:
+        """The s until the next call. A pushed list is asked for again well within a drain's time, unless
+        asking at once is of no use: discovery has no room, or its list can't be taken in."""
+        settings = self._config.settings
+        of_no_use = isinstance(error, NoRoom)
+        if isinstance(error, LinkError):
+            of_no_use = error.ending is Ending.TOO_LARGE
+        pushed = not settings.list_must_be_asked and not of_no_use
+        return retry_pause(failures, random.random(), settings.routers, pushed)
 
     def _note_failure(self, error: LinkError | ValueError) -> None:
         self._runtime.count("discovery_failures")
--- a/tests/test_large_lists.py
+++ b/tests/test_large_lists.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import json
+import unittest
 from collections import Counter
 from typing import Any
 from unittest import mock
 
 from basaltspread.adapter import settings_from
-from basaltspread.control.asking import ENTRY_SIZE, LIST_LIMIT, MOST_ENGINES, TURN
+from basaltspread.control.asking import ENTRY_SIZE, LIST_LIMIT, LONGEST_PAUSE, MOST_ENGINES, TURN
 from basaltspread.endings import Ending
 from basaltspread.net.discovery_watch import DiscoveryWatch
 from basaltspread.net.links import BODY_LIMIT, PART_WINDOW, Descriptors, LinkError, Pool
@@ -99,6 +100,28 @@
         self.assertIs(caught.exception.ending, Ending.TOO_LARGE)
 
 
+class RetryTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_list_past_the_limit_is_not_asked_for_at_the_pace_of_a_drain(self) -> None:
+        """Megabytes were read and dropped five times a second, though no such call can be of use."""
+        runtime, slept = mock.MagicMock(), list[float]()
+        runtime.pool.call = mock.AsyncMock(side_effect=LinkError(Ending.TOO_LARGE))
+        config = mock.MagicMock(settings=settings_from(SETTINGS))
+        self.assertFalse(config.settings.list_must_be_asked)
+
+        async def sleep(seconds: float) -> None:
+            slept.append(seconds)
+            if len(slept) == 9:
+                raise asyncio.CancelledError
+
+        with (
+            mock.patch("basaltspread.net.discovery_watch.asyncio.sleep", sleep),
+            mock.patch("basaltspread.net.discovery_watch.random.random", lambda: 1.0),
+            self.assertRaises(asyncio.CancelledError),
+        ):
+            await DiscoveryWatch(runtime, config)._watch("127.0.0.1:1", 41)
+        self.assertEqual(max(slept), LONGEST_PAUSE)
+
+
 def fetched(gap: float, head_after: float = 0.1) -> Ending | None:
     """How a fetch of a whole list ends whose pieces come so many s apart, in virtual time; None if it is
     taken in."""
