Keep the budget of descriptors by what each is for

No behaviour is meant to change but this: a link that was opened on the releases' reserve is closed after use and not kept, and one that is kept counts for what it serves.

The budget moves from net/links.py to control/descriptor_budget.py, without I/O, with its reserves in one table and counters of what is held and denied for each use, so that a lack of descriptors can be told apart by whom it hits. Tests that made a Link hand in a descriptor in place of a callback.

--- a/basaltspread/net/engine_calls.py
+++ b/basaltspread/net/engine_calls.py
@@ -9,6 +9,7 @@
 import logging
 
 from basaltspread import core
+from basaltspread.control.descriptor_budget import DescriptorUse
 from basaltspread.core import Ending, Place
 from basaltspread.endings import NEVER_RAN
 from basaltspread.net.links import LinkError
@@ -100,8 +101,9 @@
         ending = Ending.GATEWAY_FAULT
         try:
             await self._runtime.pool.call(
-                effect.address, "DELETE", f"/state/{effect.request}", wait=RELEASE_WAIT, spare=True
-            )
+                effect.address, "DELETE", f"/state/{effect.request}", wait=RELEASE_WAIT,
+                use=DescriptorUse.RELEASE,
+            )  # fmt: skip
             ending = Ending.SERVED
         except LinkError as error:
             ending = error.ending
--- a/basaltspread/net/links.py
+++ b/basaltspread/net/links.py
@@ -1,4 +1,4 @@
-"""Connections to other parties (engines, discovery, tool servers), their pool, and the budget of descriptors.
+"""Connections to other parties (engines, discovery, tool servers) and their pool.
 
 It knows HTTP messages (parsed by h11) but none of any front's paths, headers or meanings. It must never
 decide what becomes of a request.
@@ -18,6 +18,7 @@
 
 import h11
 
+from basaltspread.control.descriptor_budget import DescriptorBudget, DescriptorUse, HeldDescriptor
 from basaltspread.endings import Ending
 from basaltspread.net import tcp_info
 from basaltspread.net.log_limit import LineLimit
@@ -34,8 +35,6 @@
 CHUNK_LIMIT = 256 * 1024  # bytes that a chunk may declare
 PART_WINDOW = 1.0  # s in which a head or a chunk that has begun has to make progress
 HEAD_LIMIT = 32 * 1024
-SPARE_DESCRIPTORS = 48  # for the interpreter, the listener, discovery and log files
-RELEASE_DESCRIPTORS = 12  # of the spare ones
 DISTRUST = 30.0  # s in which no kept link to an address is used, after one was reset as it was used again
 MOST_DISTRUSTED = 3  # addresses; with so many, no kept link to any address is used
 LOCAL_FAULT_PAUSE = 0.005  # s between two tries to connect while this machine can't, at first
@@ -66,32 +65,6 @@
     return error.ending.name.lower() if isinstance(error, LinkError) else "unreadable"
 
 
-class Descriptors:
-    """How many sockets are open, against the limit."""
-
-    def __init__(self, limit: int) -> None:
-        self.used = self.most = 0
-        self.set_limit(limit)
-
-    def set_limit(self, limit: int) -> None:
-        self.limit = max(8, limit - SPARE_DESCRIPTORS)
-
-    def take(self, spare: bool = False) -> bool:
-        """Whether one may be opened; one for a release may be of the spare ones."""
-        if self.used >= self.limit + (RELEASE_DESCRIPTORS if spare else 0):
-            return False
-        self.accepted()
-        return True
-
-    def accepted(self) -> None:
-        """One that is open already."""
-        self.used += 1
-        self.most = max(self.most, self.used)
-
-    def free(self) -> None:
-        self.used -= 1
-
-
 @record
 class Reply:
     """A whole small answer."""
@@ -109,9 +82,9 @@
         address: str,
         reader: TimedReader,
         writer: asyncio.StreamWriter,
-        free: Callable[[], None],
+        descriptor: HeldDescriptor,
     ) -> None:
-        self.address, self._reader, self._writer, self._free = address, reader, writer, free
+        self.address, self._reader, self._writer, self.descriptor = address, reader, writer, descriptor
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT)
         self._eof = self._closed = False
         self._taken = 0  # bytes read so far
@@ -233,10 +206,10 @@
 
     @classmethod
     def running(
-        cls, address: str, reader: TimedReader, writer: asyncio.StreamWriter, free: Callable[[], None]
+        cls, address: str, reader: TimedReader, writer: asyncio.StreamWriter, descriptor: HeldDescriptor
     ) -> Link:
         """A link whose answer another process has read up to the end of a chunk."""
-        link = cls(address, reader, writer, free)
+        link = cls(address, reader, writer, descriptor)
         for event in (h11.Request(method="GET", target="/", headers=[("Host", "-")]), h11.EndOfMessage()):
             link._http.send(event)
         link._http.receive_data(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
@@ -258,7 +231,7 @@
         """Another process has it: it is closed here without a word to the other side."""
         self._closed = True
         self._writer.transport.abort()
-        self._free()
+        self.descriptor.free()
 
     def progress(self) -> str:
         """For the log: on what kind of connection the present request went out, and how far it got."""
@@ -288,7 +261,7 @@
                 self._writer.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
             self._writer.transport.abort()
             self._reader.rest()
-            self._free()
+            self.descriptor.free()
 
 
 class Pool:
@@ -296,7 +269,7 @@
     what is written to a closed link counts as sent, so a stale one costs a request that may not be resent."""
 
     def __init__(
-        self, descriptors: Descriptors, connect_timeout: float, idle: float, counters: Counter[str],
+        self, descriptors: DescriptorBudget, connect_timeout: float, idle: float, counters: Counter[str],
         piece: PieceSize = largest_piece,
     ) -> None:  # fmt: skip
         """`piece` says how much may be read from a connection at once."""
@@ -320,24 +293,31 @@
             self._distrusted[link.address] = time.monotonic() + DISTRUST
             self.drop(link.address)
 
-    async def acquire(self, address: str, fresh: bool = False, spare: bool = False) -> Link:
+    async def acquire(
+        self, address: str, fresh: bool = False, use: DescriptorUse = DescriptorUse.ENGINE
+    ) -> Link:
+        """A kept link, or a new one; raises LinkError."""
         idle = [] if fresh or not self._trusted(address) else self._idle.get(address, [])
         while idle:
             link = idle.pop()
             if not link.dead() and time.monotonic() - link.idle_since < self._idle_limit:
                 self._counters["links_reused"] += 1
                 link.reused = True
+                link.descriptor.use_for(use)
                 return link
             link.close()
-        if not self._descriptors.take(spare) and not (self.shed() and self._descriptors.take(spare)):
+        descriptor = self._descriptors.take(use)
+        if descriptor is None and self.shed():
+            descriptor = self._descriptors.take(use)
+        if descriptor is None:
             raise LinkError(Ending.NO_DESCRIPTOR)
         try:
             reader, writer = await self._connect(address)
         except BaseException:
-            self._descriptors.free()
+            descriptor.free()
             raise
         self._counters["links_opened"] += 1
-        return Link(address, reader, writer, self._descriptors.free)
+        return Link(address, reader, writer, descriptor)
 
     async def _connect(self, address: str) -> tuple[TimedReader, asyncio.StreamWriter]:
         """A new connection. While this machine itself can't make one, it is tried again: that says nothing of
@@ -371,19 +351,19 @@
     async def adopt(self, address: str, running: socket.socket) -> Link:
         """A link of another process, in the middle of an answer."""
         reader, writer = await connect(self._piece, sock=running)
-        self._descriptors.accepted()
-        return Link.running(address, reader, writer, self._descriptors.free)
+        return Link.running(address, reader, writer, self._descriptors.accepted(DescriptorUse.ENGINE))
 
     def give_back(self, link: Link) -> None:
-        if self._trusted(link.address) and link.done():
-            link.idle_since = time.monotonic()
-            self._idle.setdefault(link.address, []).append(link)
-        else:
-            link.close()
+        """One whose exchange is over."""
+        self._keep_or_close(link, link.done())
 
     def put_back(self, link: Link) -> None:
         """One on which nothing was sent."""
-        if self._trusted(link.address) and not link.dead():
+        self._keep_or_close(link, not link.dead())
+
+    def _keep_or_close(self, link: Link, usable: bool) -> None:
+        """What was opened on a reserve is not kept, so that no other use gets hold of it."""
+        if usable and self._trusted(link.address) and not self._descriptors.is_over():
             link.idle_since = time.monotonic()
             self._idle.setdefault(link.address, []).append(link)
         else:
@@ -418,12 +398,12 @@
     async def call(
         self, address: str, method: str, target: str, headers: Headers | None = None, body: bytes = b"",
         wait: float = 1.0, permitted: Callable[[], bool] | None = None, fresh: bool = False,
-        spare: bool = False, limit: int = BODY_LIMIT, body_wait: float = 0.0,
+        use: DescriptorUse = DescriptorUse.ENGINE, limit: int = BODY_LIMIT, body_wait: float = 0.0,
     ) -> Reply:  # fmt: skip
         """One whole exchange; raises LinkError. `permitted` is asked as its first byte is about to go out;
         `fresh` asks for a new connection, which can't be stale. `wait` s bound all of it; with `body_wait`,
         they bound the wait for the head, and a body that goes on arriving may take so many s more."""
-        async with self.using(address, wait + body_wait, fresh, spare) as link:
+        async with self.using(address, wait + body_wait, fresh, use) as link:
             async with asyncio.timeout(wait):
                 if permitted is not None and not permitted():
                     raise LinkError(Ending.NOT_SENT)
@@ -436,11 +416,11 @@
 
     @contextlib.asynccontextmanager
     async def using(
-        self, address: str, wait: float, fresh: bool = False, spare: bool = False
+        self, address: str, wait: float, fresh: bool = False, use: DescriptorUse = DescriptorUse.ENGINE
     ) -> AsyncIterator[Link]:
         """A link for one exchange of `wait` seconds at the most; raises LinkError. It is kept if the exchange
         has come to its end by then, and closed if not."""
-        link = await self.acquire(address, fresh, spare)
+        link = await self.acquire(address, fresh, use)
         try:
             async with asyncio.timeout(wait):
                 yield link
--- a/basaltspread/net/management.py
+++ b/basaltspread/net/management.py
@@ -18,13 +18,14 @@
 import h11
 
 from basaltspread import core
+from basaltspread.control.descriptor_budget import OPERATOR_RESERVE
 from basaltspread.core import Order, Verdict
 from basaltspread.net import resident
 from basaltspread.net.clients import REASONS
 from basaltspread.net.listener import open_listener
 from basaltspread.net.parsing import BadRequest
 from basaltspread.net.readers import READ_SIZE
-from basaltspread.net.runtime import MANAGEMENT_DESCRIPTORS, Runtime
+from basaltspread.net.runtime import Runtime
 
 log = logging.getLogger("basaltspread")
 CALL_PATIENCE = 2.0  # s from a connection's opening to the last byte of its call
@@ -63,7 +64,7 @@
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Whoever says nothing makes room for the next caller: a whole call is answered at once."""
-        if len(self._open) >= MANAGEMENT_DESCRIPTORS:
+        if len(self._open) >= OPERATOR_RESERVE:
             oldest = next(iter(self._open))
             del self._open[oldest]
             oldest.transport.abort()
--- a/basaltspread/net/mcp.py
+++ b/basaltspread/net/mcp.py
@@ -20,6 +20,7 @@
 import h11
 
 from basaltspread import __version__
+from basaltspread.control.descriptor_budget import DescriptorUse
 from basaltspread.control.routes import MCP, RouteTable, Server
 from basaltspread.endings import Ending
 from basaltspread.net import jsonrpc, sse
@@ -166,7 +167,7 @@
                         server.path,
                         session.headers(),
                         wait=SESSION_WAIT,
-                        spare=True,
+                        use=DescriptorUse.RELEASE,
                     )
                 except LinkError as error:
                     log.info("tool server %s: its session runs out by itself: %s", server.name, error)
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -22,6 +22,7 @@
 from basaltspread import core
 from basaltspread import interface as api
 from basaltspread.config import Gateway
+from basaltspread.control.descriptor_budget import DescriptorUse
 from basaltspread.control.memory import REQUEST_COST, MemoryClass
 from basaltspread.core import Ending, Verdict, guards
 from basaltspread.core.guards import Denial, StartFacts
@@ -162,7 +163,7 @@
         client.refused = not self.runtime.state.accepting  # it waited at the door as that was shut
         # Engines need descriptors too, or each request taken would fail: an idle client goes, else this
         # one is refused in words, as an accepted connection may carry a request already.
-        most = self.runtime.descriptors.limit * CLIENT_SHARE
+        most = self.runtime.descriptors.common * CLIENT_SHARE
         if len(self.client_table) >= most:
             if self._full_lines.due():
                 log.warning("clients fill %d descriptors: idle ones make room, or it is refused", most)
@@ -188,7 +189,7 @@
         self, client: Client, writer: asyncio.StreamWriter, work: Coroutine[Any, Any, None]
     ) -> None:
         """A client's connection, from its opening here to its end."""
-        self.runtime.descriptors.accepted()
+        descriptor = self.runtime.descriptors.accepted(DescriptorUse.CLIENT)
         task = asyncio.current_task()
         assert task is not None
         self._clients[client] = task
@@ -208,7 +209,7 @@
         finally:
             client.abort()
             del self._clients[client]
-            self.runtime.descriptors.free()
+            descriptor.free()
 
     def note_bad_request(self, error: BadRequest) -> None:
         """Counted always, logged a few times a second: a flood of them must not become a flood of lines."""
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -19,12 +19,13 @@
 from typing import Any
 
 from basaltspread import core
+from basaltspread.control.descriptor_budget import DescriptorBudget
 from basaltspread.control.memory import MemoryLedger, capacity_for
 from basaltspread.core import guards, invariants
 from basaltspread.core.guards import Denial
 from basaltspread.net import resident
 from basaltspread.net.clock import Clock, ClockFile
-from basaltspread.net.links import Descriptors, Pool
+from basaltspread.net.links import Pool
 from basaltspread.net.shared_files import BanFile, DepartureFile, Overlap
 from basaltspread.net.timed_module import TimedModule
 
@@ -32,7 +33,6 @@
 TICK = 0.005  # s, of the timer wheel
 DECISION_TIME = 20_000  # us of one turn of the loop in which decisions are begun
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
-MANAGEMENT_DESCRIPTORS = 16  # of the spare ones, for operators
 FAULT_PAUSE = 0.2  # s before a task that must last begins anew
 OTHER_STEP = 0.05  # s between two looks at this gateway's other process
 LEAST_CAPACITY = 256 * 1024  # bytes for peers, however little the limit leaves
@@ -114,7 +114,7 @@
         state.module = TimedModule(
             state.module, self.load, lambda: self.clock.now(), lambda: len(state.workers)
         )
-        self.descriptors = Descriptors(sockets)
+        self.descriptors = DescriptorBudget(sockets)
         self._resident = resident.resident_size()
         self._reserved = 0  # bytes that tables of fixed size may come to need
         self.gauges: list[Callable[[], dict[str, int]]] = []  # figures of other parts
@@ -146,7 +146,7 @@
         self._limits = sockets, memory_mb
         self.memory_mb = memory_mb // self._processes
         self.descriptors.set_limit(sockets // self._processes)
-        while self.descriptors.used > self.descriptors.limit and self.pool.shed():
+        while self.descriptors.is_over() and self.pool.shed():
             pass
         limit = memory_mb * resident.MEBIBYTE // self._processes - self._reserved
         self.memory.resize(max(LEAST_CAPACITY, capacity_for(limit, self._resident)))
@@ -282,13 +282,14 @@
         for fault in self.memory.breaches():
             self.count("invariant_memory")
             log.error("invariant broken: memory: %s", fault)
+        for fault in self.descriptors.breaches():
+            self.count("invariant_descriptors")
+            log.error("invariant broken: descriptors: %s", fault)
         for breach in invariants.of_state(state, self.clock.now()):
             self.count(f"invariant_{breach.invariant.value}")
             log.error("%s", breach)
         self.counters["now_requests"] = len(state.requests)
         self.counters["now_releases"] = len(state.releases)
-        self.counters["now_descriptors"] = self.descriptors.used
-        self.counters["most_descriptors"] = self.descriptors.most
         for name, figure in self._gauges().items():
             self.counters[name] = figure
         line = " ".join(f"{name}={value}" for name, value in sorted(self.counters.items()))
@@ -309,6 +310,7 @@
             "now_engines": len(self.state.workers),
             "resident_bytes": resident.resident_size(),
             **self.memory.figures(),
+            **self.descriptors.figures(),
             **more,
             **self.load.figures(now),
         }
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -89,7 +89,7 @@
 
     async def test_an_answer_in_chunks_of_one_byte_kept_all_others_waiting(self) -> None:
         reader, writer = await self.connected(ANSWER_HEAD + b"1\r\nx\r\n" * CHUNKS + b"0\r\n\r\n")
-        link = Link("x:1", reader, writer, lambda: None)
+        link = Link("x:1", reader, writer, mock.MagicMock())
         await link.send("GET", "/", [], b"")
 
         async def read() -> None:
--- a/tests/test_large_lists.py
+++ b/tests/test_large_lists.py
@@ -11,9 +11,10 @@
 
 from basaltspread.adapter import settings_from
 from basaltspread.control.asking import ENTRY_SIZE, LIST_LIMIT, LONGEST_PAUSE, MOST_ENGINES, TURN
+from basaltspread.control.descriptor_budget import DescriptorBudget
 from basaltspread.endings import Ending
 from basaltspread.net.discovery_watch import DiscoveryWatch
-from basaltspread.net.links import BODY_LIMIT, PART_WINDOW, Descriptors, LinkError, Pool
+from basaltspread.net.links import BODY_LIMIT, PART_WINDOW, LinkError, Pool
 from basaltspread.net.readers import TimedReader
 from tests.standins import SETTINGS, Asked, FleetTest, LoopbackTest, answer_plainly, reading, writing
 from tests.virtual_loop import VirtualLoop, run
@@ -80,7 +81,7 @@
             asked.end()
 
         server = await self.standin(answer)
-        pool = Pool(Descriptors(100), 5.0, 10.0, Counter())
+        pool = Pool(DescriptorBudget(100), 5.0, 10.0, Counter())
         try:
             return len((await pool.call(server.address, "GET", "/", wait=30.0, limit=limit)).body)
         finally:
@@ -128,7 +129,7 @@
     body = padded([{"instanceId": "w1", "hostPort": "127.0.0.1:9", "lifecycle": "up"}], 3, 100)
     pieces = [body[at : at + len(body) // 20] for at in range(0, len(body), len(body) // 20)]
     runtime, ended = mock.MagicMock(), list[Ending]()
-    runtime.pool = Pool(Descriptors(100), 1.0, 10.0, Counter())
+    runtime.pool = Pool(DescriptorBudget(100), 1.0, 10.0, Counter())
     runtime.clock.wall_shifts.return_value = (0,)
 
     async def fetch() -> None:
--- a/tests/test_local_faults.py
+++ b/tests/test_local_faults.py
@@ -11,7 +11,8 @@
 from typing import Any
 from unittest import mock
 
-from basaltspread.net.links import Descriptors, Pool
+from basaltspread.control.descriptor_budget import DescriptorBudget
+from basaltspread.net.links import Pool
 from basaltspread.net.listener import LONGEST_ACCEPT_PAUSE, open_listener
 
 MOMENTARY = (
@@ -30,7 +31,7 @@
     async def test_a_connect_that_fails_here_for_a_moment_is_tried_again_in_the_same_attempt(self) -> None:
         """Five attempts at healthy engines were spent in 30 ms, with 20 s left."""
         for code in MOMENTARY:
-            descriptors, counters = Descriptors(100), Counter[str]()
+            descriptors, counters = DescriptorBudget(100), Counter[str]()
             pool = Pool(descriptors, 0.25, 10.0, counters)
             made: list[Any] = [OSError(code, os.strerror(code))] * FAILURES
             made.append((mock.MagicMock(), mock.MagicMock()))
@@ -40,7 +41,7 @@
             self.assertEqual(counters["local_connect_faults"], FAILURES)
 
     async def test_a_wait_for_this_machine_can_be_called_off_and_leaves_nothing(self) -> None:
-        descriptors = Descriptors(100)
+        descriptors = DescriptorBudget(100)
         pool = Pool(descriptors, 0.25, 10.0, Counter())
         error = OSError(errno.ENETUNREACH, "unreachable")
         with mock.patch("basaltspread.net.links.connect", mock.AsyncMock(side_effect=error)):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,6 +18,7 @@
 from basaltspread import interface as api
 from basaltspread.adapter import settings_from
 from basaltspread.control.asking import TOLD_WITHIN, retry_pause
+from basaltspread.control.descriptor_budget import RESERVED
 from basaltspread.core import AskPlace, Ending, Place
 from basaltspread.net.client_table import ClientTable
 from basaltspread.net.clients import Client
@@ -700,7 +701,9 @@
             asked.finish()
 
         gateway = await self.fleet(
-            sockets=58, r1=await self.standin(reading()), w1=await self.standin(writing(wait_in_stream))
+            sockets=RESERVED + 10,
+            r1=await self.standin(reading()),
+            w1=await self.standin(writing(wait_in_stream)),
         )  # 10 descriptors, 6 of them for clients
         idle = await self.client(gateway)
         idle._writer.write(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -11,8 +11,9 @@
 
 import pytest
 
+from basaltspread.control.descriptor_budget import DescriptorBudget
 from basaltspread.endings import Ending
-from basaltspread.net.links import Descriptors, Link, LinkError, Pool
+from basaltspread.net.links import Link, LinkError, Pool
 from basaltspread.net.readers import TimedReader
 from basaltspread.net.runtime import TimerWheel
 
@@ -122,7 +123,7 @@
         ear, writer = TimedReader(), mock.MagicMock()
         writer.transport.is_closing.return_value = False
         writer.transport.get_write_buffer_size.return_value = 0
-        link = Link("127.0.0.1:1", ear, writer, lambda: None)
+        link = Link("127.0.0.1:1", ear, writer, mock.MagicMock())
         await link.send("GET", "/", [], b"")
         ear.set_exception(OSError(code, os.strerror(code)))
         with pytest.raises(LinkError) as caught:
@@ -144,7 +145,7 @@
 def test_only_a_refused_connection_says_that_no_process_is_there(error: Exception, ending: Ending) -> None:
     # Engines reset 56 new connections in a play; each was told to all gateways as an engine gone, and eight
     # of 14 readers were left out at any time.
-    descriptors = Descriptors(100)
+    descriptors = DescriptorBudget(100)
     pool = Pool(descriptors, 0.25, 10.0, Counter())
 
     async def acquire() -> None:
