Keep descriptors for discovery that no client's work can take

Cause: a call to discovery took its descriptor from the part that attempts compete for, and gave up where there was none; it tries again 50 to 200 ms later, attempts each time one comes free.

Discovery and Eureka have a reserve of four now: two addresses as discovery moves, a whole list, a lease given back. The budget grants it whatever else is open, and no other use can take it (a property test). The part for the process itself is 16, as 13 were counted beside sockets; all reserves together stay 48.

--- a/basaltspread/control/descriptor_budget.py
+++ b/basaltspread/control/descriptor_budget.py
@@ -11,7 +11,7 @@
 
 LEAST_COMMON = 8  # descriptors of the common part, however low the limit is
 OPERATOR_RESERVE = 16  # for operators' calls, which keep to it by themselves
-PROCESS_RESERVE = 20  # for the interpreter, the event loop, listeners, logs and files
+PROCESS_RESERVE = 16  # for the interpreter, the event loop, listeners, logs and files
 
 
 class DescriptorUse(Enum):
@@ -19,11 +19,16 @@
 
     CLIENT = "client"
     ENGINE = "engine"  # attempts, places and probes
+    REGISTRY = "registry"  # discovery and Eureka
     RELEASE = "release"  # of what engines, or sessions of tool servers, hold
 
 
-# The descriptors that each use may hold while the common part is full.
-RESERVES: dict[DescriptorUse, int] = {DescriptorUse.RELEASE: 12}
+# The descriptors that each use may hold while the common part is full. A registry that moves is watched at
+# two addresses, while its whole list is asked for and the lease is given back.
+RESERVES: dict[DescriptorUse, int] = {
+    DescriptorUse.REGISTRY: 4,
+    DescriptorUse.RELEASE: 12,
+}
 RESERVED = PROCESS_RESERVE + OPERATOR_RESERVE + sum(RESERVES.values())
 
 
--- a/basaltspread/net/discovery_watch.py
+++ b/basaltspread/net/discovery_watch.py
@@ -16,6 +16,7 @@
 from basaltspread import interface as api
 from basaltspread.config import Gateway
 from basaltspread.control.asking import BRIEF_MS, LIST_LIMIT, LIST_WAIT, TURN, next_call, retry_pause
+from basaltspread.control.descriptor_budget import DescriptorUse
 from basaltspread.endings import Ending
 from basaltspread.net.links import LinkError, failure_name, load_json
 from basaltspread.net.parsing import NoRoom, parse_list
@@ -146,8 +147,9 @@
             target += f"?from={version}&hold_ms={hold}"
             wait += hold / 1000
         reply = await self._runtime.pool.call(
-            discovery, "GET", target, wait=wait, limit=LIST_LIMIT, body_wait=LIST_WAIT
-        )
+            discovery, "GET", target, wait=wait, use=DescriptorUse.REGISTRY, limit=LIST_LIMIT,
+            body_wait=LIST_WAIT,
+        )  # fmt: skip
         if reply.status == 503:
             raise NoRoom("status 503")
         if reply.status != 200:
--- a/basaltspread/net/eureka.py
+++ b/basaltspread/net/eureka.py
@@ -18,6 +18,7 @@
 from basaltspread import interface as api
 from basaltspread.config import Gateway, Registry, split_address
 from basaltspread.control.asking import LIST_WAIT
+from basaltspread.control.descriptor_budget import DescriptorUse
 from basaltspread.core import Listed
 from basaltspread.net.links import Headers, LinkError, Reply, failure_name, load_json
 from basaltspread.net.runtime import Runtime
@@ -170,8 +171,8 @@
     async def _call(self, method: str, target: str, body: bytes = b"", body_wait: float = 0.0) -> Reply:
         headers = [*JSON_HEADERS, (b"Content-Type", b"application/json")] if body else JSON_HEADERS
         return await self.runtime.pool.call(
-            self._registry.address, method, target, headers, body, wait=CALL_WAIT, limit=BODY_LIMIT,
-            body_wait=body_wait,
+            self._registry.address, method, target, headers, body, wait=CALL_WAIT,
+            use=DescriptorUse.REGISTRY, limit=BODY_LIMIT, body_wait=body_wait,
         )  # fmt: skip
 
     # --- this gateway's lease ---------------------------------------------------------------------------
--- a/basaltspread/net/links.py
+++ b/basaltspread/net/links.py
@@ -362,8 +362,10 @@
         self._keep_or_close(link, not link.dead())
 
     def _keep_or_close(self, link: Link, usable: bool) -> None:
-        """What was opened on a reserve is not kept, so that no other use gets hold of it."""
-        if usable and self._trusted(link.address) and not self._descriptors.is_over():
+        """What was opened on a reserve is not kept, so that no other use gets hold of it. A registry's link
+        is: nothing else goes there, and its next call follows at once."""
+        on_reserve = self._descriptors.is_over() and link.descriptor.use is not DescriptorUse.REGISTRY
+        if usable and self._trusted(link.address) and not on_reserve:
             link.idle_since = time.monotonic()
             self._idle.setdefault(link.address, []).append(link)
         else:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -12,6 +14,7 @@
     DescriptorUse,
     HeldDescriptor,
 )
+from tests.standins import Asked, FleetTest, Gateway, reading, writing
 
 USES = list(DescriptorUse)
 STEPS = st.lists(st.tuples(st.integers(0, 3), st.sampled_from(USES), st.integers(0, 30)), max_size=200)
@@ -51,3 +54,42 @@
     held.free()
     held.use_for(DescriptorUse.RELEASE)
     assert budget.used == 0 and not list(budget.breaches())
+
+
+class FullTest(FleetTest):
+    """A gateway whose common descriptors are all held: four streams, and idle clients."""
+
+    async def full(self) -> Gateway:
+        async def wait_in_stream(asked: Asked) -> None:
+            asked.begin()
+            asked.chunk(b"data: 1\n\n")
+            await asyncio.Event().wait()
+
+        gateway = await self.fleet(
+            sockets=RESERVED + COMMON,
+            r1=await self.standin(reading()),
+            w1=await self.standin(writing(wait_in_stream)),
+            w2=await self.standin(writing(wait_in_stream)),
+        )
+        for number in range(4):
+            streaming = await self.client(gateway)
+            streaming.send(f"q{number}")
+            self.assertEqual((await streaming.head()).status_code, 200)
+        for _ in range(2):
+            await self.client(gateway)
+        await gateway.until_true(lambda counters: counters["descriptors_client"] == 6)
+        await gateway.until_true(lambda counters: counters["now_descriptors"] > COMMON)
+        return gateway
+
+    async def test_drains_are_learnt_though_clients_hold_all_descriptors_and_a_watch_is_reset(self) -> None:
+        """Attempts took each descriptor that came free, discovery got none for seconds, and engines that
+        drain got new work."""
+        gateway = await self.full()
+        (await self.discovery.until("GET")).reset()
+        self.news.put_nowait(b"")  # for the call that was reset
+        self.tell(42, "w1", "draining")
+        self.tell(43, "w2", "draining")
+        await self.discovery.until("GET", target="/registry/instances?from=43&")
+        counters = await gateway.counters()
+        self.assertEqual(counters["lists_delta"], 2)
+        self.assertEqual(counters.get("discovery_failures_no_descriptor", 0), 0)
