Don't distrust discovery's address after a reset of its watch

Cause: Pool.lost treats every peer as one whose next request is at stake. A call to a registry can be made again, so a stale connection costs one pause of 50 ms, and a reset watch says nothing of engines.

--- a/basaltspread/net/links.py
+++ b/basaltspread/net/links.py
@@ -286,9 +286,11 @@
     def lost(self, link: Link, ending: Ending) -> None:
         """A link's use ended badly. Where a kept one was reset as it was used again, the other side (or what
         lies between) drops connections without a word, and each further reuse is a request at stake: one that
-        has been written may have run. A new connection costs far less."""
+        has been written may have run. A new connection costs far less. Calls to a registry change nothing and
+        are simply made again, on a kept link as well."""
         link.close()
-        if link.reused and ending in (Ending.RESET, Ending.BROKE_UNSENT):
+        of_registry = link.descriptor.use is DescriptorUse.REGISTRY
+        if link.reused and not of_registry and ending in (Ending.RESET, Ending.BROKE_UNSENT):
             self._counters["links_stale"] += 1
             self._distrusted[link.address] = time.monotonic() + DISTRUST
             self.drop(link.address)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -19,6 +19,7 @@
 USES = list(DescriptorUse)
 STEPS = st.lists(st.tuples(st.integers(0, 3), st.sampled_from(USES), st.integers(0, 30)), max_size=200)
 COMMON = 10  # descriptors
+UNCHANGED = b'{"generation":41,"reset":false,"instances":[]}'
 
 
 @given(STEPS)
@@ -93,3 +94,17 @@
         counters = await gateway.counters()
         self.assertEqual(counters["lists_delta"], 2)
         self.assertEqual(counters.get("discovery_failures_no_descriptor", 0), 0)
+
+    async def test_a_reset_of_the_watch_does_not_make_each_call_of_it_need_a_new_connection(self) -> None:
+        """Discovery was distrusted for 30 s, and counted among the three addresses past which no kept
+        connection to any engine is used."""
+        gateway = await self.fleet(r1=await self.standin(reading()))
+        self.news.put_nowait(UNCHANGED)
+        (await self.discovery.until("GET", 2)).reset()
+        self.news.put_nowait(UNCHANGED)  # for the call that was reset
+        for _ in range(3):
+            self.news.put_nowait(UNCHANGED)
+        await self.discovery.until("GET", 6)
+        counters = await gateway.stop()
+        self.assertEqual(counters["discovery_failures_reset"], 1)
+        self.assertEqual((counters["links_opened"], counters.get("links_stale", 0)), (2, 0))
