Keep descriptors for replies to tool calls that engines wait for

Callers: with all descriptors held, the reply to an order's tool call was dropped after three tries within milliseconds, and the stream cut off although the order had been placed. test_a_reply_that_an_engine_waits_for_is_posted_though_all_descriptors_are_held failed before with 'out of descriptors'.

--- a/basaltspread/control/descriptor_budget.py
+++ b/basaltspread/control/descriptor_budget.py
@@ -21,6 +21,7 @@
     ENGINE = "engine"  # attempts, places and probes
     REGISTRY = "registry"  # discovery and Eureka
     RELEASE = "release"  # of what engines, or sessions of tool servers, hold
+    TOOL_REPLY = "tool_reply"  # that an engine waits for in the middle of its stream
 
 
 # The descriptors that each use may hold while the common part is full. A registry that moves is watched at
@@ -28,6 +29,7 @@
 RESERVES: dict[DescriptorUse, int] = {
     DescriptorUse.REGISTRY: 4,
     DescriptorUse.RELEASE: 12,
+    DescriptorUse.TOOL_REPLY: 4,
 }
 RESERVED = PROCESS_RESERVE + OPERATOR_RESERVE + sum(RESERVES.values())
 
--- a/basaltspread/net/toolcalls.py
+++ b/basaltspread/net/toolcalls.py
@@ -20,6 +20,7 @@
 
 from basaltspread import __version__, core
 from basaltspread.config import Tools
+from basaltspread.control.descriptor_budget import DescriptorUse
 from basaltspread.control.routes import MCP, Server
 from basaltspread.core import Ending, ToolFault
 from basaltspread.endings import NEVER_RAN
@@ -556,8 +557,9 @@
         """To the engine; how that ended."""
         try:
             reply = await self.runtime.pool.call(
-                address, "POST", f"/v1/toolcalls/{request}", [JSON_TYPE], body, wait=REPLY_WAIT, fresh=True
-            )
+                address, "POST", f"/v1/toolcalls/{request}", [JSON_TYPE], body, wait=REPLY_WAIT, fresh=True,
+                use=DescriptorUse.TOOL_REPLY,
+            )  # fmt: skip
         except LinkError as error:
             return error.ending
         if reply.headers.get(b"x-unprocessed") == b"1":
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -14,7 +16,10 @@
     DescriptorUse,
     HeldDescriptor,
 )
-from tests.standins import Asked, FleetTest, Gateway, reading, writing
+from basaltspread.endings import Ending
+from basaltspread.net.links import Pool
+from basaltspread.net.toolcalls import Relay
+from tests.standins import Asked, FleetTest, Gateway, LoopbackTest, reading, writing
 
 USES = list(DescriptorUse)
 STEPS = st.lists(st.tuples(st.integers(0, 3), st.sampled_from(USES), st.integers(0, 30)), max_size=200)
@@ -108,3 +113,19 @@
         counters = await gateway.stop()
         self.assertEqual(counters["discovery_failures_reset"], 1)
         self.assertEqual((counters["links_opened"], counters.get("links_stale", 0)), (2, 0))
+
+
+class ToolReplyTest(LoopbackTest):
+    async def test_a_reply_that_an_engine_waits_for_is_posted_though_all_descriptors_are_held(self) -> None:
+        """Three tries failed within milliseconds, and the stream was cut after its order had been placed."""
+
+        async def accept(asked: Asked) -> None:
+            asked.reply(202)
+
+        engine, budget = await self.standin(accept), DescriptorBudget(RESERVED + COMMON)
+        while not budget.is_full():
+            budget.take(DescriptorUse.CLIENT)
+        runtime = mock.MagicMock(pool=Pool(budget, 5.0, 10.0, Counter()))
+        relay = Relay(runtime, mock.MagicMock())
+        self.assertIs(await relay._post(engine.address, "q1", b"{}"), Ending.SERVED)
+        self.assertEqual(budget.used, COMMON)
