Keep clients and links together to the common descriptors

Past the limit accept and connect fail, and what the platform counts is passed.

It now asks for the common part as well; a kept link goes first, then an idle client, and the new client is refused in words if neither is there. An aborted client's descriptor counts as free at once, as a link's does.

--- a/basaltspread/net/clients.py
+++ b/basaltspread/net/clients.py
@@ -18,6 +18,7 @@
 import h11
 
 from basaltspread import core
+from basaltspread.control.descriptor_budget import HeldDescriptor
 from basaltspread.control.memory import MemoryClass
 from basaltspread.core import Ending, guards, invariants
 from basaltspread.net import tcp_info
@@ -124,6 +125,7 @@
         self._front, self._reader, self._writer = front, reader, writer
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
         self.account = front.memory.open(self)
+        self.descriptor: HeldDescriptor | None = None  # once it is kept
         front.memory.came(self, reader.heard)
         reader.on_bytes = lambda size: front.memory.came(self, size)
         self._early = bytearray()  # what came while the answer was awaited
@@ -261,6 +263,8 @@
         if reason is not None:
             self._note_close(reason)
         self._writer.transport.abort()
+        if self.descriptor is not None:
+            self.descriptor.free()
 
     async def _one(self) -> bool:
         """Read and answer one request; whether another may follow."""
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -161,17 +161,11 @@
     async def _accept(self, reader: TimedReader, writer: asyncio.StreamWriter) -> None:
         client = Client(self, reader, writer)
         client.refused = not self.runtime.state.accepting  # it waited at the door as that was shut
-        # Engines need descriptors too, or each request taken would fail: an idle client goes, else this
-        # one is refused in words, as an accepted connection may carry a request already.
-        most = self.runtime.descriptors.common * CLIENT_SHARE
-        if len(self.client_table) >= most:
-            if self._full_lines.due():
-                log.warning("clients fill %d descriptors: idle ones make room, or it is refused", most)
-            if not self.memory.frees_descriptor(client):
-                self.runtime.count("clients_over_budget")
-                client.refused = True
-                if len(self.client_table) >= most + MOST_REFUSED:
-                    client.abort(CloseReason.NO_ROOM)
+        if not self._has_descriptor(client):
+            self.runtime.count("clients_over_budget")
+            client.refused = True  # in words, as an accepted connection may carry a request already
+            if self._past_refusals():
+                client.abort(CloseReason.NO_ROOM)
         elif not self.memory.admits(client):
             self.runtime.count("clients_over_memory")
             client.refused = True
@@ -185,11 +179,35 @@
         finally:
             self._refused_for_memory -= refused
 
+    def _has_descriptor(self, client: Client) -> bool:
+        """Whether one more client's connection fits. Engines need descriptors too, or each request taken
+        would fail: where clients hold their share, an idle client goes; where links hold the rest, an idle
+        link."""
+        budget = self.runtime.descriptors
+        most = budget.common * CLIENT_SHARE
+        if len(self.client_table) >= most:
+            self._say_full("clients fill %d descriptors", int(most))
+            return self.memory.frees_descriptor(client)
+        if not budget.is_full():
+            return True
+        self._say_full("clients and engines fill %d descriptors", budget.used)
+        return self.runtime.pool.shed() or self.memory.frees_descriptor(client)
+
+    def _say_full(self, what: str, count: int) -> None:
+        if self._full_lines.due():
+            log.warning(f"{what}: idle ones make room, or a new client is refused", count)
+
+    def _past_refusals(self) -> bool:
+        """Whether so many are being refused in words that more are closed at once."""
+        budget = self.runtime.descriptors
+        over_share = len(self.client_table) - budget.common * CLIENT_SHARE
+        return max(over_share, budget.used - budget.common) >= MOST_REFUSED
+
     async def _keep(
         self, client: Client, writer: asyncio.StreamWriter, work: Coroutine[Any, Any, None]
     ) -> None:
         """A client's connection, from its opening here to its end."""
-        descriptor = self.runtime.descriptors.accepted(DescriptorUse.CLIENT)
+        descriptor = client.descriptor = self.runtime.descriptors.accepted(DescriptorUse.CLIENT)
         task = asyncio.current_task()
         assert task is not None
         self._clients[client] = task
