--- a/basaltspread/control/descriptor_budget.py
+++ b/basaltspread/control/descriptor_budget.py
@@ -69,7 +69,6 @@
         """`limit` is the process's, its reserves included."""
         self.used = self.most_used = 0
         self.by_use = dict.fromkeys(DescriptorUse, 0)
-        self.denied = dict.fromkeys(DescriptorUse, 0)  # since the start
         self.set_limit(limit)
 
     def set_limit(self, limit: int) -> None:
@@ -84,9 +83,8 @@
         return self.used > self.common
 
     def take(self, use: DescriptorUse) -> HeldDescriptor | None:
-        """One for this use; None, counted, where neither the common part nor its reserve has room."""
+        """One for this use; None where neither the common part nor its reserve has room."""
         if self.is_full() and self.by_use[use] >= RESERVES.get(use, 0):
-            self.denied[use] += 1
             return None
         return self.accepted(use)
 
@@ -110,7 +108,6 @@
             "now_descriptors": self.used,
             "most_descriptors": self.most_used,
             **{f"descriptors_{use.value}": held for use, held in self.by_use.items()},
-            **{f"descriptors_denied_{use.value}": denied for use, denied in self.denied.items()},
         }
 
     def breaches(self) -> Iterator[str]:
--- a/basaltspread/net/links.py
+++ b/basaltspread/net/links.py
@@ -279,6 +279,8 @@
         self._distrusted: dict[str, float] = {}  # by address: until when
         self._counters = counters
         self._local_fault_lines = LineLimit()
+        # Frees a descriptor that no link holds, where all are held; whether there was one.
+        self.make_room: Callable[[], bool] = lambda: False
 
     def _trusted(self, address: str) -> bool:
         return address not in self._distrusted and len(self._distrusted) < MOST_DISTRUSTED
@@ -309,9 +311,10 @@
                 return link
             link.close()
         descriptor = self._descriptors.take(use)
-        if descriptor is None and self.shed():
+        while descriptor is None and (self.shed() or self.make_room()):
             descriptor = self._descriptors.take(use)
         if descriptor is None:
+            self._counters[f"descriptors_denied_{use.value}"] += 1
             raise LinkError(Ending.NO_DESCRIPTOR)
         try:
             reader, writer = await self._connect(address)
--- a/basaltspread/net/memory_guard.py
+++ b/basaltspread/net/memory_guard.py
@@ -69,6 +69,10 @@
         self._table.make_room(fresh)
         return True
 
+    def close_idle_client(self) -> bool:
+        """One client that has been idle for a while makes room; whether there was one."""
+        return self._close_idle(None, time.monotonic())
+
     def arrives(self, client: Client, arriving: bool) -> None:
         self._ledger.arriving(client.account, arriving)
 
@@ -161,7 +165,7 @@
     def _give_up_larger(self, asking: Client) -> bool:
         return self._give_up(self._ledger.larger(asking.account), "it is far larger than another")
 
-    def _close_idle(self, asking: Client, now: float) -> bool:
+    def _close_idle(self, asking: Client | None, now: float) -> bool:
         idle = self._table.idle_for(FIRST_BYTES_UNDER_WAY, now)
         if idle is None or idle is asking:
             return False
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -83,6 +83,7 @@
         self._clients: dict[Client, asyncio.Task[None]] = {}
         self.client_table = ClientTable()
         self.memory = MemoryGuard(runtime, self.client_table)
+        runtime.pool.make_room = self.memory.close_idle_client
         longest = max((c.deadline for c in config.settings.classes), default=0)
         self._ids = KnownIds(config.scratch, config.name, config.memory_mb, longest)
         runtime.reserve(self._ids.size)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections import Counter
 from unittest import mock
 
@@ -17,6 +18,7 @@
     HeldDescriptor,
 )
 from basaltspread.endings import Ending
+from basaltspread.net.clients import REST_PATIENCE
 from basaltspread.net.links import Pool
 from basaltspread.net.toolcalls import Relay
 from tests.standins import Asked, FleetTest, Gateway, LoopbackTest, reading, writing
@@ -24,6 +26,7 @@
 USES = list(DescriptorUse)
 STEPS = st.lists(st.tuples(st.integers(0, 3), st.sampled_from(USES), st.integers(0, 30)), max_size=200)
 COMMON = 10  # descriptors
+EVENT = b"data: 1\n\n"
 UNCHANGED = b'{"generation":41,"reset":false,"instances":[]}'
 
 
@@ -66,9 +69,12 @@
     """A gateway whose common descriptors are all held, by streams and idle clients."""
 
     async def full(self) -> Gateway:
+        self.streams = list[Asked]()
+
         async def wait_in_stream(asked: Asked) -> None:
             asked.begin()
-            asked.chunk(b"data: 1\n\n")
+            asked.chunk(EVENT)
+            self.streams.append(asked)
             await asyncio.Event().wait()
 
         gateway = await self.fleet(
@@ -86,8 +92,9 @@
             streaming.send(f"q{number}")
             self.assertEqual((await streaming.head()).status_code, 200)
         for _ in range(2):
-            await self.client(gateway)
-        await gateway.until_true(lambda counters: counters["descriptors_client"] == 6)
+            resting = await self.client(gateway)
+            resting.raw(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            self.assertEqual((await resting.answer_to_raw())[0], 200)
         await gateway.until_true(lambda counters: counters["now_descriptors"] >= COMMON)
         return gateway
 
@@ -103,6 +110,20 @@
         self.assertEqual(counters["lists_delta"], 2)
         self.assertEqual(counters.get("discovery_failures_no_descriptor", 0), 0)
 
+    async def test_a_request_is_served_though_idle_clients_hold_the_last_descriptors(self) -> None:
+        """It was refused as fast as it came, for as long as others' idle connections were open."""
+        gateway = await self.full()
+        client = await self.client(gateway)
+        async with asyncio.timeout(REST_PATIENCE / 2):  # by then no client rests too long
+            for number in itertools.count():
+                client.send(f"late{number}")
+                head = await client.head()
+                if head.status_code == 200:
+                    break
+                await client.rest(head)
+                for stream in self.streams:
+                    stream.chunk(EVENT)  # none of them ends meanwhile
+
     async def test_clients_that_come_while_links_are_kept_keep_to_the_common_descriptors(self) -> None:
         """Clients kept to a count of their own alone: with the links to engines, the limit was passed."""
         go_on = asyncio.Event()
