Read a registry's list in the client library however it is framed

Callers of the partners' library: a list that Eureka sends in chunks, or up to the end of the connection, was cut after its first piece, counted as faulty and asked for again every five seconds; no change of gateways was ever used. An answer without a status ended the watch for good with an IndexError. test_a_registrys_list_is_read_however_it_is_framed and test_an_answer_that_is_no_http_does_not_end_the_watch_of_a_registry failed before.

A list past its limit is named so, where it was cut at the limit and failed as JSON. A list that goes on arriving may take 30 s.

--- a/basaltspread/client/discovery.py
+++ b/basaltspread/client/discovery.py
@@ -15,12 +15,16 @@
 from pathlib import Path
 from typing import Any
 
+import h11
+
 from basaltspread.client.core import Gateway
 
 LOOK = 1.0  # s between two looks at a file
 ASK = 5.0  # s between two questions to a registry
-PATIENCE = 3.0
-LIST_LIMIT = 8 * 1024 * 1024
+PATIENCE = 3.0  # s in which something of an answer has to come
+LIST_PATIENCE = 30.0  # s for the whole of it
+LIST_LIMIT = 8 * 1024 * 1024  # bytes
+READ_SIZE = 65536  # bytes that are read at once
 Use = Callable[[Sequence[Gateway]], None]
 
 
@@ -114,10 +118,9 @@
     async def _eureka(self, address: str, application: str, path: str, ask: float) -> None:
         while True:
             try:
-                async with asyncio.timeout(PATIENCE):
-                    body = await _get(address, f"{path}/apps/{application}")
+                body = await _get(address, f"{path}/apps/{application}")
                 self.take(lambda body=body: from_eureka(_wrapped(json.loads(body)), application))  # type: ignore[misc]
-            except (OSError, ValueError, asyncio.IncompleteReadError) as error:
+            except (OSError, ValueError) as error:
                 self.counters["lists_faulty"] += 1
                 self.fault = repr(error)
             await asyncio.sleep(ask)
@@ -129,21 +132,40 @@
 
 
 async def _get(address: str, target: str) -> bytes:
-    """The body of one small GET on a connection of its own."""
+    """The body of one GET on a connection of its own; raises OSError (TimeoutError where it is silent), and
+    ValueError for what is no whole answer of status 200."""
     host, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(host.strip("[]"), int(port))
+    async with asyncio.timeout(PATIENCE):
+        reader, writer = await asyncio.open_connection(host.strip("[]"), int(port))
     try:
-        writer.write(
-            f"GET {target} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n"
-            "Connection: close\r\n\r\n".encode()
-        )
-        head = await reader.readuntil(b"\r\n\r\n")
-        if head.split(b" ", 2)[1] != b"200":
-            raise ValueError(f"status {head.split(b' ', 2)[1].decode()}")
-        for line in head.split(b"\r\n"):
-            name, _, value = line.partition(b":")
-            if name.lower() == b"content-length":
-                return await reader.readexactly(min(int(value), LIST_LIMIT))
-        return await reader.read(LIST_LIMIT)
+        http = h11.Connection(h11.CLIENT)
+        headers = [("Host", address), ("Accept", "application/json"), ("Connection", "close")]
+        for event in (h11.Request(method="GET", target=target, headers=headers), h11.EndOfMessage()):
+            writer.write(http.send(event) or b"")
+        async with asyncio.timeout(LIST_PATIENCE):
+            return await _body(http, reader)
+    except h11.RemoteProtocolError as error:
+        raise ValueError(f"not HTTP/1.1: {error}") from error
     finally:
         writer.close()
+
+
+async def _body(http: h11.Connection, reader: asyncio.StreamReader) -> bytes:
+    """What follows until the end of an answer, however it is framed."""
+    parts, size = list[bytes](), 0
+    while True:
+        event = http.next_event()
+        if event is h11.NEED_DATA:
+            async with asyncio.timeout(PATIENCE):
+                http.receive_data(await reader.read(READ_SIZE))
+        elif isinstance(event, h11.Response) and event.status_code != 200:
+            raise ValueError(f"status {event.status_code}")
+        elif isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+            size += len(event.data)
+            if size > LIST_LIMIT:
+                raise ValueError(f"a list of over {LIST_LIMIT} bytes")
+        elif isinstance(event, h11.EndOfMessage):
+            return b"".join(parts)
+        elif isinstance(event, h11.ConnectionClosed):
+            raise ValueError("the connection ended without an answer")
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -23,7 +23,7 @@
 from basaltspread import client as library
 from basaltspread.client import core
 from basaltspread.client.core import LAW, Gateway, How, May, Policy
-from basaltspread.client.discovery import Source, from_eureka, from_text
+from basaltspread.client.discovery import LIST_LIMIT, Source, from_eureka, from_text
 from basaltspread.client.virtual import World
 from basaltspread.conformance.peers import Asked, Peer
 from tests.helpers import Clocked
@@ -31,6 +31,7 @@
 from tests.standins import FleetTest, reading, writing
 
 MS, SECOND = 1000, 1_000_000
+PIECE = 8192  # bytes of an answer that are written at once
 REFUSAL = (How.REFUSED, 2 * MS, "0.5")
 MESSAGES = [{"role": "user", "content": "one pair, please"}]
 
@@ -619,6 +620,50 @@
             await (await self.ask(client)).text()
         self.assertEqual([len(p.seen) for p in peers], [2, 1])
 
+    async def listed_by(self, *answers: bytes) -> Source:
+        """A source that has used a list, where each of these is all that a registry writes to one call, the
+        last to all further ones."""
+        registry, told, left = await Peer().start(), asyncio.Event(), list(answers)
+        self.addAsyncCleanup(registry.stop)
+
+        async def apps(asked: Asked) -> None:
+            answer = left.pop(0) if len(left) > 1 else left[0]
+            for at in range(0, len(answer), PIECE):
+                asked.raw(answer[at : at + PIECE])
+                await asked.flush()
+            asked.close()
+
+        registry.handlers["/eureka/apps/GATES"] = apps
+        source = Source(lambda gateways: told.set())
+        source.watch_eureka(registry.address, "GATES", ask=0.01)
+        self.addAsyncCleanup(source.stop)
+        async with asyncio.timeout(20):
+            await told.wait()
+        return source
+
+    async def test_a_registrys_list_is_read_however_it_is_framed(self) -> None:
+        """In chunks, or up to the connection's end, all but its first piece was dropped, each time."""
+        instances = [_instance(port) for port in range(1, 1000)]
+        body = json.dumps({"application": {"name": "GATES", "instance": instances}}).encode()
+        self.assertGreater(len(body), 2 * PIECE)
+        chunks = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in (body[:9000], body[9000:]))
+        for framed in (
+            b"Content-Length: %d\r\n\r\n%s" % (len(body), body),
+            b"Transfer-Encoding: chunked\r\n\r\n%s0\r\n\r\n" % chunks,
+            b"Connection: close\r\n\r\n%s" % body,
+        ):
+            source = await self.listed_by(b"HTTP/1.1 200 OK\r\n" + framed)
+            self.assertEqual((source.counters["lists_faulty"], source.fault), (0, ""))
+
+    async def test_an_answer_that_is_no_http_does_not_end_the_watch_of_a_registry(self) -> None:
+        """One without a status ended it for good: no later list was ever used."""
+        body = json.dumps({"application": {"name": "GATES", "instance": _instance(1)}}).encode()
+        good = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        huge = b"HTTP/1.1 200 OK\r\n\r\n" + b" " * (LIST_LIMIT + 1)
+        odd = (b"HTTP/1.1\r\n\r\n", b"\r\n\r\n", b"noise", b"", b"HTTP/1.1 503 X\r\n\r\n", huge)
+        source = await self.listed_by(*odd, good)
+        self.assertEqual(source.counters["lists_faulty"], len(odd))
+
     async def test_the_command(self) -> None:
         async def serve(asked: Asked) -> None:
             if asked.headers["x-service-class"] == "order":
