Take in a page of tools up to what an answer of a tool server may hold

Callers: tools/list of a tool server whose page is over 256 KiB (some hundred tools) was dropped, at each call of an engine anew; its tools were in no list, and where it is the only server the list failed. test_a_page_of_a_thousand_tools_is_taken_in_up_to_what_an_answer_may_hold failed before.

A page may be as large as the 1 MiB that an answer in events may have; calls and their replies keep their bound.

--- a/basaltspread/net/jsonrpc.py
+++ b/basaltspread/net/jsonrpc.py
@@ -119,10 +119,11 @@
 _ENCODER = json.JSONEncoder(ensure_ascii=False, separators=(",", ":"), allow_nan=False)
 
 
-def load(text: str) -> Any:
-    """The value of a text, with flawed parts marked. Raises ValueError for what is no JSON at all."""
-    if len(text) > SIZE_LIMIT:
-        raise ValueError(f"over {SIZE_LIMIT} characters")
+def load(text: str, limit: int = SIZE_LIMIT) -> Any:
+    """The value of a text of at most so many characters, with flawed parts marked. Raises ValueError for what
+    is no JSON at all."""
+    if len(text) > limit:
+        raise ValueError(f"over {limit} characters")
     try:
         return _DECODER.decode(text.strip(" \t\r\n"))
     except RecursionError as error:
--- a/basaltspread/net/mcp.py
+++ b/basaltspread/net/mcp.py
@@ -42,16 +42,16 @@
 NAME = "basaltspread"
 
 
-async def texts(link: Link, head: h11.Response) -> AsyncIterator[str]:
-    """The texts in an answer that may be messages, as they come: its body, or the data of its events. Raises
-    LinkError."""
+async def texts(link: Link, head: h11.Response, limit: int = jsonrpc.SIZE_LIMIT) -> AsyncIterator[str]:
+    """The texts in an answer that may be messages, as they come: its body of at most `limit` bytes, or the
+    data of its events. Raises LinkError."""
     kind = dict(head.headers).get(b"content-type", b"")
     if not kind.startswith(b"text/event-stream"):
-        body = await link.rest(jsonrpc.SIZE_LIMIT)
+        body = await link.rest(limit)
         if body.strip():
             yield body.decode("utf-8", "replace")
         return
-    events, size = sse.Events(), 0
+    events, size = sse.Events(limit), 0
     while True:
         event = await link.event()
         if not isinstance(event, h11.Data):
@@ -69,10 +69,10 @@
                 yield data
 
 
-def messages(text: str) -> tuple[jsonrpc.Message, ...]:
-    """The messages of one text; none if it is no JSON-RPC."""
+def messages(text: str, limit: int = jsonrpc.SIZE_LIMIT) -> tuple[jsonrpc.Message, ...]:
+    """The messages of one text of at most so many characters; none if it is no JSON-RPC."""
     try:
-        value = jsonrpc.load(text)
+        value = jsonrpc.load(text, limit)
     except ValueError:
         return ()
     return jsonrpc.read(value).messages if jsonrpc.is_message(value) else ()
@@ -175,17 +175,19 @@
 
 
 async def ask(
-    runtime: Runtime, server: Server, headers: Headers, message: dict[str, Any], wait: float = SESSION_WAIT
-) -> tuple[dict[str, Any], dict[bytes, bytes]]:
-    """One request of the gateway's own: the response to it, and the answer's headers. Raises LinkError."""
+    runtime: Runtime, server: Server, headers: Headers, message: dict[str, Any], wait: float = SESSION_WAIT,
+    limit: int = jsonrpc.SIZE_LIMIT,
+) -> tuple[dict[str, Any], dict[bytes, bytes]]:  # fmt: skip
+    """One request of the gateway's own: the response to it, of at most `limit` bytes, and the answer's
+    headers. Raises LinkError."""
     key = jsonrpc.key_of(message["id"])
     async with runtime.pool.using(server.address, wait) as link:
         await link.send("POST", server.path, [JSON_TYPE, ACCEPT, *headers], jsonrpc.encode(message))
-        head = await link.event()
+        head = await link.event(chunk=limit)
         if not isinstance(head, h11.Response):
             raise LinkError(Ending.MALFORMED)
-        async for text in texts(link, head):
-            for found in messages(text):
+        async for text in texts(link, head, limit):
+            for found in messages(text, limit):
                 if isinstance(found, jsonrpc.Response) and found.key == key and found.fault is None:
                     return found.message, dict(head.headers)
         raise LinkError(Ending.SERVER_ERROR if head.status_code >= 500 else Ending.MALFORMED)
@@ -263,7 +265,7 @@
             headers = await self._sessions.headers(server)
             params = {"cursor": cursor} if cursor is not None else {}
             message = jsonrpc.request(f"list-{next(self._numbers)}", "tools/list", params)
-            found, _ = await ask(self._runtime, server, headers, message, LIST_WAIT)
+            found, _ = await ask(self._runtime, server, headers, message, LIST_WAIT, REPLY_LIMIT)
             page = found.get("result")
             listed = page.get("tools") if isinstance(page, dict) else None
             if not isinstance(listed, list):
--- a/tests/test_large_lists.py
+++ b/tests/test_large_lists.py
@@ -12,9 +12,11 @@
 from basaltspread.adapter import settings_from
 from basaltspread.control.asking import ENTRY_SIZE, LIST_LIMIT, LONGEST_PAUSE, MOST_ENGINES, TURN
 from basaltspread.control.descriptor_budget import DescriptorBudget
+from basaltspread.control.routes import single
 from basaltspread.endings import Ending
 from basaltspread.net.discovery_watch import DiscoveryWatch
 from basaltspread.net.links import BODY_LIMIT, PART_WINDOW, LinkError, Pool
+from basaltspread.net.mcp import REPLY_LIMIT, Listing, Sessions
 from basaltspread.net.readers import TimedReader
 from tests.standins import SETTINGS, Asked, FleetTest, LoopbackTest, answer_plainly, reading, writing
 from tests.virtual_loop import VirtualLoop, run
@@ -101,6 +103,29 @@
         self.assertIs(caught.exception.ending, Ending.TOO_LARGE)
 
 
+class ToolListTest(LoopbackTest):
+    async def test_a_page_of_a_thousand_tools_is_taken_in_up_to_what_an_answer_may_hold(self) -> None:
+        """Over 256 KiB it was dropped, at each tools/list anew, and its tools were in no list."""
+        about = "x" * 400
+        tools = [{"name": f"tool-{number}", "description": about} for number in range(1000)]
+
+        async def listed(asked: Asked) -> None:
+            result = json.loads(asked.body) | {"result": {"tools": tools}}
+            del result["method"], result["params"]
+            asked.reply(200, json.dumps(result).encode(), Content_Type="application/json")
+
+        server = await self.standin(listed)
+        runtime = mock.MagicMock(pool=Pool(DescriptorBudget(100), 5.0, 10.0, Counter()))
+        listing = Listing(runtime, Sessions(runtime), single(server.address))
+        self.assertEqual(len(await listing.merged()), len(tools))
+        tools *= 3
+        self.assertGreater(len(json.dumps(tools)), REPLY_LIMIT)
+        listing.changed(single(server.address).servers["default"])
+        with self.assertRaises(LinkError):
+            await listing.merged()
+        runtime.pool.drop(server.address)
+
+
 class RetryTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_list_past_the_limit_is_not_asked_for_at_the_pace_of_a_drain(self) -> None:
         """Megabytes were read and dropped five times a second, though no such call can be of use."""
