--- a/basaltspread/net/links.py
+++ b/basaltspread/net/links.py
@@ -411,7 +411,7 @@
         `fresh` asks for a new connection, which can't be stale. `wait` s bound all of it; with `body_wait`,
         they bound the wait for the head, and a body that goes on arriving may take so many s more."""
         async with self.using(address, wait + body_wait, fresh, use) as link:
-            async with asyncio.timeout(wait):
+            async with asyncio.timeout(wait if body_wait else None):  # else `using` bounds it
                 if permitted is not None and not permitted():
                     raise LinkError(Ending.NOT_SENT)
                 await link.send(method, target, headers or [], body)
