--- a/basaltspread/policy/reader_choice.py
+++ b/basaltspread/policy/reader_choice.py
@@ -13,7 +13,7 @@
 from basaltspread.control.load_view import Request, Worker
 from basaltspread.interface import Role
 from basaltspread.policy.candidates import conversation_key, text_key
-from basaltspread.policy.reader_draw import LAG_SLACK, ChosenReader, ReaderDraw, TextHomes
+from basaltspread.policy.reader_draw import LAG_SLACK, ChosenReader, ReaderDraw, TextHomes, text_tokens
 from basaltspread.structures.hashing import hashed, rank
 
 GAP = 16  # requests between the busiest and the idlest reader, fleet-wide, that ends prefix matching
@@ -97,7 +97,7 @@
         waits = {w.name: self._wait_at(w, wait) for w in workers}
         pool = Pool(workers, self._counts(workers), waits)
         held = self.held.tokens_by_worker(arrival, workers, self.now)
-        shared = min(arrival.prefix_tokens, arrival.prompt_tokens) if arrival.prefix else 0
+        shared = text_tokens(request)
         believed = dict(held)
         for home in homes.workers:
             believed[home.name] = max(held[home.name], shared)
@@ -123,7 +123,7 @@
     def _soon_when_cold(self, request: Request, pool: list[Worker], otherwise: float) -> Worker | None:
         """Many routers: a reader in slow start that ends the whole read little later than `otherwise`. Few
         requests come where an allowance is, and it can't be kept for one that suits the reader better."""
-        cold = [w for w in pool if self.many and self.slow_start.is_cold(self.now, w)]
+        cold = [w for w in pool if self.slow_start.is_cold(self.now, w)]
         alone = request.a.prompt_tokens * self.token_time
         times = {w: self._wait_at(w, 0.0) + alone / self.slow_start.warmth(self.now, w) for w in cold}
         best = min(times, key=lambda w: times[w], default=None)
--- a/basaltspread/policy/reader_draw.py
+++ b/basaltspread/policy/reader_draw.py
@@ -129,7 +129,7 @@
         self, request: Request, pool: Sequence[Worker], home: Worker | None, everywhere: bool
     ) -> dict[str, int]:
         """By reader, the tokens of this prompt that need not be read there, by what was told of others."""
-        prompt, text = request.a.prompt_tokens, _text_tokens(request)
+        prompt, text = request.a.prompt_tokens, text_tokens(request)
         elsewhere = self.hits.kept(ReadPlace(False, everywhere), prompt, text)
         kept = dict.fromkeys((worker.name for worker in pool), elsewhere)
         if home is not None:
@@ -141,7 +141,7 @@
     def _conversation_home(self, request: Request, homes: TextHomes) -> Worker | None:
         """Where its conversation goes as long as that pays: all routers rank alike."""
         key = conversation_key(request)
-        pays = self.hits.pays(homes.everywhere, request.a.prompt_tokens, _text_tokens(request))
+        pays = self.hits.pays(homes.everywhere, request.a.prompt_tokens, text_tokens(request))
         if not pays and point(f"explore {key}") >= EXPLORED:
             return None
         hash_of_key = hashed(key)
@@ -150,7 +150,7 @@
     def _text_homes(self, request: Request, pool: Sequence[Worker]) -> TextHomes:
         """Of a pool of all readers, those that its shared text is spread over."""
         text = request.a.prefix
-        if not self.many or not text:
+        if not text:
             return TextHomes(pool, True)
         count = self._homes_wanted(request, len(pool))
         if count >= len(pool):
@@ -173,7 +173,7 @@
         return min(readers, max(1, round(share * remembered * readers)))
 
 
-def _text_tokens(request: Request) -> int:
+def text_tokens(request: Request) -> int:
     """Of the shared text at the beginning of its prompt."""
     return min(request.a.prefix_tokens, request.a.prompt_tokens) if request.a.prefix else 0
 
