Split the admission of connections from the platform's front

Which new connection is served is a job of its own, in net/connection_admission.py; behaviour is as before.

--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -36,6 +36,7 @@
     ReceivedRequest,
     WaitEnd,
 )
+from basaltspread.net.connection_admission import ConnectionAdmission
 from basaltspread.net.discovery_watch import DiscoveryWatch
 from basaltspread.net.engine_calls import EngineCalls
 from basaltspread.net.known_ids import KnownIds
@@ -56,11 +57,9 @@
 log = logging.getLogger("basaltspread")
 COMPLETIONS = b"/v1/chat/completions"
 FIRST_LIST_WAIT = 0.25  # s that clients wait at a start for discovery's first word; it may say nothing
-CLIENT_SHARE = 0.6  # of the descriptors, for clients; a request has one here and at most two at engines
 CLOSE_AFTER = 0.4  # s that a connection has rested before a drain closes it
 QUEUE = 512  # connections that may wait to be accepted
 ACCEPTED_AT_ONCE = 32  # connections; a few ms of one turn, and a late loop has few turns
-MOST_REFUSED = 16  # connections past the budget that are refused in words; more are closed
 BAD_REQUEST_LINES = 10  # log lines about them in a second; the counters hold them all
 UNANSWERED_LINES = 10  # the same of attempts that wait past the usual time
 HALF_READ_PATIENCE = 2.0  # s at the end for clients in the middle of a request or of taking an answer
@@ -88,8 +87,7 @@
         self._ids = KnownIds(config.scratch, config.name, config.memory_mb, longest)
         runtime.reserve(self._ids.size)
         runtime.gauges.append(self._ids.figures)
-        self._refused_for_memory = 0  # connections that are being refused in words
-        self._full_lines = LineLimit()
+        self._admission = ConnectionAdmission(runtime, self.client_table, self.memory)
         self._bad_request_lines = LineLimit(BAD_REQUEST_LINES)
         self._unanswered_lines = LineLimit(UNANSWERED_LINES)
         self._list_awaited = False  # discovery has answered, or had its time to
@@ -161,48 +159,12 @@
 
     async def _accept(self, reader: TimedReader, writer: asyncio.StreamWriter) -> None:
         client = Client(self, reader, writer)
-        client.refused = not self.runtime.state.accepting  # it waited at the door as that was shut
-        if not self._has_descriptor(client):
-            self.runtime.count("clients_over_budget")
-            client.refused = True  # in words, as an accepted connection may carry a request already
-            if self._past_refusals():
-                client.abort(CloseReason.NO_ROOM)
-        elif not self.memory.admits(client):
-            self.runtime.count("clients_over_memory")
-            client.refused = True
-            if self._refused_for_memory >= MOST_REFUSED:
-                client.abort(CloseReason.NO_MEMORY)
+        admitted = self._admission.admits(client)
+        # It may have waited at the door as that was shut.
+        client.refused = not admitted or not self.runtime.state.accepting
         self.runtime.count("clients_accepted")
-        refused = client.refused
-        self._refused_for_memory += refused
-        try:
+        with self._admission.counted(client):
             await self._keep(client, writer, client.serve())
-        finally:
-            self._refused_for_memory -= refused
-
-    def _has_descriptor(self, client: Client) -> bool:
-        """Whether one more client's connection fits. Engines need descriptors too, or each request taken
-        would fail: where clients hold their share, an idle client goes; where links hold the rest, an idle
-        link."""
-        budget = self.runtime.descriptors
-        most = budget.common * CLIENT_SHARE
-        if len(self.client_table) >= most:
-            self._say_full("clients fill %d descriptors", int(most))
-            return self.memory.frees_descriptor(client)
-        if not budget.is_full():
-            return True
-        self._say_full("clients and engines fill %d descriptors", budget.used)
-        return self.runtime.pool.shed() or self.memory.frees_descriptor(client)
-
-    def _say_full(self, what: str, count: int) -> None:
-        if self._full_lines.due():
-            log.warning(f"{what}: idle ones make room, or a new client is refused", count)
-
-    def _past_refusals(self) -> bool:
-        """Whether so many are being refused in words that more are closed at once."""
-        budget = self.runtime.descriptors
-        over_share = len(self.client_table) - budget.common * CLIENT_SHARE
-        return max(over_share, budget.used - budget.common) >= MOST_REFUSED
 
     async def _keep(
         self, client: Client, writer: asyncio.StreamWriter, work: Coroutine[Any, Any, None]
