Mutants of the budget of descriptors and of lists' bounds

The eight new ones were run by hand against the two new test files: all eight are caught. One mutant of the conformance suite follows a line that changed.

--- a/basaltspread/conformance/mutants.py
+++ b/basaltspread/conformance/mutants.py
@@ -100,7 +100,7 @@
     ),
     _mutant(
         "waits-for-the-streams-end", "replies are used as they come", "reply/stream-kept-open",
-        Edit(MCP, "    events, size = sse.Events(), 0", "    events, size = sse.Events(), 0\n    held: list[str] = []"),
+        Edit(MCP, "    events, size = sse.Events(limit), 0", "    events, size = sse.Events(limit), 0\n    held: list[str] = []"),
         Edit(MCP, "        if not isinstance(event, h11.Data):\n            return",
              "        if not isinstance(event, h11.Data):\n            for data in held:\n"
              "                yield data\n            return"),
--- a/tests/pressure_mutants.py
+++ b/tests/pressure_mutants.py
@@ -18,8 +18,11 @@
 LINKS, PROGRESS = "basaltspread/net/links.py", "basaltspread/structures/progress.py"
 CHUNKS, IDS = "basaltspread/structures/chunks.py", "basaltspread/structures/id_table.py"
 KNOWN, TURNS = "basaltspread/net/known_ids.py", "basaltspread/net/turns.py"
-PLATFORM = "basaltspread/net/platform.py"
-SUITE = ("memory", "whole_streams", "slow_streams", "floods", "known_ids")
+PLATFORM, WATCH = "basaltspread/net/platform.py", "basaltspread/net/discovery_watch.py"
+BUDGET, ADMISSION = "basaltspread/control/descriptor_budget.py", "basaltspread/net/connection_admission.py"
+SUITE = (
+    "memory", "whole_streams", "slow_streams", "floods", "known_ids", "large_lists", "descriptors",
+)  # fmt: skip
 AT_ONCE = 3
 PATIENCE = 400.0  # s
 
@@ -61,6 +64,22 @@
            "if folder is not None:", "if False:"),
     Mutant("an id that has ended is forgotten at once", KNOWN,
            "now + self._known_for, now", "now, now"),
+    Mutant("a list has the bound of a client's body", WATCH,
+           "limit=LIST_LIMIT,\n", "\n"),
+    Mutant("a list has one time-out with its body", WATCH,
+           "            body_wait=LIST_WAIT,\n", ""),
+    Mutant("a chunk of a list has the bound of a stream's", LINKS,
+           "event = await link.event(chunk=limit)", "event = await link.event()"),
+    Mutant("discovery has no descriptors of its own", BUDGET,
+           "    DescriptorUse.REGISTRY: 4,\n", ""),
+    Mutant("a reserve is everybody's", BUDGET,
+           "self.by_use[use] >= RESERVES.get(use, 0)", "self.used >= self.common + 4"),
+    Mutant("a reset of a watch makes discovery distrusted", LINKS,
+           "link.reused and not of_registry and", "link.reused and"),
+    Mutant("new clients ask for their share alone", ADMISSION,
+           "if not budget.is_full():", "if True:"),
+    Mutant("idle clients make no room for attempts", LINKS,
+           "(self.shed() or self.make_room())", "self.shed()"),
 )  # fmt: skip
 
 
