--- a/basaltspread/net/links.py
+++ b/basaltspread/net/links.py
@@ -288,8 +288,8 @@
     def lost(self, link: Link, ending: Ending) -> None:
         """A link's use ended badly. Where a kept one was reset as it was used again, the other side (or what
         lies between) drops connections without a word, and each further reuse is a request at stake: one that
-        has been written may have run. A new connection costs far less. Calls to a registry change nothing and
-        are simply made again, on a kept link as well."""
+        has been written may have run. A new connection costs far less. Calls to a registry may be made
+        again whatever became of them."""
         link.close()
         of_registry = link.descriptor.use is DescriptorUse.REGISTRY
         if link.reused and not of_registry and ending in (Ending.RESET, Ending.BROKE_UNSENT):
--- a/basaltspread/net/toolcalls.py
+++ b/basaltspread/net/toolcalls.py
@@ -553,12 +553,14 @@
             if not self._is_abandoned():
                 self.runtime.feed(core.ReplyEnded(effect.request, effect.bundle, ending))
 
-    async def _post(self, address: str, request: str, body: bytes) -> Ending:
+    async def _post(
+        self, address: str, request: str, body: bytes, use: DescriptorUse = DescriptorUse.TOOL_REPLY
+    ) -> Ending:
         """To the engine; how that ended."""
         try:
             reply = await self.runtime.pool.call(
                 address, "POST", f"/v1/toolcalls/{request}", [JSON_TYPE], body, wait=REPLY_WAIT, fresh=True,
-                use=DescriptorUse.TOOL_REPLY,
+                use=use,
             )  # fmt: skip
         except LinkError as error:
             return error.ending
@@ -575,7 +577,7 @@
         ending = Ending.NOT_SENT
         try:
             for _ in range(PROGRESS_TRIES):  # a busy machine brings no connection up in time, once
-                ending = await self._post(effect.address, effect.request, body)
+                ending = await self._post(effect.address, effect.request, body, DescriptorUse.ENGINE)
                 if ending not in NEVER_RAN:
                     break
             if ending is not Ending.SERVED:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -180,3 +180,8 @@
         relay = Relay(runtime, mock.MagicMock())
         self.assertIs(await relay._post(engine.address, "q1", b"{}"), Ending.SERVED)
         self.assertEqual(budget.used, COMMON)
+        # Progress is not owed, and takes nothing of what replies may need.
+        progress = mock.MagicMock(request="q1", address=engine.address)
+        relay._calls["q1", progress.call] = mock.MagicMock(note={})
+        await relay._tell_progress(progress, relay._calls["q1", progress.call])
+        runtime.count.assert_called_once_with("tool_progress_lost")
