Hold the exit for half-read requests, and refuse them where nobody can go on

Cause: the reducer said Exit as soon as the door was shut and no request was open, although requests were half read; they became whole later, were taken and run, and the front cut them off 2 s after the exit was decided. The look at streams to hand on is set only while a request is open: once there was none, later streams were never looked at again. So it was with the moving of streams at a plain restart.

Now the core is told how many requests are arriving while it stops. They hold the exit while they may still be begun: in an upgrade, up to a second before the end of the grace, as the successor can go on with the stream. At a plain restart, and later than that, a request of which bytes came after the door was shut is refused in words (refused_process_ends, with its id). A request that begins while the process stops sets the next look itself. Each half-read request has its whole time to come to its refusal (2.6 s in place of 2.0 s).

Tests failed before: test_a_half_read_request_holds_the_exit_and_its_stream_is_handed_on, test_a_stream_that_begins_after_the_last_look_is_looked_at_again, and on real sockets test_a_request_half_read_at_the_upgrade_is_answered_whole (no stream was handed on) and test_a_request_half_read_at_a_plain_restart_is_refused_in_words.

--- a/basaltspread/core/guards.py
+++ b/basaltspread/core/guards.py
@@ -10,6 +10,7 @@
 from enum import Enum
 
 from basaltspread import interface as api
+from basaltspread.core.shutdown import MOVE_TIME
 from basaltspread.core.state import Attempt, Request, State, is_up
 from basaltspread.endings import NEVER_RAN, Ending
 from basaltspread.interface import WorkerState
@@ -37,6 +38,7 @@
     BANS_NOT_READ = "bans_not_read"
     ID_KNOWN = "id_known"
     IDS_FULL = "ids_full"
+    PROCESS_ENDS = "process_ends"
 
 
 # How an attempt ends that its guard withheld.
@@ -103,6 +105,16 @@
     return {Claim.NEW: None, Claim.KNOWN: Denial.ID_KNOWN, Claim.FULL: Denial.IDS_FULL}[claim]
 
 
+def may_finish_arrival(state: State, now: int) -> Denial | None:
+    """Before more is read of a request that was not whole yet. A process that shuts its door takes it only
+    where a successor can go on with its stream, and while there is time left to hand that on."""
+    if state.accepting:
+        return None
+    if state.inherited and not state.exited and now < state.stop_by - MOVE_TIME:
+        return None
+    return Denial.PROCESS_ENDS
+
+
 def may_close(owed: bool, client_gone: bool, broken: bool) -> Denial | None:
     """Before a client's connection is closed: `owed`, a request that was read on it has no final answer;
     `broken`, its stream has to end without the last chunk."""
--- a/basaltspread/core/messages.py
+++ b/basaltspread/core/messages.py
@@ -358,12 +358,20 @@
     pass
 
 
+@record
+class Arriving:
+    """So many requests have been begun by their clients and are not taken yet; told as the process stops."""
+
+    number: int
+
+
 Input = (
     Taken | TurnedAway | ClientLeft | ClientFloods | Violated | Begun | Written | FirstEvent | Ended
     | PlaceEnded | ReleaseEnded | Probed | PeerTold | ListTold | ToolCalled | ToolCancelled
     | ToolBegun | ToolProgressed | ToolEnded | ProgressEnded | ReplyEnded
     | ServerTried | ServerDrains | RoutesTold | Woken | Serving
     | Operate | BansTold | DeparturesTold | Recalled | Sharing | HandedOn | Adopted | Terminate
+    | Arriving
 )  # fmt: skip
 
 
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -15,7 +15,7 @@
 from basaltspread import interface as api
 from basaltspread.control import load_shedding
 from basaltspread.control.picture import Word
-from basaltspread.core import invariants
+from basaltspread.core import guards, invariants
 from basaltspread.core.contacting import ContactSteps
 from basaltspread.core.engine_contacts import SILENT_AFTER
 from basaltspread.core.fleet import FleetSteps
@@ -149,6 +149,8 @@
         state = self.state
         if state.releases or state.calls or state.undecided:
             return False
+        if state.arriving and guards.may_finish_arrival(state, self.now) is None:
+            return False
         return all(_waits_for_questions_alone(request) for request in state.requests.values())
 
     def fault(self, event: Input | api.Event, trace: str) -> None:
@@ -237,6 +239,8 @@
         self.count("requests_taken")
         self.do(Wake(request.deadline + DEADLINE_GUARD, ("deadline", request.id)))
         self.tell(a)
+        if self.state.stopping:
+            self.look_at_streams_again()
         picture = self.state.picture
         due = picture.due(self.now) if picture is not None else None
         if due is not None:
--- a/basaltspread/core/shutdown.py
+++ b/basaltspread/core/shutdown.py
@@ -12,6 +12,7 @@
 from basaltspread import interface as api
 from basaltspread.core.messages import (
     Adopted,
+    Arriving,
     CloseIdle,
     Effect,
     HandedOn,
@@ -64,6 +65,25 @@
                 self._hand_on_streams()
             self.do(Wake(door, ("door",)))
 
+    def arriving(self, event: Arriving) -> None:
+        self.state.arriving = event.number
+
+    def look_at_streams_again(self) -> None:
+        """Something has begun while the process stops. Guards against a stream that begins after the last
+        look at streams to hand on, or to move: it would be cut off at the exit or by the kill."""
+        state = self.state
+        for look, due in (("hand", state.inherited), ("move", state.moving)):
+            if due and look not in state.looks:
+                self._look_at(look, MOVE_STEP)
+
+    def _look_at(self, look: str, pause: int) -> None:
+        """The next look of this kind, as long as there is a request that it may concern."""
+        if not self.state.requests:
+            self.state.looks.discard(look)
+            return
+        self.state.looks.add(look)
+        self.do(Wake(self.now + pause, (look,)))
+
     def _answer_the_rest(self) -> None:
         """The kill would find them unanswered, and what is held for them would stay at the engines."""
         for request in [request for request in self.state.requests.values() if request.waits()]:
@@ -103,8 +123,7 @@
                 request.id, stream.number, request.request_class, stream.worker, address,
                 request.resumed, request.tenant, tuple(request.calls),
             ))  # fmt: skip
-        if self.state.requests:
-            self.do(Wake(self.now + MOVE_STEP, ("hand",)))
+        self._look_at("hand", MOVE_STEP)
 
     def handed_on(self, event: HandedOn) -> None:
         found = self._find(event.request, event.number)
@@ -126,14 +145,13 @@
         at a time and the newest first: they have the most before them, and the least that must be read
         again."""
         state, streams = self.state, self._running()[::-1]
+        state.moving = True
         left = state.stop_by - self.now
         steps = max(1, left // MOVE_STEP)
         for request, stream in streams[: -(-len(streams) // steps)]:
             self._close(request, stream, Ending.MOVED, abandon=True)
-        if state.requests:
-            pause = max(MOVE_STEP, left // (len(streams) + 1))  # few: one at a time, evenly
-            self.do(Wake(self.now + pause, ("move",)))
+        self._look_at("move", max(MOVE_STEP, left // (len(streams) + 1)))  # few: one at a time, evenly
 
     HANDLERS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {
-        HandedOn: handed_on, Adopted: adopted, Terminate: terminate,
+        HandedOn: handed_on, Adopted: adopted, Terminate: terminate, Arriving: arriving,
     }  # fmt: skip
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -215,6 +215,13 @@
     stopping: bool = False
     stop_by: int = 0
     accepting: bool = True
+    arriving: int = (
+        0  # requests that clients have begun to write and that are not taken; known while it stops
+    )
+    looks: set[str] = field(
+        default_factory=set
+    )  # of its end, those that are set: at streams to hand on or move
+    moving: bool = False  # streams that still run are ended here, for their clients to go on elsewhere
     exited: bool = False
     traces: bool = False  # each request's state changes and each release are logged
 
--- a/basaltspread/net/clients.py
+++ b/basaltspread/net/clients.py
@@ -114,6 +114,15 @@
     def note_bad_request(self, error: BadRequest) -> None:
         """Counts and logs a request that can't be taken."""
 
+    def arrival_begins(self, client: Client) -> None:
+        """The first bytes of a request are here."""
+
+    def arrival_ends(self, client: Client) -> None:
+        """It has been taken, or never will be. May be said twice."""
+
+    def may_finish_arrival(self) -> bool:
+        """Whether a request of which bytes are still missing may be begun once it is whole."""
+
     def note_refused_arrival(self, head: h11.Request | None) -> None:
         """Counts a request that was refused before it was whole."""
 
@@ -286,6 +295,8 @@
         except h11.LocalProtocolError:  # the answer was under way when something else went wrong
             self._ends_for = CloseReason.GATEWAY_FAULT
             return False
+        finally:
+            self._front.arrival_ends(self)
         if refused:
             await self._linger()
             return False
@@ -406,6 +417,7 @@
         self.idle, self.spoke = False, True
         self._front.client_table.busy(self)
         self._front.memory.arrives(self, True)
+        self._front.arrival_begins(self)
 
     async def _first_bytes(self, by: float) -> bytes:
         """Of a next request; none if the connection has rested too long, or is let go."""
@@ -454,7 +466,9 @@
         try:
             await self._front.memory.room_to_read(self, by)
             async with asyncio.timeout(by - time.monotonic()) as self._wait:
-                return await self._piece()
+                data = await self._piece()
+            self.refused = self.refused or not self._front.may_finish_arrival()
+            return data
         except TimeoutError as error:
             if self._given_up:
                 raise OutOfMemory from error
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -31,6 +31,7 @@
 from basaltspread.net.clients import (
     CLIENT_PATIENCE,
     LAST_LOOK,
+    REQUEST_PATIENCE,
     Client,
     Exchange,
     ReceivedRequest,
@@ -62,7 +63,7 @@
 ACCEPTED_AT_ONCE = 32  # connections; a few ms of one turn, and a late loop has few turns
 BAD_REQUEST_LINES = 10  # log lines about them in a second; the counters hold them all
 UNANSWERED_LINES = 10  # the same of attempts that wait past the usual time
-HALF_READ_PATIENCE = 2.0  # s at the end for clients in the middle of a request or of taking an answer
+HALF_READ_PATIENCE = REQUEST_PATIENCE + 0.1  # s at the end for clients in the middle of a request or answer
 ERROR_BODY_WAIT = 0.5  # s for the rest of an answer whose status has settled it
 STREAM_SILENCE = 4.0  # s between two pieces of a stream; the protocol lets a client wait for 5
 EVENT_LIMIT = 64 * 1024  # bytes of a stream's first event
@@ -87,6 +88,8 @@
         self._ids = KnownIds(config.scratch, config.name, config.memory_mb, longest)
         runtime.reserve(self._ids.size)
         runtime.gauges.append(self._ids.figures)
+        self._arriving: set[Client] = set()  # whose requests have begun to come, and are not taken yet
+        runtime.on_terminate.append(self._tell_arriving)
         self._admission = ConnectionAdmission(runtime, self.client_table, self.memory)
         self._bad_request_lines = LineLimit(BAD_REQUEST_LINES)
         self._unanswered_lines = LineLimit(UNANSWERED_LINES)
@@ -148,7 +151,10 @@
     def _stop_accepting(self) -> None:
         self._stop_listening()
         self._close_idle(0.0)
-        log.info("the door is shut; %d clients are still here", len(self._clients))
+        log.info(
+            "the door is shut; %d clients are still here, %d in the middle of a request",
+            len(self._clients), len(self._arriving),
+        )  # fmt: skip
 
     def _close_idle(self, rest: float) -> None:
         """A connection just opened, or just answered, may have bytes under way."""
@@ -208,6 +214,27 @@
             arrival = arrival_from(fields, self._config.settings)
             self.runtime.feed(core.TurnedAway(arrival.request_class))
 
+    def arrival_begins(self, client: Client) -> None:
+        self._arriving.add(client)
+        self._arriving_changed()
+
+    def arrival_ends(self, client: Client) -> None:
+        if client in self._arriving:
+            self._arriving.remove(client)
+            self._arriving_changed()
+
+    def _arriving_changed(self) -> None:
+        """The core asks only as the process stops: until then a request costs no input for it."""
+        if self.runtime.state.stopping:
+            self._tell_arriving()
+
+    def _tell_arriving(self) -> None:
+        self.runtime.feed(core.Arriving(len(self._arriving)))
+
+    def may_finish_arrival(self) -> bool:
+        denial = guards.may_finish_arrival(self.runtime.state, self.runtime.clock.now())
+        return denial is None
+
     async def route(self, client: Client, received: ReceivedRequest) -> None:
         request = received.head
         path = request.target.split(b"?")[0]
@@ -234,6 +261,9 @@
             self.runtime.count("clients_flooding")
             client.refused = True
         if client.refused:
+            if not self.may_finish_arrival():
+                self.runtime.count(f"refused_{Denial.PROCESS_ENDS.value}")
+                log.info("request %s is refused: this process ends", rid)
             self.runtime.feed(core.TurnedAway(arrival.request_class))
             client.answer_last(503, "ask elsewhere, or later", [(b"Retry-After", b"1")])
             return
@@ -253,6 +283,7 @@
         try:
             spent = round((time.monotonic() - received.began_at) * 1_000_000)
             self.runtime.feed(core.Taken(replace(arrival, time_left=max(0, arrival.time_left - spent))))
+            self.arrival_ends(client)
             await self._until_end(client, exchange, rid)
         finally:
             self.memory.credit(client, MemoryClass.REQUEST)
--- a/tests/core_drive.py
+++ b/tests/core_drive.py
@@ -48,6 +48,7 @@
 
     def begin(self, **answers: Callable[[Any], list[api.Action]]) -> None:
         self.module, self.now = Script(**answers), 100 * SECOND
+        self.all_wakes = list[core.Wake]()
         self.state = core.State(settings(), self.module)
         listed = tuple(core.Listed(e, f"{e.name}:1") for e in FLEET)
         self.feed(core.ListTold(api.ListKind.CACHED, 1, listed))
@@ -57,6 +58,7 @@
         self.now += after
         effects = core.reduce(self.state, self.now, event)
         self.wakes = [e for e in effects if isinstance(e, core.Wake)]
+        self.all_wakes += self.wakes
         return [e for e in effects if not isinstance(e, (core.Wake, core.Count, core.Say))]
 
     def kinds(self, event: core.Input, after: int = 0) -> list[str]:
@@ -67,6 +69,10 @@
         gone = api.WorkerEntry(name, api.WorkerState.DRAINING, entry.cell, entry.zone, entry.kind, 1.0, 0)
         return core.ListTold(api.ListKind.DELTA, 2, (core.Listed(gone, f"{name}:1"),))
 
+    def wakes_of(self, kind: str) -> list[core.Wake]:
+        """The wakes of this kind that are not due yet."""
+        return [wake for wake in self.all_wakes if wake.token[0] == kind and wake.at >= self.now]
+
     def woken(self, kind: str) -> list[core.Effect]:
         """The effects of the one wake of this kind that the last input asked for, at its time."""
         (due,) = [wake for wake in self.wakes if wake.token[0] == kind]
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -499,6 +499,50 @@
         self.assertEqual(moved, ["AbandonAttempt", "BreakClient"])
         self.assertEqual(sum(core.figures(self.state, self.now).replies["c"].values()), 1)
 
+    def test_a_half_read_request_holds_the_exit_and_its_stream_is_handed_on(self) -> None:
+        """Guards an exit in the middle of streams that began after the door was shut: review case 3."""
+        self.begin(Arrival=send("w1"))
+        self.state.inherited = True
+        self.feed(core.Serving())
+        self.feed(core.Arriving(1))
+        self.feed(core.Terminate())
+        self.assertEqual(self.woken("door"), [core.StopAccepting()])
+        self.feed(core.Taken(ARRIVAL), after=SECOND)
+        self.assertEqual(self.feed(core.Arriving(0)), [])
+        looks = [wake for wake in self.wakes_of("hand") if wake.at <= self.now + core.MOVE_STEP]
+        self.assertEqual(len(looks), 1)
+        for event in (core.Begun("q", 0), core.Written("q", 0), core.FirstEvent("q", 0)):
+            self.feed(event)
+        self.assertEqual(self.kinds(core.Woken(("hand",)), after=core.MOVE_STEP), ["HandOn"])
+        self.assertEqual(self.kinds(core.HandedOn("q", 0)), ["Exit"])
+
+    def test_a_stream_that_begins_after_the_last_look_is_looked_at_again(self) -> None:
+        """Guards a stream that began with no other open: neither handed on nor moved (review case 3)."""
+        for inherited, resumable, look, kind in (
+            (True, False, "hand", "HandOn"), (False, True, "move", "AbandonAttempt"),
+        ):  # fmt: skip
+            self.begin(Arrival=send("w1"))
+            self.state.settings, self.state.inherited = settings(resumable=resumable), inherited
+            self.feed(core.Serving())
+            self.feed(core.Terminate())
+            if not inherited:
+                self.assertEqual(self.kinds(core.Woken(("move",)), after=4 * SECOND), [])
+            self.streaming("q1")
+            (wake,) = self.wakes_of(look)
+            self.now = wake.at
+            self.assertIn(kind, self.kinds(core.Woken(wake.token)))
+
+    def test_a_half_read_request_holds_an_exit_only_while_it_may_still_be_begun(self) -> None:
+        """Guards the other way: a plain restart, and one that is out of time, end without it."""
+        for inherited, after, ends in ((False, 0, True), (True, 0, False), (True, 3 * SECOND, True)):
+            self.begin()
+            self.state.inherited = inherited
+            self.feed(core.Serving())
+            self.feed(core.Arriving(1))
+            self.feed(core.Terminate())
+            self.woken("door")
+            self.assertEqual("Exit" in self.kinds(core.Arriving(1), after=after) or self.state.exited, ends)
+
     def test_an_adopted_stream_ends_and_counts_as_any_other(self) -> None:
         for ending, kinds, verdict in (
             (Ending.SERVED, ["EndStream"], Verdict.SERVED), (Ending.RESET, ["BreakClient"], Verdict.FAILED),
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -41,6 +41,15 @@
     def note_refused_arrival(self, head: h11.Request | None) -> None:
         raise AssertionError(head)
 
+    def arrival_begins(self, client: Client) -> None:
+        """Nothing is shut meanwhile."""
+
+    def arrival_ends(self, client: Client) -> None:
+        """The same."""
+
+    def may_finish_arrival(self) -> bool:
+        return True
+
     async def route(self, client: Client, received: ReceivedRequest) -> None:
         self.routed += 1
         client.answer(200, "")
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -37,6 +37,15 @@
 ANYWHERE = {"management": "127.0.0.1:0"}
 
 
+def request(rid: str) -> bytes:
+    """A request as bytes, to be written in pieces."""
+    return (
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Account: acme\r\n"
+        f"X-Correlation-Id: {rid}\r\nX-Service-Class: ask\r\nX-Session-Key: s-{rid}\r\n"
+        "X-Time-Left-Ms: 20000\r\nX-Facts: prompt_len=512\r\nContent-Length: 2\r\n\r\n{}"
+    ).encode()
+
+
 class ManagedTest(FleetTest):
     async def managed(self, **options: Any) -> Gateway:
         self.reader = await self.standin(reading())
@@ -218,6 +227,54 @@
         self.assertEqual((await new.operate("GET", "/-/metrics"))[1]["replies"]["ask"]["success"], 2)
         self.assertEqual((await late.ask("q3"))[0], 200)
 
+    async def test_a_request_half_read_at_the_upgrade_is_answered_whole(self) -> None:
+        """Guards against an old process that exits in the middle of what it took last (review case 3)."""
+        go_on = asyncio.Event()
+
+        async def pause(asked: Asked) -> None:
+            asked.begin()
+            asked.chunk(b"data: 1\n\n")
+            await go_on.wait()
+            asked.finish()
+
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        door = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(door.close)
+        shared: dict[str, Any] = {"door": door.fileno(), "scratch": folder.name}
+        old = await self.managed(**shared)
+        self.writer.handler = writing(pause)
+        slow = await self.client(old)
+        first, rest = request("slow")[:90], request("slow")[90:]
+        slow.raw(first)
+        await slow.flushed()
+        new = await self.started(Gateway(config=self.config, **shared))
+        await old.until("another process of this gateway runs")
+        old.process.send_signal(signal.SIGTERM)
+        await old.until("the door is shut")
+        slow.raw(rest)
+        slow.as_asked()
+        head = await slow.head()
+        counters = await old.ended()
+        self.assertEqual((counters["requests_taken"], counters.get("streams_handed_on")), (1, 1))
+        go_on.set()
+        self.assertEqual((await slow.rest(head))[2:], (b"data: 1\n\n" + DONE, True))
+        self.assertEqual((await new.counters())["streams_adopted"], 1)
+
+    async def test_a_request_half_read_at_a_plain_restart_is_refused_in_words(self) -> None:
+        """Guards against requests that are begun though nobody will end them (review case 3)."""
+        gateway = await self.managed()
+        slow = await self.client(gateway)
+        first, rest = request("slow")[:90], request("slow")[90:]
+        slow.raw(first)
+        await slow.flushed()
+        gateway.process.send_signal(signal.SIGTERM)
+        await gateway.until("the door is shut")
+        slow.raw(rest)
+        self.assertEqual((await slow.answer_to_raw())[0], 503)
+        counters = await gateway.ended()
+        self.assertEqual((counters["refused_process_ends"], self.reader.count("POST", "/v1")), (1, 0))
+
 
 class BetweenChunksTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_stream_is_handed_on_only_where_a_whole_chunk_ends(self) -> None:
