--- a/basaltspread/core/toolcalls.py
+++ b/basaltspread/core/toolcalls.py
@@ -297,6 +297,8 @@
             self._return(event.request, event.bundle, bundle)
             return
         served = event.ending is Ending.SERVED
+        if not served:
+            self._say_reply_lost(event, bundle)
         for _ in range(len(bundle.calls) or 1):
             self.count("tool_replies_returned" if served else "tool_replies_lost")
         self._forget_bundle(event.request, event.bundle, bundle)
@@ -304,6 +306,11 @@
         if not served and found is not None:  # the engine would wait for ever: the stream ends as if broken
             self._close(*found, event.ending, abandon=True)
 
+    def _say_reply_lost(self, event: ReplyEnded, bundle: Bundle) -> None:
+        where = f"{bundle.worker} at {self._address(bundle.worker) or 'no address'}"
+        tries = f"{bundle.returns} tries, the last: {event.ending.value}"
+        self.do(Say(f"tool reply of {event.request} to {where} is lost after {tries}"))
+
     def _forget_bundle(self, name: str, number: int, bundle: Bundle) -> None:
         for ident in bundle.calls:
             self._forget_call((name, ident))
