Talk to a stream's engine where it was dialled, whatever the list says

Cause: the core looked the engine's address up in the list as the reply went out. An engine that is not listed had the address "", to which no connection comes up; three tries failed at once, and the stream was ended as broken.

An attempt now holds the address at which it was dialled. Replies and progress of tool calls go there, a hand-over tells it to the next process, and that one keeps it for the tool calls of a stream that it took over, also before it has its first list. The look-up by the list is gone. A release goes to the engines of its own request where no listed one is left to try: with an empty list it reached nobody, and states were held past their limit.

Tests failed before: test_a_reply_reaches_its_engine_though_the_registrys_list_is_empty (real processes), test_a_stream_is_handed_on_with_the_address_at_which_it_was_dialled, test_a_release_goes_to_its_engines_while_the_list_is_empty.

--- a/basaltspread/core/messages.py
+++ b/basaltspread/core/messages.py
@@ -351,6 +351,7 @@
     resumed: bool = False
     tenant: int = 0
     calls: tuple[str, ...] = ()
+    address: str = ""  # at which its engine was dialled
 
 
 @record
--- a/basaltspread/core/reducer.py
+++ b/basaltspread/core/reducer.py
@@ -378,6 +378,7 @@
     def _start(self, request: Request, attempt: Attempt, listed: Listed) -> None:
         self.count("sends_read" if attempt.reading else "sends_write")
         left = attempt.until - self.now
+        attempt.address = listed.address
         self.do(
             StartAttempt(request.id, attempt.number, attempt.worker, listed.address, attempt.reading, left)
         )
--- a/basaltspread/core/releases.py
+++ b/basaltspread/core/releases.py
@@ -64,6 +64,8 @@
         release = self.state.releases.setdefault(name, Release())
         release.until, release.tries, release.tried = until, 0, []
         release.began, release.overdue = self.now, False
+        if request is not None:
+            release.addresses = {a.worker: a.address for a in request.attempts if a.address}
         self.count("releases")
         if pause > 0:
             self.do(Wake(self.now + pause, ("release", name, 0)))
@@ -84,14 +86,14 @@
         release.tries += 1
         self.do(Wake(self.now + min(step, LONGEST_RELEASE_STEP), ("release", name, release.tries)))
         workers = self.state.workers
-        release.tried = [n for n in release.tried if n in workers]
+        release.tried = [n for n in release.tried if n in workers or n in release.addresses]
         if len(release.tried) >= min(len(workers), MOST_TRIED):
             release.tried = []  # all again
         if width == 0:
             self.count("release_waves_skipped")
             return
         candidates = self._release_candidates(name, release.tries)
-        zones = Counter(workers[n].entry.zone for n in release.tried)
+        zones = Counter(workers[n].entry.zone for n in release.tried if n in workers)
         for _ in range(width):
             self._send_release(name, release, candidates, zones)
 
@@ -109,6 +111,7 @@
         """To the best engine that has not been tried; `zones` counts those that were."""
         fit = [n for n in candidates if n not in release.tried and n not in release.open]
         if not fit:
+            self._release_unlisted(name, release)
             return
         best = min(fit, key=lambda n: self._release_rank(name, zones, n))
         release.tried.append(best)
@@ -116,6 +119,21 @@
         release.open.add(best)
         self._call_release(name, best)
 
+    def _release_unlisted(self, name: str, release: Release) -> None:
+        """To an engine that has the request and is not listed any more, once no listed one is left to try.
+        Guards what is held against a list that is empty: the engines run on."""
+        for engine, address in release.addresses.items():
+            if (
+                engine not in self.state.workers
+                and engine not in release.tried
+                and engine not in release.open
+            ):
+                release.tried.append(engine)
+                release.open.add(engine)
+                self.count("releases_unlisted")
+                self._send_release_to(name, engine, address)
+                return
+
     def _release_once(self, name: str) -> None:
         """One call for it, to the best engine, if there is room: the next comes soon in any case."""
         candidates = self._release_candidates(name, 0)
@@ -126,11 +144,15 @@
         self._call_release(name, min(candidates, key=lambda n: self._release_rank(name, zones, n)))
 
     def _call_release(self, name: str, engine: str) -> None:
-        """Every release goes out here."""
+        """To a listed engine."""
         self.state.contacts.began(engine, self.now)
+        self._send_release_to(name, engine, self.state.workers[engine].address)
+
+    def _send_release_to(self, name: str, engine: str, address: str) -> None:
+        """Every release goes out here."""
         self.state.release_calls += 1
         self.count("release_calls")
-        self.do(SendRelease(name, engine, self.state.workers[engine].address))
+        self.do(SendRelease(name, engine, address))
 
     def _room_for_calls(self) -> int:
         return MOST_CALLS - self.state.release_calls
--- a/basaltspread/core/shutdown.py
+++ b/basaltspread/core/shutdown.py
@@ -117,10 +117,8 @@
     def _hand_on_streams(self) -> None:
         """Tried again and again until each is between two chunks, and for those that begin yet."""
         for request, stream in self._running():
-            listed = self.state.workers.get(stream.worker)
-            address = listed.address if listed is not None else ""
             self.do(HandOn(
-                request.id, stream.number, request.request_class, stream.worker, address,
+                request.id, stream.number, request.request_class, stream.worker, stream.address,
                 request.resumed, request.tenant, tuple(request.calls),
             ))  # fmt: skip
         self._look_at("hand", MOVE_STEP)
@@ -131,7 +129,7 @@
             self._close(*found, Ending.HANDED_ON)
 
     def adopted(self, event: Adopted) -> None:
-        stream = Attempt(0, event.worker, False, self.now, begun=True, written=True)
+        stream = Attempt(0, event.worker, False, self.now, begun=True, written=True, address=event.address)
         unsafe = self.state.settings.classes[event.request_class].effect is api.Effect.UNSAFE
         request = Request(
             event.request, event.request_class, self.now, unsafe, event.resumed, attempts=[stream],
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -60,6 +60,7 @@
     ending: Ending | None = None  # once it is over
     zone: int = -1  # of its worker, as it was listed then
     cell: int = -1
+    address: str = ""  # at which it was dialled; what the list says later does not move it
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -115,6 +116,7 @@
     until: int = 0
     began: int = 0
     overdue: bool = False  # that it has gone unheard for long has been said
+    addresses: dict[str, str] = field(default_factory=dict)  # where its request's engines were dialled
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -149,8 +151,7 @@
 class ToolCall:
     """A call, from its event to the last that is heard of it."""
 
-    attempt: int
-    worker: str
+    attempt: Attempt
     bundle: int
     unsafe: bool
     fault: ToolFault | None = None
@@ -165,8 +166,7 @@
 class Bundle:
     """The calls of one event, which get one message in return."""
 
-    attempt: int
-    worker: str
+    attempt: Attempt
     calls: dict[str, None]  # whose replies it will hold, in the order of the event
     waiting: set[str]
     errors: int
--- a/basaltspread/core/toolcalls.py
+++ b/basaltspread/core/toolcalls.py
@@ -90,7 +90,7 @@
             return
         if not fresh and not event.errors:
             return
-        bundle = Bundle(attempt.number, attempt.worker, dict.fromkeys(fresh), set(fresh), event.errors)
+        bundle = Bundle(attempt, dict.fromkeys(fresh), set(fresh), event.errors)
         self.state.bundles[request.id, event.bundle] = bundle
         request.bundles.add(event.bundle)
         for wanted in fresh.values():
@@ -101,7 +101,7 @@
     def _open(self, request: Request, attempt: Attempt, bundle: int, wanted: Wanted) -> None:
         key = (request.id, wanted.call)
         unsafe = wanted.effect is not api.Effect.SAFE and not wanted.local
-        call = ToolCall(attempt.number, attempt.worker, bundle, unsafe)
+        call = ToolCall(attempt, bundle, unsafe)
         crowded = len(request.open) >= MOST_CALLS
         self.state.calls[key] = call
         request.open.add(wanted.call)
@@ -128,7 +128,7 @@
         """A cancel may cross the reply: what is on its way then is not called back."""
         key = (event.request, event.call)
         call = self.state.calls.get(key)
-        if call is None or call.orphan or call.attempt != event.number:
+        if call is None or call.orphan or call.attempt.number != event.number:
             self.count("tool_cancels_strayed")
             return
         if call.settled:
@@ -188,7 +188,7 @@
         call.told += 1
         call.told_at = self.now
         self.count("tool_progress")
-        self.do(ReturnProgress(*key, call.worker, self._address(call.worker)))
+        self.do(ReturnProgress(*key, call.attempt.worker, call.attempt.address))
 
     def progress_ended(self, event: ProgressEnded) -> None:
         call = self.state.calls.get((event.request, event.call))
@@ -280,14 +280,11 @@
             self._forget_bundle(name, number, bundle)
 
     def _return(self, name: str, number: int, bundle: Bundle) -> None:
-        """To the engine that holds the stream: it has this request already, so no drain forbids it."""
+        """To the engine that holds the stream, where it was dialled: it has this request already, so no drain
+        forbids it, whatever the list says of it by now."""
         bundle.returns += 1
         replies = tuple((ident, self.state.calls[name, ident].fault) for ident in bundle.calls)
-        self.do(ReturnReply(name, number, bundle.worker, self._address(bundle.worker), replies))
-
-    def _address(self, worker: str) -> str:
-        listed = self.state.workers.get(worker)
-        return listed.address if listed is not None else ""
+        self.do(ReturnReply(name, number, bundle.attempt.worker, bundle.attempt.address, replies))
 
     def reply_ended(self, event: ReplyEnded) -> None:
         bundle = self.state.bundles.get((event.request, event.bundle))
@@ -302,12 +299,12 @@
         for _ in range(len(bundle.calls) or 1):
             self.count("tool_replies_returned" if served else "tool_replies_lost")
         self._forget_bundle(event.request, event.bundle, bundle)
-        found = self._find(event.request, bundle.attempt)
+        found = self._find(event.request, bundle.attempt.number)
         if not served and found is not None:  # the engine would wait for ever: the stream ends as if broken
             self._close(*found, event.ending, abandon=True)
 
     def _say_reply_lost(self, event: ReplyEnded, bundle: Bundle) -> None:
-        where = f"{bundle.worker} at {self._address(bundle.worker) or 'no address'}"
+        where = f"{bundle.attempt.worker} at {bundle.attempt.address}"
         tries = f"{bundle.returns} tries, the last: {event.ending.value}"
         self.do(Say(f"tool reply of {event.request} to {where} is lost after {tries}"))
 
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -345,7 +345,13 @@
             raise ValueError(f"{request} is under way here")
         calls = tuple(str(ident) for ident in about["calls"])
         adopted = core.Adopted(
-            request, int(about["class"]), effect.worker, bool(about["resumed"]), int(about["tenant"]), calls
+            request,
+            int(about["class"]),
+            effect.worker,
+            bool(about["resumed"]),
+            int(about["tenant"]),
+            calls,
+            address,
         )
         tail = str(about.get("tail", "")).encode("latin-1", "replace")
         self._spawn(self._carry_on(effect, adopted, client, engine, tail), f"taken over {request}")
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -499,6 +499,31 @@
         self.assertEqual(moved, ["AbandonAttempt", "BreakClient"])
         self.assertEqual(sum(core.figures(self.state, self.now).replies["c"].values()), 1)
 
+    def test_a_stream_is_handed_on_with_the_address_at_which_it_was_dialled(self) -> None:
+        """Guards a stream whose engine has left the list, or moved in it (related to review case 4)."""
+        gone = core.ListTold(api.ListKind.FULL, 2, ())
+        entry = next(e for e in FLEET if e.name == "w1")
+        moved = core.ListTold(api.ListKind.DELTA, 2, (core.Listed(entry, "elsewhere:1"),))
+        for told in (gone, moved):
+            self.begin(Arrival=send("w1"))
+            self.state.inherited = True
+            self.streaming("q1")
+            self.feed(told)
+            handed = [e.address for e in self.feed(core.Terminate()) if isinstance(e, core.HandOn)]
+            self.assertEqual(handed, ["w1:1"])
+
+    def test_a_release_goes_to_its_engines_while_the_list_is_empty(self) -> None:
+        """Guards what engines hold against a list that is briefly empty (related to review case 4)."""
+        self.begin(Arrival=send("r1"))
+        for event in (core.Taken(ARRIVAL), core.Begun("q", 0), core.Written("q", 0)):
+            self.feed(event)
+        self.feed(core.ListTold(api.ListKind.FULL, 2, ()))
+        self.feed(core.Ended("q", 0, Ending.READ))
+        effects = self.feed(core.ClientLeft("q"))
+        self.assertEqual(
+            [e for e in effects if isinstance(e, core.SendRelease)], [core.SendRelease("q", "r1", "r1:1")]
+        )
+
     def test_a_half_read_request_holds_the_exit_and_its_stream_is_handed_on(self) -> None:
         """Guards an exit in the middle of streams that began after the door was shut: review case 3."""
         self.begin(Arrival=send("w1"))
--- a/tests/test_toolcalls.py
+++ b/tests/test_toolcalls.py
@@ -266,6 +266,27 @@
         self.assertEqual((engine.replies, len(tools.seen)), ([], 1))
         await gateway.stop()
 
+    async def test_a_reply_reaches_its_engine_though_the_registrys_list_is_empty(self) -> None:
+        """Guards replies of tool calls against a list that is briefly empty: review case 4."""
+        go_on = asyncio.Event()
+
+        async def late(asked: Asked) -> None:
+            await go_on.wait()
+            await reply(asked)
+
+        engine, tools = Engine(call(1, "place_order")), await self.standin(late)
+        gateway = await self.sidecar(engine, tools)
+        client = await self.client(gateway)
+        client.send("q1", cls="order")
+        await tools.until("POST")
+        self.registry.engines.clear()
+        self.registry.changes.clear()
+        await gateway.until_true(lambda counters: counters["now_engines"] == 0)
+        go_on.set()
+        status, _, body, whole = await client.answer()
+        self.assertEqual((status, body, whole), (200, b"data: before\n\ndata: after\n\n" + DONE, True))
+        self.assertEqual(len(engine.replies), 1)
+
     async def test_an_engine_that_takes_no_reply_breaks_the_stream(self) -> None:
         class Deaf(Engine):
             async def handle(self, asked: Asked) -> None:
