Use a registry's changes though they don't add up, and fetch the whole list beside them

Cause: where the hash code of the changes asked for the whole list, all that they said was thrown away, and no further changes were asked for until the whole list had come or its call had failed (3 s).

Discovery's calls were answered at once and the loop was 6 ms late at most: neither a lost call nor a late loop explains it.

Now control/registry_view.py keeps what a registry told, without I/O: changes are applied as they come, a mismatch asks for the whole list, which is fetched by a task of its own while changes are asked for as ever. What changes told since the whole list was asked for stays; a change that only repeats what is known does not count as one, as registries repeat theirs for minutes. Failures are logged by kind of call, as these now fail apart.

Tests failed before: test_a_drain_in_the_changes_is_learnt_while_the_whole_list_stalls (real processes); of the view, with what it must not hold back: test_a_whole_list_counts_though_old_changes_are_repeated_meanwhile. hash_code takes statuses now; its tests say the same.

--- a/basaltspread/net/eureka.py
+++ b/basaltspread/net/eureka.py
@@ -9,8 +9,7 @@
 import asyncio
 import json
 import logging
-from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Coroutine
 from typing import Any
 from urllib.parse import quote
 
@@ -19,6 +18,7 @@
 from basaltspread.config import Gateway, Registry, split_address
 from basaltspread.control.asking import LIST_WAIT
 from basaltspread.control.descriptor_budget import DescriptorUse
+from basaltspread.control.registry_view import InstanceId, InstanceNews, RegistryView
 from basaltspread.core import Listed
 from basaltspread.net.links import Headers, LinkError, Reply, failure_name, load_json
 from basaltspread.net.runtime import Runtime
@@ -35,7 +35,7 @@
     "STARTING": api.WorkerState.REMOVED,
     "DOWN": api.WorkerState.REMOVED,
 }
-Instances = dict[tuple[str, str], dict[str, Any]]  # by application and instance id
+Work = Callable[[], Coroutine[Any, Any, None]]
 
 
 def _many(value: Any) -> list[Any]:
@@ -43,7 +43,7 @@
     return value if isinstance(value, list) else [] if value is None else [value]
 
 
-def parse_applications(raw: Any) -> tuple[list[tuple[tuple[str, str], dict[str, Any]]], str]:
+def parse_applications(raw: Any) -> tuple[list[tuple[InstanceId, dict[str, Any]]], str]:
     """The instances of an answer, in order, and the hash code that came with them; raises ValueError."""
     outer = raw.get("applications") if isinstance(raw, dict) else None
     if not isinstance(outer, dict):
@@ -58,27 +58,10 @@
             ident = instance.get("instanceId") or instance.get("hostName")
             if not isinstance(ident, str):
                 raise ValueError("an instance without an id")
-            found.append(((app["name"].upper(), ident), instance))
+            found.append((InstanceId(app["name"].upper(), ident), instance))
     return found, str(outer.get("apps__hashcode") or "")
 
 
-def hash_code(instances: Instances) -> str:
-    """Eureka's: each status with its count, by name, as in DOWN_1_UP_8_."""
-    counts = Counter(str(i.get("status")) for i in instances.values())
-    return "".join(f"{status}_{count}_" for status, count in sorted(counts.items()))
-
-
-def apply_delta(instances: Instances, changes: list[tuple[tuple[str, str], dict[str, Any]]]) -> Instances:
-    """The list after these changes; the old one is left as it was."""
-    changed = dict(instances)
-    for key, instance in changes:
-        if instance.get("actionType") == "DELETED":
-            changed.pop(key, None)
-        else:
-            changed[key] = instance
-    return changed
-
-
 def engine_from(ident: str, instance: dict[str, Any], settings: api.Settings) -> Listed:
     """One engine in the core's terms; raises ValueError."""
     port = instance.get("port")
@@ -108,11 +91,13 @@
 
     def __init__(self, runtime: Runtime, config: Gateway, registry: Registry) -> None:
         self.runtime, self._config, self._registry = runtime, config, registry
-        self._instances: Instances = {}
+        self._view = RegistryView()
         self._told: dict[str, Listed] = {}
-        self._fetched = self._silent = False
+        self._fetched = False
+        self._failing: set[str] = set()  # kinds of calls of which the last failed
         self._version = 0
         self._tasks: list[asyncio.Task[None]] = []
+        self._whole: asyncio.Task[None] | None = None  # a call for the whole list, beside those for changes
         self._leaving: asyncio.Task[None] | None = None
         self._listen = config.listen
 
@@ -127,8 +112,12 @@
 
     def _begin(self) -> None:
         self._tasks = [
-            self.runtime.spawn_lasting(lambda: self._every(self._registry.renew_s, self._renew), "renew"),
-            self.runtime.spawn_lasting(lambda: self._every(self._registry.fetch_s, self._fetch), "fetch"),
+            self.runtime.spawn_lasting(
+                lambda: self._every(self._registry.renew_s, "lease", self._renew), "renew"
+            ),
+            self.runtime.spawn_lasting(
+                lambda: self._every(self._registry.fetch_s, "engines", self._fetch), "fetch"
+            ),
         ]
 
     def _terminate(self) -> None:
@@ -141,33 +130,42 @@
         if registry == self._registry or self._leaving is not None:
             return
         self.runtime.pool.drop(self._registry.address)
+        self._end_tasks()
         self._registry, self._fetched = registry, False
-        for task in self._tasks:
-            task.cancel()
         self._begin()
 
     async def stop(self) -> None:
         """The lease is given back before the program ends."""
         if self._leaving is not None:
             await asyncio.wait([self._leaving], timeout=CALL_WAIT)
-        for task in self._tasks:
-            task.cancel()
+        self._end_tasks()
+
+    def _end_tasks(self) -> None:
+        for task in (*self._tasks, self._whole):
+            if task is not None:
+                task.cancel()
+        self._whole = None
 
-    async def _every(self, seconds: float, work: Any) -> None:
+    async def _every(self, seconds: float, kind: str, work: Work) -> None:
         while True:
-            try:
-                await work()
-                if self._silent:
-                    log.info("registry answers again")
-                self._silent = False
-            except (LinkError, ValueError) as error:
-                self.runtime.count("registry_failures")
-                self.runtime.count(f"registry_failures_{failure_name(error)}")
-                if not self._silent:
-                    log.warning("registry: %s; the last list stays in use", error)
-                self._silent = True
+            await self._noting_failures(kind, work)
             await asyncio.sleep(seconds)
 
+    async def _noting_failures(self, kind: str, work: Work) -> None:
+        """A failure is counted each time, logged as it begins and as it is over."""
+        try:
+            await work()
+        except (LinkError, ValueError) as error:
+            self.runtime.count("registry_failures")
+            self.runtime.count(f"registry_failures_{failure_name(error)}")
+            if kind not in self._failing:
+                log.warning("registry: %s: %s; the last list stays in use", kind, error)
+            self._failing.add(kind)
+            return
+        if kind in self._failing:
+            log.info("registry answers again: %s", kind)
+        self._failing.discard(kind)
+
     async def _call(self, method: str, target: str, body: bytes = b"", body_wait: float = 0.0) -> Reply:
         headers = [*JSON_HEADERS, (b"Content-Type", b"application/json")] if body else JSON_HEADERS
         return await self.runtime.pool.call(
@@ -229,25 +227,32 @@
     # --- the engines ------------------------------------------------------------------------------------
 
     async def _fetch(self) -> None:
-        """Changes if a list is held and they add up to what the registry counts, else the whole list."""
-        if self._fetched and await self._fetch_delta():
-            return
+        """The whole list first, changes from then on. Where these don't add up to what the registry counts,
+        the whole list is asked for once more, and changes are used while it is under way."""
+        if not self._fetched:
+            await self._fetch_whole()
+        elif not await self._fetch_changes() and (self._whole is None or self._whole.done()):
+            work = self._noting_failures("whole list", self._fetch_whole)
+            self._whole = self.runtime.spawn(work, "fetch whole list")
+
+    async def _fetch_whole(self) -> None:
+        asked_after = self._view.answers()
         found, _ = parse_applications(await self._get(f"{self._registry.path}/apps"))
-        self._instances, self._fetched = dict(found), True
+        self._view.take_whole([self._news_from(*one) for one in found], asked_after)
+        self._fetched = True
         self.runtime.count("registry_full_fetches")
         self._tell()
 
-    async def _fetch_delta(self) -> bool:
+    async def _fetch_changes(self) -> bool:
+        """Whether what is known by now adds up to what the registry counts."""
         found, code = parse_applications(await self._get(f"{self._registry.path}/apps/delta"))
-        changed = apply_delta(self._instances, found)
+        adds_up = self._view.take_changes([self._news_from(*one) for one in found], code)
         self.runtime.count("registry_delta_fetches")
-        if code != hash_code(changed):
-            self.runtime.count("registry_hash_mismatches")
-            log.info("registry: changes give %s, it counts %s; fetching all", hash_code(changed), code)
-            return False
-        self._instances = changed
         self._tell()
-        return True
+        if not adds_up:
+            self.runtime.count("registry_hash_mismatches")
+            log.info("registry: changes give %s, it counts %s; fetching all", self._view.hash_code(), code)
+        return adds_up
 
     async def _get(self, target: str) -> Any:
         reply = await self._call("GET", target, body_wait=LIST_WAIT)
@@ -255,17 +260,21 @@
             raise ValueError(f"{target}: status {reply.status}")
         return load_json(reply.body)
 
-    def _engines(self) -> Iterator[Listed]:
-        for (app, ident), instance in self._instances.items():
-            if app == self._registry.engines.upper():
-                try:
-                    yield engine_from(ident, instance, self._config.settings)
-                except ValueError as error:
-                    self.runtime.count("registry_instances_odd")
-                    log.warning("registry: engine %s left out: %s", ident, error)
+    def _news_from(self, ident: InstanceId, instance: dict[str, Any]) -> InstanceNews:
+        """What an answer says of one instance. An engine that can't be read is known by its status alone."""
+        engine = None
+        if ident.application == self._registry.engines.upper():
+            try:
+                engine = engine_from(ident.instance, instance, self._config.settings)
+            except ValueError as error:
+                self.runtime.count("registry_instances_odd")
+                log.warning("registry: engine %s left out: %s", ident.instance, error)
+        deleted = instance.get("actionType") == "DELETED"
+        return InstanceNews(ident, str(instance.get("status")), deleted, engine)
 
     def _tell(self) -> None:
-        engines = {e.entry.name: e for e in self._engines() if e.entry.state is not api.WorkerState.REMOVED}
+        known = self._view.engines().items()
+        engines = {name: e for name, e in known if e.entry.state is not api.WorkerState.REMOVED}
         if engines == self._told and self._version:
             return
         self._version += 1
--- a/tests/test_eureka.py
+++ b/tests/test_eureka.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import asyncio
 import json
 import tempfile
 import unittest
@@ -12,6 +13,7 @@
 from basaltspread import interface as api
 from basaltspread.adapter import settings_from
 from basaltspread.config import write_sidecar
+from basaltspread.control.registry_view import InstanceId, hash_code
 from basaltspread.net import eureka
 from tests.standins import SETTINGS, Asked, Gateway, LoopbackTest, answer_plainly, reading, writing
 
@@ -35,6 +37,8 @@
         self.own: dict[str, dict[str, Any]] = {}  # by path: what gateways have registered
         self.changes: list[dict[str, Any]] = []
         self.miscount = self.down = False
+        self.whole_may_come = asyncio.Event()  # else calls for the whole list wait
+        self.whole_may_come.set()
 
     def add(
         self, ident: str, address: str, status: str = "UP", action: str = "ADDED", **metadata: str
@@ -43,8 +47,8 @@
         self.changes.append({**found, "actionType": action})
 
     def _listing(self, instances: list[dict[str, Any]]) -> bytes:
-        counted = {("MODEL-ENGINES", i): e for i, e in self.engines.items()}
-        code = "UP_99_" if self.miscount else eureka.hash_code(counted)
+        statuses = [engine["status"] for engine in self.engines.values()]
+        code = "UP_99_" if self.miscount else hash_code(statuses)
         # As Eureka does, a list of one is written as the one alone.
         apps = {"name": "MODEL-ENGINES", "instance": instances[0] if len(instances) == 1 else instances}
         listing = {"versions__delta": "1", "apps__hashcode": code, "application": apps}
@@ -57,6 +61,7 @@
         elif path == "/eureka/apps/delta":
             asked.reply(200, self._listing(self.changes))
         elif path == "/eureka/apps":
+            await self.whole_may_come.wait()
             asked.reply(200, self._listing(list(self.engines.values())))
         elif asked.method == "POST":
             found = json.loads(asked.body)["instance"]
@@ -79,7 +84,7 @@
             found, code = eureka.parse_applications(
                 {"applications": {"apps__hashcode": "UP_1_", "application": apps}}
             )
-            self.assertEqual(([k for k, _ in found], code), (keys, "UP_1_"))
+            self.assertEqual(([k for k, _ in found], code), ([InstanceId(*k) for k in keys], "UP_1_"))
 
     def test_nonsense_is_a_value_error(self) -> None:
         nonsense: list[Any] = [None, [], {}, {"applications": 1}]
@@ -91,9 +96,8 @@
 
     def test_hash_code_sorts_statuses(self) -> None:
         states = ["UP", "DOWN", "UP", "OUT_OF_SERVICE"]
-        instances = {("A", str(i)): {"status": s} for i, s in enumerate(states)}
-        self.assertEqual(eureka.hash_code(instances), "DOWN_1_OUT_OF_SERVICE_1_UP_2_")
-        self.assertEqual(eureka.hash_code({}), "")
+        self.assertEqual(hash_code(states), "DOWN_1_OUT_OF_SERVICE_1_UP_2_")
+        self.assertEqual(hash_code([]), "")
 
     def test_statuses(self) -> None:
         for status, state in (
@@ -114,21 +118,50 @@
 
 
 class RegistryTest(LoopbackTest):
-    async def test_lease_changes_miscount_and_outage(self) -> None:
-        registry = RegistryStandin()
-        one, two = [await self.standin(writing(answer_plainly)) for _ in range(2)]
+    async def sidecar(self, registry: RegistryStandin) -> Gateway:
+        """A gateway with the engines r1, w1 and w2, of which the registry lists the first two."""
+        self.one, self.two = [await self.standin(writing(answer_plainly)) for _ in range(2)]
         reader = await self.standin(reading())
         registry.add("r1", reader.address, machineType="prefill")
-        registry.add("w1", one.address)
-        server = await self.standin(registry.handle)
+        registry.add("w1", self.one.address)
+        self.server = await self.standin(registry.handle)
         text = write_sidecar(argparse.Namespace(
-            application="duty-free", listen="127.0.0.1:0", registry=server.address, engines="MODEL-ENGINES",
-            tools="127.0.0.1:9", tool=[], management="127.0.0.1:0", request_class=None,
+            application="duty-free", listen="127.0.0.1:0", registry=self.server.address,
+            engines="MODEL-ENGINES", tools="127.0.0.1:9", tool=[], management="127.0.0.1:0",
+            request_class=None,
         ))  # fmt: skip
         with tempfile.NamedTemporaryFile("w", suffix=".toml", delete=False) as file:
-            text = text.replace("fetch_s = 5", "fetch_s = 0.05")
-            file.write(text.replace("renew_s = 10", "renew_s = 0.05"))
-        gateway = await self.started(Gateway("--sidecar", file.name))
+            self.text = text.replace("fetch_s = 5", "fetch_s = 0.05")
+            file.write(self.text.replace("renew_s = 10", "renew_s = 0.05"))
+        return await self.started(Gateway("--sidecar", file.name))
+
+    async def test_a_drain_in_the_changes_is_learnt_while_the_whole_list_stalls(self) -> None:
+        """Guards changes that don't add up against being thrown away: review case 5."""
+        registry = RegistryStandin()
+        gateway = await self.sidecar(registry)
+        registry.add("w2", self.two.address)
+        await gateway.until_true(lambda counters: counters["now_engines"] == 3)
+        told = (await gateway.counters())["lists_full"]
+        registry.whole_may_come.clear()
+        registry.changes.clear()
+        registry.add("w1", self.one.address, "OUT_OF_SERVICE", "MODIFIED")
+        registry.engines["w3"] = instance("w3", self.two.address)  # it came longer ago than changes are kept
+        await gateway.until_counter("lists_full", told + 1)
+        client = await self.client(gateway)
+        for i in range(4):
+            self.assertEqual((await client.ask(f"q{i}"))[0], 200)
+        self.assertEqual((self.one.count("POST", "/v1"), self.two.count("POST", "/v1")), (0, 4))
+        fetched = (await gateway.counters())["registry_delta_fetches"]
+        await gateway.until_counter("registry_delta_fetches", fetched + 2)  # changes come beside the list
+        registry.add("w1", self.one.address, "UP", "MODIFIED")
+        await gateway.until_counter("lists_full", told + 2)
+        registry.whole_may_come.set()
+        await gateway.until_true(lambda counters: counters["now_engines"] == 4)
+
+    async def test_lease_changes_miscount_and_outage(self) -> None:
+        registry = RegistryStandin()
+        gateway = await self.sidecar(registry)
+        one, two, server, text = self.one, self.two, self.server, self.text
         for counter in ("registry_registered", "registry_renewed", "registry_delta_fetches"):
             await gateway.until_counter(counter)
         ((path, own),) = registry.own.items()
