Order a registry's words by its own stamps, so that an old copy undoes no drain

Cause: the instances' stamps were dropped as they were read, and each list got the next number of a counter of our own. That orders what was heard, not what happened: the guard against lists that go back never found one.

Now control/registry_order.py decides engine by engine which word counts, by a table in its docstring: the instance's stamp first, then the replica's. What takes work away counts at once unless it is surely old. What gives it back has to be newer; where stamps don't tell (equal, none, a mere absence, clocks apart) the second answer in a row does, and a surely older word only after 60 s. So an engine that is back serves at once or by the next poll. Doubted words are counted (registry_words_doubted) and logged by name.

The stand-in in tests stamps its words now.

--- a/basaltspread/control/registry_view.py
+++ b/basaltspread/control/registry_view.py
@@ -2,8 +2,9 @@
 
 It takes news (a whole list, or changes with the hash code of the whole) and gives the engines that follow
 from them. What was read is applied also where the hash code does not agree: a mismatch asks for the whole
-list, which may be long in coming, and throws nothing away. It does no I/O and reads no clock. Taking a whole
-list costs a step for each instance, changes one for each that they name and one for each that is listed.
+list, which may be long in coming, and throws nothing away. Which word of an engine counts is decided by
+`registry_order.py`, engine by engine. It does no I/O and reads no clock; times are in us. Taking a whole list
+costs a step for each instance, changes one for each that they name, that is listed, or that is in doubt.
 """
 
 from __future__ import annotations
@@ -11,26 +12,8 @@
 from collections import Counter
 from collections.abc import Iterable
 
+from basaltspread.control.registry_order import InstanceId, InstanceNews, Standing, newest_of_each
 from basaltspread.core.messages import Listed
-from basaltspread.records import record
-
-
-@record
-class InstanceId:
-    """What an instance is called in a registry."""
-
-    application: str  # in capitals
-    instance: str
-
-
-@record
-class InstanceNews:
-    """What one answer says of one instance."""
-
-    id: InstanceId
-    status: str  # as the registry names it, for its hash code
-    deleted: bool = False  # it is not registered any more
-    engine: Listed | None = None  # if it is one of the engines, and can be read
 
 
 def hash_code(statuses: Iterable[str]) -> str:
@@ -39,10 +22,11 @@
 
 
 class RegistryView:
-    """The instances as a registry tells them, by its newest answers."""
+    """The instances as the registry's last answers have them, and what each engine's words make of it."""
 
     def __init__(self) -> None:
-        self._told: dict[InstanceId, InstanceNews] = {}
+        self._told: dict[InstanceId, InstanceNews] = {}  # as the registry lists them, be it an old copy
+        self._standings: dict[InstanceId, Standing] = {}  # of the engines
         self._answers = 0  # taken so far
         self._changed_in: dict[InstanceId, int] = {}  # which answer told the last change of each
 
@@ -50,36 +34,67 @@
         """How many answers have been taken; a whole list is asked for after so many."""
         return self._answers
 
-    def take_whole(self, news: Iterable[InstanceNews], asked_after: int) -> None:
+    def take_whole(self, now: int, news: Iterable[InstanceNews], asked_after: int) -> None:
         """A whole list. What changes told since it was asked for is newer, and stays."""
         self._answers += 1
         since = {ident for ident, answer in self._changed_in.items() if answer > asked_after}
-        told = {one.id: one for one in news if one.id not in since}
+        told = {ident: one for ident, one in newest_of_each(news).items() if ident not in since}
+        for one in told.values():
+            self._hear(now, one)
         told.update({ident: self._told[ident] for ident in since if ident in self._told})
+        for ident, standing in self._standings.items():
+            if ident not in told:
+                standing.leaves(now)
         self._told = told
         self._changed_in = {ident: self._changed_in[ident] for ident in since}
+        self._forget_the_gone(now)
 
-    def take_changes(self, news: Iterable[InstanceNews], code: str) -> bool:
+    def take_changes(self, now: int, news: Iterable[InstanceNews], code: str) -> bool:
         """Changes, and the hash code of the whole; whether they add up. Else the whole list is wanted."""
         self._answers += 1
-        for one in news:
-            self._take_change(one)
-        return code == self.hash_code()
-
-    def _take_change(self, one: InstanceNews) -> None:
+        changes = newest_of_each(news)
+        for one in changes.values():
+            self._take_change(now, one)
+        adds_up = code == self.hash_code()
+        if adds_up:  # so the registry says of each of the others what it said before
+            for ident in [i for i, standing in self._standings.items() if standing.doubted]:
+                if ident not in changes and ident in self._told:
+                    self._hear(now, self._told[ident])
+        self._forget_the_gone(now)
+        return adds_up
+
+    def _take_change(self, now: int, one: InstanceNews) -> None:
         """A registry repeats its changes for minutes: what is known already is no change."""
         known = self._told.get(one.id)
-        if one == known or (one.deleted and known is None):
-            return
-        self._changed_in[one.id] = self._answers
+        if one != known and not (one.deleted and known is None):
+            self._changed_in[one.id] = self._answers
         if one.deleted:
-            del self._told[one.id]
+            self._told.pop(one.id, None)
         else:
             self._told[one.id] = one
+        self._hear(now, one)
+
+    def _hear(self, now: int, one: InstanceNews) -> None:
+        standing = self._standings.get(one.id)
+        if standing is not None:
+            standing.hear(now, one)
+        elif one.engine is not None and not one.deleted:
+            self._standings[one.id] = Standing(now, one)
+
+    def _forget_the_gone(self, now: int) -> None:
+        """Older copies may list them again for a while, and not for ever."""
+        over = [ident for ident, standing in self._standings.items() if standing.is_over(now)]
+        for ident in over:
+            del self._standings[ident]
 
     def hash_code(self) -> str:
         return hash_code(one.status for one in self._told.values())
 
     def engines(self) -> dict[str, Listed]:
         """The engines by name, those that drain among them."""
-        return {one.engine.entry.name: one.engine for one in self._told.values() if one.engine is not None}
+        found = (standing.engine() for standing in self._standings.values())
+        return {engine.entry.name: engine for engine in found if engine is not None}
+
+    def doubted(self) -> set[str]:
+        """The engines that the registry lists for new work by a word that does not count yet."""
+        return {ident.instance for ident, standing in self._standings.items() if standing.doubted}
--- a/basaltspread/net/eureka.py
+++ b/basaltspread/net/eureka.py
@@ -18,7 +18,8 @@
 from basaltspread.config import Gateway, Registry, split_address
 from basaltspread.control.asking import LIST_WAIT
 from basaltspread.control.descriptor_budget import DescriptorUse
-from basaltspread.control.registry_view import InstanceId, InstanceNews, RegistryView
+from basaltspread.control.registry_order import InstanceId, InstanceNews, Stamps
+from basaltspread.control.registry_view import RegistryView
 from basaltspread.core import Listed
 from basaltspread.net.links import Headers, LinkError, Reply, failure_name, load_json
 from basaltspread.net.runtime import Runtime
@@ -26,6 +27,7 @@
 log = logging.getLogger("basaltspread")
 CALL_WAIT = 3.0  # s for one call; of a list, until its head has come
 BODY_LIMIT = 8 * 1024 * 1024  # of a full list
+STAMP_DIGITS = 18  # of a time in ms, at the most
 JSON_HEADERS: Headers = [(b"Accept", b"application/json")]
 # What Eureka says of an instance, and what that means for sends.
 STATES: dict[str, api.WorkerState] = {
@@ -62,6 +64,16 @@
     return found, str(outer.get("apps__hashcode") or "")
 
 
+def stamps_of(instance: dict[str, Any]) -> Stamps:
+    """When a registry's word on an instance was written; what is no time counts as not told."""
+
+    def stamp(name: str) -> int:
+        value = str(instance.get(name) or "")
+        return int(value) if value.isascii() and value.isdigit() and len(value) <= STAMP_DIGITS else 0
+
+    return Stamps(stamp("lastDirtyTimestamp"), stamp("lastUpdatedTimestamp"))
+
+
 def engine_from(ident: str, instance: dict[str, Any], settings: api.Settings) -> Listed:
     """One engine in the core's terms; raises ValueError."""
     port = instance.get("port")
@@ -93,6 +105,7 @@
         self.runtime, self._config, self._registry = runtime, config, registry
         self._view = RegistryView()
         self._told: dict[str, Listed] = {}
+        self._doubted: set[str] = set()  # engines listed as up by a word that does not count yet
         self._fetched = False
         self._failing: set[str] = set()  # kinds of calls of which the last failed
         self._version = 0
@@ -238,7 +251,8 @@
     async def _fetch_whole(self) -> None:
         asked_after = self._view.answers()
         found, _ = parse_applications(await self._get(f"{self._registry.path}/apps"))
-        self._view.take_whole([self._news_from(*one) for one in found], asked_after)
+        news = [self._news_from(*one) for one in found]
+        self._view.take_whole(self.runtime.clock.now(), news, asked_after)
         self._fetched = True
         self.runtime.count("registry_full_fetches")
         self._tell()
@@ -246,7 +260,8 @@
     async def _fetch_changes(self) -> bool:
         """Whether what is known by now adds up to what the registry counts."""
         found, code = parse_applications(await self._get(f"{self._registry.path}/apps/delta"))
-        adds_up = self._view.take_changes([self._news_from(*one) for one in found], code)
+        news = [self._news_from(*one) for one in found]
+        adds_up = self._view.take_changes(self.runtime.clock.now(), news, code)
         self.runtime.count("registry_delta_fetches")
         self._tell()
         if not adds_up:
@@ -270,9 +285,18 @@
                 self.runtime.count("registry_instances_odd")
                 log.warning("registry: engine %s left out: %s", ident.instance, error)
         deleted = instance.get("actionType") == "DELETED"
-        return InstanceNews(ident, str(instance.get("status")), deleted, engine)
+        return InstanceNews(ident, str(instance.get("status")), deleted, stamps_of(instance), engine)
+
+    def _note_doubts(self) -> None:
+        """Counts and logs each engine that is listed as up by a word that does not count yet."""
+        doubted = self._view.doubted()
+        for name in sorted(doubted - self._doubted):
+            self.runtime.count("registry_words_doubted")
+            log.info("registry: %s is listed as up by no newer word than took it away; it gets no work", name)
+        self._doubted = doubted
 
     def _tell(self) -> None:
+        self._note_doubts()
         known = self._view.engines().items()
         engines = {name: e for name, e in known if e.entry.state is not api.WorkerState.REMOVED}
         if engines == self._told and self._version:
--- a/tests/test_eureka.py
+++ b/tests/test_eureka.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import itertools
 import json
 import tempfile
 import unittest
@@ -13,7 +14,8 @@
 from basaltspread import interface as api
 from basaltspread.adapter import settings_from
 from basaltspread.config import write_sidecar
-from basaltspread.control.registry_view import InstanceId, hash_code
+from basaltspread.control.registry_order import InstanceId
+from basaltspread.control.registry_view import hash_code
 from basaltspread.net import eureka
 from tests.standins import SETTINGS, Asked, Gateway, LoopbackTest, answer_plainly, reading, writing
 
@@ -37,17 +39,24 @@
         self.own: dict[str, dict[str, Any]] = {}  # by path: what gateways have registered
         self.changes: list[dict[str, Any]] = []
         self.miscount = self.down = False
+        self._stamps = itertools.count(1)
         self.whole_may_come = asyncio.Event()  # else calls for the whole list wait
         self.whole_may_come.set()
+        self.replica: dict[str, dict[str, Any]] | None = (
+            None  # answers in place of this one, with an old copy
+        )
 
     def add(
         self, ident: str, address: str, status: str = "UP", action: str = "ADDED", **metadata: str
     ) -> None:
-        found = self.engines[ident] = instance(ident, address, status, **metadata)
+        stamp = str(next(self._stamps))
+        stamps = {"lastDirtyTimestamp": stamp, "lastUpdatedTimestamp": stamp}
+        found = self.engines[ident] = {**instance(ident, address, status, **metadata), **stamps}
         self.changes.append({**found, "actionType": action})
 
     def _listing(self, instances: list[dict[str, Any]]) -> bytes:
-        statuses = [engine["status"] for engine in self.engines.values()]
+        listed = self.engines if self.replica is None else self.replica
+        statuses = [engine["status"] for engine in listed.values()]
         code = "UP_99_" if self.miscount else hash_code(statuses)
         # As Eureka does, a list of one is written as the one alone.
         apps = {"name": "MODEL-ENGINES", "instance": instances[0] if len(instances) == 1 else instances}
@@ -59,10 +68,11 @@
         if self.down:
             asked.reset()
         elif path == "/eureka/apps/delta":
-            asked.reply(200, self._listing(self.changes))
+            asked.reply(200, self._listing(self.changes if self.replica is None else []))
         elif path == "/eureka/apps":
             await self.whole_may_come.wait()
-            asked.reply(200, self._listing(list(self.engines.values())))
+            listed = self.engines if self.replica is None else self.replica
+            asked.reply(200, self._listing(list(listed.values())))
         elif asked.method == "POST":
             found = json.loads(asked.body)["instance"]
             self.own[f"{path}/{found['instanceId']}"] = found
@@ -158,6 +168,30 @@
         registry.whole_may_come.set()
         await gateway.until_true(lambda counters: counters["now_engines"] == 4)
 
+    async def test_a_replica_that_lags_does_not_undo_a_drain(self) -> None:
+        """Guards a drain that was told against an old copy of the whole list: review case 9."""
+        registry = RegistryStandin()
+        gateway = await self.sidecar(registry)
+        registry.add("w2", self.two.address)
+        await gateway.until_true(lambda counters: counters["now_engines"] == 3)
+        copy, told = dict(registry.engines), (await gateway.counters())["lists_full"]
+        registry.add("w1", self.one.address, "OUT_OF_SERVICE", "MODIFIED")
+        await gateway.until_counter("lists_full", told + 1)
+        fetched = (await gateway.counters())["registry_full_fetches"]
+        registry.replica = copy
+        await gateway.until_counter("registry_full_fetches", fetched + 1)
+        client = await self.client(gateway)
+        for i in range(4):
+            self.assertEqual((await client.ask(f"q{i}"))[0], 200)
+        self.assertEqual((self.one.count("POST", "/v1"), self.two.count("POST", "/v1")), (0, 4))
+        self.assertEqual((await gateway.counters())["registry_words_doubted"], 1)
+        registry.replica = None
+        registry.add("w1", self.one.address, "UP", "MODIFIED")  # it is back, and has to serve
+        registry.add("w2", self.two.address, "OUT_OF_SERVICE", "MODIFIED")
+        await gateway.until_counter("lists_full", told + 2)
+        self.assertEqual((await client.ask("q5"))[0], 200)
+        self.assertEqual((self.one.count("POST", "/v1"), self.two.count("POST", "/v1")), (1, 4))
+
     async def test_lease_changes_miscount_and_outage(self) -> None:
         registry = RegistryStandin()
         gateway = await self.sidecar(registry)
