Keep a registry's stamps over a restart, not numbers that a process counts

Cause: the file of departures kept the number that the old process had given its list. The new one counts from 1, so that its first list counted as older, each engine as leaving, and the list was told again only when it changed.

A registry's list now says that it is in order by its source's own stamps; the core compares no version for it. What the next process has to know is kept with those stamps (net/withdrawal_file.py), as a replica that lags may be the first to answer it. The platform's lists are numbered by discovery, and go on as before.

Tests: test_a_restart_serves_engines_that_left_and_came_back failed before (503); test_a_restart_does_not_believe_a_replica_that_lags held before by the old numbers, and has to hold now by the stamps.

--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -88,7 +88,9 @@
         bans=BanFile(scratch, config.name) if scratch is not None and config.management is not None else None,
         overlap=overlap_in(scratch, config.name) if scratch is not None and inherited else None,
         clock_file=ClockFile(scratch, config.name) if scratch is not None else None,
-        departures=DepartureFile(scratch, config.name) if scratch is not None else None,
+        departures=(
+            DepartureFile(scratch, config.name) if scratch is not None and config.registry is None else None
+        ),
     )  # fmt: skip
     relay = None
     if config.tools is not None:
--- a/basaltspread/control/registry_order.py
+++ b/basaltspread/control/registry_order.py
@@ -72,6 +72,14 @@
         return up and not self.deleted
 
 
+@record
+class Withdrawal:
+    """That an engine's work was taken away: the stamps that a word has to be newer than to give it back."""
+
+    stamps: Stamps
+    taken_at: int  # us
+
+
 class Order(Enum):
     """How one word stands to another by their stamps."""
 
@@ -117,6 +125,18 @@
         self._answers = 0  # in a row that give work back
         self._note_given(word)
 
+    @staticmethod
+    def recalled(ident: InstanceId, withdrawal: Withdrawal) -> Standing:
+        """Of an engine of which an earlier process was told that it leaves; nothing more is known."""
+        word = InstanceNews(ident, "", deleted=True, stamps=withdrawal.stamps)
+        standing = Standing(withdrawal.taken_at, word)
+        standing._listed = False
+        return standing
+
+    def withdrawal(self) -> Withdrawal | None:
+        """None while it serves."""
+        return None if self._serves else Withdrawal(self._stamps, self._taken_at)
+
     def hear(self, now: int, word: InstanceNews) -> None:
         """The word of one answer."""
         if not word.gives_work():
--- a/basaltspread/control/registry_view.py
+++ b/basaltspread/control/registry_view.py
@@ -10,9 +10,15 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
-
-from basaltspread.control.registry_order import InstanceId, InstanceNews, Standing, newest_of_each
+from collections.abc import Iterable, Mapping
+
+from basaltspread.control.registry_order import (
+    InstanceId,
+    InstanceNews,
+    Standing,
+    Withdrawal,
+    newest_of_each,
+)
 from basaltspread.core.messages import Listed
 
 
@@ -95,6 +101,17 @@
         found = (standing.engine() for standing in self._standings.values())
         return {engine.entry.name: engine for engine in found if engine is not None}
 
+    def withdrawals(self) -> dict[InstanceId, Withdrawal]:
+        """The engines whose work was taken away, for a process that follows this one."""
+        found = {ident: standing.withdrawal() for ident, standing in self._standings.items()}
+        return {ident: one for ident, one in found.items() if one is not None}
+
+    def recall(self, now: int, withdrawals: Mapping[InstanceId, Withdrawal]) -> None:
+        """What an earlier process knew; what is known here already counts before it."""
+        for ident, withdrawal in withdrawals.items():
+            self._standings.setdefault(ident, Standing.recalled(ident, withdrawal))
+        self._forget_the_gone(now)
+
     def doubted(self) -> set[str]:
         """The engines that the registry lists for new work by a word that does not count yet."""
         return {ident.instance for ident, standing in self._standings.items() if standing.doubted}
--- a/basaltspread/net/eureka.py
+++ b/basaltspread/net/eureka.py
@@ -18,11 +18,12 @@
 from basaltspread.config import Gateway, Registry, split_address
 from basaltspread.control.asking import LIST_WAIT
 from basaltspread.control.descriptor_budget import DescriptorUse
-from basaltspread.control.registry_order import InstanceId, InstanceNews, Stamps
+from basaltspread.control.registry_order import InstanceId, InstanceNews, Stamps, Withdrawal
 from basaltspread.control.registry_view import RegistryView
 from basaltspread.core import Listed
 from basaltspread.net.links import Headers, LinkError, Reply, failure_name, load_json
 from basaltspread.net.runtime import Runtime
+from basaltspread.net.withdrawal_file import WithdrawalFile
 
 log = logging.getLogger("basaltspread")
 CALL_WAIT = 3.0  # s for one call; of a list, until its head has come
@@ -113,6 +114,11 @@
         self._whole: asyncio.Task[None] | None = None  # a call for the whole list, beside those for changes
         self._leaving: asyncio.Task[None] | None = None
         self._listen = config.listen
+        self._withdrawals: dict[InstanceId, Withdrawal] = {}  # as they were kept last
+        self._file = WithdrawalFile(config.scratch, config.name) if config.scratch is not None else None
+        if self._file is not None:
+            known = self._file.load(runtime.clock.from_monotonic(0))
+            self._view.recall(runtime.clock.now(), known)
 
     @property
     def _app(self) -> str:
@@ -125,12 +131,8 @@
 
     def _begin(self) -> None:
         self._tasks = [
-            self.runtime.spawn_lasting(
-                lambda: self._every(self._registry.renew_s, "lease", self._renew), "renew"
-            ),
-            self.runtime.spawn_lasting(
-                lambda: self._every(self._registry.fetch_s, "engines", self._fetch), "fetch"
-            ),
+            self.runtime.spawn_lasting(self._keep_lease, "renew"),
+            self.runtime.spawn_lasting(self._watch_engines, "fetch"),
         ]
 
     def _terminate(self) -> None:
@@ -159,10 +161,15 @@
                 task.cancel()
         self._whole = None
 
-    async def _every(self, seconds: float, kind: str, work: Work) -> None:
+    async def _keep_lease(self) -> None:
         while True:
-            await self._noting_failures(kind, work)
-            await asyncio.sleep(seconds)
+            await self._noting_failures("lease", self._renew)
+            await asyncio.sleep(self._registry.renew_s)
+
+    async def _watch_engines(self) -> None:
+        while True:
+            await self._noting_failures("engines", self._fetch)
+            await asyncio.sleep(self._registry.fetch_s)
 
     async def _noting_failures(self, kind: str, work: Work) -> None:
         """A failure is counted each time, logged as it begins and as it is over."""
@@ -295,8 +302,18 @@
             log.info("registry: %s is listed as up by no newer word than took it away; it gets no work", name)
         self._doubted = doubted
 
+    def _keep_withdrawals(self) -> None:
+        """For a process that follows: a replica that lags may be the first to answer it."""
+        withdrawals = self._view.withdrawals()
+        if self._file is None or withdrawals == self._withdrawals:
+            return
+        self._withdrawals = withdrawals
+        with self.runtime.noting_file_faults("withdrawals"):
+            self._file.keep(withdrawals, self.runtime.clock.from_monotonic(0))
+
     def _tell(self) -> None:
         self._note_doubts()
+        self._keep_withdrawals()
         known = self._view.engines().items()
         engines = {name: e for name, e in known if e.entry.state is not api.WorkerState.REMOVED}
         if engines == self._told and self._version:
@@ -305,5 +322,7 @@
         self._told = engines
         listed = tuple(engines[name] for name in sorted(engines))
         self.runtime.feed(
-            core.ListTold(api.ListKind.FULL, self._version, listed, self.runtime.clock.wall_shifts())
+            core.ListTold(
+                api.ListKind.FULL, self._version, listed, self.runtime.clock.wall_shifts(), in_order=True
+            )
         )
--- a/basaltspread/net/runtime.py
+++ b/basaltspread/net/runtime.py
@@ -332,16 +332,16 @@
     def look_at_other(self, tell: bool = True) -> None:
         """One look at the files that processes share. What fails is tried again at the next."""
         self.looked_at_files = True
-        with self._noting_file_faults("bans"):
+        with self.noting_file_faults("bans"):
             if self.bans is not None:
                 self.bans.retry()
-        with self._noting_file_faults("clock"):
+        with self.noting_file_faults("clock"):
             if self._clock_file is not None:
                 self._clock_file.keep(self.clock)
         told = self.bans.news() if self.bans is not None else None
         if told is not None:
             self.feed(told)
-        with self._noting_file_faults("overlap"):
+        with self.noting_file_faults("overlap"):
             processes = 1 if self._overlap is None or self._overlap.alone() else 2
             if processes != self._processes:
                 self._share_with(processes, tell)
@@ -357,7 +357,7 @@
         log.info("another process of this gateway %s", "runs" if processes > 1 else "has ended")
 
     @contextlib.contextmanager
-    def _noting_file_faults(self, what: str) -> Iterator[None]:
+    def noting_file_faults(self, what: str) -> Iterator[None]:
         """A fault of the folder is counted each time, logged as it begins and as it is over."""
         try:
             yield
@@ -390,12 +390,12 @@
             self._overlap.take_over_streams(take)
 
     def _keep_bans(self, effect: core.KeepBans) -> None:
-        with self._noting_file_faults("bans"):
+        with self.noting_file_faults("bans"):
             if self.bans is not None:
                 self.bans.keep(effect)
 
     def _keep_departures(self, effect: core.KeepDepartures) -> None:
-        with self._noting_file_faults("departures"):
+        with self.noting_file_faults("departures"):
             if self._departures is not None:
                 self._departures.keep(effect, self.clock.from_monotonic(0))
 
--- a/tests/test_eureka.py
+++ b/tests/test_eureka.py
@@ -143,7 +143,52 @@
         with tempfile.NamedTemporaryFile("w", suffix=".toml", delete=False) as file:
             self.text = text.replace("fetch_s = 5", "fetch_s = 0.05")
             file.write(self.text.replace("renew_s = 10", "renew_s = 0.05"))
-        return await self.started(Gateway("--sidecar", file.name))
+        self.file, folder = file.name, tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.scratch = folder.name
+        return await self.again()
+
+    async def again(self) -> Gateway:
+        """The same gateway, with what an earlier process of it has kept."""
+        return await self.started(Gateway("--sidecar", self.file, scratch=self.scratch))
+
+    async def test_a_restart_serves_engines_that_left_and_came_back(self) -> None:
+        """Guards a new process against the numbers that the one before gave its lists: all was refused."""
+        registry = RegistryStandin()
+        gateway = await self.sidecar(registry)
+        await gateway.until_true(lambda counters: counters["now_engines"] == 2)
+        for status in ("OUT_OF_SERVICE", "UP"):
+            told = (await gateway.counters())["lists_full"]
+            registry.add("w1", self.one.address, status, "MODIFIED")
+            await gateway.until_counter("lists_full", told + 1)
+        engines = dict(registry.engines)
+        registry.engines.clear()  # and a list that is briefly empty, as it ends
+        registry.changes.clear()
+        await gateway.until_true(lambda counters: counters["now_engines"] == 0)
+        await gateway.stop()
+        registry.engines.update(engines)
+        gateway = await self.again()
+        await gateway.until_true(lambda counters: counters["now_engines"] == 2)
+        client = await self.client(gateway)
+        self.assertEqual((await client.ask("q1"))[0], 200)
+
+    async def test_a_restart_does_not_believe_a_replica_that_lags(self) -> None:
+        """Guards a drain that the process before was told: its successor starts with an old copy alone."""
+        registry = RegistryStandin()
+        gateway = await self.sidecar(registry)
+        registry.add("w2", self.two.address)
+        await gateway.until_true(lambda counters: counters["now_engines"] == 3)
+        copy, told = dict(registry.engines), (await gateway.counters())["lists_full"]
+        registry.add("w1", self.one.address, "OUT_OF_SERVICE", "MODIFIED")
+        await gateway.until_counter("lists_full", told + 1)
+        await gateway.kill()
+        registry.replica = copy
+        gateway = await self.again()
+        await gateway.until_counter("registry_delta_fetches", 3)
+        client = await self.client(gateway)
+        for i in range(4):
+            self.assertEqual((await client.ask(f"q{i}"))[0], 200)
+        self.assertEqual((self.one.count("POST", "/v1"), self.two.count("POST", "/v1")), (0, 4))
 
     async def test_a_drain_in_the_changes_is_learnt_while_the_whole_list_stalls(self) -> None:
         """Guards changes that don't add up against being thrown away: review case 5."""
