Ask a registry again at once where a second answer decides on an engine's return

Now the changes are asked for again after 0.1 s, once for each answer that wants it, never while words are surely older, and not after a failed call.

Test: test_a_second_answer_is_wanted_only_where_it_decides (there was nothing to ask before).

--- a/basaltspread/control/registry_order.py
+++ b/basaltspread/control/registry_order.py
@@ -133,6 +133,10 @@
         standing._listed = False
         return standing
 
+    def awaits_answer(self) -> bool:
+        """Whether one more answer like the last gives it work."""
+        return self.doubted and self._answers > 0
+
     def withdrawal(self) -> Withdrawal | None:
         """None while it serves."""
         return None if self._serves else Withdrawal(self._stamps, self._taken_at)
--- a/basaltspread/control/registry_view.py
+++ b/basaltspread/control/registry_view.py
@@ -101,6 +101,10 @@
         found = (standing.engine() for standing in self._standings.values())
         return {engine.entry.name: engine for engine in found if engine is not None}
 
+    def awaits_answer(self) -> bool:
+        """Whether a second answer decides on an engine's return: it is worth asking for soon."""
+        return any(standing.awaits_answer() for standing in self._standings.values())
+
     def withdrawals(self) -> dict[InstanceId, Withdrawal]:
         """The engines whose work was taken away, for a process that follows this one."""
         found = {ident: standing.withdrawal() for ident, standing in self._standings.items()}
--- a/basaltspread/net/eureka.py
+++ b/basaltspread/net/eureka.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import logging
 from collections.abc import Callable, Coroutine
@@ -28,6 +29,7 @@
 log = logging.getLogger("basaltspread")
 CALL_WAIT = 3.0  # s for one call; of a list, until its head has come
 BODY_LIMIT = 8 * 1024 * 1024  # of a full list
+SECOND_ANSWER_PAUSE = 0.1  # s until the changes are asked for again, where a second answer decides
 STAMP_DIGITS = 18  # of a time in ms, at the most
 JSON_HEADERS: Headers = [(b"Accept", b"application/json")]
 # What Eureka says of an instance, and what that means for sends.
@@ -114,6 +116,7 @@
         self._whole: asyncio.Task[None] | None = None  # a call for the whole list, beside those for changes
         self._leaving: asyncio.Task[None] | None = None
         self._listen = config.listen
+        self._answer_wanted = asyncio.Event()  # a second answer decides on an engine's return
         self._withdrawals: dict[InstanceId, Withdrawal] = {}  # as they were kept last
         self._file = WithdrawalFile(config.scratch, config.name) if config.scratch is not None else None
         if self._file is not None:
@@ -168,8 +171,17 @@
 
     async def _watch_engines(self) -> None:
         while True:
+            self._answer_wanted.clear()  # a call that fails is not made again at once
             await self._noting_failures("engines", self._fetch)
-            await asyncio.sleep(self._registry.fetch_s)
+            await self._until_next_fetch()
+
+    async def _until_next_fetch(self) -> None:
+        """A pause, which is short where a second answer decides on an engine's return. The whole list may say
+        so in the middle of it."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._registry.fetch_s):
+                await self._answer_wanted.wait()
+                await asyncio.sleep(SECOND_ANSWER_PAUSE)
 
     async def _noting_failures(self, kind: str, work: Work) -> None:
         """A failure is counted each time, logged as it begins and as it is over."""
@@ -313,6 +325,8 @@
 
     def _tell(self) -> None:
         self._note_doubts()
+        if self._view.awaits_answer():
+            self._answer_wanted.set()
         self._keep_withdrawals()
         known = self._view.engines().items()
         engines = {name: e for name, e in known if e.entry.state is not api.WorkerState.REMOVED}
--- a/tests/test_registry_view.py
+++ b/tests/test_registry_view.py
@@ -111,6 +111,15 @@
         late = self.told(up, drain, *[up] * 4, each=DOUBT_KEPT // 3)
         self.assertEqual(late, ["up", *["draining"] * 3, "up", "up"])
 
+    def test_a_second_answer_is_wanted_only_where_it_decides(self) -> None:
+        """Guards engines against a whole pause of refusals after a list that was briefly empty, and the
+        registry against being asked all the time while a replica lags."""
+        view = RegistryView()
+        up, older = news("w0", stamps=Stamps(10, 10)), news("w0", stamps=Stamps(5, 5))
+        for listed, wanted in (([up], False), ([], False), ([older], False), ([up], True), ([up], False)):
+            view.take_whole(0, listed, view.answers())
+            self.assertIs(view.awaits_answer(), wanted)
+
     def test_a_drain_counts_though_its_replicas_clock_is_behind(self) -> None:
         """Word that takes work away is acted on when it comes; what was heard before it is no news."""
         ahead, drain = (UP, 10, 100), (DRAINING, 10, 50)
