--- a/basaltspread/control/registry_order.py
+++ b/basaltspread/control/registry_order.py
@@ -33,7 +33,6 @@
 from enum import Enum
 
 from basaltspread import interface as api
-from basaltspread.core.messages import Listed
 from basaltspread.records import record
 
 DOUBT_KEPT = 60_000_000  # us for which an older word can't give work back
@@ -65,10 +64,11 @@
     status: str  # as the registry names it, for its hash code
     deleted: bool = False  # it is not registered any more
     stamps: Stamps = Stamps()
-    engine: Listed | None = None  # if it is one of the engines, and can be read
+    engine: api.WorkerEntry | None = None  # if it is one of the engines, and can be read
+    address: str = ""  # of the engine
 
     def gives_work(self) -> bool:
-        up = self.engine is not None and self.engine.entry.state is api.WorkerState.UP
+        up = self.engine is not None and self.engine.state is api.WorkerState.UP
         return up and not self.deleted
 
 
@@ -170,9 +170,9 @@
         """Whether it has been gone for so long that nothing of it matters."""
         return not self._listed and now >= self._taken_at + DOUBT_KEPT
 
-    def engine(self) -> Listed | None:
-        """As it is to be listed; None if not at all."""
-        return self._word.engine if self._listed else None
+    def listed(self) -> InstanceNews | None:
+        """The word by which it is to be listed; None if it is not."""
+        return self._word if self._listed else None
 
     def _note_given(self, word: InstanceNews) -> None:
         if self._serves and word.stamps not in self._gave_work:
--- a/basaltspread/control/registry_view.py
+++ b/basaltspread/control/registry_view.py
@@ -19,7 +19,6 @@
     Withdrawal,
     newest_of_each,
 )
-from basaltspread.core.messages import Listed
 
 
 def hash_code(statuses: Iterable[str]) -> str:
@@ -96,10 +95,10 @@
     def hash_code(self) -> str:
         return hash_code(one.status for one in self._told.values())
 
-    def engines(self) -> dict[str, Listed]:
+    def engines(self) -> dict[str, InstanceNews]:
         """The engines by name, those that drain among them."""
-        found = (standing.engine() for standing in self._standings.values())
-        return {engine.entry.name: engine for engine in found if engine is not None}
+        found = (standing.listed() for standing in self._standings.values())
+        return {one.id.instance: one for one in found if one is not None and one.engine is not None}
 
     def awaits_answer(self) -> bool:
         """Whether a second answer decides on an engine's return: it is worth asking for soon."""
--- a/basaltspread/net/eureka.py
+++ b/basaltspread/net/eureka.py
@@ -296,15 +296,17 @@
 
     def _news_from(self, ident: InstanceId, instance: dict[str, Any]) -> InstanceNews:
         """What an answer says of one instance. An engine that can't be read is known by its status alone."""
-        engine = None
+        entry, address = None, ""
         if ident.application == self._registry.engines.upper():
             try:
                 engine = engine_from(ident.instance, instance, self._config.settings)
+                entry, address = engine.entry, engine.address
             except ValueError as error:
                 self.runtime.count("registry_instances_odd")
                 log.warning("registry: engine %s left out: %s", ident.instance, error)
         deleted = instance.get("actionType") == "DELETED"
-        return InstanceNews(ident, str(instance.get("status")), deleted, stamps_of(instance), engine)
+        status = str(instance.get("status"))
+        return InstanceNews(ident, status, deleted, stamps_of(instance), entry, address)
 
     def _note_doubts(self) -> None:
         """Counts and logs each engine that is listed as up by a word that does not count yet."""
@@ -323,13 +325,21 @@
         with self.runtime.noting_file_faults("withdrawals"):
             self._file.keep(withdrawals, self.runtime.clock.from_monotonic(0))
 
+    def _engines(self) -> dict[str, Listed]:
+        """Those that run, by name."""
+        found = {name: (one.engine, one.address) for name, one in self._view.engines().items()}
+        return {
+            name: Listed(entry, address)
+            for name, (entry, address) in found.items()
+            if entry is not None and entry.state is not api.WorkerState.REMOVED
+        }
+
     def _tell(self) -> None:
         self._note_doubts()
         if self._view.awaits_answer():
             self._answer_wanted.set()
         self._keep_withdrawals()
-        known = self._view.engines().items()
-        engines = {name: e for name, e in known if e.entry.state is not api.WorkerState.REMOVED}
+        engines = self._engines()
         if engines == self._told and self._version:
             return
         self._version += 1
--- a/tests/test_registry_view.py
+++ b/tests/test_registry_view.py
@@ -9,7 +9,6 @@
 from basaltspread import interface as api
 from basaltspread.control.registry_order import DOUBT_KEPT, InstanceId, InstanceNews, Stamps
 from basaltspread.control.registry_view import RegistryView, hash_code
-from basaltspread.core.messages import Listed
 
 UP, DRAINING = api.WorkerState.UP, api.WorkerState.DRAINING
 SECOND = 1_000_000  # us
@@ -20,7 +19,13 @@
     name: str, state: api.WorkerState = UP, deleted: bool = False, stamps: Stamps = UNSTAMPED
 ) -> InstanceNews:
     entry = api.WorkerEntry(name, state, 0, 0, 1, 1.0, 0)
-    return InstanceNews(InstanceId("ENGINES", name), state.name, deleted, stamps, Listed(entry, f"{name}:1"))
+    return InstanceNews(InstanceId("ENGINES", name), state.name, deleted, stamps, entry, f"{name}:1")
+
+
+def state_of(view: RegistryView, name: str) -> api.WorkerState:
+    engine = view.engines()[name].engine
+    assert engine is not None
+    return engine.state
 
 
 def code(*instances: InstanceNews) -> str:
@@ -34,7 +39,7 @@
         return view
 
     def states(self, view: RegistryView) -> dict[str, api.WorkerState]:
-        return {name: listed.entry.state for name, listed in view.engines().items()}
+        return {name: state_of(view, name) for name in view.engines()}
 
     def test_changes_that_do_not_add_up_are_used_and_ask_for_more(self) -> None:
         """Guards a drain in changes against the wait for the whole list: review case 5."""
@@ -73,8 +78,7 @@
             now += each
             listed = [] if state is None else [news("w0", state, stamps=Stamps(dirty, updated))]
             view.take_whole(now, [news("w1"), *listed], view.answers())
-            engine = view.engines().get("w0")
-            seen.append("gone" if engine is None else engine.entry.state.name.lower())
+            seen.append(state_of(view, "w0").name.lower() if "w0" in view.engines() else "gone")
         return seen
 
     def test_an_older_copy_does_not_undo_a_drain(self) -> None:
@@ -145,7 +149,7 @@
                 view.take_whole(now, [word], view.answers())
             else:
                 view.take_changes(now, [word], "")
-            self.assertEqual(view.engines()["w0"].entry.state, states[newest])
+            self.assertEqual(state_of(view, "w0"), states[newest])
         for _ in range(2):
             view.take_whole(len(order), [words[-1]], view.answers())
-        self.assertEqual(view.engines()["w0"].entry.state, states[-1])
+        self.assertEqual(state_of(view, "w0"), states[-1])
