Take half-read requests only where a successor runs

Where none has come yet, or it has ended, the stream of a request that was half read would run into the kill. It is refused in words there, as at a plain restart. The test's row failed before.

--- a/basaltspread/core/fleet.py
+++ b/basaltspread/core/fleet.py
@@ -331,6 +331,7 @@
             self._treat_anew(changed)
 
     def sharing(self, event: Sharing) -> None:
+        self.state.processes = event.processes
         self.state.module.share_with(event.processes)
 
     def recalled(self, event: Recalled) -> None:
--- a/basaltspread/core/guards.py
+++ b/basaltspread/core/guards.py
@@ -110,7 +110,8 @@
     where a successor can go on with its stream, and while there is time left to hand that on."""
     if state.accepting:
         return None
-    if state.inherited and not state.exited and now < state.stop_by - MOVE_TIME:
+    has_successor = state.inherited and state.processes > 1
+    if has_successor and not state.exited and now < state.stop_by - MOVE_TIME:
         return None
     return Denial.PROCESS_ENDS
 
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -209,6 +209,7 @@
     choices: Choices = field(default_factory=Choices)
     replies: Counter[tuple[int, Verdict]] = field(default_factory=Counter)  # by class, since the start
     dispatches: int = 0  # attempts written whole
+    processes: int = 1  # of this gateway that run: a successor, or the one that is replaced, beside this one
     inherited: bool = False  # the clients' socket is the platform's, and outlives this process
     serving: bool = False
     draining_since: int | None = None  # an operator sends the clients away
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -528,6 +528,7 @@
         """Guards an exit in the middle of streams that began after the door was shut: review case 3."""
         self.begin(Arrival=send("w1"))
         self.state.inherited = True
+        self.feed(core.Sharing(2))
         self.feed(core.Serving())
         self.feed(core.Arriving(1))
         self.feed(core.Terminate())
@@ -559,9 +560,12 @@
 
     def test_a_half_read_request_holds_an_exit_only_while_it_may_still_be_begun(self) -> None:
         """Guards the other way: a plain restart, and one that is out of time, end without it."""
-        for inherited, after, ends in ((False, 0, True), (True, 0, False), (True, 3 * SECOND, True)):
+        for inherited, processes, after, ends in (
+            (False, 1, 0, True), (True, 2, 0, False), (True, 2, 3 * SECOND, True), (True, 1, 0, True),
+        ):  # fmt: skip
             self.begin()
             self.state.inherited = inherited
+            self.feed(core.Sharing(processes))  # with 1, the successor has not come, or has ended
             self.feed(core.Serving())
             self.feed(core.Arriving(1))
             self.feed(core.Terminate())
