Give a tool call's reply the time that its call has left

What callers saw: an engine that turns new connections away for a second cut the streams of orders that were placed (3 of 3), after three tries within some 10 ms; one that stands still for 3 s as well, after a constant of 2 s.

Cause: three tries without a pause (REPLY_TRIES), and a constant for one try (REPLY_WAIT), whatever time the call had left.

Now a reply that certainly did not arrive is written again after 20 ms, twice as long each time up to 0.5 s, until the latest deadline of its calls is over; one try may take as long. A reply has never less than the 2 s that it had. What may have arrived is never written twice, as before.

Tests failed before: test_a_reply_that_is_turned_away_goes_again_until_its_calls_time_is_over (real processes), test_a_reply_may_take_as_long_as_its_call_has_and_never_less_than_before.

--- a/basaltspread/core/__init__.py
+++ b/basaltspread/core/__init__.py
@@ -111,6 +111,7 @@
     ready,
     silent_since,
 )
+from basaltspread.core.toolcalls import LEAST_REPLY_TIME
 from basaltspread.endings import (
     NEVER_RAN,
     OUTCOMES,
@@ -128,6 +129,7 @@
     "GIVE_UP_PAUSE",
     "LAST_ANSWERS",
     "LEAST_DOOR",
+    "LEAST_REPLY_TIME",
     "LONGEST_GRACE",
     "MOST_BANS",
     "MOVE_STEP",
--- a/basaltspread/core/messages.py
+++ b/basaltspread/core/messages.py
@@ -550,6 +550,7 @@
     worker: str
     address: str
     replies: tuple[tuple[str, ToolFault | None], ...]
+    time_left: int  # us for the engine to take it
 
 
 @record
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -170,7 +170,9 @@
     calls: dict[str, None]  # whose replies it will hold, in the order of the event
     waiting: set[str]
     errors: int
+    deadline: int  # the latest of its calls'
     returns: int = 0  # times that it was written to the engine
+    return_by: int = 0  # when the engine has to have taken it, once it was written first
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/basaltspread/core/toolcalls.py
+++ b/basaltspread/core/toolcalls.py
@@ -43,7 +43,9 @@
 from basaltspread.endings import NEVER_RAN, Ending, ToolFault
 
 MS = 1000
-REPLY_TRIES = 3  # a reply that certainly never reached its engine is written again so often
+LEAST_REPLY_TIME = 2000 * MS  # that an engine has to take a reply, however late that came
+REPLY_PAUSE = 20 * MS  # before a reply that certainly never arrived is written again; doubles with each try
+LONGEST_REPLY_PAUSE = 500 * MS
 MOST_CALLS = 16  # open tool calls of one request
 MOST_IDS = 4096  # tool calls of one request in all: each id is remembered, as it may come again
 MOST_ERRORS = 64  # messages without a usable id that are answered in one request
@@ -90,7 +92,8 @@
             return
         if not fresh and not event.errors:
             return
-        bundle = Bundle(attempt, dict.fromkeys(fresh), set(fresh), event.errors)
+        deadline = self.now + max((wanted.time_left for wanted in fresh.values()), default=0)
+        bundle = Bundle(attempt, dict.fromkeys(fresh), set(fresh), event.errors, deadline)
         self.state.bundles[request.id, event.bundle] = bundle
         request.bundles.add(event.bundle)
         for wanted in fresh.values():
@@ -224,6 +227,10 @@
             call = self.state.calls.get((token[1], token[2]))
             if call is not None and not call.settled:
                 self._settle_call((token[1], token[2]), call, ToolFault.DEADLINE)
+        elif token[0] == "tool_reply":
+            bundle = self.state.bundles.get((token[1], token[2]))
+            if bundle is not None and bundle.returns == token[3]:
+                self._return(token[1], token[2], bundle)
         elif self.state.tools is not None:
             self.decided(self.state.tools.woken(self.now, token))
 
@@ -282,16 +289,21 @@
     def _return(self, name: str, number: int, bundle: Bundle) -> None:
         """To the engine that holds the stream, where it was dialled: it has this request already, so no drain
         forbids it, whatever the list says of it by now."""
+        if not bundle.returns:
+            bundle.return_by = max(bundle.deadline, self.now + LEAST_REPLY_TIME)
         bundle.returns += 1
         replies = tuple((ident, self.state.calls[name, ident].fault) for ident in bundle.calls)
-        self.do(ReturnReply(name, number, bundle.attempt.worker, bundle.attempt.address, replies))
+        worker, address = bundle.attempt.worker, bundle.attempt.address
+        self.do(ReturnReply(name, number, worker, address, replies, bundle.return_by - self.now))
 
     def reply_ended(self, event: ReplyEnded) -> None:
         bundle = self.state.bundles.get((event.request, event.bundle))
         if bundle is None:
             return
-        if event.ending in NEVER_RAN and bundle.returns < REPLY_TRIES:
-            self._return(event.request, event.bundle, bundle)
+        pause = min(REPLY_PAUSE << min(bundle.returns - 1, 8), LONGEST_REPLY_PAUSE)
+        if event.ending in NEVER_RAN and self.now + pause < bundle.return_by:
+            self.count("tool_replies_retried")
+            self.do(Wake(self.now + pause, ("tool_reply", event.request, event.bundle, bundle.returns)))
             return
         served = event.ending is Ending.SERVED
         if not served:
--- a/basaltspread/net/toolcalls.py
+++ b/basaltspread/net/toolcalls.py
@@ -30,7 +30,7 @@
 from basaltspread.net.runtime import Runtime
 
 log = logging.getLogger("basaltspread")
-REPLY_WAIT = 2.0  # s for an engine to take a reply
+PROGRESS_WAIT = 2.0  # s for an engine to take a word of progress
 PROGRESS_TRIES = 3  # of a word of progress that an engine has certainly not had
 NOTE_WAIT = 1.0  # s for a tool server to take a notification or an answer
 NOTE_TRIES = 6  # of one that has certainly not arrived
@@ -546,21 +546,22 @@
             calls = [self._calls.get((effect.request, ident)) for ident, _ in effect.replies]
             telling = [call.telling for call in calls if call is not None and call.telling is not None]
             if telling:
-                await asyncio.wait(telling, timeout=REPLY_WAIT)
-            ending = await self._post(effect.address, effect.request, self._body(effect, bundle))
+                await asyncio.wait(telling, timeout=PROGRESS_WAIT)
+            body, wait = self._body(effect, bundle), effect.time_left / 1e6
+            ending = await self._post(effect.address, effect.request, body, wait)
         finally:
             bundle.task = None
             if not self._is_abandoned():
                 self.runtime.feed(core.ReplyEnded(effect.request, effect.bundle, ending))
 
     async def _post(
-        self, address: str, request: str, body: bytes, use: DescriptorUse = DescriptorUse.TOOL_REPLY
-    ) -> Ending:
-        """To the engine; how that ended."""
+        self, address: str, request: str, body: bytes, wait: float = PROGRESS_WAIT,
+        use: DescriptorUse = DescriptorUse.TOOL_REPLY,
+    ) -> Ending:  # fmt: skip
+        """To the engine, which has `wait` s to take it; how that ended."""
         try:
             reply = await self.runtime.pool.call(
-                address, "POST", f"/v1/toolcalls/{request}", [JSON_TYPE], body, wait=REPLY_WAIT, fresh=True,
-                use=use,
+                address, "POST", f"/v1/toolcalls/{request}", [JSON_TYPE], body, wait, fresh=True, use=use,
             )  # fmt: skip
         except LinkError as error:
             return error.ending
@@ -577,7 +578,7 @@
         ending = Ending.NOT_SENT
         try:
             for _ in range(PROGRESS_TRIES):  # a busy machine brings no connection up in time, once
-                ending = await self._post(effect.address, effect.request, body, DescriptorUse.ENGINE)
+                ending = await self._post(effect.address, effect.request, body, use=DescriptorUse.ENGINE)
                 if ending not in NEVER_RAN:
                     break
             if ending is not Ending.SERVED:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -11,6 +11,8 @@
 
 from basaltspread import core
 from basaltspread import interface as api
+from basaltspread.control.dispatch import Dispatcher
+from basaltspread.control.routes import RouteTable, Server
 from basaltspread.core import Ending, Order, Place, Verdict
 from basaltspread.core.held_ledger import HeldKind, Knowledge
 from basaltspread.net.shared_files import Overlap
@@ -512,6 +514,20 @@
             handed = [e.address for e in self.feed(core.Terminate()) if isinstance(e, core.HandOn)]
             self.assertEqual(handed, ["w1:1"])
 
+    def test_a_reply_may_take_as_long_as_its_call_has_and_never_less_than_before(self) -> None:
+        """Guards a reply to an engine that stands still for 3 s against a constant of 2 s."""
+        for spent, left in ((SECOND, 4 * SECOND), (5 * SECOND - MS, core.LEAST_REPLY_TIME)):
+            self.begin(Arrival=send("w1"))
+            self.state.tools = Dispatcher(
+                RouteTable({"a": Server("a", "a:1")}, {"*": ("a",)}), {0: 1.0}, room=6
+            )
+            self.streaming("q")
+            self.feed(core.ToolCalled("q", 0, 1, (core.Wanted("1", "t", api.Effect.SAFE, 5 * SECOND),)))
+            self.feed(core.ToolBegun("q", "1", 1))
+            (effect,) = self.feed(core.ToolEnded("q", "1", 1, Ending.SERVED), after=spent)
+            assert isinstance(effect, core.ReturnReply)
+            self.assertEqual((effect.time_left, effect.address), (left, "w1:1"))
+
     def test_a_release_goes_to_its_engines_while_the_list_is_empty(self) -> None:
         """Guards what engines hold against a list that is briefly empty (related to review case 4)."""
         self.begin(Arrival=send("r1"))
--- a/tests/test_toolcalls.py
+++ b/tests/test_toolcalls.py
@@ -287,6 +287,25 @@
         self.assertEqual((status, body, whole), (200, b"data: before\n\ndata: after\n\n" + DONE, True))
         self.assertEqual(len(engine.replies), 1)
 
+    async def test_a_reply_that_is_turned_away_goes_again_until_its_calls_time_is_over(self) -> None:
+        """Guards a reply against three tries in ten milliseconds: its order was placed (review case 6)."""
+
+        class Full(Engine):
+            turned_away = 0
+
+            async def handle(self, asked: Asked) -> None:
+                if asked.target.startswith("/v1/toolcalls/") and self.turned_away < 5:
+                    self.turned_away += 1
+                    asked.reply(503, X_Unprocessed="1")
+                else:
+                    await super().handle(asked)
+
+        engine = Full(call(1, "place_order"))
+        gateway = await self.sidecar(engine, await self.standin(reply))
+        status, _, _, whole = await (await self.client(gateway)).ask("q1", cls="order")
+        self.assertEqual((status, whole, len(engine.replies)), (200, True, 1))
+        self.assertEqual((await gateway.stop())["tool_replies_retried"], 5)
+
     async def test_an_engine_that_takes_no_reply_breaks_the_stream(self) -> None:
         class Deaf(Engine):
             async def handle(self, asked: Asked) -> None:
