Take a registry's word for news where the replica's stamp is newer

Where an instance's own clock was set back, its word counted as older whatever the replica said: a later drain of an operator was not acted on, and an engine that was started anew in service kept its old address for good. Only a word that is newer by neither stamp is surely old now. The list is told before the file for the next process is written.

Tests: the rows with a clock set back in test_a_drain_counts_though_its_replicas_clock_is_behind failed before, and so would test_an_engine_in_service_is_used_at_its_new_address. One row of test_an_engine_that_is_back_serves asked for the old rule (a drain stamped 20, 40 after UP 30, 30 is the later event); it is 20, 30 now.

--- a/basaltspread/control/registry_order.py
+++ b/basaltspread/control/registry_order.py
@@ -8,8 +8,8 @@
 
 | it is | it counts |
 | --- | --- |
-| older than the word in force by the instance's own stamp | not |
-| not newer than one that newer news have overtaken | not |
+| older than the word in force by the instance's stamp, and not newer by the replica's | not |
+| by neither stamp newer than one that newer news have overtaken | not |
 | any other: newer, equal, unstamped, or older by a replica's clock alone | at once |
 
 A word that gives it back, after one that took it away:
@@ -100,6 +100,10 @@
     return by_instance if by_instance is not Order.UNKNOWN else _order_of(one.updated, other.updated)
 
 
+def is_newer_by_replica(one: Stamps, other: Stamps) -> bool:
+    return _order_of(one.updated, other.updated) is Order.NEWER
+
+
 def newest_of_each(news: Iterable[InstanceNews]) -> dict[InstanceId, InstanceNews]:
     """One word of each instance that an answer names: the newest, or the last where stamps don't tell."""
     found: dict[InstanceId, InstanceNews] = {}
@@ -146,7 +150,8 @@
         if not word.gives_work():
             self._hear_taking(now, word)
         elif self._serves:
-            if order_of(word.stamps, self._word.stamps) is not Order.OLDER:
+            older = order_of(word.stamps, self._word.stamps) is Order.OLDER
+            if not older or is_newer_by_replica(word.stamps, self._word.stamps):
                 self._word = word
                 self._note_given(word)
         elif self._counts(now, word):
@@ -187,10 +192,14 @@
         self._listed = word.engine is not None and not word.deleted
 
     def _is_old(self, word: InstanceNews) -> bool:
-        if _order_of(word.stamps.dirty, self._word.stamps.dirty) is Order.OLDER:
+        """Whether a word that takes work away is surely no news."""
+        stamps, overtaken = word.stamps, self._overtaken
+        older = _order_of(stamps.dirty, self._word.stamps.dirty) is Order.OLDER
+        if older and not is_newer_by_replica(stamps, self._word.stamps):
             return True
-        overtaken = self._overtaken
-        return overtaken is not None and order_of(word.stamps, overtaken) is not Order.NEWER
+        if overtaken is None or is_newer_by_replica(stamps, overtaken):
+            return False
+        return order_of(stamps, overtaken) is not Order.NEWER
 
     def _take_away(self, now: int, word: InstanceNews) -> None:
         self._word, self._serves, self.doubted = word, False, False
@@ -199,10 +208,9 @@
     def _counts(self, now: int, word: InstanceNews) -> bool:
         """Whether a word gives work back now."""
         order = order_of(word.stamps, self._stamps)
-        updated = _order_of(word.stamps.updated, self._stamps.updated)
         if order is Order.NEWER and word.stamps not in self._gave_work:
             return True
-        if order is Order.OLDER and updated is not Order.NEWER:
+        if order is Order.OLDER and not is_newer_by_replica(word.stamps, self._stamps):
             return now >= self._taken_at + DOUBT_KEPT
         self._answers += 1
         return self._answers >= ANSWERS_TO_RETURN
--- a/basaltspread/net/eureka.py
+++ b/basaltspread/net/eureka.py
@@ -335,10 +335,13 @@
         }
 
     def _tell(self) -> None:
+        self._tell_engines()
         self._note_doubts()
         if self._view.awaits_answer():
             self._answer_wanted.set()
         self._keep_withdrawals()
+
+    def _tell_engines(self) -> None:
         engines = self._engines()
         if engines == self._told and self._version:
             return
