--- a/basaltspread/net/clients.py
+++ b/basaltspread/net/clients.py
@@ -22,6 +22,7 @@
 from basaltspread.control.memory import MemoryClass
 from basaltspread.core import Ending, guards, invariants
 from basaltspread.net import tcp_info
+from basaltspread.net.arrivals import Arrivals
 from basaltspread.net.bodies import Body
 from basaltspread.net.client_table import FIRST_BYTES_UNDER_WAY, ClientTable, CloseReason
 from basaltspread.net.links import BODY_LIMIT, HEAD_LIMIT, Headers, LinkError
@@ -107,6 +108,7 @@
     runtime: Runtime
     client_table: ClientTable
     memory: MemoryGuard
+    arrivals: Arrivals
 
     async def route(self, client: Client, received: ReceivedRequest) -> None:
         """Leads one whole request to its answer; raises BadRequest, or LinkError if the client left."""
@@ -114,15 +116,6 @@
     def note_bad_request(self, error: BadRequest) -> None:
         """Counts and logs a request that can't be taken."""
 
-    def arrival_begins(self, client: Client) -> None:
-        """The first bytes of a request are here."""
-
-    def arrival_ends(self, client: Client) -> None:
-        """It has been taken, or never will be. May be said twice."""
-
-    def may_finish_arrival(self) -> bool:
-        """Whether a request of which bytes are still missing may be begun once it is whole."""
-
     def note_refused_arrival(self, head: h11.Request | None) -> None:
         """Counts a request that was refused before it was whole."""
 
@@ -296,7 +289,7 @@
             self._ends_for = CloseReason.GATEWAY_FAULT
             return False
         finally:
-            self._front.arrival_ends(self)
+            self._front.arrivals.ends(self)
         if refused:
             await self._linger()
             return False
@@ -417,7 +410,7 @@
         self.idle, self.spoke = False, True
         self._front.client_table.busy(self)
         self._front.memory.arrives(self, True)
-        self._front.arrival_begins(self)
+        self._front.arrivals.begins(self)
 
     async def _first_bytes(self, by: float) -> bytes:
         """Of a next request; none if the connection has rested too long, or is let go."""
@@ -467,7 +460,7 @@
             await self._front.memory.room_to_read(self, by)
             async with asyncio.timeout(by - time.monotonic()) as self._wait:
                 data = await self._piece()
-            self.refused = self.refused or not self._front.may_finish_arrival()
+            self.refused = self.refused or not self._front.arrivals.may_finish()
             return data
         except TimeoutError as error:
             if self._given_up:
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -27,6 +27,7 @@
 from basaltspread.core import Ending, Verdict, guards
 from basaltspread.core.guards import Denial, StartFacts
 from basaltspread.core.invariants import Invariant
+from basaltspread.net.arrivals import Arrivals
 from basaltspread.net.client_table import ClientTable, CloseReason
 from basaltspread.net.clients import (
     CLIENT_PATIENCE,
@@ -88,8 +89,7 @@
         self._ids = KnownIds(config.scratch, config.name, config.memory_mb, longest)
         runtime.reserve(self._ids.size)
         runtime.gauges.append(self._ids.figures)
-        self._arriving: set[Client] = set()  # whose requests have begun to come, and are not taken yet
-        runtime.on_terminate.append(self._tell_arriving)
+        self.arrivals = Arrivals(runtime)
         self._admission = ConnectionAdmission(runtime, self.client_table, self.memory)
         self._bad_request_lines = LineLimit(BAD_REQUEST_LINES)
         self._unanswered_lines = LineLimit(UNANSWERED_LINES)
@@ -153,7 +153,7 @@
         self._close_idle(0.0)
         log.info(
             "the door is shut; %d clients are still here, %d in the middle of a request",
-            len(self._clients), len(self._arriving),
+            len(self._clients), len(self.arrivals),
         )  # fmt: skip
 
     def _close_idle(self, rest: float) -> None:
@@ -214,27 +214,6 @@
             arrival = arrival_from(fields, self._config.settings)
             self.runtime.feed(core.TurnedAway(arrival.request_class))
 
-    def arrival_begins(self, client: Client) -> None:
-        self._arriving.add(client)
-        self._arriving_changed()
-
-    def arrival_ends(self, client: Client) -> None:
-        if client in self._arriving:
-            self._arriving.remove(client)
-            self._arriving_changed()
-
-    def _arriving_changed(self) -> None:
-        """The core asks only as the process stops: until then a request costs no input for it."""
-        if self.runtime.state.stopping:
-            self._tell_arriving()
-
-    def _tell_arriving(self) -> None:
-        self.runtime.feed(core.Arriving(len(self._arriving)))
-
-    def may_finish_arrival(self) -> bool:
-        denial = guards.may_finish_arrival(self.runtime.state, self.runtime.clock.now())
-        return denial is None
-
     async def route(self, client: Client, received: ReceivedRequest) -> None:
         request = received.head
         path = request.target.split(b"?")[0]
@@ -261,7 +240,7 @@
             self.runtime.count("clients_flooding")
             client.refused = True
         if client.refused:
-            if not self.may_finish_arrival():
+            if not self.arrivals.may_finish():
                 self.runtime.count(f"refused_{Denial.PROCESS_ENDS.value}")
                 log.info("request %s is refused: this process ends", rid)
             self.runtime.feed(core.TurnedAway(arrival.request_class))
@@ -283,7 +262,7 @@
         try:
             spent = round((time.monotonic() - received.began_at) * 1_000_000)
             self.runtime.feed(core.Taken(replace(arrival, time_left=max(0, arrival.time_left - spent))))
-            self.arrival_ends(client)
+            self.arrivals.ends(client)
             await self._until_end(client, exchange, rid)
         finally:
             self.memory.credit(client, MemoryClass.REQUEST)
--- a/tests/test_eureka.py
+++ b/tests/test_eureka.py
@@ -152,6 +152,15 @@
         """The same gateway, with what an earlier process of it has kept."""
         return await self.started(Gateway("--sidecar", self.file, scratch=self.scratch))
 
+    async def drain_is_told(self, registry: RegistryStandin, gateway: Gateway) -> tuple[dict[str, Any], int]:
+        """With r1, w1 and w2 listed, w1 drains: the list as it was before, and how many lists were told."""
+        registry.add("w2", self.two.address)
+        await gateway.until_true(lambda counters: counters["now_engines"] == 3)
+        copy, told = dict(registry.engines), (await gateway.counters())["lists_full"]
+        registry.add("w1", self.one.address, "OUT_OF_SERVICE", "MODIFIED")
+        await gateway.until_counter("lists_full", told + 1)
+        return copy, told
+
     async def test_a_restart_serves_engines_that_left_and_came_back(self) -> None:
         """Guards a new process against the numbers that the one before gave its lists: all was refused."""
         registry = RegistryStandin()
@@ -176,11 +185,7 @@
         """Guards a drain that the process before was told: its successor starts with an old copy alone."""
         registry = RegistryStandin()
         gateway = await self.sidecar(registry)
-        registry.add("w2", self.two.address)
-        await gateway.until_true(lambda counters: counters["now_engines"] == 3)
-        copy, told = dict(registry.engines), (await gateway.counters())["lists_full"]
-        registry.add("w1", self.one.address, "OUT_OF_SERVICE", "MODIFIED")
-        await gateway.until_counter("lists_full", told + 1)
+        copy, _ = await self.drain_is_told(registry, gateway)
         await gateway.kill()
         registry.replica = copy
         gateway = await self.again()
@@ -217,11 +222,7 @@
         """Guards a drain that was told against an old copy of the whole list: review case 9."""
         registry = RegistryStandin()
         gateway = await self.sidecar(registry)
-        registry.add("w2", self.two.address)
-        await gateway.until_true(lambda counters: counters["now_engines"] == 3)
-        copy, told = dict(registry.engines), (await gateway.counters())["lists_full"]
-        registry.add("w1", self.one.address, "OUT_OF_SERVICE", "MODIFIED")
-        await gateway.until_counter("lists_full", told + 1)
+        copy, told = await self.drain_is_told(registry, gateway)
         fetched = (await gateway.counters())["registry_full_fetches"]
         registry.replica = copy
         await gateway.until_counter("registry_full_fetches", fetched + 1)
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -14,6 +14,7 @@
 import h11
 
 from basaltspread.control.memory import MemoryLedger
+from basaltspread.net.arrivals import Arrivals
 from basaltspread.net.client_table import ClientTable
 from basaltspread.net.clients import Client, ReceivedRequest
 from basaltspread.net.links import Link
@@ -37,19 +38,11 @@
             count=lambda name: None, feed=lambda event: None,
         )  # fmt: skip
         self.runtime, self.memory = runtime, MemoryGuard(runtime, self.client_table)
+        self.arrivals: Any = mock.MagicMock(Arrivals)  # nothing is shut meanwhile
 
     def note_refused_arrival(self, head: h11.Request | None) -> None:
         raise AssertionError(head)
 
-    def arrival_begins(self, client: Client) -> None:
-        """Nothing is shut meanwhile."""
-
-    def arrival_ends(self, client: Client) -> None:
-        """The same."""
-
-    def may_finish_arrival(self) -> bool:
-        return True
-
     async def route(self, client: Client, received: ReceivedRequest) -> None:
         self.routed += 1
         client.answer(200, "")
