Drop a mark on lists that decided nothing, and test what newer news have overtaken

Missed: the core's look at in_order, as the numbers of one process only grow and a sidecar loads no file of them since; the mark is gone. And the rule on a drain that newer news have overtaken, where the instance's own stamp stays (an operator's order lifted, and an old copy of it): a row of test_an_engine_that_is_back_serves has it now, and fails with the rule taken out.

--- a/basaltspread/__main__.py
+++ b/basaltspread/__main__.py
@@ -83,14 +83,15 @@
     timeout = config.settings.limits.connect_timeout or 250_000
     idle = config.idle_close / 1e6 * IDLE_SHARE
     scratch = config.scratch
+    # Numbers of lists tell the next process something only where discovery counts them; a registry's news are
+    # kept by their own stamps.
+    numbered = config.registry is None
     runtime = Runtime(
         state, config.sockets, config.memory_mb, connect_timeout=timeout / 1e6, idle=idle,
         bans=BanFile(scratch, config.name) if scratch is not None and config.management is not None else None,
         overlap=overlap_in(scratch, config.name) if scratch is not None and inherited else None,
         clock_file=ClockFile(scratch, config.name) if scratch is not None else None,
-        departures=(
-            DepartureFile(scratch, config.name) if scratch is not None and config.registry is None else None
-        ),
+        departures=DepartureFile(scratch, config.name) if scratch is not None and numbered else None,
     )  # fmt: skip
     relay = None
     if config.tools is not None:
--- a/basaltspread/core/fleet.py
+++ b/basaltspread/core/fleet.py
@@ -93,8 +93,6 @@
     def _in_order(self, event: ListTold) -> tuple[Listed, ...]:
         """The entries, less what is older than what was told before. Guards against a discovery that goes
         back, as one may to which a reload moves: an engine told to drain or to go would count as up again."""
-        if event.in_order:
-            return event.entries
         state = self.state
         gone: dict[str, Listed] = {}
         if event.kind is not api.ListKind.DELTA:  # who is not in a whole list has gone
--- a/basaltspread/core/messages.py
+++ b/basaltspread/core/messages.py
@@ -163,14 +163,12 @@
 @record
 class ListTold:
     """Discovery's list, or a change of it. `wall_shifts` are how far the wall clock, which stamps starts, may
-    be ahead of this process's clock, in us: more than one after it was stepped. `in_order`: older news have
-    been left out by their source's own stamps, and the version, which this process gave, orders nothing."""
+    be ahead of this process's clock, in us: more than one after it was stepped."""
 
     kind: api.ListKind
     version: int
     entries: tuple[Listed, ...]
     wall_shifts: tuple[int, ...] = (0,)
-    in_order: bool = False
 
 
 @record
--- a/basaltspread/net/eureka.py
+++ b/basaltspread/net/eureka.py
@@ -349,7 +349,5 @@
         self._told = engines
         listed = tuple(engines[name] for name in sorted(engines))
         self.runtime.feed(
-            core.ListTold(
-                api.ListKind.FULL, self._version, listed, self.runtime.clock.wall_shifts(), in_order=True
-            )
+            core.ListTold(api.ListKind.FULL, self._version, listed, self.runtime.clock.wall_shifts())
         )
--- a/tests/test_registry_view.py
+++ b/tests/test_registry_view.py
@@ -99,6 +99,7 @@
         """Guards the other way: at once by newer stamps, else by the second answer, and never not at all."""
         up, drain, gone = (UP, 10, 10), (DRAINING, 20, 20), (None, 0, 0)
         newer, anew, clock_behind = (UP, 30, 30), (UP, 20, 30), (UP, 5, 30)
+        override, lifted = (DRAINING, 10, 20), (UP, 10, 30)  # by an operator
         bare, bare_drain = (UP, 0, 0), (DRAINING, 0, 0)
         for words, seen in (
             ((up, drain, newer), ["up", "draining", "up"]),
@@ -115,6 +116,7 @@
                 ["up", *["draining"] * 2, "up", "draining"],
             ),
             ((up, drain, newer, drain, newer), ["up", "draining", "up", "up", "up"]),
+            ((up, override, lifted, override, lifted), ["up", "draining", "up", "up", "up"]),
             ((newer, up, (DRAINING, 20, 30), newer), ["up", "up", "up", "up"]),
         ):
             self.assertEqual(self.told(*words), seen, words)
