Count events of answers before their end has come against the memory limit

Users saw a process over its limit under many slow readers.

Cause: an event is passed on whole, and the part of it that waits for its end was in no account: 20.7 MB in 479 answers at the peak (live objects), where the ledger said 17.7 MB in all. The last piece was kept while the next was waited for, 2 MB more.

Now the part is charged (`memory_events`), at the share of bodies. Where it doesn't fit, one answer reads on to its event's end, the others leave what comes with the system: none waits for another's end for ever. Mutant: parts aren't charged.

--- a/basaltspread/control/memory.py
+++ b/basaltspread/control/memory.py
@@ -31,6 +31,7 @@
     READ_AHEAD = "read_ahead"
     RELAY = "relays"  # of answers that clients take slowly, on their way through
     TOOL_CALL = "tool_calls"
+    EVENT = "events"  # of answers, whose end has not come
 
 
 # The share of the capacity up to which a class may be charged; all classes count against it.
@@ -39,6 +40,7 @@
     MemoryClass.UNREAD: 0.75,
     MemoryClass.PARSER: 0.75,
     MemoryClass.BODY: 0.75,
+    MemoryClass.EVENT: 0.75,
     MemoryClass.CONNECTION: 0.8,
     MemoryClass.TOOL_CALL: 0.8,
     MemoryClass.REQUEST: 0.85,
--- a/basaltspread/net/memory_guard.py
+++ b/basaltspread/net/memory_guard.py
@@ -34,7 +34,11 @@
     def __init__(self, runtime: Runtime, table: ClientTable) -> None:
         self._runtime, self._table, self._ledger = runtime, table, runtime.memory
         self._lines = LineLimit()
-        self._waiters: dict[asyncio.Future[None], None] = {}  # for room to read on, the longest first
+        # Who waits for room to read on, by what is read; the longest first.
+        self._waiters: dict[MemoryClass, dict[asyncio.Future[None], None]] = {
+            MemoryClass.BODY: {},
+            MemoryClass.EVENT: {},
+        }
 
     def open(self, client: Client) -> Account:
         return self._ledger.open(client)
@@ -96,25 +100,46 @@
                 self._say(client, f"no room to read on beside {client.account.total} bytes")
                 raise OutOfMemory
             self._runtime.count("reads_held_back")
-            await self._freed(by - now)
+            await self.freed(MemoryClass.BODY, by - now)
 
-    async def _freed(self, most: float) -> None:
-        """Until bytes have been credited, or for so many s."""
+    async def freed(self, cls: MemoryClass, most: float) -> None:
+        """Until bytes have been credited so that there is room for this class, or for so many s."""
         waiter = asyncio.get_running_loop().create_future()
-        self._waiters[waiter] = None
+        self._waiters[cls][waiter] = None
         try:
             await asyncio.wait({waiter}, timeout=most)
         finally:
-            self._waiters.pop(waiter, None)
+            self._waiters[cls].pop(waiter, None)
 
     def _wake(self) -> None:
-        """Bytes have been credited: as many as can read on are woken, the longest waiting first."""
-        room = int(self._ledger.capacity * SHARES[MemoryClass.BODY]) - self._ledger.used
-        for _ in range(min(len(self._waiters), room // self._ledger.piece())):
-            waiter = next(iter(self._waiters))
-            del self._waiters[waiter]
+        """Bytes have been credited: as many as can read on are woken."""
+        for cls in self._waiters:
+            room = int(self._ledger.capacity * SHARES[cls]) - self._ledger.used
+            self.wake(cls, room // self._ledger.piece())
+
+    def wake(self, cls: MemoryClass, count: int) -> None:
+        """So many of those who wait for room for this class look again, the longest waiting first."""
+        waiters = self._waiters[cls]
+        for _ in range(min(len(waiters), count)):
+            waiter = next(iter(waiters))
+            del waiters[waiter]
             waiter.set_result(None)
 
+    def has_room_for_event(self) -> bool:
+        """Whether one more piece of an engine's event may be kept until the event's end."""
+        return self._ledger.fits(MemoryClass.EVENT, self._ledger.piece())
+
+    def relieves(self, asking: Client) -> bool:
+        """One peer makes room for this one; whether there was one."""
+        return self._relieve(asking, time.monotonic())
+
+    def adjust(self, client: Client, cls: MemoryClass, more: int, now: float) -> None:
+        """So many more bytes of a class are held already, or so many fewer."""
+        if more > 0:
+            self._ledger.force(client.account, cls, more, now)
+        elif more < 0:
+            self.credit(client, cls, -more)
+
     def takes(self, client: Client, cost: int) -> bool:
         """Whether one more request may be taken."""
         return self._hold(client, MemoryClass.REQUEST, cost)
--- a/basaltspread/net/platform.py
+++ b/basaltspread/net/platform.py
@@ -47,6 +47,7 @@
 from basaltspread.net.log_limit import LineLimit
 from basaltspread.net.memory_guard import MemoryGuard
 from basaltspread.net.parsing import BadRequest, arrival_from
+from basaltspread.net.partial_events import PartialEvent, PartialEvents
 from basaltspread.net.readers import TimedReader, connect
 from basaltspread.net.runtime import Runtime
 from basaltspread.net.sse import END, TooLong
@@ -84,6 +85,7 @@
         self._clients: dict[Client, asyncio.Task[None]] = {}
         self.client_table = ClientTable()
         self.memory = MemoryGuard(runtime, self.client_table)
+        self._partial_events = PartialEvents(self.memory)
         runtime.pool.make_room = self.memory.close_idle_client
         longest = max((c.deadline for c in config.settings.classes), default=0)
         self._ids = KnownIds(config.scratch, config.name, config.memory_mb, longest)
@@ -512,12 +514,29 @@
     ) -> tuple[Ending, int]:
         """Pass an engine's events on as they come, to its last chunk; without a head, from the middle on. A
         last chunk before the final event is no end of an answer."""
+        partial = self._partial_events.of(exchange.client)
+        try:
+            return await self._relay_events(link, name, number, fields, exchange, partial)
+        finally:
+            partial.release()
+
+    async def _relay_events(
+        self,
+        link: Link,
+        name: str,
+        number: int,
+        fields: dict[bytes, bytes] | None,
+        exchange: Exchange,
+        partial: PartialEvent,
+    ) -> tuple[Ending, int]:
         begun, first = fields is None, b""
         tail = exchange.tail if begun else b""
         fields = fields or {b"transfer-encoding": b"chunked"}
         splitter = self._splitters.get((name, number))
         framed = b"transfer-encoding" in fields or b"content-length" in fields
         while True:
+            held = len(first) + (splitter.held if splitter is not None else 0)
+            await partial.hold(held)
             event = await self._next(link, name, begun)
             over = isinstance(event, h11.EndOfMessage)
             data = bytes(event.data) if isinstance(event, h11.Data) else b""
@@ -551,6 +570,7 @@
                 data = self._split(splitter, data)
             if data and exchange.passing == number:
                 await exchange.client.stream(data)
+            del data  # the next piece may be long in coming
 
     async def _next(self, link: Link, name: str, begun: bool) -> h11.Event:
         """The next event of a stream that may pause for tools, but not fall silent. Until it has begun,
--- a/basaltspread/net/sse.py
+++ b/basaltspread/net/sse.py
@@ -90,3 +90,8 @@
     @property
     def between(self) -> bool:
         return self._events.between
+
+    @property
+    def held(self) -> int:
+        """The bytes that are kept until their event has ended."""
+        return self._events.held
--- a/basaltspread/structures/events.py
+++ b/basaltspread/structures/events.py
@@ -86,6 +86,11 @@
         self._held.clear()
         return rest
 
+    @property
+    def held(self) -> int:
+        """The bytes that are kept until their event has ended."""
+        return len(self._held)
+
     @property
     def between(self) -> bool:
         """Whether the stream stands between two events."""
--- a/tests/pressure_mutants.py
+++ b/tests/pressure_mutants.py
@@ -29,6 +29,8 @@
 MUTANTS = (
     Mutant("bodies are not charged", CLIENTS,
            "memory.keep(self, MemoryClass.BODY, self._body.size)", "pass"),
+    Mutant("parts of events are not charged", "basaltspread/net/partial_events.py",
+           "event.client, MemoryClass.EVENT, more,", "event.client, MemoryClass.EVENT, 0,"),
     Mutant("what is credited twice counts twice", MEMORY,
            "min(size, held)", "size"),
     Mutant("a level that was left does not reopen", MEMORY,
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import cast
 
 import pytest
 from hypothesis import given
@@ -21,6 +22,9 @@
     capacity_for,
 )
 from basaltspread.net.bodies import PIECE_SIZE, Body
+from basaltspread.net.clients import Client
+from basaltspread.net.memory_guard import MemoryGuard
+from basaltspread.net.partial_events import PartialEvents
 from soak.pressure import PressureKind
 from soak.pressure_play import PressurePlan, play
 from tests.pressure_mutants import MUTANTS
@@ -152,5 +156,43 @@
     assert result.counters.get("invariant_memory", 0) == 0
 
 
+class FullMemory:
+    """A guard that never has room."""
+
+    def has_room_for_event(self) -> bool:
+        return False
+
+    def relieves(self, asking: object) -> bool:
+        return False
+
+    async def freed(self, cls: MemoryClass, most: float) -> None:
+        await asyncio.sleep(0)
+
+    def adjust(self, client: object, cls: MemoryClass, more: int, now: float) -> None:
+        pass
+
+    def wake(self, cls: MemoryClass, count: int) -> None:
+        pass
+
+
+def test_answers_with_half_an_event_waited_for_each_other() -> None:
+    """Without room, one reads on at a time: to its event's end, and then the next."""
+
+    async def two_answers() -> bool:
+        partial_events = PartialEvents(cast(MemoryGuard, FullMemory()))
+        first, second = (partial_events.of(cast(Client, object())) for _ in range(2))
+        await first.hold(1_000)
+        waiting = asyncio.create_task(second.hold(1_000))
+        await asyncio.sleep(0)
+        await first.hold(2_000)
+        read_on_together = waiting.done()
+        await first.hold(0)
+        async with asyncio.timeout(10.0):
+            await waiting
+        return read_on_together
+
+    assert not asyncio.run(two_answers())
+
+
 def test_each_mutant_fits_the_code() -> None:
     assert [mutant.name for mutant in MUTANTS if not mutant.fits()] == []
