Ask again for the places of slow reads whose readers run, in place of releasing

Logs: held state is released 350 to 500 ms after a read began, though its reader works on it (3,723 times with a place kept), and the writes of these reads find no state (4,166 times for 3,881 requests): the read is done again, readers get slower, and so on.

Now a sign is asked for by a release for a request for which nothing is held any more (an engine answers that at once), from its first event on. Where the reader gives signs and they cover the read no longer, its place is asked for again: the rule counts from the last question.

A second question to a writer that keeps the place isn't refused by the laboratory any more: it has the room. A mutant's text follows the code.

--- a/basaltspread/core/held_clock.py
+++ b/basaltspread/core/held_clock.py
@@ -22,6 +22,7 @@
 # before it writes, and for engines that don't hear the release.
 HELD_SHARE = 0.7
 ASK_AHEAD = 150 * MS  # before a lease ends, the engine is asked for a sign of life
+RENEW_AHEAD = 80 * MS  # before all is released, places are asked for again
 SIGN_WAIT = 1000 * MS  # in which a question for a sign may be answered: no second one meanwhile
 # An engine that answers others but not this read for so many times the usual time of its size has not got it:
 # the connection may lead nowhere.
@@ -45,6 +46,7 @@
     _release: Callable[..., None]
     _call_release: Callable[[str, str], None]
     _note_late_questions: Callable[[Request], None]
+    _ask_place_again: Callable[[Request, Attempt, HeldEntry], None]
 
     def _held_limit(self) -> int:
         """How long something is held, in us, before it is released; 0 where the settings set no limit."""
@@ -102,9 +104,12 @@
             return
         if self.now >= due:
             self._release_at_limit(request)
+        elif self.now >= due - RENEW_AHEAD:
+            self._renew_places(request, due)
+            self._check_held_at(request, due)
         elif self.now >= due - ASK_AHEAD:
             self._ask_signs(request)
-            self._check_held_at(request, due)
+            self._check_held_at(request, due - RENEW_AHEAD)
         else:
             self._check_held_at(request, due - ASK_AHEAD)
 
@@ -113,23 +118,35 @@
         if not request.held.keeps_place():
             return
         for attempt in request.out():
-            if attempt.reading and attempt.written and self._lease_may_grow(request, attempt):
+            if attempt.reading and attempt.written:
                 self._ask_sign(attempt.worker)
 
-    def _lease_may_grow(self, request: Request, attempt: Attempt) -> bool:
-        return self.now < attempt.written_at + self._longest_lease(request, attempt)
+    def _renew_places(self, request: Request, due: int) -> None:
+        """Ask again for the places of a read whose reader runs, where its signs will cover this read no
+        longer: the rule counts from the last question, and a release would take what the read has made."""
+        for attempt in request.out():
+            covered_until = attempt.written_at + self._longest_lease(request, attempt)
+            if attempt.reading and self._runs(attempt) and covered_until <= due:
+                for entry in request.held.kept_places():
+                    if self.now >= entry.since + self._held_limit() - RENEW_AHEAD:
+                        self._ask_place_again(request, attempt, entry)
+
+    def _runs(self, attempt: Attempt) -> bool:
+        """Whether its engine has lately shown that it does, after the attempt was written."""
+        sign = self.state.contacts.answered_since(attempt.worker, attempt.written_at)
+        return attempt.written and sign is not None and self.now - sign <= self._held_limit()
 
     def _ask_sign(self, engine: str) -> None:
-        """Any answer will do: of a probe, or where the settings allow none, of a release for a request that
-        is long over."""
+        """Any answer will do: of a release for a request that is long over, which a busy engine answers at
+        once, or where none is over yet of a probe, which may wait its turn."""
         if engine not in self.state.workers or self._sign_awaited(engine):
             return
         self.state.signs_asked[engine] = self.now
         self.count("signs_of_life_asked")
-        if self.state.settings.limits.probes:
-            self.probe(api.Probe(engine))
-        elif self.state.last_dropped is not None:
+        if self.state.last_dropped is not None:
             self._call_release(self.state.last_dropped, engine)
+        elif self.state.settings.limits.probes:
+            self.probe(api.Probe(engine))
 
     def _sign_awaited(self, engine: str) -> bool:
         """Whether it was asked lately: an answer under way is a sign for all that was written since."""
@@ -184,6 +201,7 @@
         self._check_held(request)
         for entry in request.held.release():
             self.count(f"held_{entry.kind.value}_taken")
+        self.state.last_dropped = request.id
         self._note_late_questions(request)
 
 
--- a/basaltspread/core/held_ledger.py
+++ b/basaltspread/core/held_ledger.py
@@ -35,6 +35,7 @@
     since: int
     knowledge: Knowledge
     released: bool = False  # a release has gone round; its engine may yet take the question
+    renewed_at: int | None = None  # when it was asked for again, until that is answered
     waits_for: int | None = None  # the attempt that a release left it to, as long as that is out
 
 
@@ -57,9 +58,15 @@
 
     def keeps_place(self) -> bool:
         """Whether an engine has said that it keeps a place."""
-        return any(
-            e.kind is HeldKind.PLACE and e.knowledge is Knowledge.KEPT and not e.released for e in self
-        )
+        return bool(self.kept_places())
+
+    def kept_places(self) -> list[HeldEntry]:
+        """The places that engines have said that they keep."""
+        return [
+            entry
+            for entry in self
+            if entry.kind is HeldKind.PLACE and entry.knowledge is Knowledge.KEPT and not entry.released
+        ]
 
     def since(self) -> int | None:
         """From when on the rule counts: the oldest entry that no attempt was left, or the last outcome, if
--- a/basaltspread/core/places.py
+++ b/basaltspread/core/places.py
@@ -57,12 +57,25 @@
             return
         request.held.add(HeldKind.PLACE, worker, self.now, Knowledge.ASKED)
         self._watch_held(request)
-        self.state.contacts.began(worker, self.now)
         self.count("places_asked")
-        request.note(self.now, f"asks {worker} for a place")
         if self._starts(listed):
             self.count("places_in_slow_start")
-        self.do(AskPlace(request.id, read.number, worker, listed.address))
+        self._send_question(request, read, listed)
+
+    def _ask_place_again(self, request: Request, read: Attempt, entry: HeldEntry) -> None:
+        """For a place that is kept: the rule counts from the last question that its writer has answered."""
+        listed = self.state.workers.get(entry.engine)
+        if listed is None or listed.entry.state is not WorkerState.UP:
+            return
+        entry.knowledge, entry.renewed_at = Knowledge.ASKED, self.now
+        self.count("places_renewed")
+        self._send_question(request, read, listed)
+
+    def _send_question(self, request: Request, read: Attempt, writer: Listed) -> None:
+        name = writer.entry.name
+        self.state.contacts.began(name, self.now)
+        request.note(self.now, f"asks {name} for a place")
+        self.do(AskPlace(request.id, read.number, name, writer.address))
 
     def place_ended(self, event: PlaceEnded) -> None:
         self.count("places_" + event.place.name.lower())
@@ -78,16 +91,19 @@
         late = entry.released
         if event.place is Place.UNANSWERED:
             self._may_be_taken(event.worker, request.id, HeldKind.PLACE)
-        if event.place not in MAY_BE_HELD:
+        if event.place not in MAY_BE_HELD and entry.renewed_at is None:
             self._end_entry(request, entry, "refused" if event.place is Place.NOT_HELD else "not_asked")
         else:
-            self._place_possible(request, entry, event.place)
+            self._place_possible(request, entry, event.place)  # one that was kept may still be
         if not late:
             self._tell_place(request, event)
 
     def _place_possible(self, request: Request, entry: HeldEntry, said: Place) -> None:
         """Its engine has taken the question, or may have."""
         entry.knowledge = Knowledge.KEPT if said is Place.HELD else Knowledge.POSSIBLE
+        if said is Place.HELD and entry.renewed_at is not None:
+            entry.since = entry.renewed_at
+        entry.renewed_at = None
         waits, late, newer = request.waits(), entry.released, request.held.holds()
         if late:  # it may have been taken after the release had gone round
             self.do(Say(f"place of {request.id} at {entry.engine}: {said.value}, after its release"))
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -191,7 +191,7 @@
     signs_asked: dict[str, int] = field(default_factory=dict)  # when an engine was asked whether it runs
     late_questions: dict[tuple[str, str], None] = field(default_factory=dict)  # for places: request, engine
     untaken: UntakenSends = field(default_factory=UntakenSends)
-    last_dropped: str | None = None  # the request that was forgotten last: nothing is held for it
+    last_dropped: str | None = None  # the last request for which nothing is held any more
     read_times: Usual = field(default_factory=Usual)  # from a read's sending to its answer
     first_event_times: Usual = field(default_factory=Usual)  # the same of a write, to its first event
     requests: dict[str, Request] = field(default_factory=dict)
--- a/basaltspread/lab/engine_side.py
+++ b/basaltspread/lab/engine_side.py
@@ -232,7 +232,17 @@
             elif "memory_share" in self.settings.report_fields:  # an engine that has just come back is empty
                 lately = sum(s > self.now - STREAM_TIME for s in self.engines[name].sends)
                 report["memory_share"] = min(1.0, lately / FULL)
-            self.later(g, 2 * MS, core.Probed(name, Ending.SERVED, 2 * MS, report))
+            wait = 2 * MS + self._probe_wait(engine)
+            if wait < PROBE_WAIT:
+                self.later(g, wait, core.Probed(name, Ending.SERVED, wait, report))
+            else:
+                self.later(g, PROBE_WAIT, core.Probed(name, Ending.TIMED_OUT, PROBE_WAIT))
+
+    def _probe_wait(self, engine: Engine) -> int:
+        """For which a probe waits there, in us: with deep probes it is served in turn."""
+        if not self.deep_probes or not isinstance(engine.work, ReadQueue):
+            return 0
+        return engine.work.time_to_read(self.now, 0)
 
     def _sent(self, g: Gateway, effect: core.StartAttempt, engine: Engine, life: int) -> None:
         rid = effect.request
@@ -263,6 +273,8 @@
             if q.unsafe and q.may_have_run:
                 self.breach("unsafe twice", rid)
             q.may_have_run = True
+        if effect.reading:
+            self.held[rid].reading.add(effect.number)
         if engine.sick:
             self.costs["errors"] += 1
             self._end_later(g, effect, 2 * MS, Ending.SERVER_ERROR)
@@ -449,7 +461,13 @@
         known = effect.number in self.asks[effect.request].close_known
         if (heard or known) and not self._open(g, effect, life):
             return
-        self.held[effect.request].states[effect.worker] = self.now
+        held = self.held[effect.request]
+        held.reading.discard(effect.number)
+        if effect.number in held.emptied:
+            self.costs["reads_emptied"] += 1
+            self.emptied_at.append(self.now - self.began)
+        else:
+            held.states[effect.worker] = self.now
         if heard:
             self._end(g, effect, Ending.READ, kept)
 
@@ -486,7 +504,8 @@
 
     def _take_place(self, g: Gateway, effect: core.AskPlace, engine: Engine) -> None:
         said, q = Place.HELD, self.asks[effect.request]
-        if self.noise.random() < self.places_refused:
+        kept = effect.worker in self.held[effect.request].places  # asked for again: it has the room already
+        if not kept and self.noise.random() < self.places_refused:
             said = Place.NOT_HELD
         else:
             self.held[effect.request].places = {effect.worker: self.now}  # a new one replaces it
--- a/basaltspread/lab/entities.py
+++ b/basaltspread/lab/entities.py
@@ -26,12 +26,21 @@
     states: dict[str, int] = field(default_factory=dict)
     places: dict[str, int] = field(default_factory=dict)
     fetching: int | None = None  # the write that has arrived, and fetches the state
+    reading: set[int] = field(default_factory=set)  # reads that have arrived and have not ended
+    emptied: set[int] = field(default_factory=set)  # of these, whose state went with the place it flowed to
 
     def since(self) -> list[int]:
         return [*self.states.values(), *self.places.values()]
 
+    def is_over(self) -> bool:
+        """Whether nothing is held, and no read that is out will leave anything."""
+        return not (self.states or self.places or self.reading)
+
     def release(self) -> None:
-        """All goes that no write waits for."""
+        """All goes that no write waits for. What a read that is out has made flows to the place that is kept,
+        and goes with it."""
+        if self.places:
+            self.emptied |= self.reading
         self.places.clear()
         if self.fetching is None:
             self.states.clear()
--- a/basaltspread/lab/fleet_state.py
+++ b/basaltspread/lab/fleet_state.py
@@ -76,6 +76,7 @@
         self.settings = replace(base, classes=(safe, order), rules=rules, limits=limits)
         self.tenant_traffic: list[float] = []  # of each tenant, against the others
         self.costs: Counter[str] = Counter()  # over the whole fleet
+        self.emptied_at: list[int] = []  # when reads ended whose state a release had taken meanwhile
         self.engines: dict[str, Engine] = {}
         # Mean requests a second that a warm engine can do; `load` is the used part of what all can.
         self.capacity = [rate / load / readers, rate / load / writers]
@@ -97,6 +98,7 @@
         self.swollen = 0.0  # share of prompts that are eight times as long
         self.late_connects = 0.0  # share of connections that take up to a second to come up
         self.places_refused, self.places_lost = 0.2, 0.0
+        self.deep_probes = False  # probes wait and are served like a request
         self.clients_repeat = False
         self.clients_leave = 0.0  # share of clients that go before they have an answer
         self.keeps_connections = (
--- a/basaltspread/lab/served_days.py
+++ b/basaltspread/lab/served_days.py
@@ -22,7 +22,7 @@
 from basaltspread.lab.troubles import DAY_STARTS, TROUBLES
 from basaltspread.lab.world import World
 
-CALM_FAULTS = {"burst", "shift", "uneven"}  # what a day without a fault may have
+CALM_FAULTS = {"burst", "shift", "uneven", "deep probes"}  # what a day without a fault may have
 UNDER_RANDOM = 0.02  # by which a day may serve less than random choice
 COULD_STEP = 100 * MS
 RANDOM_RATES = (0.3, 0.6, 1.2, 2.5, 5.0)  # requests a second of each gateway
@@ -45,6 +45,7 @@
     worse: list[Shortfall]  # than random choice
     cold_busy: dict[int, float]  # by kind of engine: the used part of what cold ones could do
     fallen: int
+    emptied: int  # reads that ended well and left no state, as a release had gone round meanwhile
 
     @property
     def reached(self) -> float:
@@ -63,6 +64,7 @@
         return (
             f"{self.reached:.2f} | {self.plan} | own {shares(self.own)} | informed {shares(self.informed)}"
             f" | random {shares(self.plain)} | could {could} | cold busy {busy} | fallen {self.fallen}"
+            f" | reads emptied {self.emptied}"
             f" | {broken} | {missing}"
         )
 
@@ -105,7 +107,7 @@
     missing, worse = shortfalls(own, informed, plain, calm), worse_than_chance(own, plain)
     return ServedDay(
         plan, own, informed, plain, could.thirds(), world.breaches, missing, worse, could.cold_busy(),
-        world.costs["fallen"],
+        world.costs["fallen"], world.costs["reads_emptied"],
     )  # fmt: skip
 
 
--- a/basaltspread/lab/troubles.py
+++ b/basaltspread/lab/troubles.py
@@ -109,6 +109,11 @@
         world.after(begin + 1500 * MS, lambda: set_silent(names, False))
 
 
+def deep_probes(world: World) -> None:
+    """Readers answer probes in turn with what they read."""
+    world.deep_probes = True
+
+
 TROUBLES: dict[str, Callable[[World], None]] = {
     **FAULTS,
     "overload": overload,
@@ -122,6 +127,7 @@
     "clients leave": clients_leave,
     "readers silent": readers_silent,
     "many texts": many_texts,
+    "deep probes": deep_probes,
 }
 
 
--- a/basaltspread/lab/world.py
+++ b/basaltspread/lab/world.py
@@ -48,9 +48,9 @@
         limit = self.settings.rules.release_within + SLACK + HELD_SLACK
         for name, held in list(self.held.items()):
             q = self.asks[name]
-            if not self._lives(q) or not held.since():
+            if not self._lives(q) or held.is_over():
                 del self.held[name]
-            elif not q.arrived and self.now - max(q.idle_since, min(held.since())) > limit:
+            elif held.since() and not q.arrived and self.now - max(q.idle_since, min(held.since())) > limit:
                 self.breach("pinned", name)
                 del self.held[name]
         if self.now < end:
--- a/tests/hang_mutants.py
+++ b/tests/hang_mutants.py
@@ -90,9 +90,9 @@
     ),
     Mutant(
         "each question begins the clock of all anew", CORE + "places.py",
-        "        self._watch_held(request)\n        self.state.contacts.began(worker, self.now)",
+        "        self._watch_held(request)\n        self.count(\"places_asked\")",
         "        request.held.outcome(self.now)\n        self._watch_held(request)\n"
-        "        self.state.contacts.began(worker, self.now)",
+        "        self.count(\"places_asked\")",
     ),
     Mutant(
         "a refusal of one writer ends what all hold", CORE + "places.py",
--- a/tests/test_hung_engines.py
+++ b/tests/test_hung_engines.py
@@ -143,6 +143,31 @@
         asked = [e for e in self.until(LIMIT // 2) if isinstance(e, core.SendRelease)]
         self.assertEqual([(e.request, e.worker) for e in asked], [("p", "r1")])
 
+    def test_a_busy_reader_was_asked_by_a_probe_that_waits_its_turn(self) -> None:
+        """A release for a request that is over is answered at once, also where probes are allowed."""
+        self.ask("w1")
+        self.state.last_dropped = "p"
+        self.seen(core.PlaceEnded("q", 0, "w1", Place.HELD), after=2 * MS)
+        effects = self.until(LIMIT // 2)
+        asked = [(e.request, e.worker) for e in effects if isinstance(e, core.SendRelease)]
+        self.assertEqual(asked, [("p", "r1")])
+        self.assertFalse([e for e in effects if isinstance(e, core.StartProbe)])
+
+    def test_a_release_took_what_a_slow_read_had_made_though_its_reader_ran(self) -> None:
+        """The place is asked for again in its place: the rule counts from the last question."""
+        self.ask("w1")
+        self.seen(core.PlaceEnded("q", 0, "w1", Place.HELD), after=2 * MS)
+        released, asked = list[str](), 0
+        for sign_at in range(20 * MS, 3 * SECOND, 20 * MS):
+            effects = self.until(sign_at)
+            released += self.releases(effects)
+            for question in [e for e in effects if isinstance(e, core.AskPlace)]:
+                asked += 1
+                self.seen(core.PlaceEnded("q", 0, question.worker, Place.HELD))
+            self.seen(core.Probed("r1", Ending.SERVED, 2 * MS))
+        self.assertEqual(released, [])
+        self.assertLessEqual(asked, 3 * SECOND // (LIMIT // 2))
+
     def test_a_reader_that_does_not_answer_is_asked_once_a_second(self) -> None:
         self.ask("w1")
         self.reads_take(SECOND)
