Forget states that a writer didn't find, so that none is released beside the next read

Cause: an ending that says that nothing waits changed no entry. Now the states that readers said they keep end with it; what a read without an answer may have left stays, as its engine may still make it. The test failed before (held after the 410).

--- a/basaltspread/core/held_clock.py
+++ b/basaltspread/core/held_clock.py
@@ -191,6 +191,8 @@
         elif attempt.reading and attempt.begun:
             ledger.add(HeldKind.STATE, attempt.worker, self.now, Knowledge.POSSIBLE)
         elif not attempt.reading:
+            if ending is Ending.STATE_GONE:
+                ledger.states_gone()
             ledger.attempt_over(attempt.number, self.now, ending in STATE_TAKEN)
         if ending in ANSWERED and ledger.holds():
             ledger.outcome(self.now)
--- a/basaltspread/core/held_ledger.py
+++ b/basaltspread/core/held_ledger.py
@@ -95,6 +95,11 @@
         """Its engine holds nothing any more, or never has."""
         self._entries.pop((entry.kind, entry.engine), None)
 
+    def states_gone(self) -> None:
+        """A writer has found none of the states that readers kept."""
+        for entry in [e for e in self if e.kind is HeldKind.STATE and e.knowledge is Knowledge.KEPT]:
+            self.end(entry)
+
     def outcome(self, now: int) -> None:
         """An attempt that a running engine had has ended."""
         self.confirmed_at = now
--- a/tests/test_held_state.py
+++ b/tests/test_held_state.py
@@ -187,6 +187,13 @@
             self.ask_place(said)
             self.assertEqual([type(e) for e in self.at_limit()], [core.SendRelease], said)
 
+    def test_a_state_that_a_writer_did_not_find_was_released_beside_the_next_read(self) -> None:
+        """Nothing is held any more, and nothing is due."""
+        self.read()
+        self.written()
+        self.feed(core.Ended("q", 1, Ending.STATE_GONE))
+        self.assertFalse(self.state.requests["q"].held.holds())
+
     def test_a_place_that_was_refused_holds_nothing(self) -> None:
         self.ask_place(Place.NOT_HELD)
         self.assertEqual(self.at_limit(), [])
