--- a/basaltspread/control/registry_order.py
+++ b/basaltspread/control/registry_order.py
@@ -104,6 +104,11 @@
     return _order_of(one.updated, other.updated) is Order.NEWER
 
 
+def is_surely_older(one: Stamps, other: Stamps) -> bool:
+    """Whether neither clock speaks for it."""
+    return order_of(one, other) is Order.OLDER and not is_newer_by_replica(one, other)
+
+
 def newest_of_each(news: Iterable[InstanceNews]) -> dict[InstanceId, InstanceNews]:
     """One word of each instance that an answer names: the newest, or the last where stamps don't tell."""
     found: dict[InstanceId, InstanceNews] = {}
@@ -150,8 +155,7 @@
         if not word.gives_work():
             self._hear_taking(now, word)
         elif self._serves:
-            older = order_of(word.stamps, self._word.stamps) is Order.OLDER
-            if not older or is_newer_by_replica(word.stamps, self._word.stamps):
+            if not is_surely_older(word.stamps, self._word.stamps):
                 self._word = word
                 self._note_given(word)
         elif self._counts(now, word):
@@ -207,10 +211,10 @@
 
     def _counts(self, now: int, word: InstanceNews) -> bool:
         """Whether a word gives work back now."""
-        order = order_of(word.stamps, self._stamps)
-        if order is Order.NEWER and word.stamps not in self._gave_work:
+        newer = order_of(word.stamps, self._stamps) is Order.NEWER
+        if newer and word.stamps not in self._gave_work:
             return True
-        if order is Order.OLDER and not is_newer_by_replica(word.stamps, self._stamps):
+        if is_surely_older(word.stamps, self._stamps):
             return now >= self._taken_at + DOUBT_KEPT
         self._answers += 1
         return self._answers >= ANSWERS_TO_RETURN
--- a/basaltspread/core/releases.py
+++ b/basaltspread/core/releases.py
@@ -109,30 +109,24 @@
 
     def _send_release(self, name: str, release: Release, candidates: list[str], zones: Counter[int]) -> None:
         """To the best engine that has not been tried; `zones` counts those that were."""
-        fit = [n for n in candidates if n not in release.tried and n not in release.open]
+        fit = [engine for engine in candidates if release.is_untried(engine)]
         if not fit:
             self._release_unlisted(name, release)
             return
         best = min(fit, key=lambda n: self._release_rank(name, zones, n))
-        release.tried.append(best)
+        release.begin(best)
         zones[self.state.workers[best].entry.zone] += 1
-        release.open.add(best)
         self._call_release(name, best)
 
     def _release_unlisted(self, name: str, release: Release) -> None:
         """To an engine that has the request and is not listed any more, once no listed one is left to try.
         Guards what is held against a list that is empty: the engines run on."""
-        for engine, address in release.addresses.items():
-            if (
-                engine not in self.state.workers
-                and engine not in release.tried
-                and engine not in release.open
-            ):
-                release.tried.append(engine)
-                release.open.add(engine)
-                self.count("releases_unlisted")
-                self._send_release_to(name, engine, address)
-                return
+        unlisted = [engine for engine in release.addresses if engine not in self.state.workers]
+        fit = [engine for engine in unlisted if release.is_untried(engine)]
+        if fit:
+            release.begin(fit[0])
+            self.count("releases_unlisted")
+            self._send_release_to(name, fit[0], release.addresses[fit[0]])
 
     def _release_once(self, name: str) -> None:
         """One call for it, to the best engine, if there is room: the next comes soon in any case."""
--- a/basaltspread/core/state.py
+++ b/basaltspread/core/state.py
@@ -118,6 +118,15 @@
     overdue: bool = False  # that it has gone unheard for long has been said
     addresses: dict[str, str] = field(default_factory=dict)  # where its request's engines were dialled
 
+    def is_untried(self, engine: str) -> bool:
+        """Whether no call has gone there since all were tried last, and none is open."""
+        return engine not in self.tried and engine not in self.open
+
+    def begin(self, engine: str) -> None:
+        """A call goes out there."""
+        self.tried.append(engine)
+        self.open.add(engine)
+
 
 @dataclass(slots=True, eq=False, repr=False)
 class Refusals:
@@ -218,12 +227,10 @@
     stopping: bool = False
     stop_by: int = 0
     accepting: bool = True
-    arriving: int = (
-        0  # requests that clients have begun to write and that are not taken; known while it stops
-    )
-    looks: set[str] = field(
-        default_factory=set
-    )  # of its end, those that are set: at streams to hand on or move
+    # Requests that clients have begun to write and that are not taken; known while it stops.
+    arriving: int = 0
+    # Timers of its end that are set: at streams to hand on or move.
+    looks: set[str] = field(default_factory=set)
     moving: bool = False  # streams that still run are ended here, for their clients to go on elsewhere
     exited: bool = False
     traces: bool = False  # each request's state changes and each release are logged
--- a/tests/hang_mutants.py
+++ b/tests/hang_mutants.py
@@ -151,8 +151,8 @@
     ),
     Mutant(
 "a release is taken for heard as it is sent", CORE + "releases.py",
-        "        release.open.add(best)\n        self._call_release(name, best)",
-        "        release.open.add(best)\n        self._call_release(name, best)\n"
+        "        zones[self.state.workers[best].entry.zone] += 1\n        self._call_release(name, best)",
+        "        zones[self.state.workers[best].entry.zone] += 1\n        self._call_release(name, best)\n"
         "        release.tries = RELEASE_TRIES + 1",
     ),
     Mutant(
