--- a/basaltspread/lab/engine_side.py
+++ b/basaltspread/lab/engine_side.py
@@ -554,6 +554,10 @@
             late = core.ReleaseEnded(effect.request, effect.worker, Ending.TIMED_OUT)
             self._wait_for(g, engine, RELEASE_WAIT, late, lambda waits: self._release(g, effect, waits))
             return
+        if there and engine.alive and engine.hung:  # it answers nothing, and passes nothing on
+            self.costs["releases"] += 1
+            self.later(g, RELEASE_WAIT, core.ReleaseEnded(effect.request, effect.worker, Ending.TIMED_OUT))
+            return
         done = there and engine.alive
         if done:
             self.after(1 * MS, lambda: self.held[effect.request].release())
