--- a/tests/test_toolcalls.py
+++ b/tests/test_toolcalls.py
@@ -16,7 +16,7 @@
 from basaltspread.core import Ending, ToolFault
 from basaltspread.interface import Outcome
 from basaltspread.net import toolcalls
-from tests.standins import DONE, Asked, Gateway, LoopbackTest, Standin, reading
+from tests.standins import DONE, Asked, Gateway, Handler, LoopbackTest, Standin, reading
 from tests.test_eureka import RegistryStandin
 from tests.test_platform import dead_address
 
@@ -83,6 +83,16 @@
     asked.reply(200, json.dumps({"jsonrpc": "2.0", "id": ident, "result": {"content": []}}).encode())
 
 
+def replying_after(go_on: asyncio.Event) -> Handler:
+    """A tool server that holds its reply back until it may go on."""
+
+    async def late(asked: Asked) -> None:
+        await go_on.wait()
+        await reply(asked)
+
+    return late
+
+
 class SidecarTest(LoopbackTest):
     async def sidecar(self, engine: Engine, tools: Standin | str, deadline_ms: int = 20000) -> Gateway:
         self.writer, reader = await self.standin(engine.handle), await self.standin(reading())
@@ -249,12 +259,7 @@
 
     async def test_a_reply_after_the_client_left_is_dropped_and_counted(self) -> None:
         go_on = asyncio.Event()
-
-        async def late(asked: Asked) -> None:
-            await go_on.wait()
-            await reply(asked)
-
-        engine, tools = Engine(call(1, "place_order")), await self.standin(late)
+        engine, tools = Engine(call(1, "place_order")), await self.standin(replying_after(go_on))
         gateway = await self.sidecar(engine, tools)
         client = await self.client(gateway)
         client.send("q1", cls="order")
@@ -269,12 +274,7 @@
     async def test_a_reply_reaches_its_engine_though_the_registrys_list_is_empty(self) -> None:
         """Guards replies of tool calls against a list that is briefly empty: review case 4."""
         go_on = asyncio.Event()
-
-        async def late(asked: Asked) -> None:
-            await go_on.wait()
-            await reply(asked)
-
-        engine, tools = Engine(call(1, "place_order")), await self.standin(late)
+        engine, tools = Engine(call(1, "place_order")), await self.standin(replying_after(go_on))
         gateway = await self.sidecar(engine, tools)
         client = await self.client(gateway)
         client.send("q1", cls="order")
